--- /dev/null
+++ b/internal/cli/commands.go
@@ -0,0 +1,8 @@
+package cli
+
+// commands lists all commands of the tool.
+func commands() []command {
+	return []command{
+		versionCommand,
+	}
+}
--- /dev/null
+++ b/internal/engine/errors.go
@@ -0,0 +1,32 @@
+package engine
+
+import "github.com/joomcode/errorx"
+
+// NotRun is the trait of errors after which it is certain that the engine did
+// not start the call.
+var NotRun = errorx.RegisterTrait("not-run")
+
+var namespace = errorx.NewNamespace("engine").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// Types of errors that engine clients return. Test with errorx.IsOfType, and
+// with errorx.HasTrait(err, NotRun) for whether anything ran.
+var (
+	// Busy means that the engine had no slot or memory.
+	Busy = namespace.NewType("busy", NotRun)
+	// Evicted means that the KV cache of the prefill is gone.
+	Evicted = namespace.NewType("evicted", NotRun)
+	// Leaving means that the engine takes no new work.
+	Leaving = namespace.NewType("leaving", NotRun)
+	// BadRequest means that the engine refused the body; repeating is pointless.
+	BadRequest = namespace.NewType("bad-request", NotRun)
+	// Unreachable means that no connection could be made, so no byte was sent.
+	Unreachable = namespace.NewType("unreachable", NotRun)
+	// Unavailable means that the engine failed after bytes may have reached it.
+	Unavailable = namespace.NewType("unavailable")
+	// CutShort means that a stream ended before its terminal event.
+	CutShort = namespace.NewType("cut-short")
+	// Crossed means that an answer belonged to another attempt.
+	Crossed = namespace.NewType("crossed")
+	// BadAttemptID means that a text is no attempt id.
+	BadAttemptID = namespace.NewType("bad-attempt-id")
+)
--- /dev/null
+++ b/internal/scheduling/types.go
@@ -0,0 +1,117 @@
+// Package scheduling decides which engines a model-backed request uses, when
+// its prefill starts, and when it is refused instead.
+//
+// Decisions are pure: state and time come in as arguments, a typed decision
+// comes out. Package reservation carries them between entry VMs.
+package scheduling
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+// Demand describes a model-backed request that needs a prefill engine and a
+// decode slot.
+type Demand struct {
+	// ID names the attempt; its VM and incarnation name the holder.
+	ID engine.AttemptID
+	// Zone is the availability zone of the entry VM.
+	Zone     string
+	Team     string
+	Class    string
+	Model    string
+	Priority int
+	Order    configuration.Order
+	// Share is the team's share of contended capacity; 0 counts as 1.
+	Share float64
+	// QueueLimit bounds the waiting requests of this team's class.
+	QueueLimit int
+	// PromptTokens is the estimated length of the prompt including tokens
+	// already delivered.
+	PromptTokens int
+	// Blocks are the chained hashes of the prompt's prefix blocks, see
+	// docs/PROTOCOLS.md.
+	Blocks []uint64
+	// OutputTokens is the most that the answer may have.
+	OutputTokens int
+	// Targets are the class's latency targets.
+	Targets configuration.Targets
+	// Weights set the balance between goodput and wasted prefill.
+	Weights configuration.Weights
+	// Waited is the time since the request arrived at its entry VM.
+	Waited time.Duration
+	// Exclude names engines that already failed this request.
+	Exclude []string
+	// Resumed says that tokens were already delivered, so that a refusal would
+	// waste them; it is admitted before new requests.
+	Resumed bool
+}
+
+// Grant assigns engines to a demand. The prefill may start at once; the decode
+// slot is reserved until it is released or its holder stops renewing it.
+type Grant struct {
+	ID engine.AttemptID
+	// Prefill and Decode are names of endpoints.
+	Prefill string
+	Decode  string
+	// FirstToken is the predicted time from the grant to the first token.
+	FirstToken time.Duration
+}
+
+// RefusalReason says why a demand was refused.
+type RefusalReason string
+
+// The reasons for a refusal. In all of them nothing ran.
+const (
+	// RefusedTarget means that a latency target could not be met.
+	RefusedTarget RefusalReason = "target-unreachable"
+	// RefusedQueueFull means that the class's queue limit was reached.
+	RefusedQueueFull RefusalReason = "queue-full"
+	// RefusedNoEngine means that no engine of the model is available.
+	RefusedNoEngine RefusalReason = "no-engine"
+	// RefusedTooLarge means that no engine has the memory for the request.
+	RefusedTooLarge RefusalReason = "too-large"
+)
+
+// Refusal is the error of a demand that is not granted.
+type Refusal struct {
+	Reason RefusalReason
+	// RetryAfter is when a repeat is expected to be granted.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("refused: %s, retry after %s", r.Reason, r.RetryAfter)
+}
+
+// Progress is what a holder observes of a granted attempt. It corrects the
+// predictions and tells the ledger what the attempt holds.
+type Progress struct {
+	ID   engine.AttemptID
+	Kind ProgressKind
+	// Prefill and Decode name the engines used.
+	Prefill, Decode string
+	// Tokens is the prompt length for PrefillDone, delivered tokens for Released.
+	Tokens int
+	// Cached is the part of the prompt served from the prefix cache.
+	Cached int
+	// Elapsed is the duration of the phase that ended.
+	Elapsed time.Duration
+}
+
+// ProgressKind tells phases apart.
+type ProgressKind string
+
+// The kinds of progress.
+const (
+	// PrefillDone means that the prefill engine is free of this attempt.
+	PrefillDone ProgressKind = "prefill-done"
+	// FirstTokenSeen means that transfer and first decode step are done.
+	FirstTokenSeen ProgressKind = "first-token"
+	// Released means that the attempt holds nothing any more.
+	Released ProgressKind = "released"
+)
--- /dev/null
+++ b/internal/timeline/event.go
@@ -0,0 +1,84 @@
+// Package timeline records typed events of one process in a bounded ring and
+// merges the events of several processes into one ordered view.
+package timeline
+
+import "time"
+
+// Kind names what happened. Kinds are stable and part of golden files.
+type Kind string
+
+// The kinds of event on a request's path.
+const (
+	RequestReceived  Kind = "request.received"
+	RequestAdmitted  Kind = "request.admitted"
+	RequestQueued    Kind = "request.queued"
+	RequestRefused   Kind = "request.refused"
+	RequestAnswered  Kind = "request.answered"
+	RequestFailed    Kind = "request.failed"
+	CallerGone       Kind = "request.caller-gone"
+	SlotReserved     Kind = "slot.reserved"
+	SlotReleased     Kind = "slot.released"
+	PrefillStarted   Kind = "prefill.started"
+	PrefillFinished  Kind = "prefill.finished"
+	PrefillFailed    Kind = "prefill.failed"
+	TransferStarted  Kind = "transfer.started"
+	TransferStalled  Kind = "transfer.stalled"
+	DecodeStarted    Kind = "decode.started"
+	DecodeFailed     Kind = "decode.failed"
+	DecodeResumed    Kind = "decode.resumed"
+	FirstToken       Kind = "decode.first-token"
+	CancelSent       Kind = "cancel.sent"
+	CancelConfirmed  Kind = "cancel.confirmed"
+	AnswerDropped    Kind = "answer.dropped"
+	ClaimWon         Kind = "claim.won"
+	ClaimLost        Kind = "claim.lost"
+	ClaimOutcome     Kind = "claim.outcome"
+	PlainSent        Kind = "plain.sent"
+	PlainAnswered    Kind = "plain.answered"
+	ConfigurationSet Kind = "configuration.in-force"
+	EndpointLeaving  Kind = "endpoint.leaving"
+	EndpointEjected  Kind = "endpoint.ejected"
+	EndpointRestored Kind = "endpoint.restored"
+	MemberAlive      Kind = "member.alive"
+	MemberSuspect    Kind = "member.suspect"
+	MemberGone       Kind = "member.gone"
+	OrphanCancelled  Kind = "orphan.cancelled"
+	LogAway          Kind = "log.away"
+	LogBack          Kind = "log.back"
+	LeaseAcquired    Kind = "lease.acquired"
+	LeaseLost        Kind = "lease.lost"
+	OrderSent        Kind = "order.sent"
+	OrderConfirmed   Kind = "order.confirmed"
+	ShutdownStarted  Kind = "shutdown.started"
+	ShutdownFinished Kind = "shutdown.finished"
+)
+
+// Event is one entry of a time line.
+type Event struct {
+	// Sequence counts the events of one incarnation from 1.
+	Sequence uint64 `json:"sequence"`
+	// Wall is the wall clock time.
+	Wall time.Time `json:"wall"`
+	// Monotonic is the time since the process started.
+	Monotonic time.Duration `json:"monotonic_ns"`
+	// VM and Incarnation name the process.
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+	// Request is the request id, empty if the event belongs to no request.
+	Request string `json:"request,omitempty"`
+	Kind    Kind   `json:"kind"`
+	// Detail is free text without personal data, for example an endpoint's name.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Recorder takes events. Implementations are safe for concurrent use and never block.
+type Recorder interface {
+	Record(kind Kind, request, detail string)
+}
+
+// Discard is a Recorder that drops all events.
+var Discard Recorder = discard{}
+
+type discard struct{}
+
+func (discard) Record(Kind, string, string) {}
