--- /dev/null
+++ b/internal/endpoint/registry.go
@@ -0,0 +1,243 @@
+// Package endpoint keeps what an entry VM knows about endpoints beyond the
+// configuration: which are leaving, which are ejected as outliers, and how many
+// calls this VM has in flight on each.
+//
+// Signals and their trust: an endpoint's own reply that it is leaving is
+// believed at once; the platform's list lags and only adds to it.
+package endpoint
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// leavingHold is how long an endpoint's own word that it is leaving outlasts a
+// platform list that shows it as live.
+const leavingHold = time.Minute
+
+// Status is what is known about one endpoint.
+type Status struct {
+	inFlight atomic.Int64
+
+	mu          sync.Mutex
+	outlier     outlier
+	saidLeaving time.Time
+	listed      bool
+	listedAs    vmlist.State
+	disappeared bool
+}
+
+// Counters count what the registry did. The zero value is ready to use.
+type Counters struct {
+	// Ejected and Restored count outlier ejections and their ends.
+	Ejected, Restored atomic.Int64
+	// Leaving counts endpoints that began to leave.
+	Leaving atomic.Int64
+}
+
+// Registry holds the status of endpoints by name. It is safe for concurrent use.
+type Registry struct {
+	// Counters are read by the metrics.
+	Counters Counters
+
+	events timeline.Recorder
+	now    func() time.Time
+	status sync.Map // endpoint name -> *Status
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(events timeline.Recorder) *Registry {
+	return &Registry{events: events, now: time.Now}
+}
+
+func (r *Registry) get(name string) *Status {
+	if found, ok := r.status.Load(name); ok {
+		return found.(*Status)
+	}
+	created, _ := r.status.LoadOrStore(name, &Status{})
+	return created.(*Status)
+}
+
+// Begin counts a call in flight; the returned function ends it.
+func (r *Registry) Begin(name string) func() {
+	s := r.get(name)
+	s.inFlight.Add(1)
+	return func() { s.inFlight.Add(-1) }
+}
+
+// InFlight returns the number of this VM's calls in flight on an endpoint.
+func (r *Registry) InFlight(name string) int { return int(r.get(name).inFlight.Load()) }
+
+// MarkLeaving records an endpoint's own word that it is leaving.
+func (r *Registry) MarkLeaving(name string) {
+	s := r.get(name)
+	s.mu.Lock()
+	first := s.saidLeaving.IsZero()
+	s.saidLeaving = r.now()
+	s.mu.Unlock()
+	if first {
+		r.recordLeaving(name, "own reply")
+	}
+}
+
+func (r *Registry) recordLeaving(name, source string) {
+	r.Counters.Leaving.Add(1)
+	r.events.Record(timeline.EndpointLeaving, "", name+" by "+source)
+}
+
+// ApplyList takes a fresh answer of the platform's list.
+func (r *Registry) ApplyList(list vmlist.List) {
+	present := make(map[string]vmlist.State, len(list.VMs))
+	for _, vm := range list.VMs {
+		present[vm.Name] = vm.State
+		r.get(vm.Name)
+	}
+	r.status.Range(func(key, value any) bool {
+		name := key.(string)
+		state, listed := present[name]
+		if value.(*Status).applyListed(r.now(), state, listed) {
+			r.recordLeaving(name, "platform list")
+		}
+		return true
+	})
+}
+
+// applyListed updates one endpoint and reports whether the list shows it as
+// leaving for the first time.
+func (s *Status) applyListed(now time.Time, state vmlist.State, listed bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	began := listed && state == vmlist.Leaving && s.listedAs != vmlist.Leaving
+	returned := listed && state == vmlist.Live && (s.disappeared || s.listedAs == vmlist.Leaving)
+	held := !s.saidLeaving.IsZero() && now.Sub(s.saidLeaving) < leavingHold
+	if returned || (listed && state == vmlist.Live && !held) {
+		s.saidLeaving = time.Time{}
+	}
+	s.disappeared = s.listed && !listed
+	s.listed = s.listed || listed
+	if listed {
+		s.listedAs = state
+	}
+	return began
+}
+
+// Leaving reports whether an endpoint must get no new work.
+func (r *Registry) Leaving(name string) bool {
+	s := r.get(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.saidLeaving.IsZero() || s.listedAs == vmlist.Leaving || s.disappeared
+}
+
+// Usable reports whether an endpoint may get new work: it is neither leaving
+// nor ejected.
+func (r *Registry) Usable(name string) bool {
+	return !r.Leaving(name) && r.share(name) > 0
+}
+
+func (r *Registry) share(name string) float64 {
+	s := r.get(name)
+	now := r.now()
+	s.mu.Lock()
+	restored := s.outlier.restore(now)
+	share := s.outlier.share(now)
+	s.mu.Unlock()
+	if restored {
+		r.Counters.Restored.Add(1)
+		r.events.Record(timeline.EndpointRestored, "", name)
+	}
+	return share
+}
+
+// Observe records the outcome of a call to an endpoint. The group are the names
+// of all endpoints that do the same work; it bounds ejections.
+func (r *Registry) Observe(name string, group []string, ok bool, latency time.Duration) {
+	s := r.get(name)
+	s.mu.Lock()
+	s.outlier.observe(ok, latency)
+	suspicious := !s.outlier.ejected && (s.outlier.failing() || s.outlier.latency >= slowFloor)
+	s.mu.Unlock()
+	if suspicious {
+		r.judge(name, group)
+	}
+}
+
+// judge ejects an endpoint that fails or is slow, if the group allows it.
+func (r *Registry) judge(name string, group []string) {
+	median, ejected := r.groupState(group)
+	if !ejectionAllowed(ejected, len(group)) {
+		return
+	}
+	s := r.get(name)
+	s.mu.Lock()
+	eject := !s.outlier.ejected && (s.outlier.failing() || s.outlier.slow(median))
+	if eject {
+		s.outlier.eject(r.now())
+	}
+	s.mu.Unlock()
+	if eject {
+		r.Counters.Ejected.Add(1)
+		r.events.Record(timeline.EndpointEjected, "", name)
+	}
+}
+
+// groupState returns the median latency of a group and how many are ejected.
+func (r *Registry) groupState(group []string) (time.Duration, int) {
+	latencies := make([]time.Duration, 0, len(group))
+	ejected := 0
+	for _, name := range group {
+		s := r.get(name)
+		s.mu.Lock()
+		latencies = append(latencies, s.outlier.latency)
+		if s.outlier.ejected {
+			ejected++
+		}
+		s.mu.Unlock()
+	}
+	slices.Sort(latencies)
+	if len(latencies) == 0 {
+		return 0, ejected
+	}
+	return latencies[(len(latencies)-1)/2], ejected
+}
+
+// PickLeastInFlight chooses among usable endpoints by the power of two choices
+// on this VM's calls in flight, relative to each endpoint's share. Endpoints of
+// the zone are preferred. It returns nil if none is usable.
+func (r *Registry) PickLeastInFlight(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint {
+	usable := make([]*configuration.Endpoint, 0, len(candidates))
+	for _, e := range candidates {
+		if !slices.Contains(exclude, e.Name) && r.Usable(e.Name) {
+			usable = append(usable, e)
+		}
+	}
+	near := slices.DeleteFunc(slices.Clone(usable), func(e *configuration.Endpoint) bool { return e.Zone != zone })
+	if len(near) > 0 {
+		usable = near
+	}
+	switch len(usable) {
+	case 0:
+		return nil
+	case 1:
+		return usable[0]
+	}
+	first := rand.IntN(len(usable))
+	second := (first + 1 + rand.IntN(len(usable)-1)) % len(usable)
+	if cmp.Less(r.relativeLoad(usable[second].Name), r.relativeLoad(usable[first].Name)) {
+		return usable[second]
+	}
+	return usable[first]
+}
+
+// relativeLoad is the load in flight plus the new call over the endpoint's share.
+func (r *Registry) relativeLoad(name string) float64 {
+	return float64(r.InFlight(name)+1) / max(minShare, r.share(name))
+}
--- /dev/null
+++ b/internal/endpoint/registry_test.go
@@ -0,0 +1,89 @@
+package endpoint
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+var group = []string{"a", "b", "c"}
+
+func listOf(state vmlist.State, names ...string) vmlist.List {
+	var list vmlist.List
+	for _, name := range names {
+		list.VMs = append(list.VMs, vmlist.VM{Name: name, State: state})
+	}
+	return list
+}
+
+func TestOwnWordOutlastsAStaleList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := NewRegistry(timeline.Discard)
+		r.ApplyList(listOf(vmlist.Live, group...))
+		r.MarkLeaving("a")
+		time.Sleep(leavingHold - time.Second)
+		r.ApplyList(listOf(vmlist.Live, group...))
+		assert.Assert(t, r.Leaving("a"))
+		time.Sleep(2 * time.Second)
+		r.ApplyList(listOf(vmlist.Live, group...))
+		assert.Assert(t, !r.Leaving("a"))
+	})
+}
+
+func TestListedLeavingAndGoneGetNoWork(t *testing.T) {
+	r := NewRegistry(timeline.Discard)
+	r.ApplyList(listOf(vmlist.Live, group...))
+	list := listOf(vmlist.Live, "a")
+	list.VMs = append(list.VMs, vmlist.VM{Name: "b", State: vmlist.Leaving})
+	r.ApplyList(list)
+	assert.Assert(t, r.Usable("a"))
+	assert.Assert(t, !r.Usable("b"))
+	assert.Assert(t, !r.Usable("c"))
+	r.ApplyList(listOf(vmlist.Live, group...))
+	assert.Assert(t, r.Usable("b") && r.Usable("c"))
+}
+
+func TestFailingEndpointsAreEjectedUpToTheCapAndRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := NewRegistry(timeline.Discard)
+		for range ejectAfterFailures {
+			r.Observe("a", group, false, 0)
+			r.Observe("b", group, false, 0)
+		}
+		assert.Assert(t, !r.Usable("a"))
+		assert.Assert(t, r.Usable("b"), "more than a third of the group was ejected")
+		time.Sleep(baseEjection)
+		assert.Assert(t, r.Usable("a"))
+		assert.Assert(t, r.share("a") < 0.5, "a restored endpoint got its full share at once")
+		time.Sleep(rampUp)
+		assert.Equal(t, r.share("a"), 1.0)
+	})
+}
+
+func TestSlowEndpointIsEjected(t *testing.T) {
+	r := NewRegistry(timeline.Discard)
+	for range slowSamples {
+		r.Observe("a", group, true, 10*slowFloor)
+		r.Observe("b", group, true, slowFloor)
+		r.Observe("c", group, true, slowFloor)
+	}
+	assert.Assert(t, !r.Usable("a"))
+	assert.Assert(t, r.Usable("b") && r.Usable("c"))
+}
+
+func TestPickPrefersOwnZoneAndLeastInFlight(t *testing.T) {
+	r := NewRegistry(timeline.Discard)
+	near1 := &configuration.Endpoint{Name: "n1", Zone: "z1"}
+	near2 := &configuration.Endpoint{Name: "n2", Zone: "z1"}
+	far := &configuration.Endpoint{Name: "f", Zone: "z2"}
+	candidates := []*configuration.Endpoint{near1, near2, far}
+	defer r.Begin("n1")()
+	assert.Equal(t, r.PickLeastInFlight(candidates, "z1", nil), near2)
+	assert.Equal(t, r.PickLeastInFlight(candidates, "z1", []string{"n1", "n2"}), far)
+}
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -19,6 +19,8 @@
 	Leaving = namespace.NewType("leaving", NotRun)
 	// BadRequest means that the engine refused the body; repeating is pointless.
 	BadRequest = namespace.NewType("bad-request", NotRun)
+	// Cancelled means that the attempt was cancelled before the call arrived.
+	Cancelled = namespace.NewType("cancelled", NotRun)
 	// Unreachable means that no connection could be made, so no byte was sent.
 	Unreachable = namespace.NewType("unreachable", NotRun)
 	// Unavailable means that the engine failed after bytes may have reached it.
--- /dev/null
+++ b/internal/engine/openai/stream.go
@@ -0,0 +1,148 @@
+package openai
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+const (
+	// streamBufferBytes bounds one server-sent event line.
+	streamBufferBytes = 64 << 10
+)
+
+var (
+	dataPrefix   = []byte("data:")
+	doneMarker   = []byte("[DONE]")
+	importedLine = []byte(": imported")
+)
+
+// chunk is one server-sent event of a decode stream. It is reused between events.
+type chunk struct {
+	ID         string   `json:"id"`
+	TokenIndex int      `json:"token_index"`
+	Choices    []choice `json:"choices"`
+}
+
+type choice struct {
+	Text  string `json:"text"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// stream reads the server-sent events of one decode attempt.
+type stream struct {
+	body    io.ReadCloser
+	lines   *bufio.Reader
+	id      string
+	text    []byte
+	ended   bool
+	pending []byte
+}
+
+func newStream(body io.ReadCloser, id engine.AttemptID) *stream {
+	return &stream{
+		body:  body,
+		lines: bufio.NewReaderSize(body, streamBufferBytes),
+		id:    id.String(),
+	}
+}
+
+// awaitImport reads up to the line that reports the end of the KV import.
+func (s *stream) awaitImport() error {
+	for {
+		line, err := s.line()
+		if err != nil {
+			return err
+		}
+		if bytes.Equal(line, importedLine) {
+			return nil
+		}
+		if bytes.HasPrefix(line, dataPrefix) {
+			s.pending = bytes.Clone(line)
+			return nil
+		}
+	}
+}
+
+// Next implements engine.Stream.
+func (s *stream) Next() (engine.Token, error) {
+	for {
+		line, err := s.nextLine()
+		if err != nil {
+			return engine.Token{}, err
+		}
+		payload, found := bytes.CutPrefix(line, dataPrefix)
+		if !found {
+			continue
+		}
+		payload = bytes.TrimSpace(payload)
+		if bytes.Equal(payload, doneMarker) {
+			return engine.Token{}, s.finish()
+		}
+		return s.token(payload)
+	}
+}
+
+// finish checks that the terminal event follows a finish reason.
+func (s *stream) finish() error {
+	if !s.ended {
+		return engine.CutShort.New("stream of %s ended without a finish reason", s.id)
+	}
+	return io.EOF
+}
+
+// token decodes one event.
+func (s *stream) token(payload []byte) (engine.Token, error) {
+	var c chunk
+	if err := json.Unmarshal(payload, &c); err != nil {
+		return engine.Token{}, engine.Unavailable.Wrap(err, "stream event of %s", s.id)
+	}
+	if c.ID != s.id {
+		return engine.Token{}, engine.Crossed.New("stream of %s carries an event of %s", s.id, c.ID)
+	}
+	if len(c.Choices) != 1 {
+		return engine.Token{}, engine.Unavailable.New("stream event of %s has %d choices", s.id, len(c.Choices))
+	}
+	only := &c.Choices[0]
+	s.text = append(s.text[:0], only.Text...)
+	s.text = append(s.text, only.Delta.Content...)
+	token := engine.Token{Index: c.TokenIndex, Text: s.text}
+	if only.FinishReason != nil {
+		s.ended = true
+		token.FinishReason = *only.FinishReason
+	}
+	return token, nil
+}
+
+// nextLine returns the event that awaitImport has read ahead, or reads one.
+func (s *stream) nextLine() ([]byte, error) {
+	if s.pending != nil {
+		line := s.pending
+		s.pending = nil
+		return line, nil
+	}
+	return s.line()
+}
+
+// line returns the next non-empty line without its line end.
+func (s *stream) line() ([]byte, error) {
+	for {
+		line, err := s.lines.ReadSlice('\n')
+		if err != nil {
+			return nil, engine.CutShort.Wrap(err, "stream of %s", s.id)
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 {
+			return line, nil
+		}
+	}
+}
+
+// Close implements engine.Stream.
+func (s *stream) Close() error { return s.body.Close() }
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,50 @@
+// Package retry bounds retries so that a failing endpoint is not hit by a
+// multiple of the offered load.
+package retry
+
+import "sync/atomic"
+
+const (
+	// milli is the scale of the budget's balance, thousandths of a retry.
+	milli = 1000
+)
+
+// Budget lets retries be a bounded share of requests. Each request earns a
+// fraction of a retry; each retry costs one. It is safe for concurrent use.
+type Budget struct {
+	earn    int64
+	ceiling int64
+	balance atomic.Int64
+}
+
+// NewBudget returns a budget of ratio retries per request with a reserve of
+// burst retries, full at first.
+func NewBudget(ratio float64, burst int) *Budget {
+	b := &Budget{earn: int64(ratio * milli), ceiling: int64(burst) * milli}
+	b.balance.Store(b.ceiling)
+	return b
+}
+
+// Earn credits one request.
+func (b *Budget) Earn() {
+	for {
+		old := b.balance.Load()
+		updated := min(old+b.earn, b.ceiling)
+		if updated == old || b.balance.CompareAndSwap(old, updated) {
+			return
+		}
+	}
+}
+
+// Spend takes one retry and reports whether the budget allowed it.
+func (b *Budget) Spend() bool {
+	for {
+		old := b.balance.Load()
+		if old < milli {
+			return false
+		}
+		if b.balance.CompareAndSwap(old, old-milli) {
+			return true
+		}
+	}
+}
