Add the completion path and the forwarder of plain services

A call that may not be repeated gets a connection of its own and a body that net/http cannot rewind: net/http repeats a request with an Idempotency-Key on a reused connection by itself. With pooled connections TestLostReplyIsNotSentAgain counted 3 executions of 2 calls; with this change it counts 2.

--- /dev/null
+++ b/internal/completion/attempt.go
@@ -0,0 +1,284 @@
+package completion
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+const (
+	// stallFactor times the expected duration of a phase is its limit.
+	stallFactor = 4
+	// stallFloor is the least limit of a phase.
+	stallFloor = 500 * time.Millisecond
+	// prefillFloor is the least limit of a prefill.
+	prefillFloor = 2 * time.Second
+	// tokenStallFactor times the between-token target is the limit between tokens.
+	tokenStallFactor = 20
+)
+
+// attempt is one pass through prefill and decode.
+type attempt struct {
+	*run
+	id    engine.AttemptID
+	grant scheduling.Grant
+	// prefillHolds and decodeHolds say that an engine may hold something for
+	// this attempt.
+	prefillHolds, decodeHolds bool
+	promptTokens              int
+	delivered                 int
+}
+
+// attempt reserves engines and runs one attempt on them.
+func (r *run) attempt(ctx context.Context) error {
+	id := r.attemptID()
+	grant, err := r.options.Reserver.Reserve(ctx, r.demand(id))
+	if err != nil {
+		return err
+	}
+	r.Counters.Attempts.Add(1)
+	r.options.Events.Record(timeline.SlotReserved, r.request.ID, grant.Prefill+" "+grant.Decode)
+	a := &attempt{run: r, id: id, grant: grant}
+	err = a.execute(ctx)
+	a.finish(err)
+	return err
+}
+
+// execute runs prefill, transfer and decode.
+func (a *attempt) execute(ctx context.Context) error {
+	prefill, found := a.options.Engines.Engine(a.grant.Prefill)
+	if !found {
+		return engine.Unreachable.New("prefill engine %s is not configured", a.grant.Prefill)
+	}
+	decode, found := a.options.Engines.Engine(a.grant.Decode)
+	if !found {
+		return engine.Unreachable.New("decode engine %s is not configured", a.grant.Decode)
+	}
+	result, err := a.prefill(ctx, prefill)
+	if err != nil {
+		return err
+	}
+	return a.decode(ctx, decode, result)
+}
+
+// prefill runs the prompt on the prefill engine.
+func (a *attempt) prefill(ctx context.Context, client engine.Client) (engine.PrefillResult, error) {
+	ctx, watch := newWatchdog(ctx, a.prefillLimit())
+	defer watch.stop()
+	started := time.Now()
+	a.options.Events.Record(timeline.PrefillStarted, a.request.ID, a.grant.Prefill)
+	result, err := client.Prefill(ctx, a.call(a.id))
+	if err != nil {
+		a.failedOn(a.grant.Prefill, configuration.RolePrefill, err, &a.prefillHolds)
+		a.options.Events.Record(timeline.PrefillFailed, a.request.ID, a.grant.Prefill)
+		return result, watch.explain(err)
+	}
+	a.prefillHolds = true
+	a.ranOn(OutcomeRan)
+	a.observe(a.grant.Prefill, configuration.RolePrefill, true, time.Since(started))
+	a.promptTokens = result.PromptTokens
+	a.Counters.PrefillTokens.Add(int64(result.PromptTokens - result.CachedTokens))
+	a.result.PromptTokens = result.PromptTokens
+	a.result.CachedTokens = result.CachedTokens
+	a.options.Events.Record(timeline.PrefillFinished, a.request.ID, a.grant.Prefill)
+	a.progress(scheduling.Progress{
+		Kind:    scheduling.PrefillDone,
+		Tokens:  result.PromptTokens,
+		Cached:  result.CachedTokens,
+		Elapsed: time.Since(started),
+	})
+	return result, nil
+}
+
+// decode imports the KV cache and passes tokens on.
+func (a *attempt) decode(caller context.Context, client engine.Client, prefill engine.PrefillResult) error {
+	ctx, watch := newWatchdog(caller, a.transferLimit())
+	defer watch.stop()
+	started := time.Now()
+	a.options.Events.Record(timeline.TransferStarted, a.request.ID, a.grant.Prefill+" "+a.grant.Decode)
+	stream, err := client.Decode(ctx, engine.DecodeCall{
+		Call:      a.call(a.id),
+		KV:        prefill.KV,
+		MaxTokens: a.request.MaxTokens,
+	})
+	if err != nil {
+		a.failedOn(a.grant.Decode, configuration.RoleDecode, err, &a.decodeHolds)
+		return a.transferError(watch, err)
+	}
+	defer func() { _ = stream.Close() }()
+	a.prefillHolds = false
+	a.decodeHolds = true
+	a.options.Events.Record(timeline.DecodeStarted, a.request.ID, a.grant.Decode)
+	err = a.stream(stream, watch, started)
+	if err != nil && !errorx.IsOfType(err, CallerGone) && caller.Err() == nil {
+		a.failedOn(a.grant.Decode, configuration.RoleDecode, err, &a.decodeHolds)
+	}
+	return err
+}
+
+// transferError explains a failed import.
+func (a *attempt) transferError(watch *watchdog, err error) error {
+	if watch.fired() {
+		a.Counters.TransferStalls.Add(1)
+		a.options.Events.Record(timeline.TransferStalled, a.request.ID, a.grant.Decode)
+		a.excludeEngine(a.grant.Decode)
+	}
+	return watch.explain(err)
+}
+
+// stream passes tokens to the caller, each exactly once and in order.
+func (a *attempt) stream(stream engine.Stream, watch *watchdog, started time.Time) error {
+	limit := a.tokenLimit()
+	watch.reset(limit)
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			return a.streamError(watch, err)
+		}
+		watch.reset(limit)
+		if token.FinishReason != "" {
+			return a.last(stream, token, started)
+		}
+		if err := a.pass(token, started); err != nil {
+			return err
+		}
+	}
+}
+
+// last passes on the final token once the terminal event has confirmed it.
+func (a *attempt) last(stream engine.Stream, token engine.Token, started time.Time) error {
+	token.Text = append([]byte(nil), token.Text...)
+	if _, err := stream.Next(); !errors.Is(err, io.EOF) {
+		return engine.CutShort.New("stream of %s ended without its terminal event", a.id)
+	}
+	a.decodeHolds = false
+	if err := a.pass(token, started); err != nil {
+		return err
+	}
+	a.result.CompletionTokens = a.next
+	return nil
+}
+
+// pass gives a token to the caller unless the caller has it already.
+func (a *attempt) pass(token engine.Token, started time.Time) error {
+	if token.Index < a.next {
+		a.Counters.DuplicateTokens.Add(1)
+		return nil
+	}
+	if token.Index > a.next {
+		return protocolError.New("token %d follows token %d", token.Index, a.next-1)
+	}
+	if a.delivered == 0 {
+		a.first(started)
+	}
+	if err := a.sink.Token(token); err != nil {
+		return CallerGone.Wrap(err, "%s", a.request.ID)
+	}
+	a.text = append(a.text, token.Text...)
+	a.next++
+	a.delivered++
+	return nil
+}
+
+// first records the attempt's first token.
+func (a *attempt) first(started time.Time) {
+	if a.next > 0 {
+		a.Counters.Resumed.Add(1)
+		a.options.Events.Record(timeline.DecodeResumed, a.request.ID, a.grant.Decode)
+	} else {
+		a.options.Events.Record(timeline.FirstToken, a.request.ID, a.grant.Decode)
+	}
+	a.progress(scheduling.Progress{Kind: scheduling.FirstTokenSeen, Elapsed: time.Since(started)})
+}
+
+// streamError explains a stream that ended before its terminal event.
+func (a *attempt) streamError(watch *watchdog, err error) error {
+	if errorx.IsOfType(err, engine.Crossed) {
+		a.Counters.Crossed.Add(1)
+		a.options.Events.Record(timeline.AnswerDropped, a.request.ID, a.grant.Decode)
+	}
+	if watch.fired() {
+		a.Counters.DecodeStalls.Add(1)
+	}
+	if errors.Is(err, io.EOF) {
+		return engine.CutShort.New("stream of %s ended without a finish reason", a.id)
+	}
+	return watch.explain(err)
+}
+
+// finish cancels what engines may still hold and releases the reservation.
+func (a *attempt) finish(err error) {
+	if err != nil && a.delivered == 0 {
+		a.Counters.WastedPrefillTokens.Add(int64(a.promptTokens))
+	}
+	release := func() {
+		a.progress(scheduling.Progress{Kind: scheduling.Released, Tokens: a.delivered})
+		a.options.Events.Record(timeline.SlotReleased, a.request.ID, a.grant.Decode)
+	}
+	holders := a.holders()
+	if len(holders) == 0 {
+		release()
+		return
+	}
+	a.options.Canceller.Cancel(a.id, a.request.ID, holders, release)
+}
+
+// holders names the engines that may hold something for this attempt.
+func (a *attempt) holders() []string {
+	var names []string
+	if a.prefillHolds {
+		names = append(names, a.grant.Prefill)
+	}
+	if a.decodeHolds {
+		names = append(names, a.grant.Decode)
+	}
+	return names
+}
+
+// failedOn records a failed call. The engine may hold something unless the
+// error says that nothing ran.
+func (a *attempt) failedOn(name string, role configuration.Role, err error, holds *bool) {
+	if errorx.IsOfType(err, engine.Crossed) {
+		a.Counters.Crossed.Add(1)
+		a.options.Events.Record(timeline.AnswerDropped, a.request.ID, name)
+	}
+	if errorx.IsOfType(err, engine.Leaving) {
+		a.options.Endpoints.MarkLeaving(name)
+	}
+	if !errorx.HasTrait(err, engine.NotRun) {
+		*holds = true
+		a.ranOn(OutcomeUnknown)
+	}
+	if errorx.IsOfType(err, engine.Evicted) {
+		a.prefillHolds = false
+		return
+	}
+	a.excludeEngine(name)
+	a.observe(name, role, false, 0)
+}
+
+// observe tells the endpoint registry how a call went.
+func (a *attempt) observe(name string, role configuration.Role, ok bool, latency time.Duration) {
+	snapshot := a.options.Configuration.Snapshot()
+	engines := snapshot.Engines(a.request.Class.Model, role, a.options.Zone)
+	group := make([]string, len(engines))
+	for i, e := range engines {
+		group[i] = e.Name
+	}
+	a.options.Endpoints.Observe(name, group, ok, latency)
+}
+
+func (a *attempt) progress(p scheduling.Progress) {
+	p.ID = a.id
+	p.Prefill = a.grant.Prefill
+	p.Decode = a.grant.Decode
+	a.options.Reserver.Progress(p)
+}
--- /dev/null
+++ b/internal/completion/errors.go
@@ -0,0 +1,67 @@
+package completion
+
+import (
+	"github.com/joomcode/errorx"
+
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+var namespace = errorx.NewNamespace("completion").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// Types of errors of Runner.Run and of its attempts.
+var (
+	// CallerGone means that the caller cancelled or stopped reading.
+	CallerGone = namespace.NewType("caller-gone")
+	// stalled means that a phase made no progress for its limit.
+	stalled = namespace.NewType("stalled")
+	// protocolError means that an engine broke the token order.
+	protocolError = namespace.NewType("protocol-error")
+)
+
+// RefusedError means that the caller got no token and the request is given up.
+type RefusedError struct {
+	// Refusal says why; its RetryAfter says when a repeat makes sense.
+	Refusal scheduling.Refusal
+	// Cause is the last engine error, nil if no attempt was made.
+	Cause error
+	// Outcome says whether engines ran anything for the request.
+	Outcome Outcome
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	if e.Cause == nil {
+		return e.Refusal.Error()
+	}
+	return e.Refusal.Error() + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
+// Outcome says what engines did for a request without an answer.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeNotRun means that certainly no engine started work.
+	OutcomeNotRun Outcome = iota
+	// OutcomeUnknown means that an engine may have started work.
+	OutcomeUnknown
+	// OutcomeRan means that an engine did work for the request.
+	OutcomeRan
+)
+
+// InterruptedError means that the caller has a part of the answer and the rest
+// cannot be had.
+type InterruptedError struct {
+	// Delivered is the number of tokens that the caller has.
+	Delivered int
+	Cause     error
+}
+
+// Error implements error.
+func (e *InterruptedError) Error() string { return "answer interrupted: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *InterruptedError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/completion/run.go
@@ -0,0 +1,140 @@
+package completion
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/prefix"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 5
+	// failedRetryAfter is told to callers whose request failed on engines.
+	failedRetryAfter = time.Second
+)
+
+// run is the state of one request over its attempts.
+type run struct {
+	*Runner
+	request *Request
+	sink    Sink
+	blocks  []uint64
+
+	attempts uint32
+	exclude  []string
+	// next is the index of the first token that the caller does not have.
+	next int
+	// text is what the caller has, kept for resuming.
+	text    []byte
+	outcome Outcome
+	result  Result
+	// lastError is the error of the last attempt that reached an engine.
+	lastError error
+}
+
+func newRun(r *Runner, request *Request, sink Sink) *run {
+	return &run{
+		Runner:  r,
+		request: request,
+		sink:    sink,
+		blocks:  prefix.Blocks(request.PromptText),
+	}
+}
+
+// attemptID names the next attempt.
+func (r *run) attemptID() engine.AttemptID {
+	r.attempts++
+	return engine.AttemptID{
+		VM:          r.options.VM,
+		Incarnation: r.options.Incarnation,
+		Request:     r.request.Number,
+		Attempt:     r.attempts,
+	}
+}
+
+// demand describes the next attempt to the scheduler.
+func (r *run) demand(id engine.AttemptID) scheduling.Demand {
+	class := r.request.Class
+	return scheduling.Demand{
+		ID:           id,
+		Zone:         r.options.Zone,
+		Team:         r.request.Team.Name,
+		Class:        class.Name,
+		Model:        class.Model,
+		Priority:     class.Priority,
+		Order:        class.Order,
+		Share:        r.request.Team.Share,
+		QueueLimit:   class.QueueLimit,
+		PromptTokens: prefix.Tokens(len(r.request.PromptText)) + r.next,
+		Blocks:       r.blocks,
+		OutputTokens: r.request.MaxTokens - r.next,
+		Targets:      class.Targets,
+		Weights:      r.request.Team.Weights,
+		Waited:       time.Since(r.request.Arrived),
+		Exclude:      r.exclude,
+		Resumed:      r.next > 0,
+	}
+}
+
+// call returns what prefill and decode calls of an attempt have in common.
+func (r *run) call(id engine.AttemptID) engine.Call {
+	return engine.Call{
+		Attempt:    id,
+		Model:      r.request.Class.Model,
+		Prompt:     r.request.Prompt,
+		Priority:   r.request.Class.Priority,
+		ResumeFrom: r.next,
+		ResumeText: string(r.text),
+	}
+}
+
+// judge returns the final error of the request, or nil if another attempt is due.
+func (r *run) judge(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errorx.IsOfType(err, CallerGone) {
+		return CallerGone.Wrap(err, "%s", r.request.ID)
+	}
+	var refusal *scheduling.Refusal
+	if errors.As(err, &refusal) {
+		return r.giveUp(*refusal, r.lastError)
+	}
+	r.lastError = err
+	if r.mayRetry(err) {
+		return nil
+	}
+	return r.giveUp(scheduling.Refusal{Reason: scheduling.RefusedEngineFailed, RetryAfter: failedRetryAfter}, err)
+}
+
+// mayRetry reports whether another attempt makes sense and is allowed.
+func (r *run) mayRetry(err error) bool {
+	if errorx.IsOfType(err, engine.BadRequest) || r.attempts >= maxAttempts {
+		return false
+	}
+	if !r.budget.Spend() {
+		r.Counters.RetriesDenied.Add(1)
+		return false
+	}
+	return true
+}
+
+// giveUp makes the final error.
+func (r *run) giveUp(refusal scheduling.Refusal, cause error) error {
+	if r.next == 0 {
+		return &RefusedError{Refusal: refusal, Cause: cause, Outcome: r.outcome}
+	}
+	if cause == nil {
+		cause = &refusal
+	}
+	return &InterruptedError{Delivered: r.next, Cause: cause}
+}
+
+// ranOn notes that an engine may have started work.
+func (r *run) ranOn(outcome Outcome) { r.outcome = max(r.outcome, outcome) }
+
+// excludeEngine keeps further attempts off an engine that failed this request.
+func (r *run) excludeEngine(name string) { r.exclude = append(r.exclude, name) }
--- /dev/null
+++ b/internal/completion/runner.go
@@ -0,0 +1,147 @@
+// Package completion carries a model-backed request through reservation,
+// prefill, KV transfer and decode to its caller.
+//
+// Failure behaviour: an attempt that fails is cancelled on every engine that it
+// may have reached, and a further attempt resumes at the first token that the
+// caller does not have, under a retry budget. When the caller goes, the attempt
+// is cancelled at whichever stage it is. A reservation is released only after
+// the engines have acknowledged that they hold nothing.
+package completion
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/retry"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// Reserver assigns engines to requests and learns what became of them.
+type Reserver interface {
+	// Reserve blocks while the demand is queued. The error is a
+	// *scheduling.Refusal if it is refused, or the context's error.
+	Reserve(ctx context.Context, demand scheduling.Demand) (scheduling.Grant, error)
+	// Progress reports a phase of a granted attempt.
+	Progress(p scheduling.Progress)
+}
+
+// Engines finds engine clients by endpoint name.
+type Engines interface {
+	Engine(name string) (engine.Client, bool)
+}
+
+// Canceller cancels an attempt in the background until it is acknowledged.
+type Canceller interface {
+	Cancel(id engine.AttemptID, request string, engines []string, done func())
+}
+
+// Endpoints learns how calls to endpoints went.
+type Endpoints interface {
+	MarkLeaving(name string)
+	Observe(name string, group []string, ok bool, latency time.Duration)
+}
+
+// Configuration yields the snapshot in force.
+type Configuration interface {
+	Snapshot() *configuration.Snapshot
+}
+
+// Sink takes the tokens of an answer.
+type Sink interface {
+	// Token passes on one token. An error means that the caller is gone.
+	Token(token engine.Token) error
+}
+
+// Request is a model-backed request that was accepted for scheduling.
+type Request struct {
+	// Number counts the requests of this incarnation.
+	Number uint64
+	// ID is the request id shown to the caller and in the time line.
+	ID    string
+	Team  *configuration.Team
+	Class *configuration.Class
+	// Prompt is the input, PromptText its text for prefix hashing.
+	Prompt     *engine.Prompt
+	PromptText string
+	// MaxTokens bounds the answer.
+	MaxTokens int
+	Arrived   time.Time
+}
+
+// Result describes a whole answer.
+type Result struct {
+	PromptTokens     int
+	CachedTokens     int
+	CompletionTokens int
+}
+
+// Counters count attempts. The zero value is ready to use.
+type Counters struct {
+	// Attempts counts granted attempts, Resumed those that continued an answer.
+	Attempts, Resumed atomic.Int64
+	// Crossed counts answers dropped because they belonged to another attempt.
+	Crossed atomic.Int64
+	// DuplicateTokens counts tokens dropped because the caller had them.
+	DuplicateTokens atomic.Int64
+	// TransferStalls and DecodeStalls count attempts cancelled for a stall.
+	TransferStalls, DecodeStalls atomic.Int64
+	// RetriesDenied counts retries that the retry budget did not allow.
+	RetriesDenied atomic.Int64
+	// PrefillTokens counts prompt tokens prefilled, WastedPrefillTokens the
+	// part whose attempt gave the caller no token.
+	PrefillTokens, WastedPrefillTokens atomic.Int64
+}
+
+// Options are the collaborators of a Runner. All are required.
+type Options struct {
+	// VM and Incarnation name this process in attempt ids.
+	VM          string
+	Incarnation uint64
+	// Zone is the availability zone of this VM.
+	Zone          string
+	Reserver      Reserver
+	Engines       Engines
+	Canceller     Canceller
+	Endpoints     Endpoints
+	Configuration Configuration
+	Events        timeline.Recorder
+}
+
+const (
+	retryRatio = 0.1
+	retryBurst = 20
+)
+
+// Runner runs model-backed requests. It is safe for concurrent use.
+type Runner struct {
+	// Counters are read by the metrics.
+	Counters Counters
+
+	options Options
+	budget  *retry.Budget
+}
+
+// New returns a runner.
+func New(options Options) *Runner {
+	return &Runner{options: options, budget: retry.NewBudget(retryRatio, retryBurst)}
+}
+
+// Run carries the request to its end. It returns nil only after the sink has
+// taken the whole answer. The error is CallerGone, Refused or Interrupted.
+func (r *Runner) Run(ctx context.Context, request *Request, sink Sink) (Result, error) {
+	r.budget.Earn()
+	current := newRun(r, request, sink)
+	for {
+		err := current.attempt(ctx)
+		if err == nil {
+			return current.result, nil
+		}
+		if final := current.judge(ctx, err); final != nil {
+			return current.result, final
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,173 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type fixed struct{ snapshot *configuration.Snapshot }
+
+func (f fixed) Snapshot() *configuration.Snapshot { return f.snapshot }
+
+// newForwarder returns a forwarder to the given addresses of one service.
+func newForwarder(t *testing.T, addresses ...string) *Forwarder {
+	t.Helper()
+	bundle := configuration.Bundle{Format: configuration.Format}
+	bundle.Fleet.Zones = []configuration.Zone{{Name: "z"}}
+	for i, address := range addresses {
+		bundle.Fleet.Endpoints = append(bundle.Fleet.Endpoints, configuration.Endpoint{
+			Name: string(rune('a' + i)), Zone: "z", Address: address,
+			Kind: configuration.KindPlain, Service: "desk",
+		})
+	}
+	snapshot, err := configuration.NewSnapshot(bundle)
+	assert.NilError(t, err)
+	f := New("z", endpoint.NewRegistry(timeline.Discard), fixed{snapshot}, timeline.Discard)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func callOf(repeat configuration.RepeatRule) *Call {
+	return &Call{
+		RequestID: "vm.1.1",
+		Class:     &configuration.Class{Service: "desk", Method: http.MethodPost, Path: "/book", Repeat: repeat},
+		Path:      "/book",
+		Body:      []byte("{}"),
+		Key:       "key",
+	}
+}
+
+// serve starts a server on loopback and returns its address.
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// dropConnection reads the request and closes the connection without a reply.
+func dropConnection(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// closedAddress returns an address on which nobody listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+func TestLostReplyIsNotSentAgain(t *testing.T) {
+	var executions atomic.Int64
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if executions.Add(1) == 1 {
+			_, _ = w.Write([]byte("ok"))
+			return
+		}
+		dropConnection(w, r)
+	})
+	f := newForwarder(t, address, address)
+	_, err := f.Do(context.Background(), callOf(configuration.NeverRepeat))
+	assert.NilError(t, err)
+	_, err = f.Do(context.Background(), callOf(configuration.NeverRepeat))
+	assert.Assert(t, errorx.IsOfType(err, InDoubt), "%v", err)
+	assert.Equal(t, executions.Load(), int64(2))
+}
+
+func TestUnreachableEndpointIsReplacedEvenForSingleSends(t *testing.T) {
+	var executions atomic.Int64
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		executions.Add(1)
+		_, _ = w.Write([]byte("booked"))
+	})
+	f := newForwarder(t, closedAddress(t), address)
+	for range 10 {
+		reply, err := f.Do(context.Background(), callOf(configuration.NeverRepeat))
+		assert.NilError(t, err)
+		assert.Equal(t, string(reply.Body), "booked")
+	}
+	assert.Equal(t, executions.Load(), int64(10))
+}
+
+func TestRepeatableCallIsRetriedElsewhere(t *testing.T) {
+	good := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("balance")) })
+	bad := serve(t, dropConnection)
+	f := newForwarder(t, bad, good)
+	for range 5 {
+		reply, err := f.Do(context.Background(), callOf(configuration.Repeatable))
+		assert.NilError(t, err)
+		assert.Equal(t, string(reply.Body), "balance")
+	}
+}
+
+func TestIncompleteReplyIsNotPassedOn(t *testing.T) {
+	for name, head := range map[string]string{
+		"shorter than its length":   "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"without a last chunk":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"ended by the close only":   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
+		"ended by the close in 1.0": "HTTP/1.0 200 OK\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Write([]byte(head))
+				_ = conn.Close()
+			})
+			_, err := newForwarder(t, address).Do(context.Background(), callOf(configuration.NeverRepeat))
+			assert.Assert(t, errorx.IsOfType(err, CutShort), "%v", err)
+			assert.Assert(t, !errorx.HasTrait(err, NotRun))
+		})
+	}
+}
+
+func TestWithdrawnPermissionSendsNothing(t *testing.T) {
+	var executions atomic.Int64
+	address := serve(t, func(http.ResponseWriter, *http.Request) { executions.Add(1) })
+	call := callOf(configuration.NeverRepeat)
+	call.MayExecute = func() bool { return false }
+	_, err := newForwarder(t, address).Do(context.Background(), call)
+	assert.Assert(t, errorx.HasTrait(err, NotRun), "%v", err)
+	assert.Equal(t, executions.Load(), int64(0))
+}
+
+func TestHopByHopHeadersStayBehind(t *testing.T) {
+	var seen http.Header
+	address := serve(t, func(_ http.ResponseWriter, r *http.Request) { seen = r.Header.Clone() })
+	call := callOf(configuration.Repeatable)
+	call.Header = http.Header{
+		"Connection":    {"X-Hop"},
+		"X-Hop":         {"1"},
+		"X-End":         {"2"},
+		"Authorization": {"Bearer secret"},
+	}
+	_, err := newForwarder(t, address).Do(context.Background(), call)
+	assert.NilError(t, err)
+	assert.Equal(t, seen.Get("X-Hop"), "")
+	assert.Equal(t, seen.Get("X-End"), "2")
+	assert.Equal(t, seen.Get("Authorization"), "", "the team's bearer key went to an endpoint")
+}
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -64,7 +64,7 @@
 // RefusalReason says why a demand was refused.
 type RefusalReason string
 
-// The reasons for a refusal. In all of them nothing ran.
+// The reasons for a refusal. Unless the reason says otherwise nothing ran.
 const (
 	// RefusedTarget means that a latency target could not be met.
 	RefusedTarget RefusalReason = "target-unreachable"
@@ -74,6 +74,9 @@
 	RefusedNoEngine RefusalReason = "no-engine"
 	// RefusedTooLarge means that no engine has the memory for the request.
 	RefusedTooLarge RefusalReason = "too-large"
+	// RefusedEngineFailed means that engines failed the request and the retry
+	// budget or the number of attempts is used up. Engines may have run.
+	RefusedEngineFailed RefusalReason = "engine-failed"
 )
 
 // Refusal is the error of a demand that is not granted.
