--- /dev/null
+++ b/internal/standin/httpserver/server.go
@@ -0,0 +1,60 @@
+// Package httpserver runs the HTTP side of a stand-in on a loopback address.
+package httpserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// headerTimeout bounds the time to read a request's header.
+const headerTimeout = 10 * time.Second
+
+// Server serves one handler on one listener.
+type Server struct {
+	listener net.Listener
+	server   *http.Server
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// Start listens on address, an IP number and port, and serves handler. Port 0
+// picks a free port.
+func Start(address string, handler http.Handler) (*Server, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	s := &Server{listener: listener, cancel: cancel}
+	s.server = &http.Server{
+		Handler:           s.tracked(handler),
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	s.running.Go(func() { _ = s.server.Serve(listener) })
+	return s, nil
+}
+
+// Addr returns the address that the server listens on, an IP number and port.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Close cuts all connections and waits until all handlers have returned.
+func (s *Server) Close() error {
+	s.cancel()
+	err := s.server.Close()
+	s.running.Wait()
+	return err
+}
+
+// tracked makes Close wait for the handler's calls.
+func (s *Server) tracked(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.running.Add(1)
+		defer s.running.Done()
+		handler.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/standin/logstore/store.go
@@ -0,0 +1,271 @@
+// Package logstore is a stand-in for the platform's append-only log service.
+//
+// Store is the log in memory and implements logservice.Service by itself;
+// Server serves it over the wire format of docs/PROTOCOLS.md.
+package logstore
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+	"github.com/ospreyshed/ospreyshed/internal/standin/httpserver"
+)
+
+// Options set up a Store.
+type Options struct {
+	// AppendsPerSecond is the append limit over all streams; 0 means none.
+	AppendsPerSecond float64 `json:"appends_per_second"`
+	// Burst is the number of appends allowed at once; 0 means a tenth of a
+	// second's worth, at least 1.
+	Burst int `json:"burst"`
+	// Retention is how long a record is kept; 0 means forever.
+	Retention configuration.Duration `json:"retention"`
+	// Seed makes the choice of lost answers repeatable.
+	Seed uint64 `json:"seed"`
+}
+
+// defaultReadLimit is the page size of a read that names none.
+const defaultReadLimit = 500
+
+// burstsPerSecond sets the default burst.
+const burstsPerSecond = 10
+
+// Store is the log service in memory. It is safe for concurrent use.
+type Store struct {
+	retention time.Duration
+	limiter   *rate.Limiter
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	faults  Faults
+	counts  Counts
+	streams map[string]*stream
+	// faultsSet is closed and replaced when the faults change.
+	faultsSet chan struct{}
+	closed    bool
+	delayed   map[*time.Timer]struct{}
+}
+
+var _ logservice.Service = (*Store)(nil)
+
+// New returns an empty Store.
+func New(options Options) *Store {
+	return &Store{
+		retention: options.Retention.D(),
+		limiter:   newLimiter(options),
+		random:    rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		streams:   make(map[string]*stream),
+		faultsSet: make(chan struct{}),
+		delayed:   make(map[*time.Timer]struct{}),
+	}
+}
+
+func newLimiter(options Options) *rate.Limiter {
+	if options.AppendsPerSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	burst := options.Burst
+	if burst <= 0 {
+		burst = max(1, int(options.AppendsPerSecond/burstsPerSecond))
+	}
+	return rate.NewLimiter(rate.Limit(options.AppendsPerSecond), burst)
+}
+
+// Append implements logservice.Service. Once the latency has begun, the append
+// takes effect even when ctx ends before its answer.
+func (s *Store) Append(ctx context.Context, name string, entries []logservice.Entry) (uint64, error) {
+	verdict, err := s.admit()
+	if err != nil {
+		return 0, err
+	}
+	entries = cloneEntries(entries)
+	if !httpserver.Sleep(ctx, verdict.latency/2) {
+		s.appendLater(name, entries, verdict.latency/2+verdict.effectDelay)
+		return 0, logservice.InDoubt.Wrap(ctx.Err(), "append to %s", name)
+	}
+	if verdict.loseAnswer {
+		s.appendLater(name, entries, verdict.effectDelay)
+		return 0, logservice.InDoubt.New("answer of the append to %s lost", name)
+	}
+	first := s.append(name, entries)
+	if !httpserver.Sleep(ctx, verdict.latency-verdict.latency/2) {
+		return 0, logservice.InDoubt.Wrap(ctx.Err(), "append to %s", name)
+	}
+	return first, nil
+}
+
+// admission is what becomes of one append.
+type admission struct {
+	latency     time.Duration
+	loseAnswer  bool
+	effectDelay time.Duration
+}
+
+// admit decides on one append.
+func (s *Store) admit() (admission, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage || s.closed {
+		s.counts.RefusedByOutage++
+		return admission{}, logservice.Outage.New("the log service is away")
+	}
+	if !s.limiter.Allow() {
+		s.counts.Throttled++
+		return admission{}, logservice.Throttled.New("append limit reached")
+	}
+	verdict := admission{latency: s.faults.Latency.D(), loseAnswer: s.losesAnswer()}
+	if verdict.loseAnswer {
+		s.counts.AnswersLost++
+		verdict.effectDelay = s.faults.EffectDelay.D()
+	}
+	return verdict, nil
+}
+
+func (s *Store) losesAnswer() bool {
+	if s.faults.LoseNextAnswers > 0 {
+		s.faults.LoseNextAnswers--
+		return true
+	}
+	return s.faults.LoseAnswers > 0 && s.random.Float64() < s.faults.LoseAnswers
+}
+
+func (s *Store) append(name string, entries []logservice.Entry) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Appends++
+	s.counts.Records += uint64(len(entries))
+	return s.stream(name).append(time.Now(), entries)
+}
+
+// appendLater appends after a delay, at once if there is none.
+func (s *Store) appendLater(name string, entries []logservice.Entry, delay time.Duration) {
+	if delay <= 0 {
+		s.append(name, entries)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(delay, func() {
+		s.forget(&timer)
+		s.append(name, entries)
+	})
+	s.delayed[timer] = struct{}{}
+}
+
+// forget removes a delayed append's timer. It takes a pointer because the
+// timer is assigned under the lock after it was started.
+func (s *Store) forget(timer **time.Timer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.delayed, *timer)
+}
+
+// Read implements logservice.Service.
+func (s *Store) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (logservice.Page, error) {
+	if limit <= 0 {
+		limit = defaultReadLimit
+	}
+	if !httpserver.Sleep(ctx, s.Faults().Latency.D()) {
+		return logservice.Page{}, logservice.Unreadable.Wrap(ctx.Err(), "read of %s", name)
+	}
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for expired := wait <= 0; ; {
+		page, changed, faultsSet, err := s.read(name, from, limit)
+		if err != nil || expired || len(page.Records) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-faultsSet:
+		case <-deadline.C:
+			expired = true
+		case <-ctx.Done():
+			return logservice.Page{}, logservice.Unreadable.Wrap(ctx.Err(), "read of %s", name)
+		}
+	}
+}
+
+// read returns a page and the channels that announce a change.
+func (s *Store) read(name string, from uint64, limit int) (page logservice.Page, changed, faultsSet <-chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage || s.closed {
+		s.counts.RefusedByOutage++
+		return page, nil, nil, logservice.Unreadable.New("the log service is away")
+	}
+	s.counts.Reads++
+	now := time.Now()
+	found := s.stream(name)
+	found.expire(now, s.retention)
+	page = found.page(from, limit)
+	page.Time = now
+	return page, found.changed, s.faultsSet, nil
+}
+
+// stream returns a stream and makes it if it is unknown.
+func (s *Store) stream(name string) *stream {
+	found, ok := s.streams[name]
+	if !ok {
+		found = &stream{changed: make(chan struct{})}
+		s.streams[name] = found
+	}
+	return found
+}
+
+// Faults returns the faults that are set.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	close(s.faultsSet)
+	s.faultsSet = make(chan struct{})
+}
+
+// Counts returns what the store has done.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Close drops delayed appends and refuses all further calls.
+func (s *Store) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	for timer := range s.delayed {
+		timer.Stop()
+	}
+	close(s.faultsSet)
+	s.faultsSet = make(chan struct{})
+}
+
+func cloneEntries(entries []logservice.Entry) []logservice.Entry {
+	cloned := slices.Clone(entries)
+	for i := range cloned {
+		cloned[i].Data = slices.Clone(cloned[i].Data)
+	}
+	return cloned
+}
