--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,57 @@
+package engine
+
+import "container/list"
+
+// prefixCache holds block hashes, bounded, and forgets the least recently used.
+type prefixCache struct {
+	limit  int
+	blocks map[string]*list.Element
+	// recent holds hashes, the most recently used first.
+	recent *list.List
+}
+
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{limit: limit, blocks: make(map[string]*list.Element), recent: list.New()}
+}
+
+// match returns the number of leading hashes that are cached and marks them used.
+func (c *prefixCache) match(hashes []string) int {
+	matched := 0
+	for _, hash := range hashes {
+		element, ok := c.blocks[hash]
+		if !ok {
+			break
+		}
+		c.recent.MoveToFront(element)
+		matched++
+	}
+	return matched
+}
+
+// store adds hashes and returns those that are new and those that were
+// forgotten for them.
+func (c *prefixCache) store(hashes []string) (stored, removed []string) {
+	for _, hash := range hashes {
+		if element, ok := c.blocks[hash]; ok {
+			c.recent.MoveToFront(element)
+			continue
+		}
+		c.blocks[hash] = c.recent.PushFront(hash)
+		stored = append(stored, hash)
+	}
+	for c.recent.Len() > c.limit {
+		removed = append(removed, c.removeOldest())
+	}
+	return stored, removed
+}
+
+func (c *prefixCache) removeOldest() string {
+	hash, _ := c.recent.Remove(c.recent.Back()).(string)
+	delete(c.blocks, hash)
+	return hash
+}
+
+func (c *prefixCache) clear() {
+	clear(c.blocks)
+	c.recent.Init()
+}
--- /dev/null
+++ b/internal/standin/engine/cacheevents.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/standin/httpserver"
+)
+
+// maxEventWait bounds how long a read of cache events waits.
+const maxEventWait = time.Minute
+
+type eventsAnswer struct {
+	Next   uint64       `json:"next"`
+	Events []CacheEvent `json:"events"`
+}
+
+func (h *handler) serveEvents(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		httpserver.WriteError(w, http.StatusBadRequest, "from: %v", err)
+		return
+	}
+	wait, err := parseWait(r.URL.Query().Get("wait_ms"))
+	if err != nil {
+		httpserver.WriteError(w, http.StatusBadRequest, "wait_ms: %v", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	httpserver.WriteJSON(w, http.StatusOK, h.engine.readEvents(ctx, from))
+}
+
+func parseWait(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	milliseconds, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0, err
+	}
+	return min(time.Duration(milliseconds)*time.Millisecond, maxEventWait), nil
+}
+
+// readEvents returns the visible events from a sequence number on and waits for
+// one until ctx ends.
+func (e *Engine) readEvents(ctx context.Context, from uint64) eventsAnswer {
+	for {
+		e.mu.Lock()
+		events, next, pending := e.events.read(from)
+		added := e.events.added
+		closed := e.closed
+		e.mu.Unlock()
+		if len(events) > 0 || next < from || closed || ctx.Err() != nil {
+			return eventsAnswer{Next: next, Events: append([]CacheEvent{}, events...)}
+		}
+		e.awaitEvent(ctx, added, pending)
+	}
+}
+
+// awaitEvent waits for an event to be added or, if one is pending, to get visible.
+func (e *Engine) awaitEvent(ctx context.Context, added <-chan struct{}, pending time.Duration) {
+	var visible <-chan time.Time
+	if pending > 0 {
+		timer := time.NewTimer(pending)
+		defer timer.Stop()
+		visible = timer.C
+	}
+	select {
+	case <-added:
+	case <-visible:
+	case <-e.stopped:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/completion.go
@@ -0,0 +1,124 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+// requestIDHeader carries the attempt id.
+const requestIDHeader = "X-Request-Id"
+
+// completionBody is the body of a prefill or decode call.
+type completionBody struct {
+	Model      string    `json:"model"`
+	Prompt     *string   `json:"prompt"`
+	Messages   []Message `json:"messages"`
+	MaxTokens  int       `json:"max_tokens"`
+	Stream     bool      `json:"stream"`
+	Priority   int       `json:"priority"`
+	ResumeFrom int       `json:"resume_from"`
+	ResumeText string    `json:"resume_text"`
+	KV         *kvParams `json:"kv_transfer_params"`
+}
+
+// kvParams are the KV transfer parameters of calls and answers.
+type kvParams struct {
+	DoRemotePrefill bool     `json:"do_remote_prefill"`
+	DoRemoteDecode  bool     `json:"do_remote_decode"`
+	RemoteEngineID  string   `json:"remote_engine_id,omitempty"`
+	RemoteBlockIDs  []uint64 `json:"remote_block_ids,omitempty"`
+	RemoteHost      string   `json:"remote_host,omitempty"`
+	RemotePort      int      `json:"remote_port,omitempty"`
+}
+
+// completion is a checked call.
+type completion struct {
+	body completionBody
+	id   engine.AttemptID
+	chat bool
+	text string
+	role configuration.Role
+}
+
+// parseCompletion checks a call. Its errors are of type Invalid.
+func parseCompletion(r *http.Request, chat bool) (*completion, error) {
+	c := &completion{chat: chat}
+	var err error
+	if c.id, err = engine.ParseAttemptID(r.Header.Get(requestIDHeader)); err != nil {
+		return nil, Invalid.Wrap(err, "header %s", requestIDHeader)
+	}
+	if err := json.NewDecoder(r.Body).Decode(&c.body); err != nil {
+		return nil, Invalid.Wrap(err, "body")
+	}
+	if c.text, err = c.body.text(chat); err != nil {
+		return nil, err
+	}
+	if c.role, err = c.body.role(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// text returns the prompt's text.
+func (b *completionBody) text(chat bool) (string, error) {
+	switch {
+	case chat && len(b.Messages) == 0:
+		return "", Invalid.New("messages: at least one is needed")
+	case chat:
+		return PromptText(b.Messages), nil
+	case b.Prompt == nil:
+		return "", Invalid.New("prompt: missing")
+	default:
+		return *b.Prompt, nil
+	}
+}
+
+// role tells prefill calls from decode calls and checks what they need.
+func (b *completionBody) role() (configuration.Role, error) {
+	switch {
+	case b.ResumeFrom < 0:
+		return "", Invalid.New("resume_from: negative")
+	case b.KV == nil:
+		return "", Invalid.New("kv_transfer_params: missing; this engine works in a split deployment only")
+	case b.KV.DoRemoteDecode && !b.Stream:
+		return configuration.RolePrefill, nil
+	case b.KV.DoRemotePrefill && b.Stream && len(b.KV.RemoteBlockIDs) > 0:
+		return configuration.RoleDecode, nil
+	default:
+		return "", Invalid.New("kv_transfer_params: neither those of a prefill nor those of a streamed decode")
+	}
+}
+
+// attempt makes the state of the call's attempt.
+func (c *completion) attempt(o *Options) (*attempt, error) {
+	a := newAttempt(c.id, c.body.Priority)
+	whole := c.text + c.body.ResumeText
+	a.promptHash = xxhash.Sum64String(whole)
+	a.prompt = Tokens(whole)
+	if c.role == configuration.RolePrefill {
+		a.blockHashes = BlockHashes(whole)
+		a.pieces = o.pieces(a.prompt + 1)
+		return a, nil
+	}
+	a.answer = NewAnswer(c.text, o.OutputTokens, c.body.MaxTokens)
+	a.first = c.body.ResumeFrom
+	if a.first >= a.answer.Len() {
+		return nil, Invalid.New("resume_from: the answer has %d tokens", a.answer.Len())
+	}
+	output := c.body.MaxTokens
+	if output <= 0 {
+		output = o.OutputTokens.Max
+	}
+	a.pieces = o.pieces(Tokens(c.text) + output)
+	return a, nil
+}
+
+// source returns where the KV cache of a decode call is kept.
+func (c *completion) source() kvSource {
+	return kvSource{host: c.body.KV.RemoteHost, port: c.body.KV.RemotePort, block: c.body.KV.RemoteBlockIDs[0]}
+}
--- /dev/null
+++ b/internal/standin/engine/fixture_test.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// testOptions are those of a fast engine.
+func testOptions(role configuration.Role) Options {
+	return Options{
+		Name:                   string(role) + "-1",
+		Role:                   role,
+		Slots:                  2,
+		MemoryPieces:           1000,
+		PrefillTokensPerSecond: 1e6,
+		TokenInterval:          configuration.Duration(time.Millisecond),
+		KVBytesPerToken:        1000,
+		OutputTokens:           Range{Min: 20, Max: 40},
+		Seed:                   1,
+	}
+}
+
+// pair is a prefill and a decode engine on loopback.
+type pair struct {
+	t               *testing.T
+	client          *http.Client
+	prefill, decode *Server
+}
+
+func startPair(t *testing.T, change func(prefill, decode *Options)) *pair {
+	prefillOptions := testOptions(configuration.RolePrefill)
+	decodeOptions := testOptions(configuration.RoleDecode)
+	change(&prefillOptions, &decodeOptions)
+	p := &pair{t: t, client: &http.Client{Transport: &http.Transport{}}}
+	p.prefill = startEngine(t, prefillOptions)
+	p.decode = startEngine(t, decodeOptions)
+	t.Cleanup(p.client.CloseIdleConnections)
+	return p
+}
+
+func startEngine(t *testing.T, options Options) *Server {
+	server, err := Start("127.0.0.1:0", options)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, server.Close()) })
+	return server
+}
+
+func unchanged(_, _ *Options) {}
+
+// call is the body of a completion.
+type call map[string]any
+
+func (p *pair) post(ctx context.Context, server *Server, path, id string, body any) (*http.Response, error) {
+	encoded, err := json.Marshal(body)
+	assert.NilError(p.t, err)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+server.Addr()+path, bytes.NewReader(encoded))
+	assert.NilError(p.t, err)
+	request.Header.Set(requestIDHeader, id)
+	return p.client.Do(request)
+}
+
+// runPrefill prefills a prompt and returns the answer.
+func (p *pair) runPrefill(id, prompt string) prefillAnswer {
+	response, err := p.post(p.t.Context(), p.prefill, "/v1/completions", id, prefillCall(prompt))
+	assert.NilError(p.t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(p.t, response.StatusCode, http.StatusOK)
+	var answer prefillAnswer
+	assert.NilError(p.t, json.NewDecoder(response.Body).Decode(&answer))
+	return answer
+}
+
+func prefillCall(prompt string) call {
+	return call{
+		"model": "drafter", "prompt": prompt, "max_tokens": 1,
+		"kv_transfer_params": kvParams{DoRemoteDecode: true},
+	}
+}
+
+func decodeCall(prompt string, kv kvParams) call {
+	return call{"model": "drafter", "prompt": prompt, "max_tokens": 100, "stream": true, "kv_transfer_params": kv}
+}
+
+// startDecode prefills a prompt and opens its stream.
+func (p *pair) startDecode(ctx context.Context, id, prompt string) *http.Response {
+	answer := p.runPrefill(id, prompt)
+	response, err := p.post(ctx, p.decode, "/v1/completions", id, decodeCall(prompt, answer.KV))
+	assert.NilError(p.t, err)
+	return response
+}
+
+// event is one event of a stream.
+type event struct {
+	ID         string `json:"id"`
+	TokenIndex int    `json:"token_index"`
+	Choices    []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// readEvents reads a stream and reports whether it ended with [DONE].
+func readEvents(t *testing.T, body io.ReadCloser) (events []event, done bool) {
+	defer func() { _ = body.Close() }()
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var e event
+		assert.NilError(t, json.Unmarshal([]byte(data), &e))
+		events = append(events, e)
+	}
+	return events, done
+}
+
+// text joins the events' texts.
+func text(events []event) string {
+	var b strings.Builder
+	for _, e := range events {
+		b.WriteString(e.Choices[0].Text)
+		b.WriteString(e.Choices[0].Delta.Content)
+	}
+	return b.String()
+}
+
+// eventually polls until a condition on an engine's counts holds.
+func eventually(t *testing.T, e *Engine, what string, condition func(c Counts) bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if counts := e.Counts(); !condition(counts) {
+			return poll.Continue("%s; counts: %+v", what, counts)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
--- /dev/null
+++ b/internal/standin/engine/kv.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"time"
+)
+
+// keptKV is the KV cache of a finished prefill that waits for its export.
+type keptKV struct {
+	attempt *attempt
+	// blocks are the block ids; the first one names the cache.
+	blocks []uint64
+	expiry *time.Timer
+}
+
+// keep turns a running prefill into a kept KV cache.
+func (e *Engine) keep(a *attempt) *keptKV {
+	kv := &keptKV{attempt: a, blocks: make([]uint64, max(a.pieces, 1))}
+	for i := range kv.blocks {
+		kv.blocks[i] = e.nextBlock
+		e.nextBlock++
+	}
+	e.kept[kv.blocks[0]] = kv
+	a.kept = kv
+	a.stage = stageKept
+	e.prefilling = nil
+	kv.expiry = time.AfterFunc(e.options.KVRetention.D(), func() { e.end(a, causeEvicted) })
+	e.dispatch()
+	e.recordLoad()
+	return kv
+}
+
+// dropKept forgets a kept KV cache and counts it as wasted unless it was exported.
+func (e *Engine) dropKept(a *attempt) {
+	a.kept.expiry.Stop()
+	delete(e.kept, a.kept.blocks[0])
+	if a.cause != causeExported {
+		e.counts.PrefillTokensWasted += a.computed
+	}
+}
+
+// export hands a kept KV cache over and frees its memory. It returns false if
+// there is no such cache for the prompt.
+func (e *Engine) export(block, promptHash uint64) (kvExport, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	kv, ok := e.kept[block]
+	if !ok || kv.attempt.promptHash != promptHash {
+		return kvExport{}, false
+	}
+	a := kv.attempt
+	e.release(a, causeExported)
+	return kvExport{Tokens: a.prompt, Computed: a.computed}, true
+}
--- /dev/null
+++ b/internal/standin/engine/link.go
@@ -0,0 +1,111 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// link simulates a link of a limited rate that concurrent transfers share
+// equally. It keeps a virtual clock of the bytes that each transfer has moved:
+// a transfer is done when the clock reaches its finish.
+type link struct {
+	mu        sync.Mutex
+	rate      float64 // bytes per second, 0 for no limit
+	stalled   bool
+	moved     float64 // virtual clock in bytes
+	updated   time.Time
+	transfers []*transfer
+	timer     *time.Timer
+}
+
+// transfer is one import of a KV cache.
+type transfer struct {
+	finish float64
+	done   chan struct{}
+}
+
+// roundingBytes is the tolerance of the virtual clock.
+const roundingBytes = 1
+
+// start begins a transfer; its channel done is closed at the end.
+func (l *link) start(bytes int64) *transfer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance()
+	t := &transfer{finish: l.moved + float64(bytes), done: make(chan struct{})}
+	l.transfers = append(l.transfers, t)
+	l.settle()
+	return t
+}
+
+// stop ends a transfer early; it does nothing if the transfer is done.
+func (l *link) stop(t *transfer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance()
+	if i := slices.Index(l.transfers, t); i >= 0 {
+		l.transfers = slices.Delete(l.transfers, i, i+1)
+	}
+	l.settle()
+}
+
+// stall halts or resumes all transfers.
+func (l *link) stall(stalled bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance()
+	l.stalled = stalled
+	l.settle()
+}
+
+// close stops the timer.
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.transfers = nil
+	l.settle()
+}
+
+// advance moves the virtual clock to now.
+func (l *link) advance() {
+	now := time.Now()
+	if len(l.transfers) > 0 && !l.stalled {
+		l.moved += now.Sub(l.updated).Seconds() * l.rate / float64(len(l.transfers))
+	}
+	l.updated = now
+}
+
+// settle ends the transfers that are done and sets the timer for the next end.
+func (l *link) settle() {
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	if l.stalled {
+		return
+	}
+	l.transfers = slices.DeleteFunc(l.transfers, l.finished)
+	if len(l.transfers) == 0 {
+		return
+	}
+	next := slices.MinFunc(l.transfers, func(a, b *transfer) int { return cmp.Compare(a.finish, b.finish) })
+	seconds := (next.finish - l.moved) * float64(len(l.transfers)) / l.rate
+	l.timer = time.AfterFunc(time.Duration(seconds*float64(time.Second)), l.expire)
+}
+
+func (l *link) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance()
+	l.settle()
+}
+
+// finished reports whether a transfer is done and closes its channel if so.
+func (l *link) finished(t *transfer) bool {
+	if l.rate > 0 && t.finish > l.moved+roundingBytes {
+		return false
+	}
+	close(t.done)
+	return true
+}
--- /dev/null
+++ b/internal/standin/engine/prefill.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// prefillResult is the outcome of a prefill.
+type prefillResult struct {
+	prompt, cached int
+	blocks         []uint64
+	// answerID is the attempt id that the answer carries; another attempt's in
+	// a crossed answer.
+	answerID string
+	// late is the delay of the answer.
+	late time.Duration
+}
+
+// prefill runs an attempt that has arrived: it waits for its turn, computes the
+// prompt and keeps the KV cache. It returns false if the attempt ended before.
+func (e *Engine) prefill(ctx context.Context, a *attempt) (prefillResult, bool) {
+	if !await(ctx, e, a, a.ready) {
+		return prefillResult{}, false
+	}
+	cached, duration, ok := e.startPrefill(a)
+	if !ok {
+		return prefillResult{}, false
+	}
+	started := time.Now()
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	if !await(ctx, e, a, timer.C) {
+		e.countAborted(a, float64(time.Since(started))/float64(duration))
+		return prefillResult{}, false
+	}
+	return e.finishPrefill(a, cached)
+}
+
+// startPrefill looks the prompt up in the prefix cache and returns the tokens
+// found and the duration of the rest.
+func (e *Engine) startPrefill(a *attempt) (cached int, duration time.Duration, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.released {
+		return 0, 0, false
+	}
+	e.counts.Executions[a.id]++
+	// The last token is always computed: its output starts the decode.
+	cached = min(e.cache.match(a.blockHashes)*TokensPerBlock, a.prompt-1)
+	cached = max(cached, 0)
+	a.computed = a.prompt - cached
+	e.counts.TokensCached += cached
+	seconds := float64(a.computed) / e.options.PrefillTokensPerSecond
+	return cached, max(e.scaled(time.Duration(seconds*float64(time.Second))), 1), true
+}
+
+// countAborted counts the part of a prefill that was computed before its end.
+func (e *Engine) countAborted(a *attempt, part float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	computed := int(float64(a.computed) * min(part, 1))
+	e.counts.TokensPrefilled += computed
+	e.counts.PrefillTokensWasted += computed
+}
+
+func (e *Engine) finishPrefill(a *attempt, cached int) (prefillResult, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.TokensPrefilled += a.computed
+	if a.released {
+		e.counts.PrefillTokensWasted += a.computed
+		return prefillResult{}, false
+	}
+	stored, removed := e.cache.store(a.blockHashes)
+	e.addEvent(EventStored, stored)
+	e.addEvent(EventRemoved, removed)
+	kv := e.keep(a)
+	return prefillResult{
+		prompt:   a.prompt,
+		cached:   cached,
+		blocks:   slices.Clone(kv.blocks),
+		answerID: e.prefillAnswerID(a),
+		late:     e.faults.LateAnswers.D(),
+	}, true
+}
+
+// prefillAnswerID returns the id that a prefill's answer carries.
+func (e *Engine) prefillAnswerID(a *attempt) string {
+	if !e.chance(e.faults.CrossAnswers) {
+		return a.id
+	}
+	return e.otherAttempt(a).id
+}
+
+// await waits for a channel. It returns false when the attempt ends first. A
+// closed connection ends the attempt.
+func await[T any](ctx context.Context, e *Engine, a *attempt, ready <-chan T) bool {
+	select {
+	case <-ready:
+		return true
+	case <-a.ended:
+		return false
+	case <-e.closing(ctx):
+		e.end(a, causeClosed)
+		return false
+	}
+}
+
+// closing returns the channel that announces a closed connection, nil while
+// closed connections are ignored.
+func (e *Engine) closing(ctx context.Context) <-chan struct{} {
+	if e.Faults().IgnoreClose {
+		return nil
+	}
+	return ctx.Done()
+}
--- a/internal/standin/httpserver/server.go
+++ b/internal/standin/httpserver/server.go
@@ -20,15 +20,23 @@
 	running  sync.WaitGroup
 }
 
-// Start listens on address, an IP number and port, and serves handler. Port 0
-// picks a free port.
+// Listen listens on address, an IP number and port. Port 0 picks a free port.
+func Listen(address string) (net.Listener, error) {
+	return new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+}
+
+// Start listens on address as Listen does and serves handler.
 func Start(address string, handler http.Handler) (*Server, error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	listener, err := Listen(address)
 	if err != nil {
-		cancel()
 		return nil, err
 	}
+	return Serve(listener, handler), nil
+}
+
+// Serve serves handler on a listener.
+func Serve(listener net.Listener, handler http.Handler) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{listener: listener, cancel: cancel}
 	s.server = &http.Server{
 		Handler:           s.tracked(handler),
@@ -36,7 +44,7 @@
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	s.running.Go(func() { _ = s.server.Serve(listener) })
-	return s, nil
+	return s
 }
 
 // Addr returns the address that the server listens on, an IP number and port.
--- a/internal/standin/plain/service.go
+++ b/internal/standin/plain/service.go
@@ -107,7 +107,7 @@
 // Handler serves the service on every path but those of the load report and of
 // the stand-in's controls.
 func (s *Service) Handler() http.Handler {
-	router := mux.NewRouter()
+	router := mux.NewRouter().SkipClean(true)
 	httpserver.Controls(router, s.Faults, s.SetFaults, s.Counts)
 	router.HandleFunc("/v1/load", s.serveLoad).Methods(http.MethodGet)
 	router.PathPrefix("/").HandlerFunc(s.serveCall)
