--- a/internal/platform/logservice/circuit.go
+++ b/internal/platform/logservice/circuit.go
@@ -34,21 +34,28 @@
 	due        time.Time
 }
 
-// allow reports whether a call may be made now.
-func (c *circuit) allow() bool {
+// permit says whether a call may be made.
+type permit int
+
+const (
+	refused permit = iota
+	allowed
+	// probe allows the one call that finds out whether the service is back.
+	probe
+)
+
+// permit decides about a call that is to be made now.
+func (c *circuit) permit() permit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch c.state {
-	case closed:
-		return true
-	case open:
-		if time.Now().Before(c.due) {
-			return false
-		}
-		c.state = halfOpen
-		return true
+	switch {
+	case c.state == closed:
+		return allowed
+	case c.state == halfOpen || time.Now().Before(c.due):
+		return refused
 	default:
-		return false
+		c.state = halfOpen
+		return probe
 	}
 }
 
@@ -63,12 +70,13 @@
 	return changed
 }
 
-// fail notes a failure and reports whether it opened a closed circuit.
+// fail notes a failure and reports whether it opened a closed circuit. Late
+// failures of calls from before the circuit opened change nothing.
 func (c *circuit) fail() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.failures++
-	if c.state == closed && c.failures < failuresToOpen {
+	if c.state == open || c.state == closed && c.failures < failuresToOpen {
 		return false
 	}
 	changed := c.state == closed
--- a/internal/platform/logservice/health.go
+++ b/internal/platform/logservice/health.go
@@ -60,7 +60,7 @@
 
 // Append implements Service.
 func (h *Health) Append(ctx context.Context, stream string, entries []Entry) (uint64, error) {
-	if !h.appends.allow() {
+	if h.appends.permit() == refused {
 		h.appends.rejected.Add(1)
 		return 0, Outage.New("the log takes no appends")
 	}
@@ -69,11 +69,14 @@
 	return first, err
 }
 
-// Read implements Service.
+// Read implements Service. A probe does not wait for records.
 func (h *Health) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Page, error) {
-	if !h.reads.allow() {
+	switch h.reads.permit() {
+	case refused:
 		h.reads.rejected.Add(1)
 		return Page{}, Unreadable.New("the log answers no reads")
+	case probe:
+		wait = 0
 	}
 	page, err := h.service.Read(ctx, stream, from, limit, wait)
 	h.note(&h.reads, ctx, err)
