--- a/internal/jsonc/jsonc_test.go
+++ b/internal/jsonc/jsonc_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
@@ -119,6 +120,29 @@
 	assert.Assert(t, !strings.Contains(err.Error(), "not reached"))
 }
 
+func TestApplyDefaults(t *testing.T) {
+	type element struct {
+		Text string                 `default:"true"`
+		Wait configuration.Duration `default:"3s"`
+	}
+	type whole struct {
+		Count   int `default:"7"`
+		Kept    int `default:"7"`
+		List    []element
+		Pointer *element
+		Absent  *element
+	}
+	got := whole{Kept: 2, List: make([]element, 1), Pointer: &element{Text: "x"}}
+	ApplyDefaults(&got)
+	wait := configuration.Duration(3 * time.Second)
+	assert.DeepEqual(t, got, whole{
+		Count:   7,
+		Kept:    2,
+		List:    []element{{Text: "true", Wait: wait}},
+		Pointer: &element{Text: "x", Wait: wait},
+	})
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, seed := range []string{
 		`{"name": "x", "count": 1}`, `{"list": [{"flag": true,},], /* c */}`, `[`, `{"a"`, "// only",
--- /dev/null
+++ b/internal/questionnaire/pool.go
@@ -0,0 +1,71 @@
+package questionnaire
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// numberMark stands for a number in patterns of names and addresses.
+const numberMark = "{n}"
+
+// maxPool is the largest number of endpoints in one pool.
+const maxPool = 10_000
+
+func fill(pattern string, number int) string {
+	return strings.ReplaceAll(pattern, numberMark, strconv.Itoa(number))
+}
+
+// size returns the number of endpoints.
+func (p *Pool) size() int {
+	if len(p.Addresses) > 0 {
+		return len(p.Addresses)
+	}
+	return p.Count
+}
+
+// address returns the address of the endpoint at an index.
+func (p *Pool) address(index int) string {
+	if len(p.Addresses) > 0 {
+		return p.Addresses[index]
+	}
+	return fill(p.Address, p.FirstNumber+index)
+}
+
+// poolGroup is what endpoint numbers count over.
+type poolGroup struct {
+	zone string
+	role configuration.Role
+}
+
+// endpoint is one endpoint of a pool.
+type endpoint struct {
+	name, address string
+	pool          *Pool
+	// poolIndex is the index of the pool among the pools of its service.
+	poolIndex int
+	// index is the index of the endpoint in its pool.
+	index int
+}
+
+// expand lists all endpoints of a service's pools.
+func expand(pools []Pool) []endpoint {
+	var all []endpoint
+	next := map[poolGroup]int{}
+	for poolIndex := range pools {
+		pool := &pools[poolIndex]
+		group := poolGroup{pool.Zone, pool.Role}
+		for index := range min(pool.size(), maxPool) {
+			next[group]++
+			all = append(all, endpoint{
+				name:      fill(pool.Name, next[group]),
+				address:   pool.address(index),
+				pool:      pool,
+				poolIndex: poolIndex,
+				index:     index,
+			})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/questionnaire/reach.go
@@ -0,0 +1,101 @@
+package questionnaire
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// validateReach checks that some pair of configured engines meets the targets
+// of a class for its longest prompt and answer when nothing else runs.
+func (v *validator) validateReach(path string, c *Class, s *Service) {
+	if !c.answered() || !s.Model.measured() || !s.hasBothRoles() {
+		return
+	}
+	best, ok := v.bestFirstToken(c, s)
+	if !ok {
+		v.Addf(path+".max_prompt_tokens", "no prefill and decode engine of service %q have memory for %d prompt and %d output tokens",
+			s.Name, c.MaxPromptTokens, c.MaxOutputTokens)
+		return
+	}
+	v.reachable(path+".targets.first_token", c.Targets.FirstToken, best)
+	v.reachable(path+".targets.between_tokens", c.Targets.BetweenTokens, s.Model.TokenInterval.D())
+	whole := best + c.afterFirst(s.Model.TokenInterval)
+	v.reachable(path+".targets.whole_answer", c.Targets.WholeAnswer, whole)
+}
+
+// answered reports whether all that the prediction needs is given.
+func (c *Class) answered() bool {
+	return inTokenRange(c.MaxPromptTokens) && inTokenRange(c.MaxOutputTokens)
+}
+
+// measured reports whether all that the prediction needs is given.
+func (m *Model) measured() bool {
+	return m.PrefillTokensPerSecond > 0 && m.TokenInterval > 0 && m.KVBytesPerToken > 0
+}
+
+// hasBothRoles reports whether there are pools of both roles. A service without
+// them has a finding of its own.
+func (s *Service) hasBothRoles() bool {
+	has := func(role configuration.Role) bool {
+		return slices.ContainsFunc(s.Engines, func(p Pool) bool { return p.Role == role })
+	}
+	return has(configuration.RolePrefill) && has(configuration.RoleDecode)
+}
+
+func (v *validator) reachable(path string, target configuration.Duration, best time.Duration) {
+	if target > 0 && best > target.D() {
+		v.Addf(path, "no configured engine can meet %s: even idle ones take %s for the longest request",
+			target.D(), best.Round(time.Millisecond))
+	}
+}
+
+// bestFirstToken returns the shortest time to the first token over all pairs of
+// engines with enough memory, and false if there is no such pair.
+func (v *validator) bestFirstToken(c *Class, s *Service) (time.Duration, bool) {
+	best, found := time.Duration(math.MaxInt64), false
+	for i := range s.Engines {
+		prefill := &s.Engines[i]
+		if prefill.Role != configuration.RolePrefill || !prefill.fits(c.MaxPromptTokens) {
+			continue
+		}
+		for j := range s.Engines {
+			decode := &s.Engines[j]
+			if decode.Role != configuration.RoleDecode || !decode.fits(c.MaxPromptTokens+c.MaxOutputTokens) {
+				continue
+			}
+			best = min(best, v.firstToken(c, s.Model, prefill, decode))
+			found = true
+		}
+	}
+	return best, found
+}
+
+// firstToken predicts the time to the first token on idle engines.
+func (v *validator) firstToken(c *Class, m *Model, prefill, decode *Pool) time.Duration {
+	tokens := float64(c.MaxPromptTokens)
+	rate := min(prefill.LinkBytesPerSecond, decode.LinkBytesPerSecond)
+	delay := time.Duration(0)
+	if prefill.Zone != decode.Zone {
+		link := v.q.link(prefill.Zone, decode.Zone)
+		rate = min(rate, link.BytesPerSecond)
+		delay = link.OneWayDelay.D()
+	}
+	prefillTime := seconds(tokens / m.PrefillTokensPerSecond)
+	transferTime := seconds(tokens * float64(m.KVBytesPerToken) / float64(rate))
+	return prefillTime + transferTime + delay + m.TokenInterval.D()
+}
+
+// seconds converts to a duration and caps what does not fit.
+func seconds(s float64) time.Duration {
+	const longest = float64(math.MaxInt64 / 4)
+	return time.Duration(min(s*float64(time.Second), longest))
+}
+
+// fits reports whether one request of that many tokens fits an engine's memory.
+func (p *Pool) fits(tokens int) bool {
+	return p.size() > 0 && p.LinkBytesPerSecond > 0 && p.PieceTokens > 0 &&
+		(tokens+p.PieceTokens-1)/p.PieceTokens <= p.MemoryPieces
+}
--- /dev/null
+++ b/internal/questionnaire/targets.go
@@ -0,0 +1,66 @@
+package questionnaire
+
+import (
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+func (v *validator) validatePlainTargets(path string, c *Class) {
+	t := c.Targets
+	if t.FirstToken != 0 || t.BetweenTokens != 0 {
+		v.Addf(path, "a plain class has a target for the whole answer only")
+	}
+	v.requireTarget(path+".whole_answer", t.WholeAnswer)
+	v.validateDuration(path+".whole_answer", t.WholeAnswer.D(), c)
+}
+
+func (v *validator) validateModelTargets(path string, c *Class) {
+	t := c.Targets
+	v.requireTarget(path+".first_token", t.FirstToken)
+	v.requireTarget(path+".between_tokens", t.BetweenTokens)
+	notNegative(v, path+".whole_answer", t.WholeAnswer.D())
+	if t.WholeAnswer > 0 && t.FirstToken > t.WholeAnswer {
+		v.Addf(path+".first_token", "%s contradicts whole_answer, which is %s", t.FirstToken.D(), t.WholeAnswer.D())
+	}
+	if t.WholeAnswer > 0 && t.BetweenTokens > t.WholeAnswer {
+		v.Addf(path+".between_tokens", "%s contradicts whole_answer, which is %s", t.BetweenTokens.D(), t.WholeAnswer.D())
+	}
+	if t.WholeAnswer > 0 {
+		v.validateDuration(path+".whole_answer", t.WholeAnswer.D(), c)
+		return
+	}
+	v.validateDuration(path, c.longest(), c)
+}
+
+func (v *validator) requireTarget(path string, d configuration.Duration) {
+	if d == 0 {
+		v.Addf(path, "required")
+		return
+	}
+	positiveDuration(v, path, d)
+}
+
+// longest returns the time that an answer takes which just meets the targets
+// for the first token and between tokens.
+func (c *Class) longest() time.Duration {
+	return c.Targets.FirstToken.D() + c.afterFirst(c.Targets.BetweenTokens)
+}
+
+// afterFirst returns the time of all tokens but the first of the longest answer.
+func (c *Class) afterFirst(interval configuration.Duration) time.Duration {
+	return seconds(float64(c.MaxOutputTokens-1) * interval.D().Seconds())
+}
+
+// validateDuration checks the longest time that a request may take.
+func (v *validator) validateDuration(path string, longest time.Duration, c *Class) {
+	times := v.q.Times
+	if longest > times.DrainLimit.D() {
+		v.Addf(path, "an answer may take %s, longer than times.drain_limit, which is %s; a graceful shutdown would cut it off",
+			longest, times.DrainLimit.D())
+	}
+	if c.Key == configuration.KeyRequired && longest >= times.KeyWindow.D() {
+		v.Addf(path, "an answer may take %s, not shorter than times.key_window, which is %s; its key would be forgotten meanwhile",
+			longest, times.KeyWindow.D())
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,7 +24,7 @@
 	Platform Platform `json:"platform"`
 	// LogLevel is the least severe level that is logged: "debug", "info",
 	// "warning" or "error".
-	LogLevel LogLevel `json:"log_level"`
+	LogLevel LogLevel `json:"log_level" default:"info"`
 	// Limits bound what one caller, and all callers together, can occupy.
 	Limits Limits `json:"limits"`
 }
@@ -102,17 +102,17 @@
 // Limits bound what callers can occupy.
 type Limits struct {
 	// HeaderBytes is the largest request header in bytes.
-	HeaderBytes int `json:"header_bytes"`
+	HeaderBytes int `json:"header_bytes" default:"65536"`
 	// BodyBytes is the largest request body in bytes.
-	BodyBytes int64 `json:"body_bytes"`
+	BodyBytes int64 `json:"body_bytes" default:"8388608"`
 	// Connections is the number of callers' connections at one time.
-	Connections int `json:"connections"`
+	Connections int `json:"connections" default:"4096"`
 	// ReadHeaderTimeout bounds the time in which a caller sends its header.
-	ReadHeaderTimeout configuration.Duration `json:"read_header_timeout"`
+	ReadHeaderTimeout configuration.Duration `json:"read_header_timeout" default:"5s"`
 	// ReadTimeout bounds the time in which a caller sends header and body.
-	ReadTimeout configuration.Duration `json:"read_timeout"`
+	ReadTimeout configuration.Duration `json:"read_timeout" default:"30s"`
 	// WriteTimeout bounds each write to a caller that does not read.
-	WriteTimeout configuration.Duration `json:"write_timeout"`
+	WriteTimeout configuration.Duration `json:"write_timeout" default:"10s"`
 	// IdleTimeout is how long a connection without a request is kept.
-	IdleTimeout configuration.Duration `json:"idle_timeout"`
+	IdleTimeout configuration.Duration `json:"idle_timeout" default:"2m"`
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -12,10 +12,13 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/fs"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -35,7 +38,15 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got.Peers.Advertise, "127.0.0.1:7400")
 	assert.Equal(t, got.LogLevel, LogInfo)
-	assert.Equal(t, got.Limits, Default().Limits)
+	assert.Equal(t, got.Limits, Limits{
+		HeaderBytes:       64 << 10,
+		BodyBytes:         8 << 20,
+		Connections:       4096,
+		ReadHeaderTimeout: configuration.Duration(5 * time.Second),
+		ReadTimeout:       configuration.Duration(30 * time.Second),
+		WriteTimeout:      configuration.Duration(10 * time.Second),
+		IdleTimeout:       configuration.Duration(2 * time.Minute),
+	})
 }
 
 func TestAllFindingsAreReportedTogether(t *testing.T) {
