--- /dev/null
+++ b/internal/reservation/service_test.go
@@ -0,0 +1,97 @@
+package reservation
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// smallFleet has one prefill and one decode engine per zone.
+type smallFleet struct{ slots int }
+
+func (f smallFleet) Engines(_ string, role configuration.Role, zone string) []*configuration.Endpoint {
+	return []*configuration.Endpoint{{Name: zone + "-" + string(role), Zone: zone, Role: role, Slots: f.slots}}
+}
+
+func (f smallFleet) Model(string) (*configuration.Model, bool) {
+	return &configuration.Model{
+		Name:                   "m",
+		PrefillTokensPerSecond: 10_000,
+		TokenInterval:          configuration.Duration(20 * time.Millisecond),
+	}, true
+}
+
+func (f smallFleet) Link(string, string) (*configuration.Link, bool) { return nil, false }
+
+func demand(vm string, n uint64) scheduling.Demand {
+	return scheduling.Demand{
+		ID:           engine.AttemptID{VM: vm, Incarnation: 1, Request: n, Attempt: 1},
+		Team:         "t",
+		Class:        "c",
+		Model:        "m",
+		Order:        configuration.OrderFirstCome,
+		PromptTokens: 1000,
+		OutputTokens: 100,
+		QueueLimit:   10,
+	}
+}
+
+func localService(slots int) *Service {
+	self := membership.Member{VM: "vm-1", Zone: "a", Incarnation: 1, State: membership.Alive}
+	return New(Params{
+		View:  membership.Static{This: self, All: []membership.Member{self}},
+		Fleet: func() Fleet { return smallFleet{slots} },
+	})
+}
+
+func TestReserveWaitsForTheSlotAndKeepsItRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s := localService(1)
+		go s.Run(ctx)
+		first, err := s.Reserve(ctx, demand("vm-1", 1))
+		assert.NilError(t, err)
+		assert.Equal(t, first.Decode, "a-decode")
+
+		granted := make(chan error, 1)
+		go func() {
+			_, err := s.Reserve(ctx, demand("vm-1", 2))
+			granted <- err
+		}()
+		time.Sleep(3 * scheduling.GrantLease)
+		assert.Equal(t, len(granted), 0, "granted a slot that is held and renewed")
+		s.Progress(scheduling.Progress{ID: first.ID, Kind: scheduling.Released, Tokens: 100})
+		assert.NilError(t, <-granted)
+		stop()
+		synctest.Wait()
+	})
+}
+
+func TestReserveWithdrawsWhenTheContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s := localService(1)
+		go s.Run(ctx)
+		_, err := s.Reserve(ctx, demand("vm-1", 1))
+		assert.NilError(t, err)
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		_, err = s.Reserve(short, demand("vm-1", 2))
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		o, _ := s.ownerOf("m")
+		assert.Equal(t, o.coordinator.Waiting(), 0)
+		stop()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/scheduling/admission.go
@@ -0,0 +1,277 @@
+package scheduling
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+// admit decides whether a new demand may wait. It returns nil if so.
+func (c *Coordinator) admit(now time.Time, w *waiter) *Refusal {
+	d := &w.demand
+	if r := c.checkPool(d); r != nil {
+		return r
+	}
+	key := classKey{d.Team, d.Class}
+	if waiting := c.queue.waitingOf(key); !d.Resumed && d.QueueLimit > 0 && waiting >= d.QueueLimit {
+		return &Refusal{Reason: RefusedQueueFull, RetryAfter: c.retryAfter(d.ID, c.drainTime(1))}
+	}
+	return c.checkTargets(now, w)
+}
+
+// checkPool refuses what no engine of the pool could ever serve.
+func (c *Coordinator) checkPool(d *Demand) *Refusal {
+	if !anyUsable(c.pool.prefill, d.Exclude) || !anyUsable(c.pool.decode, d.Exclude) {
+		return &Refusal{Reason: RefusedNoEngine, RetryAfter: c.retryAfter(d.ID, noEngineRetryAfter)}
+	}
+	if !fitsAny(c.pool.prefill, d.PromptTokens) || !fitsAny(c.pool.decode, d.PromptTokens+d.OutputTokens) {
+		return &Refusal{Reason: RefusedTooLarge}
+	}
+	return nil
+}
+
+func anyUsable(engines []*account, exclude []string) bool {
+	for _, a := range engines {
+		if a.usable() && !slices.Contains(exclude, a.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+func fitsAny(engines []*account, tokens int) bool {
+	for _, a := range engines {
+		if a.usable() && (a.Pieces == 0 || a.piecesFor(tokens) <= a.Pieces) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkTargets refuses a demand whose predicted times miss its targets.
+func (c *Coordinator) checkTargets(now time.Time, w *waiter) *Refusal {
+	d := &w.demand
+	if !c.betweenTokensReachable(d) {
+		return &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(d.ID, noEngineRetryAfter)}
+	}
+	slack, bounded := c.slack(now, w)
+	if !bounded {
+		return nil
+	}
+	if slack < 0 {
+		return &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(d.ID, 0)}
+	}
+	if d.Resumed {
+		return nil
+	}
+	if wait := c.predictWait(now, w); wait > slack {
+		return &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(d.ID, wait-slack)}
+	}
+	return nil
+}
+
+// betweenTokensReachable reports whether an otherwise empty engine meets the
+// between-token target.
+func (c *Coordinator) betweenTokensReachable(d *Demand) bool {
+	target := d.Targets.BetweenTokens.D()
+	if target == 0 {
+		return true
+	}
+	for _, a := range c.pool.decode {
+		if a.usable() && c.predict.occupancyLimit(a, target) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// slack returns how long the demand may wait for its start if an idle engine
+// then serves it, and whether any target bounds the wait.
+func (c *Coordinator) slack(now time.Time, w *waiter) (time.Duration, bool) {
+	latest := c.latestStart(w)
+	if latest.IsZero() {
+		return 0, false
+	}
+	return latest.Sub(now), true
+}
+
+// latestStart returns the last moment at which the best engine, if idle, still
+// meets the targets; zero if no target bounds it.
+func (c *Coordinator) latestStart(w *waiter) time.Time {
+	d := &w.demand
+	service := w.work + c.bestTransfer(d.PromptTokens) + c.predict.model.TokenInterval.D()
+	var latest time.Time
+	if t := d.Targets.FirstToken.D(); t > 0 {
+		latest = w.arrival.Add(t - service)
+	}
+	if t := d.Targets.WholeAnswer.D(); t > 0 {
+		decode := seconds(c.predict.expectedOutput(classKey{d.Team, d.Class}, d.OutputTokens) *
+			c.predict.model.TokenInterval.D().Seconds())
+		whole := w.arrival.Add(t - service - decode)
+		if latest.IsZero() || whole.Before(latest) {
+			latest = whole
+		}
+	}
+	return latest
+}
+
+// bestWork returns the prefill time on the best engine, if idle.
+func (c *Coordinator) bestWork(d *Demand) time.Duration {
+	best := time.Duration(math.MaxInt64)
+	seen := c.prefixes.known(d.Blocks)
+	for _, a := range c.pool.prefill {
+		if !a.usable() {
+			continue
+		}
+		cached := 0
+		if seen {
+			cached = c.cachedTokens(a, d)
+		}
+		best = min(best, c.predict.prefill(a, d.PromptTokens-cached))
+	}
+	return best
+}
+
+// bestTransfer returns the transfer time over the pool's fastest links, if idle.
+func (c *Coordinator) bestTransfer(tokens int) time.Duration {
+	return max(
+		c.predict.transfer(fastestLink(c.pool.prefill), tokens, 1),
+		c.predict.transfer(fastestLink(c.pool.decode), tokens, 1),
+	)
+}
+
+// fastestLink returns the highest rate, 0 if a link has no limit.
+func fastestLink(engines []*account) int64 {
+	var best int64
+	for _, a := range engines {
+		if a.LinkBytesPerSecond == 0 {
+			return 0
+		}
+		best = max(best, a.LinkBytesPerSecond)
+	}
+	return best
+}
+
+// predictWait returns the predicted wait of a demand behind those that are
+// served before it. Prefill engines and decode slots are both in the way; the
+// slower of them decides. The team's share of the pool bounds what the demands
+// of other teams can add.
+func (c *Coordinator) predictWait(now time.Time, w *waiter) time.Duration {
+	all, own := c.ahead(w)
+	wait := c.waitBehind(now, all)
+	if own.count == all.count {
+		return wait
+	}
+	part := c.shareOf(w.demand.Team, w.demand.Share)
+	own.count = int(math.Ceil(float64(own.count) / part))
+	own.work = seconds(own.work.Seconds() / part)
+	return min(wait, c.waitBehind(now, own))
+}
+
+// backlog sums up waiting demands.
+type backlog struct {
+	count int
+	work  time.Duration
+}
+
+// ahead sums up the demands that are served before a new one, and those of
+// them that belong to its own team.
+func (c *Coordinator) ahead(w *waiter) (all, own backlog) {
+	for _, l := range c.queue.lines {
+		if l.priority() < w.demand.Priority && !l.key.resumed {
+			continue
+		}
+		all.count += len(l.waiters)
+		all.work += l.work
+		if l.key.team == w.demand.Team {
+			own.count += len(l.waiters)
+			own.work += l.work
+		}
+	}
+	return all, own
+}
+
+// shareOf returns the part of the pool that a team gets beside the teams that
+// wait now.
+func (c *Coordinator) shareOf(team string, share float64) float64 {
+	own := effectiveShare(share)
+	sum := own
+	for _, other := range c.queue.activeTeams() {
+		if other != team {
+			sum += effectiveShare(c.queue.usage.shares[other])
+		}
+	}
+	return own / sum
+}
+
+// waitBehind returns the predicted time until a backlog has started.
+func (c *Coordinator) waitBehind(now time.Time, b backlog) time.Duration {
+	return max(c.prefillWait(now, b.work), c.slotWait(b.count))
+}
+
+// prefillWait returns the time until a prefill engine is free behind a backlog.
+func (c *Coordinator) prefillWait(now time.Time, work time.Duration) time.Duration {
+	engines := 0
+	least := time.Duration(math.MaxInt64)
+	var sum time.Duration
+	for _, a := range c.pool.prefill {
+		if !a.usable() {
+			continue
+		}
+		engines++
+		left := a.prefillBacklog(now)
+		least = min(least, left)
+		sum += left
+	}
+	if work == 0 {
+		return least
+	}
+	return (sum + work) / time.Duration(engines)
+}
+
+// slotWait returns the time until a decode slot is free behind a number of
+// demands. Slots become free at the rate of slots over the time each is held.
+func (c *Coordinator) slotWait(count int) time.Duration {
+	free := 0
+	for _, a := range c.pool.decode {
+		if a.usable() {
+			free += a.freeSlots()
+		}
+	}
+	if count < free {
+		return 0
+	}
+	return c.drainTime(count - free + 1)
+}
+
+// drainTime returns the time in which a number of decode slots become free.
+func (c *Coordinator) drainTime(count int) time.Duration {
+	held := 0
+	for _, a := range c.pool.decode {
+		held += a.slotsHeld + a.promised
+	}
+	if held == 0 || c.slotTime.mean == 0 {
+		return 0
+	}
+	return c.slotTime.mean * time.Duration(count) / time.Duration(held)
+}
+
+// retryAfter spreads the advice over its double, so that callers refused
+// together do not come back together.
+func (c *Coordinator) retryAfter(id engine.AttemptID, wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+	spread := float64(xxhash.Sum64String(id.String())) / math.MaxUint64
+	return wait + seconds(wait.Seconds()*spread)
+}
+
+// weightsOrDefault treats missing weights as balanced.
+func weightsOrDefault(w configuration.Weights) configuration.Weights {
+	if w.Goodput == 0 && w.WastedPrefill == 0 {
+		return configuration.Weights{Goodput: 1, WastedPrefill: 1}
+	}
+	return w
+}
--- /dev/null
+++ b/internal/scheduling/coordinator.go
@@ -0,0 +1,262 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+// Outcome is the decision on a demand. It has a grant, a refusal, or neither
+// while the demand waits.
+type Outcome struct {
+	ID      engine.AttemptID
+	Grant   *Grant
+	Refusal *Refusal
+}
+
+// Waiting reports whether the demand is neither granted nor refused.
+func (o Outcome) Waiting() bool { return o.Grant == nil && o.Refusal == nil }
+
+// Counters count decisions since the coordinator was made.
+type Counters struct {
+	Granted, Overlapped          uint64
+	RefusedTarget, RefusedFull   uint64
+	RefusedEngine, RefusedLarge  uint64
+	Dropped, Withdrawn           uint64
+	Expired, HolderGone, Adopted uint64
+	Released                     uint64
+	CacheGaps, CacheMisses       uint64
+}
+
+// Coordinator owns the engines of one model in one availability zone: the
+// ledger of decode slots and memory, the queue and the predictions. It has no
+// clock and no goroutine; every method takes the time. It is not safe for
+// concurrent use.
+type Coordinator struct {
+	settings Settings
+	pool     *pool
+	ledger   *ledger
+	queue    *queue
+	predict  *predictor
+	prefixes *prefixIndex
+	slotTime meanDuration
+	counters Counters
+	// decided are outcomes that Tick has not returned yet.
+	decided []Outcome
+	// closed holds back all grants while the ledger is rebuilt.
+	closed bool
+}
+
+// NewCoordinator returns a coordinator without engines.
+func NewCoordinator(settings Settings) *Coordinator {
+	return &Coordinator{
+		settings: settings,
+		pool:     newPool(),
+		ledger:   newLedger(),
+		queue:    newQueue(),
+		predict:  newPredictor(settings.Model),
+		prefixes: newPrefixIndex(prefixIndexLimit),
+	}
+}
+
+// Counters returns the counts of decisions.
+func (c *Coordinator) Counters() Counters { return c.counters }
+
+// Waiting returns the number of waiting demands.
+func (c *Coordinator) Waiting() int { return c.queue.len() }
+
+// Close holds back all grants until Open; demands wait meanwhile. A new owner
+// is closed until it knows what the holders hold.
+func (c *Coordinator) Close() { c.closed = true }
+
+// Open ends Close.
+func (c *Coordinator) Open() { c.closed = false }
+
+// SetModel replaces the model's figures; corrections stay.
+func (c *Coordinator) SetModel(model configuration.Model) {
+	c.settings.Model = model
+	c.predict.model = model
+}
+
+// SetEngines replaces the engines. Engines that are not listed get no new
+// grants; what is held on them stays in the ledger until it is released.
+func (c *Coordinator) SetEngines(now time.Time, states []EngineState) {
+	c.pool.set(states)
+	c.dispatch(now)
+}
+
+// Submit decides on a demand or lets it wait. It is idempotent: a repeated
+// submission gets the same grant, so that a lost answer costs nothing.
+func (c *Coordinator) Submit(now time.Time, d Demand) Outcome {
+	if h, ok := c.ledger.holdings[d.ID]; ok {
+		h.renewed = now
+		grant := h.grant
+		return Outcome{ID: d.ID, Grant: &grant}
+	}
+	if _, ok := c.queue.byID[d.ID]; ok {
+		return Outcome{ID: d.ID}
+	}
+	if _, ok := c.ledger.tombstones[d.ID]; ok {
+		return Outcome{ID: d.ID, Refusal: &Refusal{Reason: RefusedTarget}}
+	}
+	c.tidy(now)
+	w := c.newWaiter(now, d)
+	if refusal := c.admit(now, w); refusal != nil {
+		c.countRefusal(refusal)
+		return Outcome{ID: d.ID, Refusal: refusal}
+	}
+	c.queue.add(w)
+	c.dispatch(now)
+	return c.takeOutcome(d.ID)
+}
+
+func (c *Coordinator) newWaiter(now time.Time, d Demand) *waiter {
+	d.Weights = weightsOrDefault(d.Weights)
+	w := &waiter{demand: d, arrival: now.Add(-max(0, d.Waited))}
+	w.work = c.bestWork(&d)
+	w.latestStart = c.latestStart(w)
+	return w
+}
+
+// takeOutcome returns the outcome of one demand and leaves the others to Tick.
+func (c *Coordinator) takeOutcome(id engine.AttemptID) Outcome {
+	i := slices.IndexFunc(c.decided, func(o Outcome) bool { return o.ID == id })
+	if i < 0 {
+		return Outcome{ID: id}
+	}
+	outcome := c.decided[i]
+	c.decided = slices.Delete(c.decided, i, i+1)
+	return outcome
+}
+
+// Cancel withdraws a waiting demand or releases a grant. It is idempotent, and a
+// submission that arrives after it is refused.
+func (c *Coordinator) Cancel(now time.Time, id engine.AttemptID) {
+	c.decided = slices.DeleteFunc(c.decided, func(o Outcome) bool { return o.ID == id })
+	c.ledger.tombstones[id] = now
+	if w, ok := c.queue.byID[id]; ok {
+		c.queue.remove(w)
+		c.counters.Withdrawn++
+	}
+	if h, ok := c.ledger.holdings[id]; ok {
+		c.ledger.remove(now, h, true)
+		c.counters.Released++
+	}
+	c.dispatch(now)
+}
+
+// Tick expires leases, drops demands that cannot meet their targets any more
+// and grants what can start. It returns the decisions since the last call.
+func (c *Coordinator) Tick(now time.Time) []Outcome {
+	c.tidy(now)
+	c.dispatch(now)
+	decided := c.decided
+	c.decided = nil
+	return decided
+}
+
+// NextWake returns when Tick is to be called next.
+func (c *Coordinator) NextWake(now time.Time) time.Time {
+	if len(c.decided) > 0 {
+		return now
+	}
+	wake := now.Add(idleWake)
+	if c.queue.len() > 0 {
+		wake = now.Add(retryInterval)
+	}
+	if e := c.ledger.nextExpiry; !e.IsZero() && e.Before(wake) {
+		wake = e
+	}
+	return wake
+}
+
+// tidy expires leases and drops hopeless demands.
+func (c *Coordinator) tidy(now time.Time) {
+	c.counters.Expired += uint64(c.ledger.expire(now))
+	for _, w := range c.queue.overdue(now) {
+		c.counters.Dropped++
+		refusal := &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(w.demand.ID, c.drainTime(1))}
+		c.decided = append(c.decided, Outcome{ID: w.demand.ID, Refusal: refusal})
+	}
+}
+
+// dispatch grants waiting demands in order as long as one can start.
+func (c *Coordinator) dispatch(now time.Time) {
+	if c.closed {
+		return
+	}
+	for c.queue.len() > 0 && c.dispatchOne(now) {
+	}
+}
+
+// dispatchOne grants the first demand in order that can start. A demand that
+// was passed over for too long keeps the others waiting, so that smaller or
+// less demanding ones cannot starve it.
+func (c *Coordinator) dispatchOne(now time.Time) bool {
+	for _, l := range c.queue.inOrder(now) {
+		w := l.waiters[0]
+		if p, ok := c.place(now, w); ok {
+			c.grant(now, w, &p)
+			return true
+		}
+		if w.blockedSince.IsZero() {
+			w.blockedSince = now
+		}
+		if now.Sub(w.blockedSince) > bypassLimit {
+			return false
+		}
+	}
+	return false
+}
+
+// grant records the placement and hands out the grant.
+func (c *Coordinator) grant(now time.Time, w *waiter, p *placement) {
+	d := &w.demand
+	c.queue.remove(w)
+	first := p.transferEnd.Add(c.predict.tokenInterval(p.decode, p.decode.slotsHeld+1)).Sub(now)
+	h := &holding{
+		id:           d.ID,
+		key:          classKey{d.Team, d.Class},
+		grant:        Grant{ID: d.ID, Prefill: p.prefill.Name, Decode: p.decode.Name, FirstToken: first},
+		prefill:      p.prefill,
+		decode:       p.decode,
+		promised:     p.promised,
+		promptTokens: d.PromptTokens,
+		outputTokens: d.OutputTokens,
+		blocks:       d.Blocks,
+		cached:       p.cached,
+		pieces:       p.decode.piecesFor(d.PromptTokens + d.OutputTokens),
+		keptPieces:   p.prefill.piecesFor(d.PromptTokens),
+		between:      d.Targets.BetweenTokens.D(),
+		work:         p.work,
+		granted:      now,
+		prefillEnd:   p.prefillEnd,
+		transferEnd:  p.transferEnd,
+		renewed:      now,
+	}
+	p.prefill.lastPrefill = now
+	c.ledger.add(h)
+	c.prefixes.store(p.prefill.Name, d.Blocks)
+	c.queue.usage.charge(d.Team, d.Share, first+seconds(float64(d.OutputTokens)*c.predict.model.TokenInterval.D().Seconds()))
+	c.counters.Granted++
+	if p.promised {
+		c.counters.Overlapped++
+	}
+	grant := h.grant
+	c.decided = append(c.decided, Outcome{ID: d.ID, Grant: &grant})
+}
+
+func (c *Coordinator) countRefusal(r *Refusal) {
+	switch r.Reason {
+	case RefusedTarget:
+		c.counters.RefusedTarget++
+	case RefusedQueueFull:
+		c.counters.RefusedFull++
+	case RefusedNoEngine:
+		c.counters.RefusedEngine++
+	case RefusedTooLarge:
+		c.counters.RefusedLarge++
+	}
+}
--- /dev/null
+++ b/internal/scheduling/engines.go
@@ -0,0 +1,219 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+// EngineState is what the coordinator is told of one engine.
+type EngineState struct {
+	Name string
+	Zone string
+	Role configuration.Role
+	// Slots is the number of requests that a decode engine holds.
+	Slots int
+	// Pieces and PieceTokens give the memory for KV cache; 0 pieces means
+	// that memory is not accounted for.
+	Pieces      int
+	PieceTokens int
+	// LinkBytesPerSecond is the rate of the engine's link; 0 means no limit.
+	LinkBytesPerSecond int64
+	// Leaving excludes the engine from new grants.
+	Leaving bool
+	// Ejected excludes the engine from new grants until it is let back.
+	Ejected bool
+	// SlotLimit bounds the slots in use below Slots while an engine is let
+	// back gradually or while a share of it belongs to others; 0 means Slots.
+	SlotLimit int
+}
+
+// EngineStateOf converts an endpoint of the configuration.
+func EngineStateOf(e *configuration.Endpoint) EngineState {
+	return EngineState{
+		Name:               e.Name,
+		Zone:               e.Zone,
+		Role:               e.Role,
+		Slots:              e.Slots,
+		Pieces:             e.MemoryPieces,
+		PieceTokens:        e.PieceTokens,
+		LinkBytesPerSecond: e.LinkBytesPerSecond,
+	}
+}
+
+// usable reports whether the engine takes new work.
+func (s *EngineState) usable() bool { return !s.Leaving && !s.Ejected }
+
+// slotLimit returns the slots that grants may use.
+func (s *EngineState) slotLimit() int {
+	if s.SlotLimit > 0 {
+		return min(s.SlotLimit, s.Slots)
+	}
+	return s.Slots
+}
+
+// piecesFor returns the memory pieces that hold a number of tokens.
+func (s *EngineState) piecesFor(tokens int) int {
+	if s.Pieces == 0 || s.PieceTokens <= 0 {
+		return 0
+	}
+	return (tokens + s.PieceTokens - 1) / s.PieceTokens
+}
+
+// pool is the set of engines of one model, split by role. Engines that left
+// stay in byName while holdings refer to them.
+type pool struct {
+	byName  map[string]*account
+	prefill []*account
+	decode  []*account
+}
+
+func newPool() *pool {
+	return &pool{byName: make(map[string]*account)}
+}
+
+// set replaces the engines' states. Accounts of known engines keep their
+// holdings and corrections.
+func (p *pool) set(states []EngineState) {
+	listed := make(map[string]bool, len(states))
+	p.prefill = p.prefill[:0]
+	p.decode = p.decode[:0]
+	for _, state := range states {
+		listed[state.Name] = true
+		a := p.get(state.Name)
+		a.EngineState = state
+		p.add(a)
+	}
+	for name, a := range p.byName {
+		if !listed[name] && a.idle() {
+			delete(p.byName, name)
+		}
+		if !listed[name] {
+			a.Leaving = true
+		}
+	}
+}
+
+func (p *pool) add(a *account) {
+	byName := func(x, y *account) int {
+		if x.Name < y.Name {
+			return -1
+		}
+		return 1
+	}
+	if a.Role == configuration.RolePrefill {
+		p.prefill = append(p.prefill, a)
+		slices.SortFunc(p.prefill, byName)
+		return
+	}
+	p.decode = append(p.decode, a)
+	slices.SortFunc(p.decode, byName)
+}
+
+// get returns the account of an engine and creates it for an engine that only
+// a holder knows, for example one that left the configuration.
+func (p *pool) get(name string) *account {
+	a, ok := p.byName[name]
+	if !ok {
+		a = newAccount(name)
+		p.byName[name] = a
+	}
+	return a
+}
+
+// account is the ledger of one engine: what is held on it and how its
+// observed speed differs from the model's figures.
+type account struct {
+	EngineState
+	// held are the holdings with a decode slot or the promise of one, in the
+	// order of their grants.
+	held []*holding
+	// slotsHeld and piecesHeld count holdings that are not promised.
+	slotsHeld  int
+	piecesHeld int
+	promised   int
+	// strictest is the shortest between-token target on the engine; 0 if none.
+	strictest time.Duration
+	// running are the prefills in flight in the order of their grants.
+	running []*holding
+	// transfers are the holdings whose KV cache will cross the engine's link.
+	transfers []*holding
+	// keptPieces is the memory of prefills in flight or not yet transferred.
+	keptPieces int
+	// foreign is the number of reported active requests that no holding explains.
+	foreign int
+	// released are the times of recent releases, which lagging load reports
+	// may still count as active.
+	released []time.Time
+
+	// lastPrefill is the time of the last grant on a prefill engine.
+	lastPrefill time.Time
+	// cacheInDoubt says that an eviction may have been missed.
+	cacheInDoubt bool
+
+	prefillRatio ewma
+	linkRatio    ewma
+	decodeRatio  ewma
+}
+
+func newAccount(name string) *account {
+	return &account{EngineState: EngineState{Name: name}}
+}
+
+// idle reports whether nothing is held on the engine.
+func (a *account) idle() bool {
+	return len(a.held) == 0 && len(a.running) == 0 && len(a.transfers) == 0
+}
+
+// freeSlots returns the slots that may be granted now.
+func (a *account) freeSlots() int {
+	return a.slotLimit() - a.slotsHeld - a.promised - a.foreign
+}
+
+// freePieces returns the memory that may be granted now.
+func (a *account) freePieces() int { return a.Pieces - a.piecesHeld }
+
+// memoryFits reports whether the pieces can be granted on a decode engine now.
+func (a *account) memoryFits(pieces int) bool {
+	return a.Pieces == 0 || pieces <= a.freePieces()
+}
+
+// observeLoad derives the requests that run on the engine without a holding.
+// A lagging report is at most as high as the holdings now plus those released
+// within the lag, so any excess belongs to somebody else, for example to
+// attempts of a VM that died.
+func (a *account) observeLoad(now time.Time, report engine.LoadReport) {
+	a.forgetReleases(now)
+	explained := a.slotsHeld + a.promised + len(a.released)
+	a.foreign = max(0, report.Active-explained)
+	if report.Leaving {
+		a.Leaving = true
+	}
+}
+
+// forgetReleases drops releases older than the lag of load reports.
+func (a *account) forgetReleases(now time.Time) {
+	horizon := now.Add(-loadReportLag)
+	a.released = slices.DeleteFunc(a.released, func(t time.Time) bool { return t.Before(horizon) })
+}
+
+// refreshStrictest recomputes the shortest between-token target.
+func (a *account) refreshStrictest() {
+	a.strictest = 0
+	for _, h := range a.held {
+		a.strictest = stricter(a.strictest, h.between)
+	}
+}
+
+// stricter returns the shorter of two targets, of which 0 means none.
+func stricter(x, y time.Duration) time.Duration {
+	if x == 0 {
+		return y
+	}
+	if y == 0 {
+		return x
+	}
+	return min(x, y)
+}
--- /dev/null
+++ b/internal/scheduling/fairness.go
@@ -0,0 +1,48 @@
+package scheduling
+
+import "time"
+
+// usage counts what each team was granted, divided by its share, as in
+// start-time fair queueing. The team with the smallest count is served first.
+type usage struct {
+	virtual map[string]float64
+	shares  map[string]float64
+	// floor is the count of the team served last; a team that comes back
+	// starts there, so that it has no credit for the time it was away.
+	floor float64
+}
+
+func newUsage() *usage {
+	return &usage{virtual: make(map[string]float64), shares: make(map[string]float64)}
+}
+
+// of returns a team's count.
+func (u *usage) of(team string) float64 { return u.virtual[team] }
+
+// activate lifts a team that starts to wait to the least count of those who
+// wait already.
+func (u *usage) activate(team string, active []string) {
+	least := u.floor
+	for _, other := range active {
+		if other == team {
+			return
+		}
+		least = min(least, u.virtual[other])
+	}
+	u.virtual[team] = max(u.virtual[team], least)
+}
+
+// charge adds engine time to a team's count.
+func (u *usage) charge(team string, share float64, cost time.Duration) {
+	u.shares[team] = effectiveShare(share)
+	u.floor = u.virtual[team]
+	u.virtual[team] += cost.Seconds() / effectiveShare(share)
+}
+
+// effectiveShare returns the share to count with; 0 counts as 1.
+func effectiveShare(share float64) float64 {
+	if share <= 0 {
+		return 1
+	}
+	return share
+}
--- /dev/null
+++ b/internal/scheduling/observation.go
@@ -0,0 +1,244 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+// meanDuration is an exponentially weighted moving average of a duration.
+type meanDuration struct {
+	mean time.Duration
+}
+
+func (m *meanDuration) observe(d time.Duration) {
+	if m.mean == 0 {
+		m.mean = d
+		return
+	}
+	m.mean += time.Duration(ewmaWeight * float64(d-m.mean))
+}
+
+// Progress takes a holder's observation of a granted attempt.
+func (c *Coordinator) Progress(now time.Time, p Progress) {
+	h, ok := c.ledger.holdings[p.ID]
+	if !ok {
+		if p.Kind == Released {
+			c.ledger.tombstones[p.ID] = now
+		}
+		return
+	}
+	h.renewed = now
+	switch p.Kind {
+	case PrefillDone:
+		c.prefillDone(now, h, p)
+	case FirstTokenSeen:
+		c.firstTokenSeen(now, h, p)
+	case Released:
+		c.release(now, h, p)
+	}
+	c.dispatch(now)
+}
+
+// prefillDone frees the prefill engine and corrects its rate and cache.
+func (c *Coordinator) prefillDone(now time.Time, h *holding, p Progress) {
+	if h.phase != PhasePrefill {
+		return
+	}
+	h.phase = PhaseTransfer
+	c.ledger.endPrefill(h)
+	transfer := h.transferEnd.Sub(h.prefillEnd)
+	h.prefillEnd = now
+	h.transferEnd = now.Add(transfer)
+	c.shiftRunning(now, h.prefill)
+	c.correctCache(h, p)
+	tokens := p.Tokens
+	if tokens == 0 {
+		tokens = h.promptTokens
+	}
+	base := seconds(float64(tokens-p.Cached) / c.predict.model.PrefillTokensPerSecond)
+	// Only a prefill that found the engine idle shows the engine's rate;
+	// behind another one its duration holds the wait as well.
+	if h.foundIdle {
+		h.prefill.prefillRatio.observe(p.Elapsed, base)
+	}
+}
+
+// shiftRunning moves the predicted ends of the prefills in flight after the
+// first of them ended.
+func (c *Coordinator) shiftRunning(now time.Time, a *account) {
+	end := now
+	for _, h := range a.running {
+		end = end.Add(h.work)
+		transfer := h.transferEnd.Sub(h.prefillEnd)
+		h.prefillEnd = end
+		h.transferEnd = end.Add(transfer)
+	}
+}
+
+// correctCache compares the cached part with the index, whose events may be
+// late or missing. The engine's own count is the truth.
+func (c *Coordinator) correctCache(h *holding, p Progress) {
+	if p.Cached >= h.cached {
+		h.prefill.cacheInDoubt = false
+		return
+	}
+	first := min(p.Cached/TokensPerBlock, len(h.blocks))
+	last := min(h.cached/TokensPerBlock, len(h.blocks))
+	c.counters.CacheMisses++
+	// The prefill itself has stored the blocks again, so that the entries
+	// stay; the doubt concerns the engine's other entries.
+	if first < last {
+		h.prefill.cacheInDoubt = true
+	}
+}
+
+// firstTokenSeen frees the link and the prefill engine's memory.
+func (c *Coordinator) firstTokenSeen(now time.Time, h *holding, p Progress) {
+	if h.phase == PhaseDecode {
+		return
+	}
+	predicted := h.transferEnd.Sub(h.prefillEnd)
+	step := c.predict.tokenInterval(h.decode, h.decode.slotsHeld)
+	if h.phase == PhaseTransfer && !h.promised && predicted > 0 {
+		h.decode.linkRatio.observe(p.Elapsed, predicted+step)
+	}
+	c.ledger.endPrefill(h)
+	c.ledger.endTransfer(h)
+	h.phase = PhaseDecode
+	h.decodeStart = now
+	h.delivered = 1
+	h.deliveredAt = now
+}
+
+// release frees all that the attempt holds and learns from its decode.
+func (c *Coordinator) release(now time.Time, h *holding, p Progress) {
+	c.counters.Released++
+	c.slotTime.observe(now.Sub(h.granted))
+	if !h.decodeStart.IsZero() && p.Tokens > 1 {
+		c.predict.observeOutput(h.key, p.Tokens, h.outputTokens)
+		steps := time.Duration(p.Tokens - 1)
+		interval := c.predict.modelInterval(h.decode.slotsHeld)
+		h.decode.decodeRatio.observe(now.Sub(h.decodeStart), steps*interval)
+	}
+	c.ledger.remove(now, h, true)
+}
+
+// Renew takes a heartbeat of one incarnation of an entry VM with all that it
+// holds. Unknown attempts are adopted, even if the engine then counts as
+// overfull, because the holder uses the slot whether or not the ledger knows.
+func (c *Coordinator) Renew(now time.Time, vm string, incarnation uint64, held []Held) {
+	for i := range held {
+		record := &held[i]
+		if record.ID.VM != vm || record.ID.Incarnation != incarnation {
+			continue
+		}
+		c.renewOne(now, record)
+	}
+	c.dispatch(now)
+}
+
+func (c *Coordinator) renewOne(now time.Time, record *Held) {
+	h, ok := c.ledger.holdings[record.ID]
+	if !ok {
+		c.adopt(now, record)
+		return
+	}
+	h.renewed = now
+	if record.Delivered > h.delivered {
+		h.delivered = record.Delivered
+		h.deliveredAt = now
+	}
+	if record.Phase == PhaseDecode && h.phase != PhaseDecode {
+		c.firstTokenSeen(now, h, Progress{ID: h.id, Kind: FirstTokenSeen})
+	}
+	if record.Phase == PhaseTransfer && h.phase == PhasePrefill {
+		h.phase = PhaseTransfer
+		c.ledger.endPrefill(h)
+	}
+}
+
+// adopt enters an attempt that another owner granted.
+func (c *Coordinator) adopt(now time.Time, r *Held) {
+	if _, released := c.ledger.tombstones[r.ID]; released {
+		return
+	}
+	prefill, decode := c.pool.get(r.Prefill), c.pool.get(r.Decode)
+	h := &holding{
+		id:           r.ID,
+		key:          classKey{r.Team, r.Class},
+		grant:        Grant{ID: r.ID, Prefill: r.Prefill, Decode: r.Decode},
+		prefill:      prefill,
+		decode:       decode,
+		phase:        r.Phase,
+		promptTokens: r.PromptTokens,
+		outputTokens: r.OutputTokens,
+		delivered:    r.Delivered,
+		deliveredAt:  now,
+		pieces:       decode.piecesFor(r.PromptTokens + r.OutputTokens),
+		keptPieces:   prefill.piecesFor(r.PromptTokens),
+		between:      r.BetweenTokens,
+		work:         c.predict.prefill(prefill, r.PromptTokens),
+		granted:      now,
+		renewed:      now,
+	}
+	h.prefillEnd = now
+	if h.phase == PhasePrefill {
+		h.prefillEnd = now.Add(prefill.prefillBacklog(now) + h.work)
+	}
+	h.transferEnd = h.prefillEnd.Add(c.predict.transfer(decode.LinkBytesPerSecond, r.PromptTokens, 1))
+	c.counters.Adopted++
+	c.ledger.add(h)
+	if w, ok := c.queue.byID[r.ID]; ok {
+		c.queue.remove(w)
+	}
+}
+
+// HolderGone releases all that one incarnation of an entry VM holds or waits
+// for. Engines that still run its attempts show them in their load reports.
+func (c *Coordinator) HolderGone(now time.Time, vm string, incarnation uint64) {
+	belongs := func(id engine.AttemptID) bool { return id.VM == vm && id.Incarnation == incarnation }
+	for _, h := range c.ledger.sorted() {
+		if belongs(h.id) {
+			c.ledger.remove(now, h, false)
+			c.counters.HolderGone++
+		}
+	}
+	for id, w := range c.queue.byID {
+		if belongs(id) {
+			c.queue.remove(w)
+			c.counters.Withdrawn++
+		}
+	}
+	c.dispatch(now)
+}
+
+// ObserveLoad takes an engine's load report.
+func (c *Coordinator) ObserveLoad(now time.Time, name string, report engine.LoadReport) {
+	a, ok := c.pool.byName[name]
+	if !ok {
+		return
+	}
+	a.observeLoad(now, report)
+	c.dispatch(now)
+}
+
+// CacheEvents takes prefix cache events of an engine. After a gap an eviction
+// may have been missed, so that the engine's entries count half until a
+// prefill confirms them.
+func (c *Coordinator) CacheEvents(_ time.Time, name string, events []CacheEvent, gap bool) {
+	if gap {
+		c.counters.CacheGaps++
+		c.pool.get(name).cacheInDoubt = true
+	}
+	for _, e := range events {
+		switch e.Kind {
+		case CacheStored:
+			c.prefixes.store(name, e.Blocks)
+		case CacheRemoved:
+			c.prefixes.removeBlocks(name, e.Blocks)
+		case CacheCleared:
+			c.prefixes.clear(name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduling/placement.go
@@ -0,0 +1,177 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+)
+
+// placement is a choice of engines with its predicted times.
+type placement struct {
+	prefill *account
+	decode  *account
+	// cached is the part of the prompt that the prefill engine probably caches.
+	cached int
+	// work is the duration of the prefill alone.
+	work        time.Duration
+	prefillEnd  time.Time
+	transferEnd time.Time
+	// promised says that the decode slot is predicted to be free in time but
+	// is not free yet.
+	promised bool
+}
+
+// place chooses engines for a waiting demand whose prefill can start now.
+func (c *Coordinator) place(now time.Time, w *waiter) (placement, bool) {
+	p, ok := c.choosePrefill(now, &w.demand)
+	if !ok {
+		return placement{}, false
+	}
+	if c.chooseDecode(&w.demand, &p) {
+		return p, c.inTime(w, &p)
+	}
+	if !overlapAllowed(w.demand.Weights) {
+		return placement{}, false
+	}
+	if c.chooseOverlap(now, &w.demand, &p) {
+		return p, c.inTime(w, &p)
+	}
+	return placement{}, false
+}
+
+// inTime reports whether the placement meets the first token target.
+func (c *Coordinator) inTime(w *waiter, p *placement) bool {
+	target := w.demand.Targets.FirstToken.D()
+	if target == 0 {
+		return true
+	}
+	first := p.transferEnd.Add(c.predict.tokenInterval(p.decode, p.decode.slotsHeld+1))
+	return !first.After(w.arrival.Add(target))
+}
+
+// choosePrefill chooses the engine that finishes the prefill first, cached
+// prefix counted. An engine takes the next prefill only shortly before it
+// finishes the last one, which bounds what a popular prefix can pile up on it.
+func (c *Coordinator) choosePrefill(now time.Time, d *Demand) (placement, bool) {
+	var best placement
+	seen := c.prefixes.known(d.Blocks)
+	for _, a := range c.pool.prefill {
+		if !c.prefillFree(now, a, d) {
+			continue
+		}
+		cached := 0
+		if seen {
+			cached = c.cachedTokens(a, d)
+		}
+		work := c.predict.prefill(a, d.PromptTokens-cached)
+		end := now.Add(a.prefillBacklog(now) + work)
+		if best.prefill == nil || end.Before(best.prefillEnd) ||
+			end.Equal(best.prefillEnd) && a.lastPrefill.Before(best.prefill.lastPrefill) {
+			best = placement{prefill: a, cached: cached, work: work, prefillEnd: end}
+		}
+	}
+	return best, best.prefill != nil
+}
+
+// prefillFree reports whether a prefill engine can take the demand now.
+func (c *Coordinator) prefillFree(now time.Time, a *account, d *Demand) bool {
+	if !a.usable() || slices.Contains(d.Exclude, a.Name) {
+		return false
+	}
+	if a.Pieces > 0 && a.keptPieces+a.piecesFor(d.PromptTokens) > a.Pieces {
+		return false
+	}
+	switch len(a.running) {
+	case 0:
+		return true
+	case prefillsInFlight:
+		return false
+	}
+	// A prefill that is late says that the engine is slower than predicted,
+	// so that its end is unknown.
+	left := a.running[len(a.running)-1].prefillEnd.Sub(now)
+	return left <= prefillLead && left > -prefillLead
+}
+
+// prefillBacklog returns the predicted time until the engine's prefills in
+// flight are done.
+func (a *account) prefillBacklog(now time.Time) time.Duration {
+	if len(a.running) == 0 {
+		return 0
+	}
+	return max(0, a.running[len(a.running)-1].prefillEnd.Sub(now))
+}
+
+// cachedTokens returns the part of the prompt that an engine probably caches.
+// At least one block is always computed, because the last token is needed.
+func (c *Coordinator) cachedTokens(a *account, d *Demand) int {
+	blocks := c.prefixes.cachedBlocks(a.Name, d.Blocks)
+	if a.cacheInDoubt {
+		blocks /= 2
+	}
+	return max(0, min(blocks*TokensPerBlock, d.PromptTokens-1))
+}
+
+// chooseDecode chooses an engine with a free slot and memory: the one with the
+// fastest transfer, then the one with the fewest requests.
+func (c *Coordinator) chooseDecode(d *Demand, p *placement) bool {
+	var bestTime time.Duration
+	for _, a := range c.pool.decode {
+		if !c.slotFree(a, d) {
+			continue
+		}
+		t, ok := c.transferTime(p, a, d.PromptTokens)
+		if !ok {
+			continue
+		}
+		if p.decode == nil || t < bestTime || t == bestTime && a.slotsHeld < p.decode.slotsHeld {
+			p.decode, bestTime = a, t
+		}
+	}
+	p.transferEnd = p.prefillEnd.Add(bestTime)
+	return p.decode != nil
+}
+
+// slotFree reports whether a decode engine has a slot and memory for the demand
+// and whether all between-token targets on it hold with one more request.
+func (c *Coordinator) slotFree(a *account, d *Demand) bool {
+	if !a.usable() || a.promised > 0 || a.freeSlots() <= 0 || slices.Contains(d.Exclude, a.Name) {
+		return false
+	}
+	strictest := stricter(a.strictest, d.Targets.BetweenTokens.D())
+	if a.slotsHeld+a.foreign+1 > c.predict.occupancyLimit(a, strictest) {
+		return false
+	}
+	return a.memoryFits(a.piecesFor(d.PromptTokens + d.OutputTokens))
+}
+
+// transferTime returns the duration of the KV transfer between the placement's
+// prefill engine and a decode engine. It is false if this or another transfer on the
+// links would last longer than the KV cache is kept.
+func (c *Coordinator) transferTime(p *placement, decode *account, tokens int) (time.Duration, bool) {
+	out, outOK := c.linkTime(p.prefill, p.prefillEnd, tokens)
+	in, inOK := c.linkTime(decode, p.prefillEnd, tokens)
+	t := max(out, in)
+	t = time.Duration(float64(t) * decode.linkRatio.ratio())
+	return t, outOK && inOK
+}
+
+// linkTime returns the duration of a transfer on one engine's link beside the
+// transfers predicted for the same time.
+func (c *Coordinator) linkTime(a *account, start time.Time, tokens int) (time.Duration, bool) {
+	alone := c.predict.transfer(a.LinkBytesPerSecond, tokens, 1)
+	end := start.Add(alone)
+	sharers := 0
+	longest := tokens
+	for _, h := range a.transfers {
+		if h.prefillEnd.Before(end) && start.Before(h.transferEnd) {
+			sharers++
+			longest = max(longest, h.promptTokens)
+		}
+	}
+	if sharers == 0 {
+		return alone, true
+	}
+	limit := seconds(c.settings.Model.KVRetention.D().Seconds() * retentionShare)
+	worst := c.predict.transfer(a.LinkBytesPerSecond, longest, sharers+1)
+	return alone * time.Duration(sharers+1), limit == 0 || worst <= limit
+}
--- /dev/null
+++ b/internal/scheduling/predictor.go
@@ -0,0 +1,124 @@
+package scheduling
+
+import (
+	"math"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+const (
+	// ewmaWeight is the weight of a new sample.
+	ewmaWeight = 0.1
+	// ratioFloor and ratioCeiling bound a correction, so that one absurd
+	// sample neither hides an engine nor makes it look free.
+	ratioFloor   = 0.25
+	ratioCeiling = 8.0
+)
+
+// ewma is an exponentially weighted moving average of observed to predicted
+// durations. Its zero value stands for 1.
+type ewma struct {
+	value float64
+}
+
+// ratio returns the correction factor.
+func (e *ewma) ratio() float64 {
+	if e.value == 0 {
+		return 1
+	}
+	return e.value
+}
+
+// observe adds a sample of an observed against a predicted duration.
+func (e *ewma) observe(observed, predicted time.Duration) {
+	if observed <= 0 || predicted <= 0 {
+		return
+	}
+	sample := float64(observed) / float64(predicted)
+	sample = min(max(sample, ratioFloor), ratioCeiling)
+	e.value = e.ratio() + ewmaWeight*(sample-e.ratio())
+}
+
+// predictor turns the model's figures and the engines' corrections into times.
+type predictor struct {
+	model configuration.Model
+	// outputShare is the usual part of the permitted output that is produced,
+	// by class.
+	outputShare map[classKey]*ewma
+}
+
+func newPredictor(model configuration.Model) *predictor {
+	return &predictor{model: model, outputShare: make(map[classKey]*ewma)}
+}
+
+// prefill returns the time to prefill uncached tokens on an engine.
+func (p *predictor) prefill(a *account, uncached int) time.Duration {
+	if p.model.PrefillTokensPerSecond <= 0 {
+		return 0
+	}
+	s := float64(uncached) / p.model.PrefillTokensPerSecond * a.prefillRatio.ratio()
+	return seconds(s)
+}
+
+// transfer returns the time to move a prompt's KV cache over a link that is
+// shared by a number of transfers.
+func (p *predictor) transfer(rate int64, tokens, sharers int) time.Duration {
+	if rate <= 0 || p.model.KVBytesPerToken <= 0 {
+		return 0
+	}
+	bytes := float64(tokens) * float64(p.model.KVBytesPerToken)
+	return seconds(bytes / float64(rate) * float64(max(1, sharers)))
+}
+
+// tokenInterval returns the time between tokens with a number of requests on
+// the engine.
+func (p *predictor) tokenInterval(a *account, occupancy int) time.Duration {
+	return time.Duration(float64(p.modelInterval(occupancy)) * a.decodeRatio.ratio())
+}
+
+// modelInterval is tokenInterval without correction.
+func (p *predictor) modelInterval(occupancy int) time.Duration {
+	base := p.model.TokenInterval.D()
+	per := p.model.TokenIntervalPerRequest.D()
+	return base + time.Duration(max(0, occupancy-1))*per
+}
+
+// occupancyLimit returns how many requests an engine may hold for a
+// between-token target; 0 target means no limit.
+func (p *predictor) occupancyLimit(a *account, target time.Duration) int {
+	per := float64(p.model.TokenIntervalPerRequest.D())
+	if target <= 0 || per <= 0 && p.tokenInterval(a, 1) <= target {
+		return math.MaxInt32
+	}
+	corrected := float64(target) / a.decodeRatio.ratio()
+	spare := corrected - float64(p.model.TokenInterval.D())
+	if spare < 0 {
+		return 0
+	}
+	return 1 + int(spare/per)
+}
+
+// expectedOutput returns the tokens that a demand of a class usually yields.
+func (p *predictor) expectedOutput(key classKey, limit int) float64 {
+	e, ok := p.outputShare[key]
+	if !ok {
+		return float64(limit)
+	}
+	return float64(limit) * min(1, e.ratio())
+}
+
+// observeOutput records the length of a finished answer.
+func (p *predictor) observeOutput(key classKey, tokens, limit int) {
+	if tokens <= 0 || limit <= 0 {
+		return
+	}
+	e, ok := p.outputShare[key]
+	if !ok {
+		e = &ewma{}
+		p.outputShare[key] = e
+	}
+	e.observe(time.Duration(tokens), time.Duration(limit))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/scheduling/queue.go
@@ -0,0 +1,224 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+// classKey names a team's class.
+type classKey struct {
+	team, class string
+}
+
+// lineKey names one line of waiting demands; resumed demands wait apart.
+type lineKey struct {
+	classKey
+	resumed bool
+}
+
+// waiter is a waiting demand.
+type waiter struct {
+	demand  Demand
+	arrival time.Time
+	// latestStart is the last moment at which an idle engine would still meet
+	// the targets; zero if there is no target.
+	latestStart time.Time
+	// work is the prefill time on an idle engine.
+	work time.Duration
+	line *line
+	// blockedSince is when the demand was first passed over while first in order.
+	blockedSince time.Time
+}
+
+// line holds the waiting demands of one team's class in the order in which
+// they are served.
+type line struct {
+	key     lineKey
+	waiters []*waiter
+	// work is the sum of the waiters' prefill times.
+	work time.Duration
+	// rank is the position of the class's priority among those waiting.
+	rank int
+}
+
+// insert puts a waiter in its place: by arrival, or by the latest start if the
+// class's order permits any.
+func (l *line) insert(w *waiter) {
+	i := len(l.waiters)
+	for i > 0 && before(w, l.waiters[i-1]) {
+		i--
+	}
+	l.waiters = slices.Insert(l.waiters, i, w)
+	l.work += w.work
+	w.line = l
+}
+
+// before reports whether x is served before y of the same line.
+func before(x, y *waiter) bool {
+	if x.demand.Order == configuration.OrderAny && !x.latestStart.Equal(y.latestStart) {
+		return x.hasEarlierStart(y)
+	}
+	return x.arrival.Before(y.arrival)
+}
+
+// hasEarlierStart compares latest starts; none is later than any.
+func (w *waiter) hasEarlierStart(other *waiter) bool {
+	if w.latestStart.IsZero() {
+		return false
+	}
+	return other.latestStart.IsZero() || w.latestStart.Before(other.latestStart)
+}
+
+// queue holds all waiting demands of the pool.
+type queue struct {
+	lines map[lineKey]*line
+	byID  map[engine.AttemptID]*waiter
+	// sorted holds the lines that are not empty, in the order of service.
+	sorted []*line
+	usage  *usage
+	// nextDrop is a lower bound of the earliest latest start.
+	nextDrop time.Time
+}
+
+func newQueue() *queue {
+	return &queue{
+		lines: make(map[lineKey]*line),
+		byID:  make(map[engine.AttemptID]*waiter),
+		usage: newUsage(),
+	}
+}
+
+// len returns the number of waiting demands.
+func (q *queue) len() int { return len(q.byID) }
+
+// waitingOf returns the number of waiting demands of a team's class.
+func (q *queue) waitingOf(key classKey) int {
+	n := 0
+	for _, resumed := range []bool{false, true} {
+		if l, ok := q.lines[lineKey{key, resumed}]; ok {
+			n += len(l.waiters)
+		}
+	}
+	return n
+}
+
+// add puts a demand in its line.
+func (q *queue) add(w *waiter) {
+	key := lineKey{classKey{w.demand.Team, w.demand.Class}, w.demand.Resumed}
+	l, ok := q.lines[key]
+	if !ok {
+		l = &line{key: key}
+		q.lines[key] = l
+		q.usage.activate(key.team, q.activeTeams())
+	}
+	l.insert(w)
+	q.byID[w.demand.ID] = w
+	q.noteDrop(w.latestStart)
+}
+
+// remove takes a demand out of its line.
+func (q *queue) remove(w *waiter) {
+	l := w.line
+	if i := slices.Index(l.waiters, w); i >= 0 {
+		l.waiters = slices.Delete(l.waiters, i, i+1)
+	}
+	l.work -= w.work
+	if len(l.waiters) == 0 {
+		delete(q.lines, l.key)
+	}
+	delete(q.byID, w.demand.ID)
+}
+
+// noteDrop lowers the bound of the earliest latest start.
+func (q *queue) noteDrop(t time.Time) {
+	if t.IsZero() {
+		return
+	}
+	if q.nextDrop.IsZero() || t.Before(q.nextDrop) {
+		q.nextDrop = t
+	}
+}
+
+// overdue removes and returns the waiters whose latest start has passed.
+func (q *queue) overdue(now time.Time) []*waiter {
+	if q.nextDrop.IsZero() || !now.After(q.nextDrop) {
+		return nil
+	}
+	q.nextDrop = time.Time{}
+	var late []*waiter
+	for _, w := range q.byID {
+		if !w.latestStart.IsZero() && now.After(w.latestStart) {
+			late = append(late, w)
+			continue
+		}
+		q.noteDrop(w.latestStart)
+	}
+	slices.SortFunc(late, func(x, y *waiter) int { return compareIDs(x.demand.ID, y.demand.ID) })
+	for _, w := range late {
+		q.remove(w)
+	}
+	return late
+}
+
+// inOrder returns the lines in the order of service: resumed demands, then
+// priority raised by waiting time, then the team that used least of its share,
+// then arrival.
+func (q *queue) inOrder(now time.Time) []*line {
+	q.sorted = q.sorted[:0]
+	for _, l := range q.lines {
+		q.sorted = append(q.sorted, l)
+	}
+	rankByPriority(q.sorted)
+	for _, l := range q.sorted {
+		l.rank += int(now.Sub(l.waiters[0].arrival) / agingStep)
+	}
+	slices.SortFunc(q.sorted, q.compare)
+	return q.sorted
+}
+
+// rankByPriority sets each line's rank to the number of lower priorities.
+func rankByPriority(lines []*line) {
+	for _, l := range lines {
+		l.rank = 0
+	}
+	slices.SortFunc(lines, func(x, y *line) int { return cmp.Compare(x.priority(), y.priority()) })
+	for i := 1; i < len(lines); i++ {
+		lines[i].rank = lines[i-1].rank
+		if lines[i].priority() > lines[i-1].priority() {
+			lines[i].rank++
+		}
+	}
+}
+
+// priority returns the priority of the line's first demand.
+func (l *line) priority() int { return l.waiters[0].demand.Priority }
+
+func (q *queue) compare(x, y *line) int {
+	if x.key.resumed != y.key.resumed {
+		if x.key.resumed {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(y.rank, x.rank),
+		cmp.Compare(q.usage.of(x.key.team), q.usage.of(y.key.team)),
+		x.waiters[0].arrival.Compare(y.waiters[0].arrival),
+		compareIDs(x.waiters[0].demand.ID, y.waiters[0].demand.ID),
+	)
+}
+
+// activeTeams returns the teams with waiting demands.
+func (q *queue) activeTeams() []string {
+	var teams []string
+	for key := range q.lines {
+		if len(q.lines[key].waiters) > 0 && !slices.Contains(teams, key.team) {
+			teams = append(teams, key.team)
+		}
+	}
+	return teams
+}
