Add claims of idempotency keys by the log's order and the answer registry

Calls that may not be repeated need one decision per key that survives repeats at other VMs, crashes and lost log answers. Claims takes the first record of a key in the order of its shard's stream; AnswerRegistry keeps model answers in the memory of the key's home zone, fenced by epochs.

--- /dev/null
+++ b/internal/claim/answer_update.go
@@ -0,0 +1,160 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+)
+
+// Update changes the phase of an attempt at the owner of its key's slot. The
+// error is KeyMalformed.
+func (r *AnswerRegistry) Update(ctx context.Context, request *claimv1.UpdateRequest) (*claimv1.UpdateResponse, error) {
+	wanted := request.GetEntry()
+	key, err := ParseKey(Key{Team: wanted.GetTeam(), Key: wanted.GetKey()})
+	if err != nil {
+		return nil, err
+	}
+	s, err := r.ownSlot(request.GetZone(), request.GetSlot())
+	if err != nil {
+		return nil, err
+	}
+	s.changes.Lock()
+	defer s.changes.Unlock()
+	if !r.ensureOwned(ctx, s, int(request.GetSlot())) {
+		return &claimv1.UpdateResponse{Result: claimv1.UpdateResult_UPDATE_RESULT_NOT_OWNER}, nil
+	}
+	entry, result := r.change(s, key, wanted)
+	if result != claimv1.UpdateResult_UPDATE_RESULT_DONE {
+		return &claimv1.UpdateResponse{Result: result, Entry: entry}, nil
+	}
+	if !r.replicate(ctx, s, request, entry) {
+		return &claimv1.UpdateResponse{Result: claimv1.UpdateResult_UPDATE_RESULT_NOT_OWNER}, nil
+	}
+	return &claimv1.UpdateResponse{Result: result, Entry: entry}, nil
+}
+
+// ownSlot returns a slot of this VM's zone.
+func (r *AnswerRegistry) ownSlot(zone string, number uint32) (*slot, error) {
+	if zone != r.deps.View.Self().Zone || number >= Slots {
+		return nil, KeyMalformed.New("slot %d of zone %q is not served here", number, zone)
+	}
+	return r.slots[number], nil
+}
+
+// change applies a wanted phase to the entry of its key and returns a copy of
+// the entry afterwards.
+func (r *AnswerRegistry) change(s *slot, key ParsedKey, wanted *claimv1.AnswerEntry) (*claimv1.AnswerEntry, claimv1.UpdateResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := s.entries[answerKey(wanted)]
+	result := r.judge(s, key, entry, wanted)
+	if result != claimv1.UpdateResult_UPDATE_RESULT_DONE {
+		return proto.CloneOf(entry), result
+	}
+	changed := proto.CloneOf(wanted)
+	changed.Version = entry.GetVersion() + 1
+	s.entries[answerKey(wanted)] = changed
+	return proto.CloneOf(changed), result
+}
+
+// judge decides whether an attempt gets the phase that it wants.
+func (r *AnswerRegistry) judge(s *slot, key ParsedKey, entry, wanted *claimv1.AnswerEntry) claimv1.UpdateResult {
+	own := proto.Equal(entry.GetAttempt(), wanted.GetAttempt())
+	if wanted.GetPhase() == claimv1.AnswerPhase_ANSWER_PHASE_WORKING {
+		if entry == nil {
+			return r.judgeNew(s, key)
+		}
+		return r.judgeRepeat(entry, own)
+	}
+	if entry == nil && wanted.GetPhase() == claimv1.AnswerPhase_ANSWER_PHASE_FREE {
+		return r.judgeNew(s, key)
+	}
+	if !own || !follows(entry.GetPhase(), wanted.GetPhase()) {
+		return claimv1.UpdateResult_UPDATE_RESULT_TAKEN
+	}
+	return claimv1.UpdateResult_UPDATE_RESULT_DONE
+}
+
+// follows reports whether an attempt may go from one phase to another.
+func follows(from, to claimv1.AnswerPhase) bool {
+	switch from {
+	case claimv1.AnswerPhase_ANSWER_PHASE_WORKING, claimv1.AnswerPhase_ANSWER_PHASE_ANSWERING:
+		return true
+	default:
+		return from == to
+	}
+}
+
+// judgeNew decides about a key without an entry.
+func (r *AnswerRegistry) judgeNew(s *slot, key ParsedKey) claimv1.UpdateResult {
+	err := r.settings.checkTime(key.Issued, r.now())
+	switch {
+	case errorx.IsOfType(err, KeyFuture):
+		return claimv1.UpdateResult_UPDATE_RESULT_KEY_FUTURE
+	case err != nil:
+		return claimv1.UpdateResult_UPDATE_RESULT_KEY_EXPIRED
+	case !key.Issued.After(s.completeFrom.Add(2 * r.settings.ClockSkew)):
+		return claimv1.UpdateResult_UPDATE_RESULT_UNKNOWN_PAST
+	}
+	return claimv1.UpdateResult_UPDATE_RESULT_DONE
+}
+
+// judgeRepeat decides about a new attempt for a key with an entry. A key whose
+// attempt is gone before it might answer goes to the new attempt; the old one
+// finds out when it asks to answer.
+func (r *AnswerRegistry) judgeRepeat(entry *claimv1.AnswerEntry, own bool) claimv1.UpdateResult {
+	switch entry.GetPhase() {
+	case claimv1.AnswerPhase_ANSWER_PHASE_FREE:
+		if !own {
+			return claimv1.UpdateResult_UPDATE_RESULT_DONE
+		}
+	case claimv1.AnswerPhase_ANSWER_PHASE_WORKING:
+		if own || !aliveIn(r.deps.View, entry.GetAttempt()) {
+			return claimv1.UpdateResult_UPDATE_RESULT_DONE
+		}
+	}
+	return claimv1.UpdateResult_UPDATE_RESULT_TAKEN
+}
+
+// replicate stores a changed entry at the standby and reports whether the epoch
+// still stands, so that the change may be acted on.
+func (r *AnswerRegistry) replicate(ctx context.Context, s *slot, request *claimv1.UpdateRequest, entry *claimv1.AnswerEntry) bool {
+	s.mu.Lock()
+	epoch := s.epoch
+	s.mu.Unlock()
+	if standby := r.address(epoch.GetStandby()); epoch.GetStandby() != "" {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		response, err := r.deps.Peers.Replicate(ctx, standby, &claimv1.ReplicateRequest{
+			Zone:    request.GetZone(),
+			Slot:    request.GetSlot(),
+			Epoch:   epoch,
+			Entries: []*claimv1.AnswerEntry{entry},
+		})
+		if err != nil || !response.GetAccepted() {
+			return false
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holds(epoch)
+}
+
+// address returns the address of a VM; empty if it is no member.
+func (r *AnswerRegistry) address(vm string) string {
+	for _, member := range r.deps.View.Members() {
+		if member.VM == vm {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// forgetBefore is the time before which issued keys are refused by any clock.
+func (r *AnswerRegistry) forgetBefore() time.Time {
+	return r.now().Add(-r.settings.KeyWindow - 2*r.settings.ClockSkew)
+}
--- /dev/null
+++ b/internal/claim/bound.go
@@ -0,0 +1,147 @@
+package claim
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+)
+
+// boundKeys serves keys that are bound to this VM's incarnation. They are
+// claimed in memory, as no other process may ever execute them.
+type boundKeys struct {
+	settings *Settings
+	// start anchors the clock: later times add monotonic time only, so that a
+	// step of the wall clock never makes a forgotten key acceptable again.
+	start time.Time
+
+	mu      sync.Mutex
+	entries map[string]*boundEntry
+	// order holds the remembered keys from the oldest to the newest use.
+	order []boundAge
+}
+
+// boundEntry is the state of one bound key.
+type boundEntry struct {
+	finished  bool
+	outcome   Outcome
+	delivered bool
+}
+
+// boundAge is a remembered key and when it may be forgotten.
+type boundAge struct {
+	key    string
+	forget time.Time
+}
+
+func newBoundKeys(settings *Settings) *boundKeys {
+	return &boundKeys{settings: settings, start: time.Now(), entries: make(map[string]*boundEntry)}
+}
+
+// Issue returns a new key that is bound to this VM's incarnation. It can be
+// claimed here while the log is away; when this process is gone, repeats of it
+// are answered with Unknown.
+func (c *Claims) Issue() (string, error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return "", err
+	}
+	self := c.deps.View.Self()
+	return self.VM + "." + strconv.FormatUint(self.Incarnation, 10) + "." + id.String(), nil
+}
+
+// claimBound decides an attempt with a bound key. No other VM is asked.
+func (c *Claims) claimBound(key ParsedKey) (Decision, error) {
+	self := c.deps.View.Self()
+	switch {
+	case key.VM == self.VM && key.Incarnation == self.Incarnation:
+		return c.bound.claim(c, key)
+	case aliveIn(c.deps.View, &claimv1.Writer{Vm: key.VM, Incarnation: key.Incarnation}):
+		return Decision{Kind: Elsewhere, VM: key.VM, RetryAfter: c.settings.RetryAfter}, nil
+	}
+	return Decision{Kind: Unknown}, nil
+}
+
+// now is the wall clock at the start plus the monotonic time since.
+func (b *boundKeys) now() time.Time { return b.start.Add(time.Since(b.start)) }
+
+func (b *boundKeys) claim(c *Claims, key ParsedKey) (Decision, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.prune(now)
+	text := key.text()
+	if e := b.entries[text]; e != nil {
+		return b.repeat(e), nil
+	}
+	if err := b.settings.checkTime(key.Issued, now); err != nil {
+		return Decision{}, err
+	}
+	if len(b.entries) >= b.settings.MaxBoundKeys {
+		return Decision{}, Full.New("%d keys are remembered already", len(b.entries))
+	}
+	e := &boundEntry{}
+	b.entries[text] = e
+	b.order = append(b.order, boundAge{key: text, forget: now.Add(b.settings.KeyWindow + b.settings.ClockSkew)})
+	ticket := c.ticket(key, nil)
+	ticket.finish = func(_ *Ticket, outcome Outcome) { b.finish(e, outcome) }
+	return Decision{Kind: Run, Ticket: ticket}, nil
+}
+
+// prune forgets keys that checkTime refuses by now.
+func (b *boundKeys) prune(now time.Time) {
+	count := 0
+	for count < len(b.order) && now.After(b.order[count].forget) {
+		delete(b.entries, b.order[count].key)
+		count++
+	}
+	b.order = b.order[count:]
+}
+
+// repeat answers a further attempt.
+func (b *boundKeys) repeat(e *boundEntry) Decision {
+	switch {
+	case !e.finished:
+		return Decision{Kind: Running, RetryAfter: b.settings.RetryAfter}
+	case e.outcome.Execution == DidNotRun:
+		return Decision{Kind: ClosedNotRun}
+	case e.outcome.Execution != Ran:
+		return Decision{Kind: Unknown}
+	case e.delivered:
+		return Decision{Kind: Answered}
+	}
+	e.delivered = true
+	return Decision{Kind: Recorded, Answer: e.outcome.Answer, Delivery: b.delivery(e)}
+}
+
+// delivery returns the right to deliver the answer of a bound key.
+func (b *boundKeys) delivery(e *boundEntry) *Delivery {
+	return &Delivery{
+		giveUp:  func() { b.setDelivered(e, false) },
+		release: func() { b.setDelivered(e, true) },
+	}
+}
+
+func (b *boundKeys) setDelivered(e *boundEntry, delivered bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e.delivered = delivered
+	if delivered {
+		e.outcome.Answer = Answer{}
+	}
+}
+
+// finish records the outcome of a bound key in memory.
+func (b *boundKeys) finish(e *boundEntry, outcome Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e.finished = true
+	e.outcome = Outcome{Execution: outcome.Execution}
+	e.delivered = outcome.Delivered
+	if outcome.Execution == Ran && !outcome.Delivered {
+		e.outcome.Answer = answerFrom(outcome.Answer.message())
+	}
+}
--- /dev/null
+++ b/internal/claim/claims.go
@@ -0,0 +1,235 @@
+package claim
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+	"github.com/ospreyshed/ospreyshed/api/claim/v1/claimv1connect"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// Peers gives access to the claim services of other entry VMs.
+type Peers interface {
+	// Submit sends a record to the owner of its shard at an address.
+	Submit(ctx context.Context, address string, request *claimv1.SubmitRequest) (*claimv1.SubmitResponse, error)
+}
+
+// Dependencies are what Claims works with.
+type Dependencies struct {
+	Log      logservice.Service
+	View     membership.View
+	Peers    Peers
+	Timeline timeline.Recorder
+}
+
+// Claims decides which attempt of a call that may not be repeated executes.
+// Safe for concurrent use.
+type Claims struct {
+	deps     Dependencies
+	settings Settings
+	counters *counters
+	bound    *boundKeys
+	outbox   *outbox
+	sequence atomic.Uint64
+	detours  detours
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	stopped bool
+	shards  map[int]*shard
+}
+
+// New returns Claims that serve until Stop. The error is BadSettings.
+func New(deps Dependencies, settings Settings) (*Claims, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Claims{
+		deps:     deps,
+		settings: settings,
+		counters: newCounters(),
+		ctx:      ctx,
+		cancel:   cancel,
+		shards:   make(map[int]*shard),
+	}
+	c.bound = newBoundKeys(&c.settings)
+	c.outbox = newOutbox(ctx, &c.settings, c.counters)
+	return c, nil
+}
+
+// Stop ends all background work and waits for it. Claims afterwards are refused.
+func (c *Claims) Stop() {
+	c.mu.Lock()
+	c.stopped = true
+	c.mu.Unlock()
+	c.cancel()
+	c.running.Wait()
+	c.outbox.wait()
+}
+
+// Flush waits until all outcomes are recorded or the context ends.
+func (c *Claims) Flush(ctx context.Context) error { return c.outbox.flush(ctx) }
+
+// Metrics returns the counters.
+func (c *Claims) Metrics() expvar.Var { return c.counters.vars }
+
+// Claim decides one attempt of a call. Errors have the trait NotRun and are of
+// the types LogAway, NotSettled, KeyMalformed, KeyExpired, KeyFuture, Full and
+// Stopped.
+func (c *Claims) Claim(ctx context.Context, key Key) (Decision, error) {
+	decision, err := c.claim(ctx, key)
+	if err != nil {
+		c.counters.refusedWith("refused_", err)
+		return Decision{}, err
+	}
+	c.counters.decided("decided_", decision.Kind)
+	if decision.Kind == Run {
+		c.deps.Timeline.Record(timeline.ClaimWon, "", decision.Ticket.name())
+	} else {
+		c.deps.Timeline.Record(timeline.ClaimLost, "", decision.Kind.String())
+	}
+	return decision, nil
+}
+
+func (c *Claims) claim(ctx context.Context, key Key) (Decision, error) {
+	parsed, err := ParseKey(key)
+	if err != nil {
+		return Decision{}, err
+	}
+	switch parsed.Form {
+	case FormBound:
+		return c.claimBound(parsed)
+	case FormHomed:
+		return Decision{}, KeyMalformed.New("a key homed in a zone cannot name a call that may not be repeated")
+	}
+	return c.claimLogged(ctx, parsed)
+}
+
+// claimLogged claims a key by the log's order.
+func (c *Claims) claimLogged(ctx context.Context, key ParsedKey) (Decision, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.ClaimTimeout)
+	defer cancel()
+	writer := c.newWriter()
+	result := c.submit(ctx, claimRecord(key.Key, writer), key.Issued)
+	switch result.status {
+	case claimv1.Settlement_SETTLEMENT_SETTLED:
+		return c.decide(ctx, key, writer, result.state)
+	case claimv1.Settlement_SETTLEMENT_NOT_APPENDED:
+		return Decision{}, LogAway.New("the log cannot be appended to; nothing was recorded")
+	case claimv1.Settlement_SETTLEMENT_KEY_FUTURE:
+		return Decision{}, KeyFuture.New("the key is more than %s in the future", c.settings.ClockSkew)
+	case claimv1.Settlement_SETTLEMENT_KEY_EXPIRED:
+		if result.state != nil {
+			c.close(key, writer)
+		}
+		return Decision{}, KeyExpired.New("the key is older than the window of %s", c.settings.KeyWindow)
+	default:
+		c.counters.givenUp.Add(1)
+		c.close(key, writer)
+		return Decision{}, NotSettled.New("the claim's place on the log could not be read in time")
+	}
+}
+
+// newWriter returns the identity of a new record of this incarnation.
+func (c *Claims) newWriter() *claimv1.Writer {
+	self := c.deps.View.Self()
+	return &claimv1.Writer{Vm: self.VM, Incarnation: self.Incarnation, Sequence: c.sequence.Add(1)}
+}
+
+// close records that a claim that was given up will never be executed.
+func (c *Claims) close(key ParsedKey, writer *claimv1.Writer) {
+	outcome := &claimv1.Outcome{Execution: claimv1.Execution_EXECUTION_NOT_RUN}
+	c.record(outcomeRecord(key.Key, writer, outcome), key.Issued)
+}
+
+// finish records the outcome of a ticket.
+func (c *Claims) finish(ticket *Ticket, outcome Outcome) {
+	c.deps.Timeline.Record(timeline.ClaimOutcome, "", ticket.name())
+	c.record(outcomeRecord(ticket.key.Key, ticket.writer, outcome.message()), ticket.key.Issued)
+}
+
+// record appends a record that nobody waits for.
+func (c *Claims) record(record *claimv1.Record, issued time.Time) {
+	c.outbox.add(func(ctx context.Context) bool {
+		return c.submit(ctx, record, issued).status == claimv1.Settlement_SETTLEMENT_SETTLED
+	})
+}
+
+// shardOf returns the shard of a key.
+func shardOf(key string) int { return int(xxhash.Sum64String(key) % Shards) }
+
+// streamOf returns the name of a shard's stream.
+func streamOf(shard int) string { return "claims-" + strconv.Itoa(shard) }
+
+// submitHere appends a record from this VM.
+func (c *Claims) submitHere(ctx context.Context, record *claimv1.Record, issued time.Time) settlement {
+	refused := settlement{status: claimv1.Settlement_SETTLEMENT_NOT_APPENDED}
+	p, err := newPending(record, issued)
+	if err != nil {
+		return refused
+	}
+	s := c.enqueue(p)
+	if s == nil {
+		return refused
+	}
+	return s.wait(ctx, p)
+}
+
+// enqueue hands a record to its shard, which is opened if need be. It returns
+// nil after Stop.
+func (c *Claims) enqueue(p *pending) *shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return nil
+	}
+	number := shardOf(p.key)
+	s, ok := c.shards[number]
+	if !ok {
+		s = newShard(streamOf(number), c.deps.Log, &c.settings, c.counters)
+		c.shards[number] = s
+		c.running.Go(func() { s.run(c.ctx, func() bool { return c.retire(number) }) })
+	}
+	s.enqueue(p)
+	return s
+}
+
+// retire drops an idle shard and reports whether it did.
+func (c *Claims) retire(number int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.shards[number].empty() {
+		return false
+	}
+	delete(c.shards, number)
+	return true
+}
+
+// name returns the ticket's identity for the time line.
+func (t *Ticket) name() string {
+	if t.writer == nil {
+		return t.key.Key.Key
+	}
+	return fmt.Sprintf("%s.%d.%d", t.writer.GetVm(), t.writer.GetIncarnation(), t.writer.GetSequence())
+}
+
+// Peer serves the calls of other entry VMs.
+func (c *Claims) Peer() peer.Handler {
+	path, handler := claimv1connect.NewClaimServiceHandler(claimHandler{claims: c})
+	return peer.Handler{Path: path, Handler: handler}
+}
--- /dev/null
+++ b/internal/claim/errors.go
@@ -0,0 +1,35 @@
+package claim
+
+import "github.com/joomcode/errorx"
+
+// NotRun is the trait of refusals after which it is certain that this attempt
+// executes nothing, now or later. An earlier attempt with the same key may have
+// executed; only a repeat with the same key tells.
+var NotRun = errorx.RegisterTrait("claim-not-run")
+
+var namespace = errorx.NewNamespace("claim").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// Types of errors of this package. Test with errorx.IsOfType, and with
+// errorx.HasTrait(err, NotRun) for whether the attempt ran nothing.
+var (
+	// LogAway means that neither the shard's owner nor this VM could append to
+	// the log. Nothing was recorded: the key may be used again.
+	LogAway = namespace.NewType("log-away", NotRun)
+	// NotSettled means that the claim may be on the log but that its place
+	// could not be read in time. The key will be closed as not run.
+	NotSettled = namespace.NewType("not-settled", NotRun)
+	// KeyMalformed means that the key carries no time.
+	KeyMalformed = namespace.NewType("key-malformed", NotRun)
+	// KeyExpired means that the key is older than the key window.
+	KeyExpired = namespace.NewType("key-expired", NotRun)
+	// KeyFuture means that the key is further in the future than the clock skew.
+	KeyFuture = namespace.NewType("key-future", NotRun)
+	// Full means that no more keys can be remembered in memory.
+	Full = namespace.NewType("full", NotRun)
+	// OwnerAway means that the owner of an answer's key cannot be reached.
+	OwnerAway = namespace.NewType("owner-away", NotRun)
+	// BadSettings means that the settings cannot uphold the guarantee.
+	BadSettings = namespace.NewType("bad-settings")
+	// Stopped means that the component was stopped.
+	Stopped = namespace.NewType("stopped", NotRun)
+)
--- /dev/null
+++ b/internal/claim/index.go
@@ -0,0 +1,209 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+)
+
+// writerID is a comparable Writer with its VM interned.
+type writerID struct {
+	incarnation *vmIncarnation
+	sequence    uint64
+}
+
+// vmIncarnation is one incarnation of an entry VM.
+type vmIncarnation struct {
+	vm          string
+	incarnation uint64
+}
+
+// entry is what the records of one key add up to.
+type entry struct {
+	claimant writerID
+	// deliverer holds the right to deliver; zero if nobody does.
+	deliverer writerID
+	// execution is unspecified until an outcome is recorded.
+	execution claimv1.Execution
+	delivered bool
+	answer    *claimv1.Answer
+	// returned are deliveries that were given up.
+	returned []writerID
+}
+
+// aged is a key with the time of its first record, for pruning.
+type aged struct {
+	key    string
+	offset uint64
+	time   time.Time
+}
+
+// index is the state of all keys of one shard. It is a pure function of the
+// stream's records in their order and not safe for concurrent use.
+type index struct {
+	entries  map[string]*entry
+	interned map[vmIncarnation]*vmIncarnation
+	// ages are the keys in the order of their first records.
+	ages []aged
+	// complete is the time from which on no record is missing.
+	complete time.Time
+}
+
+func newIndex() *index {
+	return &index{
+		entries:  make(map[string]*entry),
+		interned: make(map[vmIncarnation]*vmIncarnation),
+	}
+}
+
+// id interns a writer.
+func (x *index) id(w *claimv1.Writer) writerID {
+	value := vmIncarnation{vm: w.GetVm(), incarnation: w.GetIncarnation()}
+	interned, ok := x.interned[value]
+	if !ok {
+		interned = &value
+		x.interned[value] = interned
+	}
+	return writerID{incarnation: interned, sequence: w.GetSequence()}
+}
+
+// apply takes the next record of the stream.
+func (x *index) apply(offset uint64, at time.Time, record *claimv1.Record) {
+	key := recordKey(record)
+	writer := x.id(record.GetWriter())
+	e := x.entries[key]
+	if e == nil {
+		if !opensKey(record) {
+			return
+		}
+		e = &entry{claimant: writer}
+		x.entries[key] = e
+		x.ages = append(x.ages, aged{key: key, offset: offset, time: at})
+	}
+	switch kind := record.GetKind().(type) {
+	case *claimv1.Record_Outcome:
+		e.finish(writer, kind.Outcome)
+	case *claimv1.Record_Delivery:
+		e.deliver(writer)
+	case *claimv1.Record_DeliveryReturned:
+		e.giveBack(writer)
+	}
+}
+
+// opensKey reports whether a record takes a key that has none yet. An outcome
+// "not run" does so, because its claim may still take effect later.
+func opensKey(record *claimv1.Record) bool {
+	if record.GetClaim() != nil {
+		return true
+	}
+	return record.GetOutcome().GetExecution() == claimv1.Execution_EXECUTION_NOT_RUN
+}
+
+// finish records the outcome of the winning claim; the first one stands.
+func (e *entry) finish(writer writerID, outcome *claimv1.Outcome) {
+	if writer != e.claimant || e.execution != claimv1.Execution_EXECUTION_UNSPECIFIED {
+		return
+	}
+	e.execution = outcome.GetExecution()
+	e.delivered = outcome.GetDelivered()
+	if e.deliverable() {
+		e.answer = outcome.GetAnswer()
+	}
+}
+
+// deliver grants the right to deliver to the first that asks.
+func (e *entry) deliver(writer writerID) {
+	if !e.deliverable() || e.deliverer != (writerID{}) {
+		return
+	}
+	if slices.Contains(e.returned, writer) {
+		return
+	}
+	e.deliverer = writer
+}
+
+// giveBack ends a delivery, also one that has yet to take effect.
+func (e *entry) giveBack(writer writerID) {
+	e.returned = append(e.returned, writer)
+	if e.deliverer == writer {
+		e.deliverer = writerID{}
+	}
+}
+
+// deliverable reports whether an answer waits for delivery.
+func (e *entry) deliverable() bool {
+	return e.execution == claimv1.Execution_EXECUTION_RAN && !e.delivered
+}
+
+// terminal reports whether no record can change what repeats are told.
+func (e *entry) terminal() bool {
+	return e.execution != claimv1.Execution_EXECUTION_UNSPECIFIED && !e.deliverable()
+}
+
+// reflects reports whether the entry already decides a record of a writer, so
+// that appending it would change nothing.
+func (e *entry) reflects(writer writerID, record *claimv1.Record) bool {
+	switch record.GetKind().(type) {
+	case *claimv1.Record_Claim:
+		return true
+	case *claimv1.Record_Outcome:
+		return e.claimant != writer || e.execution != claimv1.Execution_EXECUTION_UNSPECIFIED
+	case *claimv1.Record_Delivery:
+		return !e.deliverable() || e.deliverer != (writerID{}) || slices.Contains(e.returned, writer)
+	default:
+		return !e.deliverable() || slices.Contains(e.returned, writer)
+	}
+}
+
+// state returns the entry in the form of messages.
+func (e *entry) state() *claimv1.KeyState {
+	return &claimv1.KeyState{
+		Claimant:  e.claimant.message(),
+		Execution: e.execution,
+		Delivered: e.delivered,
+		Answer:    e.answer,
+		Deliverer: e.deliverer.message(),
+	}
+}
+
+func (w writerID) message() *claimv1.Writer {
+	if w.incarnation == nil {
+		return nil
+	}
+	return &claimv1.Writer{Vm: w.incarnation.vm, Incarnation: w.incarnation.incarnation, Sequence: w.sequence}
+}
+
+// forget drops keys whose first record is older than a time.
+func (x *index) forget(before time.Time) {
+	dropped := 0
+	for dropped < len(x.ages) && x.ages[dropped].time.Before(before) {
+		delete(x.entries, x.ages[dropped].key)
+		dropped++
+	}
+	x.ages = x.ages[dropped:]
+	x.incomplete(before)
+}
+
+// lost reports whether the log dropped a record that should still be kept.
+func (x *index) lost(firstOffset uint64) bool {
+	return len(x.ages) > 0 && x.ages[0].offset < firstOffset
+}
+
+// incomplete notes that records before a time may be missing.
+func (x *index) incomplete(before time.Time) {
+	if before.After(x.complete) {
+		x.complete = before
+	}
+}
+
+// covers reports whether any record of a key issued at a time is in the index,
+// if there is one on the log at all.
+func (x *index) covers(issued time.Time, skew time.Duration) bool {
+	return issued.Add(-skew - Margin).After(x.complete)
+}
+
+// recordKey returns the key of a record as one string.
+func recordKey(record *claimv1.Record) string {
+	return Key{Team: record.GetTeam(), Key: record.GetKey()}.text()
+}
--- /dev/null
+++ b/internal/claim/outbox.go
@@ -0,0 +1,112 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Bounds of the pauses between tries.
+const (
+	outboxFirstRetry = 50 * time.Millisecond
+	outboxLastRetry  = 5 * time.Second
+)
+
+// outbox finishes work that nobody waits for. Each piece is retried with
+// exponential backoff until it succeeds or its key's window has passed. Its size
+// is bounded by the calls in flight and those that were refused in doubt.
+type outbox struct {
+	ctx      context.Context
+	settings *Settings
+	counters *counters
+	running  sync.WaitGroup
+
+	mu      sync.Mutex
+	waiting int
+	// idle is closed when waiting falls to 0; nil if nobody flushes.
+	idle chan struct{}
+}
+
+func newOutbox(ctx context.Context, settings *Settings, counters *counters) *outbox {
+	return &outbox{ctx: ctx, settings: settings, counters: counters}
+}
+
+// add starts retrying a piece of work, which reports whether it succeeded.
+// After Stop the work is dropped.
+func (o *outbox) add(try func(context.Context) bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ctx.Err() != nil {
+		o.counters.unrecorded.Add(1)
+		return
+	}
+	o.waiting++
+	o.running.Go(func() {
+		o.retry(try)
+		o.remove()
+	})
+}
+
+// retry tries until the work succeeds.
+func (o *outbox) retry(try func(context.Context) bool) {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = outboxFirstRetry
+	delays.MaxInterval = outboxLastRetry
+	limit := time.Now().Add(o.settings.KeyWindow + o.settings.ClockSkew)
+	for o.ctx.Err() == nil && time.Now().Before(limit) {
+		if o.once(try) {
+			return
+		}
+		pause(o.ctx, delays.NextBackOff())
+	}
+	o.counters.unrecorded.Add(1)
+}
+
+func (o *outbox) once(try func(context.Context) bool) bool {
+	ctx, cancel := context.WithTimeout(o.ctx, o.settings.ClaimTimeout)
+	defer cancel()
+	return try(ctx)
+}
+
+func (o *outbox) remove() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.waiting--
+	if o.waiting == 0 && o.idle != nil {
+		close(o.idle)
+		o.idle = nil
+	}
+}
+
+// flush waits until nothing waits to be recorded.
+func (o *outbox) flush(ctx context.Context) error {
+	idle := o.idleSignal()
+	if idle == nil {
+		return nil
+	}
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// idleSignal returns a channel that closes when the outbox is empty, or nil if
+// it is.
+func (o *outbox) idleSignal() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.waiting == 0 {
+		return nil
+	}
+	if o.idle == nil {
+		o.idle = make(chan struct{})
+	}
+	return o.idle
+}
+
+// wait waits for the end of all retries after the context has ended.
+func (o *outbox) wait() { o.running.Wait() }
--- /dev/null
+++ b/internal/claim/shard.go
@@ -0,0 +1,236 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+)
+
+// Periods and bounds of a shard's work on its stream.
+const (
+	// pageLimit bounds the records of one read.
+	pageLimit = 500
+	// freshFor is how long an unfinished key's state is answered without a read.
+	freshFor = 250 * time.Millisecond
+	// clockFor is how long the log service's clock is extrapolated.
+	clockFor = 30 * time.Second
+	// retryPause is the pause after a throttled append or one in doubt.
+	retryPause = 20 * time.Millisecond
+)
+
+// settlement is what became of a submitted record.
+type settlement struct {
+	status claimv1.Settlement
+	state  *claimv1.KeyState
+}
+
+// pending is a submitted record that waits for its settlement.
+type pending struct {
+	record *claimv1.Record
+	key    string
+	issued time.Time
+	entry  logservice.Entry
+	// sent says that an append with the record may have taken effect, gone that
+	// the submitter stopped waiting. Both are guarded by the shard's mutex.
+	sent bool
+	gone bool
+	done chan settlement
+}
+
+// settle answers the submitter.
+func (p *pending) settle(status claimv1.Settlement, state *claimv1.KeyState) {
+	p.done <- settlement{status: status, state: state}
+}
+
+// failed settles a record that is known not to be appended by the last try.
+func (p *pending) failed() {
+	if p.sent {
+		p.settle(claimv1.Settlement_SETTLEMENT_IN_DOUBT, nil)
+		return
+	}
+	p.settle(claimv1.Settlement_SETTLEMENT_NOT_APPENDED, nil)
+}
+
+// shard reads one stream of claims from its start and appends to it in batches.
+// One goroutine does both, so that the order of its index is the log's order.
+type shard struct {
+	stream   string
+	log      logservice.Service
+	settings *Settings
+	counters *counters
+	limiter  *rate.Limiter
+
+	mu    sync.Mutex
+	queue []*pending
+	wake  chan struct{}
+
+	// The fields below belong to the goroutine of run.
+
+	index *index
+	// next is the offset of the next record to apply.
+	next uint64
+	// synced is false until the stream was read to its end, and again while an
+	// append is in doubt.
+	synced bool
+	// clock is the log service's clock at readAt.
+	clock  time.Time
+	readAt time.Time
+}
+
+func newShard(stream string, log logservice.Service, settings *Settings, counters *counters) *shard {
+	share := settings.AppendsPerSecond / Shards
+	return &shard{
+		stream:   stream,
+		log:      log,
+		settings: settings,
+		counters: counters,
+		limiter:  rate.NewLimiter(rate.Limit(share), 1),
+		wake:     make(chan struct{}, 1),
+		index:    newIndex(),
+	}
+}
+
+// newPending prepares a record for a shard's queue.
+func newPending(record *claimv1.Record, issued time.Time) (*pending, error) {
+	entry, err := encodeRecord(record)
+	if err != nil {
+		return nil, err
+	}
+	return &pending{
+		record: record,
+		key:    recordKey(record),
+		issued: issued,
+		entry:  entry,
+		done:   make(chan settlement, 1),
+	}, nil
+}
+
+// wait waits for the settlement of an enqueued record.
+func (s *shard) wait(ctx context.Context, p *pending) settlement {
+	select {
+	case result := <-p.done:
+		return result
+	case <-ctx.Done():
+		return s.withdraw(p)
+	}
+}
+
+// enqueue hands a record to the goroutine of run.
+func (s *shard) enqueue(p *pending) {
+	s.mu.Lock()
+	s.queue = append(s.queue, p)
+	s.mu.Unlock()
+	s.signal()
+}
+
+func (s *shard) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// withdraw takes back a record whose submitter stops waiting.
+func (s *shard) withdraw(p *pending) settlement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, queued := range s.queue {
+		if queued == p {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			p.failed()
+			break
+		}
+	}
+	select {
+	case result := <-p.done:
+		return result
+	default:
+		p.gone = true
+		return settlement{status: claimv1.Settlement_SETTLEMENT_IN_DOUBT}
+	}
+}
+
+// run serves the queue until the context ends, or until the shard is idle and
+// retire agrees to its end.
+func (s *shard) run(ctx context.Context, retire func() bool) {
+	idle := time.NewTimer(s.settings.ShardIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.failAll()
+			return
+		case <-idle.C:
+			if retire() {
+				return
+			}
+		case <-s.wake:
+			s.drain(ctx)
+		}
+		idle.Reset(s.settings.ShardIdle)
+	}
+}
+
+// drain serves the queue until it is empty.
+func (s *shard) drain(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !s.gather(ctx) {
+			return
+		}
+		s.serve(ctx)
+	}
+}
+
+// empty reports whether nothing is queued.
+func (s *shard) empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) == 0
+}
+
+// gather waits until an append is due and reports whether there is one. Records
+// that nobody waits for stay a little, to share the append of a later claim.
+func (s *shard) gather(ctx context.Context) bool {
+	if s.empty() {
+		return false
+	}
+	if !s.anyUrgent() {
+		s.lull(ctx)
+	}
+	return true
+}
+
+// anyUrgent reports whether somebody waits for a queued record.
+func (s *shard) anyUrgent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.queue {
+		if urgent(p.record) {
+			return true
+		}
+	}
+	return false
+}
+
+// lull waits for an urgent record, at most for OutcomeDelay.
+func (s *shard) lull(ctx context.Context) {
+	timer := time.NewTimer(s.settings.OutcomeDelay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-s.wake:
+			if s.anyUrgent() {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/claim/shard_serve.go
@@ -0,0 +1,308 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+)
+
+// serve settles what the index decides and appends a batch of the rest.
+func (s *shard) serve(ctx context.Context) {
+	if !s.synced {
+		s.synced = s.catchUp(ctx)
+	}
+	if !s.synced {
+		s.failUnsent()
+		pause(ctx, retryPause)
+		return
+	}
+	s.refresh(ctx)
+	s.settleKnown()
+	if s.empty() || s.limiter.Wait(ctx) != nil {
+		return
+	}
+	if batch := s.take(); len(batch) > 0 {
+		s.append(ctx, batch)
+	}
+}
+
+// pause waits for a duration or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// catchUp reads the stream up to its end and reports whether it succeeded.
+func (s *shard) catchUp(ctx context.Context) bool {
+	for {
+		page, err := s.read(ctx)
+		if err != nil || page.NextOffset < s.next {
+			s.counters.readFailed()
+			return false
+		}
+		if !s.applyPage(page) {
+			return false
+		}
+		if s.next >= page.NextOffset {
+			return true
+		}
+	}
+}
+
+func (s *shard) read(ctx context.Context) (logservice.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.AppendTimeout)
+	defer cancel()
+	return s.log.Read(ctx, s.stream, s.next, pageLimit, 0)
+}
+
+// applyPage applies the records of a page and reports whether they continue
+// what was read before.
+func (s *shard) applyPage(page logservice.Page) bool {
+	s.clock = page.Time
+	s.readAt = time.Now()
+	expired := page.Time.Add(-s.settings.LogRetention)
+	if page.FirstOffset > s.next {
+		s.next = page.FirstOffset
+		s.index.incomplete(expired)
+	}
+	s.index.forget(expired)
+	if s.index.lost(page.FirstOffset) {
+		s.counters.retentionShort.Add(1)
+	}
+	start := s.next
+	for i := range page.Records {
+		record := &page.Records[i]
+		if record.Offset < s.next {
+			continue
+		}
+		if record.Offset > s.next {
+			return false
+		}
+		s.applyData(record.Offset, record.Time, record.Data)
+	}
+	return s.next > start || s.next >= page.NextOffset
+}
+
+// applyData applies one encoded record. A record that cannot be decoded was
+// not written by this system; it claims nothing.
+func (s *shard) applyData(offset uint64, at time.Time, data []byte) {
+	s.next = offset + 1
+	record := &claimv1.Record{}
+	if proto.Unmarshal(data, record) != nil {
+		s.counters.undecodable.Add(1)
+		return
+	}
+	s.index.apply(offset, at, record)
+}
+
+// refresh reads the stream if the clock or an unfinished key's state is stale.
+func (s *shard) refresh(ctx context.Context) {
+	age := time.Since(s.readAt)
+	if age > clockFor || age > freshFor && s.asksUnfinished() {
+		s.catchUp(ctx)
+	}
+}
+
+// asksUnfinished reports whether somebody waits for the state of a key that
+// may have changed since it was read.
+func (s *shard) asksUnfinished() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.queue {
+		if e := s.index.entries[p.key]; e != nil && urgent(p.record) && !e.terminal() {
+			return true
+		}
+	}
+	return false
+}
+
+// settleKnown settles the queued records that need no append.
+func (s *shard) settleKnown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.queue[:0]
+	for _, p := range s.queue {
+		if !p.gone && !s.known(p) {
+			kept = append(kept, p)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
+
+// known settles a record if the index or the key's time decides already.
+func (s *shard) known(p *pending) bool {
+	e := s.index.entries[p.key]
+	switch {
+	case e != nil && e.reflects(s.index.id(p.record.GetWriter()), p.record):
+		s.settle(p, e)
+	case e == nil && p.record.GetClaim() != nil:
+		return s.refuseByTime(p)
+	case e == nil && !opensKey(p.record):
+		p.settle(claimv1.Settlement_SETTLEMENT_SETTLED, nil)
+	default:
+		return false
+	}
+	return true
+}
+
+// settle answers with the state of the key. A winning claim is refused if an
+// earlier one could have left the log before the index was read.
+func (s *shard) settle(p *pending, e *entry) {
+	won := p.record.GetClaim() != nil && e.claimant == s.index.id(p.record.GetWriter())
+	if won && !s.index.covers(p.issued, s.settings.ClockSkew) {
+		p.settle(claimv1.Settlement_SETTLEMENT_KEY_EXPIRED, e.state())
+		return
+	}
+	p.settle(claimv1.Settlement_SETTLEMENT_SETTLED, e.state())
+}
+
+// refuseByTime settles a claim whose key's time is not acceptable.
+func (s *shard) refuseByTime(p *pending) bool {
+	err := s.settings.checkTime(p.issued, s.now())
+	acceptable := err == nil && s.index.covers(p.issued, s.settings.ClockSkew)
+	switch {
+	case acceptable:
+		return false
+	case p.sent:
+		p.settle(claimv1.Settlement_SETTLEMENT_IN_DOUBT, nil)
+	case errorx.IsOfType(err, KeyFuture):
+		p.settle(claimv1.Settlement_SETTLEMENT_KEY_FUTURE, nil)
+	default:
+		p.settle(claimv1.Settlement_SETTLEMENT_KEY_EXPIRED, nil)
+	}
+	return true
+}
+
+// now returns the log service's clock, extrapolated from the last read.
+func (s *shard) now() time.Time { return s.clock.Add(time.Since(s.readAt)) }
+
+// take removes the next batch from the queue.
+func (s *shard) take() []*pending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := min(len(s.queue), s.settings.MaxBatch)
+	batch := append([]*pending(nil), s.queue[:count]...)
+	s.queue = append([]*pending(nil), s.queue[count:]...)
+	return batch
+}
+
+// append appends a batch and settles its records.
+func (s *shard) append(ctx context.Context, batch []*pending) {
+	entries := make([]logservice.Entry, len(batch))
+	for i, p := range batch {
+		entries[i] = p.entry
+	}
+	callCtx, cancel := context.WithTimeout(ctx, s.settings.AppendTimeout)
+	defer cancel()
+	first, err := s.log.Append(callCtx, s.stream, entries)
+	s.counters.appended(entries, err)
+	switch {
+	case err == nil && first == s.next:
+		s.applyOwn(batch)
+	case errorx.IsOfType(err, logservice.Throttled):
+		s.requeue(batch)
+		pause(ctx, retryPause)
+	case errorx.HasTrait(err, logservice.NotAppended):
+		s.fail(batch)
+	default:
+		s.readBack(ctx, batch, err)
+	}
+}
+
+// applyOwn applies a batch that continues the index.
+func (s *shard) applyOwn(batch []*pending) {
+	at := s.now()
+	for _, p := range batch {
+		s.index.apply(s.next, at, p.record)
+		s.next++
+	}
+	s.requeueKnown(batch)
+}
+
+// readBack finds the place of a batch that is or may be on the log behind
+// records of others. What is not found is appended again under the same ids.
+func (s *shard) readBack(ctx context.Context, batch []*pending, appendErr error) {
+	s.mu.Lock()
+	for _, p := range batch {
+		p.sent = true
+	}
+	s.mu.Unlock()
+	s.synced = s.catchUp(ctx)
+	s.requeueKnown(batch)
+	if appendErr != nil {
+		s.counters.inDoubt.Add(1)
+		pause(ctx, retryPause)
+		s.synced = false
+	}
+}
+
+// requeueKnown settles the records that the index reflects and queues the rest.
+func (s *shard) requeueKnown(batch []*pending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rest []*pending
+	for _, p := range batch {
+		e := s.index.entries[p.key]
+		switch {
+		case p.gone:
+		case e != nil && e.reflects(s.index.id(p.record.GetWriter()), p.record):
+			s.settle(p, e)
+		default:
+			rest = append(rest, p)
+		}
+	}
+	s.queue = append(rest, s.queue...)
+}
+
+// requeue puts records back at the front of the queue.
+func (s *shard) requeue(batch []*pending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue = append(append([]*pending(nil), batch...), s.queue...)
+}
+
+// fail settles a batch whose append certainly had no effect.
+func (s *shard) fail(batch []*pending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range batch {
+		p.failed()
+	}
+}
+
+// failUnsent settles the queued records that are certainly not on the log.
+func (s *shard) failUnsent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rest []*pending
+	for _, p := range s.queue {
+		switch {
+		case p.gone:
+		case p.sent:
+			rest = append(rest, p)
+		default:
+			p.failed()
+		}
+	}
+	s.queue = rest
+}
+
+// failAll settles all queued records without their place on the log.
+func (s *shard) failAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.queue {
+		p.failed()
+	}
+	s.queue = nil
+}
--- /dev/null
+++ b/internal/claim/ticket.go
@@ -0,0 +1,61 @@
+package claim
+
+import (
+	"sync"
+	"time"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+)
+
+// Ticket is the right to execute the call of one key. Safe for concurrent use.
+type Ticket struct {
+	key    ParsedKey
+	writer *claimv1.Writer
+	// expires is when the right to start ends, by the monotonic clock.
+	expires time.Time
+	finish  func(*Ticket, Outcome)
+
+	mu       sync.Mutex
+	finished bool
+}
+
+// MayExecute reports whether the call may be sent to the endpoint now. It must
+// be asked immediately before each sending. It is false once the ticket was
+// finished, and when too much time passed since the claim was won, for example
+// because the process was paused.
+func (t *Ticket) MayExecute() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.finished && time.Now().Before(t.expires)
+}
+
+// Finish ends the ticket and records the outcome in the background. A ticket
+// under which nothing was sent is finished with DidNotRun, which closes its key.
+// Further calls have no effect.
+func (t *Ticket) Finish(outcome Outcome) {
+	t.mu.Lock()
+	done := t.finished
+	t.finished = true
+	t.mu.Unlock()
+	if !done {
+		t.finish(t, outcome)
+	}
+}
+
+// Delivery is the right to deliver one recorded answer.
+type Delivery struct {
+	once    sync.Once
+	giveUp  func()
+	release func()
+}
+
+// Delivered ends the delivery after the caller received the whole answer.
+func (d *Delivery) Delivered() {
+	d.once.Do(d.release)
+}
+
+// Return gives the answer back, so that another repeat can have it. It must
+// only be called if the caller did not receive the whole answer.
+func (d *Delivery) Return() {
+	d.once.Do(d.giveUp)
+}
