--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -18,9 +18,8 @@
 		return err
 	}
 	e.countImport(a, export)
-	moving := e.link.start(int64(export.Tokens) * e.options.KVBytesPerToken)
-	defer e.link.stop(moving)
-	if !await(ctx, e, a, moving.done) {
+	bytes := int64(export.Tokens) * e.options.KVBytesPerToken
+	if !e.move(ctx, a, bytes, e.route(source.address())) {
 		e.countUnused(a)
 		return Cancelled.New("attempt %s ended in its import", a.id)
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -17,6 +17,7 @@
 	options Options
 	link    *link
 	client  *http.Client
+	router  Router
 
 	mu     sync.Mutex
 	random *rand.Rand
--- a/internal/standin/engine/kvwire.go
+++ b/internal/standin/engine/kvwire.go
@@ -24,6 +24,11 @@
 	block uint64
 }
 
+// address returns the prefill engine's address, an IP number and port.
+func (s *kvSource) address() string {
+	return net.JoinHostPort(s.host, strconv.Itoa(s.port))
+}
+
 // kvRequest is the body of a call for a KV cache.
 type kvRequest struct {
 	// PromptHash is the xxhash64 of the prompt's text and the resumed tokens.
@@ -50,8 +55,7 @@
 	if err != nil {
 		return export, Evicted.Wrap(err, "KV cache %d", source.block)
 	}
-	address := net.JoinHostPort(source.host, strconv.Itoa(source.port))
-	url := fmt.Sprintf("http://%s/standin/kv/%d/take", address, source.block)
+	url := fmt.Sprintf("http://%s/standin/kv/%d/take", source.address(), source.block)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return export, Evicted.Wrap(err, "KV cache %d", source.block)
--- /dev/null
+++ b/internal/standin/options.go
@@ -0,0 +1,51 @@
+// Package standin starts small stand-ins for the platform and the endpoints on
+// loopback ports. The packages below it hold one stand-in each.
+package standin
+
+import (
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
+	"github.com/ospreyshed/ospreyshed/internal/standin/logstore"
+	"github.com/ospreyshed/ospreyshed/internal/standin/plain"
+	"github.com/ospreyshed/ospreyshed/internal/standin/vmlist"
+)
+
+// AnyAddress makes a stand-in listen on a free port of the loopback interface.
+const AnyAddress = "127.0.0.1:0"
+
+// Options describe a set of stand-ins. An empty address counts as AnyAddress.
+type Options struct {
+	Log     LogOptions      `json:"log"`
+	VMList  VMListOptions   `json:"vm_list"`
+	Engines []EngineOptions `json:"engines"`
+	Plain   []PlainOptions  `json:"plain"`
+	// Links limit imports between availability zones.
+	Links []configuration.Link `json:"links"`
+}
+
+// LogOptions describe the log service.
+type LogOptions struct {
+	Address string `json:"address"`
+	logstore.Options
+}
+
+// VMListOptions describe the list of VMs. Engines and plain services are listed
+// beside its own VMs.
+type VMListOptions struct {
+	Address string `json:"address"`
+	vmlist.Options
+}
+
+// EngineOptions describe an engine.
+type EngineOptions struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	engine.Options
+}
+
+// PlainOptions describe an instance of a plain service.
+type PlainOptions struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	plain.Options
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,158 @@
+package standin
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"strings"
+
+	platform "github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
+	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
+	"github.com/ospreyshed/ospreyshed/internal/standin/logstore"
+	"github.com/ospreyshed/ospreyshed/internal/standin/plain"
+	"github.com/ospreyshed/ospreyshed/internal/standin/vmlist"
+)
+
+// Platform is a running set of stand-ins.
+type Platform struct {
+	Log    *logstore.Server
+	VMList *vmlist.Server
+	// Engines and Plain are found by their names.
+	Engines map[string]*engine.Server
+	Plain   map[string]*plain.Server
+
+	// zones maps the engines' addresses to availability zones.
+	zones map[string]string
+	links map[zonePair]*engine.Link
+}
+
+// zonePair names a link between two availability zones, in either direction.
+type zonePair struct{ a, b string }
+
+func newZonePair(a, b string) zonePair {
+	return zonePair{a: min(a, b), b: max(a, b)}
+}
+
+// Start starts a set of stand-ins. If one cannot be started, none runs.
+func Start(options Options) (*Platform, error) {
+	p := &Platform{
+		Engines: make(map[string]*engine.Server),
+		Plain:   make(map[string]*plain.Server),
+		zones:   make(map[string]string),
+		links:   make(map[zonePair]*engine.Link),
+	}
+	if err := p.start(&options); err != nil {
+		return nil, errors.Join(err, p.Close())
+	}
+	return p, nil
+}
+
+func (p *Platform) start(options *Options) error {
+	for _, link := range options.Links {
+		p.links[newZonePair(link.From, link.To)] = engine.NewLink(link.BytesPerSecond, link.OneWayDelay.D())
+	}
+	var err error
+	if p.Log, err = logstore.Start(anyIfEmpty(options.Log.Address), options.Log.Options); err != nil {
+		return err
+	}
+	for i := range options.Engines {
+		if err := p.startEngine(&options.Engines[i]); err != nil {
+			return err
+		}
+	}
+	for i := range options.Plain {
+		if err := p.startPlain(&options.Plain[i]); err != nil {
+			return err
+		}
+	}
+	p.routeImports(options.Engines)
+	return p.startVMList(options)
+}
+
+// startVMList starts the list last, so that it shows all endpoints at once.
+func (p *Platform) startVMList(options *Options) error {
+	listed := options.VMList.Options
+	listed.VMs = slices.Clone(listed.VMs)
+	for _, o := range options.Engines {
+		listed.VMs = append(listed.VMs, p.liveVM(o.Name, o.Zone))
+	}
+	for _, o := range options.Plain {
+		listed.VMs = append(listed.VMs, p.liveVM(o.Name, o.Zone))
+	}
+	var err error
+	p.VMList, err = vmlist.Start(anyIfEmpty(options.VMList.Address), listed)
+	return err
+}
+
+func (p *Platform) liveVM(name, zone string) platform.VM {
+	return platform.VM{Name: name, Address: p.Addr(name), Zone: zone, State: platform.Live}
+}
+
+// anyIfEmpty also accepts an address without an IP number, such as ":0".
+func anyIfEmpty(address string) string {
+	if strings.HasPrefix(address, ":") {
+		return "127.0.0.1" + address
+	}
+	return cmp.Or(address, AnyAddress)
+}
+
+func (p *Platform) startEngine(o *EngineOptions) error {
+	server, err := engine.Start(anyIfEmpty(o.Address), o.Options)
+	if err != nil {
+		return err
+	}
+	p.Engines[o.Name] = server
+	p.zones[server.Addr()] = o.Zone
+	return nil
+}
+
+func (p *Platform) startPlain(o *PlainOptions) error {
+	server, err := plain.Start(anyIfEmpty(o.Address), o.Options)
+	if err != nil {
+		return err
+	}
+	p.Plain[o.Name] = server
+	return nil
+}
+
+// routeImports lets imports between availability zones share the links.
+func (p *Platform) routeImports(engines []EngineOptions) {
+	for _, o := range engines {
+		p.Engines[o.Name].SetRouter(func(address string) *engine.Link {
+			return p.links[newZonePair(p.zones[address], o.Zone)]
+		})
+	}
+}
+
+// Addr returns the address of an engine or plain service, empty if there is
+// none of that name.
+func (p *Platform) Addr(name string) string {
+	if server, ok := p.Engines[name]; ok {
+		return server.Addr()
+	}
+	if server, ok := p.Plain[name]; ok {
+		return server.Addr()
+	}
+	return ""
+}
+
+// Close ends all stand-ins.
+func (p *Platform) Close() error {
+	var errs []error
+	for _, server := range p.Plain {
+		errs = append(errs, server.Close())
+	}
+	for _, server := range p.Engines {
+		errs = append(errs, server.Close())
+	}
+	for _, link := range p.links {
+		link.Close()
+	}
+	if p.VMList != nil {
+		errs = append(errs, p.VMList.Close())
+	}
+	if p.Log != nil {
+		errs = append(errs, p.Log.Close())
+	}
+	return errors.Join(errs...)
+}
