--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/subtle"
 	"maps"
+	"slices"
 )
 
 // Snapshot is an immutable view of the configuration in force. It is safe for
@@ -127,6 +128,9 @@
 	return team, ok
 }
 
+// TeamNames returns the names of all teams in order.
+func (s *Snapshot) TeamNames() []string { return slices.Sorted(maps.Keys(s.teams)) }
+
 // Endpoint returns an endpoint by name.
 func (s *Snapshot) Endpoint(name string) (*Endpoint, bool) {
 	endpoint, ok := s.fleet.endpoints[name]
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -5,9 +5,103 @@
 // Validate checks a whole bundle and reports all findings by JSON path. It
 // returns nil or a *finding.Error.
 func Validate(bundle Bundle) error {
-	var report finding.Report
+	c := new(checker)
 	if bundle.Format != Format {
-		report.Addf("format", "is %d, must be %d", bundle.Format, Format)
+		c.Addf("format", "is %d, must be %d", bundle.Format, Format)
+	}
+	c.fleet("fleet", &bundle.Fleet)
+	seen := names{}
+	for i := range bundle.Teams {
+		path := index("teams", i)
+		c.team(path, &bundle.Teams[i])
+		c.unique(path+".name", bundle.Teams[i].Name, seen)
+	}
+	c.references(&bundle.Fleet, bundle.Teams)
+	return c.Err()
+}
+
+// Conflicts checks what the documents in force refer to in each other. Documents
+// are accepted one by one, so two publishers can together bring in what Validate
+// would refuse in one bundle: a class whose model is gone finds no engine and its
+// requests are refused, and a key of two teams belongs to the first by name.
+// Paths start at the document, for example "team/a.classes[0].model".
+func (s *Snapshot) Conflicts() []finding.Finding {
+	c := new(checker)
+	fleet := newReferences(s.Fleet())
+	for _, name := range s.TeamNames() {
+		c.teamReferences(TeamSubject(name), s.teams[name].Team, fleet)
+	}
+	for digest, owners := range s.keys {
+		for _, other := range owners[1:] {
+			c.Addf(TeamSubject(other.Name())+".key_digests", "key %s belongs to team %s", digest, owners[0].Name())
+		}
+	}
+	return c.Findings()
+}
+
+// references holds what classes refer to in the fleet document.
+type references struct {
+	models, services names
+	drainLimit       Duration
+}
+
+func newReferences(fleet *Fleet) references {
+	r := references{models: names{}, services: names{}, drainLimit: fleet.Times.DrainLimit}
+	for _, model := range fleet.Models {
+		r.models[model.Name] = ""
+	}
+	for _, endpoint := range fleet.Endpoints {
+		if endpoint.Kind == KindPlain {
+			r.services[endpoint.Service] = ""
+		}
+	}
+	return r
+}
+
+// references checks what teams refer to in the fleet and share with each other.
+func (c *checker) references(fleet *Fleet, teams []Team) {
+	known := newReferences(fleet)
+	owners := map[Digest]string{}
+	for i := range teams {
+		path := index("teams", i)
+		c.teamReferences(path, &teams[i], known)
+		c.sharedKeys(path, &teams[i], owners)
+	}
+}
+
+func (c *checker) sharedKeys(path string, team *Team, owners map[Digest]string) {
+	for i, text := range team.KeyDigests {
+		digest, ok := ParseDigest(text)
+		if !ok {
+			continue
+		}
+		owner, taken := owners[digest]
+		if taken && owner != team.Name {
+			c.Addf(index(path+".key_digests", i), "the key belongs to team %s", owner)
+			continue
+		}
+		owners[digest] = team.Name
+	}
+}
+
+func (c *checker) teamReferences(path string, team *Team, fleet references) {
+	for i := range team.Classes {
+		class := &team.Classes[i]
+		classPath := index(path+".classes", i)
+		if class.Model != "" {
+			c.known(classPath+".model", "model", class.Model, fleet.models)
+		}
+		if class.Service != "" {
+			c.known(classPath+".service", "service", class.Service, fleet.services)
+		}
+		c.drainable(classPath+".targets.first_token", class.Targets.FirstToken, fleet.drainLimit)
+		c.drainable(classPath+".targets.between_tokens", class.Targets.BetweenTokens, fleet.drainLimit)
+		c.drainable(classPath+".targets.whole_answer", class.Targets.WholeAnswer, fleet.drainLimit)
+	}
+}
+
+func (c *checker) drainable(path string, target, drainLimit Duration) {
+	if target > drainLimit {
+		c.Addf(path, "is %s, longer than the drain limit of %s", target, drainLimit)
 	}
-	return report.Err()
 }
