--- a/internal/completion/attempt.go
+++ b/internal/completion/attempt.go
@@ -118,12 +118,17 @@
 	a.decodeHolds = true
 	a.options.Events.Record(timeline.DecodeStarted, a.request.ID, a.grant.Decode)
 	err = a.stream(stream, watch, started)
-	if err != nil && !errorx.IsOfType(err, CallerGone) && caller.Err() == nil {
+	if err != nil && !sinkEnded(err) && caller.Err() == nil {
 		a.failedOn(a.grant.Decode, configuration.RoleDecode, err, &a.decodeHolds)
 	}
 	return err
 }
 
+// sinkEnded reports whether the caller's side, not the engine, ended a stream.
+func sinkEnded(err error) bool {
+	return errorx.IsOfType(err, CallerGone) || errorx.IsOfType(err, Withheld)
+}
+
 // transferError explains a failed import.
 func (a *attempt) transferError(watch *watchdog, err error) error {
 	if watch.fired() {
@@ -179,7 +184,11 @@
 	if a.delivered == 0 {
 		a.first(started)
 	}
-	if err := a.sink.Token(token); err != nil {
+	err := a.sink.Token(token)
+	if errorx.IsOfType(err, Withheld) {
+		return err
+	}
+	if err != nil {
 		return CallerGone.Wrap(err, "%s", a.request.ID)
 	}
 	a.text = append(a.text, token.Text...)
--- a/internal/completion/errors.go
+++ b/internal/completion/errors.go
@@ -12,6 +12,8 @@
 var (
 	// CallerGone means that the caller cancelled or stopped reading.
 	CallerGone = namespace.NewType("caller-gone")
+	// Withheld means that the sink may not give the answer to the caller.
+	Withheld = namespace.NewType("withheld")
 	// stalled means that a phase made no progress for its limit.
 	stalled = namespace.NewType("stalled")
 	// protocolError means that an engine broke the token order.
--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -99,6 +99,9 @@
 	if ctx.Err() != nil || errorx.IsOfType(err, CallerGone) {
 		return CallerGone.Wrap(err, "%s", r.request.ID)
 	}
+	if errorx.IsOfType(err, Withheld) {
+		return err
+	}
 	var refusal *scheduling.Refusal
 	if errors.As(err, &refusal) {
 		return r.giveUp(*refusal, r.lastError)
--- a/internal/completion/runner.go
+++ b/internal/completion/runner.go
@@ -52,7 +52,8 @@
 
 // Sink takes the tokens of an answer.
 type Sink interface {
-	// Token passes on one token. An error means that the caller is gone.
+	// Token passes on one token. An error of type Withheld means that the caller
+	// may not have the answer, any other that the caller is gone.
 	Token(token engine.Token) error
 }
 
@@ -131,7 +132,8 @@
 }
 
 // Run carries the request to its end. It returns nil only after the sink has
-// taken the whole answer. The error is CallerGone, Refused or Interrupted.
+// taken the whole answer. The error is of type CallerGone or Withheld,
+// a *RefusedError or an *InterruptedError.
 func (r *Runner) Run(ctx context.Context, request *Request, sink Sink) (Result, error) {
 	r.budget.Earn()
 	current := newRun(r, request, sink)
--- a/internal/engine/openai/stream.go
+++ b/internal/engine/openai/stream.go
@@ -113,7 +113,7 @@
 	s.text = append(s.text[:0], only.Text...)
 	s.text = append(s.text, only.Delta.Content...)
 	token := engine.Token{Index: c.TokenIndex, Text: s.text}
-	if only.FinishReason != nil {
+	if only.FinishReason != nil && *only.FinishReason != "" {
 		s.ended = true
 		token.FinishReason = *only.FinishReason
 	}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/completion"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/problem"
+)
+
+// usage is the token count at the end of an answer.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func usageOf(result completion.Result) usage {
+	return usage{
+		PromptTokens:     result.PromptTokens,
+		CompletionTokens: result.CompletionTokens,
+		TotalTokens:      result.PromptTokens + result.CompletionTokens,
+	}
+}
+
+// eventStream gives tokens to the caller as server-sent events. Each event is
+// put together in a reused buffer.
+type eventStream struct {
+	gateway *Gateway
+	x       *exchange
+	flusher *http.ResponseController
+	started bool
+	buffer  []byte
+	// head and tail enclose the token's text in an event.
+	head, tail []byte
+}
+
+func newEventStream(g *Gateway, x *exchange, body *completionBody) *eventStream {
+	object, open, shut := "text_completion", `"text":`, `,"finish_reason":`
+	if body.prompt.Chat() {
+		object, open, shut = "chat.completion.chunk", `"delta":{"content":`, `},"finish_reason":`
+	}
+	head := []byte(`data: {"id":`)
+	head = appendJSONString(head, []byte(x.id))
+	head = append(head, `,"object":"`+object+`","created":`...)
+	head = strconv.AppendInt(head, time.Now().Unix(), 10)
+	head = append(head, `,"model":`...)
+	head = appendJSONString(head, []byte(body.model))
+	head = append(head, `,"choices":[{"index":0,`+open...)
+	return &eventStream{
+		gateway: g,
+		x:       x,
+		flusher: http.NewResponseController(x.w),
+		head:    head,
+		tail:    []byte(shut),
+	}
+}
+
+// Token implements completion.Sink.
+func (s *eventStream) Token(token engine.Token) error {
+	s.start()
+	s.buffer = append(s.buffer[:0], s.head...)
+	s.buffer = appendJSONString(s.buffer, token.Text)
+	s.buffer = append(s.buffer, s.tail...)
+	if token.FinishReason == "" {
+		s.buffer = append(s.buffer, "null"...)
+	} else {
+		s.buffer = appendJSONString(s.buffer, []byte(token.FinishReason))
+	}
+	s.buffer = append(s.buffer, "}]}\n\n"...)
+	return s.write()
+}
+
+// start sends the header before the first event.
+func (s *eventStream) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	header := s.x.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	s.x.w.WriteHeader(http.StatusOK)
+}
+
+// write sends the buffer within the write timeout.
+func (s *eventStream) write() error {
+	deadline := time.Now().Add(s.gateway.options.WriteTimeout)
+	if err := s.flusher.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	if _, err := s.x.w.Write(s.buffer); err != nil {
+		return err
+	}
+	return s.flusher.Flush()
+}
+
+func (s *eventStream) begun() bool { return s.started }
+
+func (s *eventStream) end(completion.Result) error {
+	s.start()
+	s.buffer = append(s.buffer[:0], "data: [DONE]\n\n"...)
+	if err := s.write(); err != nil {
+		return completion.CallerGone.Wrap(err, "%s", s.x.id)
+	}
+	return nil
+}
+
+// interrupt sends an error event and cuts the connection, so that no caller
+// can take the answer for whole.
+func (s *eventStream) interrupt(d *problem.Details) {
+	d.Request = s.x.id
+	encoded, err := json.Marshal(d)
+	if err == nil {
+		s.buffer = append(s.buffer[:0], "event: error\ndata: "...)
+		s.buffer = append(s.buffer, encoded...)
+		s.buffer = append(s.buffer, "\n\n"...)
+		_ = s.write()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// wholeAnswer collects the tokens and gives them to the caller at the end.
+type wholeAnswer struct {
+	gateway *Gateway
+	x       *exchange
+	body    *completionBody
+	text    []byte
+	reason  string
+	written bool
+}
+
+func newWholeAnswer(g *Gateway, x *exchange, body *completionBody) *wholeAnswer {
+	return &wholeAnswer{gateway: g, x: x, body: body}
+}
+
+// Token implements completion.Sink.
+func (a *wholeAnswer) Token(token engine.Token) error {
+	a.text = append(a.text, token.Text...)
+	if token.FinishReason != "" {
+		a.reason = token.FinishReason
+	}
+	return nil
+}
+
+func (a *wholeAnswer) begun() bool { return a.written }
+
+// wholeCompletion is the body of an answer that is not streamed.
+type wholeCompletion struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []wholeChoice `json:"choices"`
+	Usage   usage         `json:"usage"`
+}
+
+type wholeChoice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	FinishReason string       `json:"finish_reason"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (a *wholeAnswer) end(result completion.Result) error {
+	text := string(a.text)
+	choice := wholeChoice{FinishReason: a.reason}
+	object := "text_completion"
+	if a.body.prompt.Chat() {
+		object = "chat.completion"
+		choice.Message = &chatMessage{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	encoded, err := json.Marshal(wholeCompletion{
+		ID:      a.x.id,
+		Object:  object,
+		Created: time.Now().Unix(),
+		Model:   a.body.model,
+		Choices: []wholeChoice{choice},
+		Usage:   usageOf(result),
+	})
+	if err != nil {
+		return err
+	}
+	return a.send(encoded)
+}
+
+// send writes the answer with its length, so that a cut can be told.
+func (a *wholeAnswer) send(encoded []byte) error {
+	header := a.x.w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Cache-Control", "no-store")
+	header.Set("Content-Length", strconv.Itoa(len(encoded)))
+	a.gateway.limitWrite(a.x.w)
+	a.written = true
+	if _, err := a.x.w.Write(encoded); err != nil {
+		return completion.CallerGone.Wrap(err, "%s", a.x.id)
+	}
+	if err := http.NewResponseController(a.x.w).Flush(); err != nil {
+		return completion.CallerGone.Wrap(err, "%s", a.x.id)
+	}
+	return nil
+}
+
+func (a *wholeAnswer) interrupt(*problem.Details) { panic(http.ErrAbortHandler) }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,250 @@
+// Package gateway serves callers over HTTP: it authenticates the team, finds
+// the class of request, checks the input and hands the request to the
+// completion path or to the forwarder.
+//
+// Every refusal is a problem of package problem. Configuration is read through
+// an immutable snapshot, once per request.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/ospreyshed/ospreyshed/internal/claim"
+	"github.com/ospreyshed/ospreyshed/internal/completion"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/forward"
+	"github.com/ospreyshed/ospreyshed/internal/problem"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// Names of headers that callers use.
+const (
+	// ClassHeader chooses a class by name where several match.
+	ClassHeader = "Ospreyshed-Class"
+	// KeyHeader carries the idempotency key.
+	KeyHeader = "Idempotency-Key"
+	// AttemptHeader says how often the caller has sent this key, counted from 1.
+	AttemptHeader = "Ospreyshed-Attempt"
+	// RequestIDHeader names the request in answers and in the time line.
+	RequestIDHeader = "X-Request-Id"
+)
+
+// Completer carries model-backed requests.
+type Completer interface {
+	Run(ctx context.Context, request *completion.Request, sink completion.Sink) (completion.Result, error)
+}
+
+// Forwarder carries requests of plain classes.
+type Forwarder interface {
+	Do(ctx context.Context, call *forward.Call) (*forward.Reply, error)
+}
+
+// Claims decides who may execute the call of an idempotency key.
+type Claims interface {
+	Claim(ctx context.Context, key claim.Key) (claim.Decision, error)
+}
+
+// Configuration yields the snapshot in force, nil while there is none.
+type Configuration interface {
+	Snapshot() *configuration.Snapshot
+}
+
+// Options are the collaborators and bounds of a Gateway. All are required.
+type Options struct {
+	// VM and Incarnation name this process in request ids.
+	VM            string
+	Incarnation   uint64
+	Completer     Completer
+	Forwarder     Forwarder
+	Claims        Claims
+	Answers       Answers
+	Configuration Configuration
+	Events        timeline.Recorder
+	// BodyBytes bounds a request body.
+	BodyBytes int64
+	// WriteTimeout bounds each write to a caller that does not read.
+	WriteTimeout time.Duration
+}
+
+// Counters count requests. The zero value is ready to use.
+type Counters struct {
+	// Received counts requests of known teams, Answered those answered whole.
+	Received, Answered atomic.Int64
+	// RefusedNotRun, RefusedUnknown and RefusedRan count refusals by outcome.
+	RefusedNotRun, RefusedUnknown, RefusedRan atomic.Int64
+	// CallersGone counts requests whose caller went before the end.
+	CallersGone atomic.Int64
+	// Interrupted counts answers that ended after a part had been delivered.
+	Interrupted atomic.Int64
+	// Unauthorized counts requests without a known bearer key.
+	Unauthorized atomic.Int64
+	// InFlight is the number of requests being served.
+	InFlight atomic.Int64
+}
+
+// Gateway is the HTTP handler for callers. It is safe for concurrent use.
+type Gateway struct {
+	// Counters are read by the metrics.
+	Counters Counters
+
+	options  Options
+	router   *mux.Router
+	numbers  atomic.Uint64
+	draining atomic.Bool
+}
+
+// New returns a gateway.
+func New(options Options) *Gateway {
+	g := &Gateway{options: options, router: mux.NewRouter()}
+	g.router.HandleFunc("/healthz", g.serveHealth).Methods(http.MethodGet)
+	g.router.HandleFunc("/readyz", g.serveReady).Methods(http.MethodGet)
+	g.router.HandleFunc("/v1/completions", g.serveModel).Methods(http.MethodPost)
+	g.router.HandleFunc("/v1/chat/completions", g.serveModel).Methods(http.MethodPost)
+	g.router.PathPrefix("/").HandlerFunc(g.servePlain)
+	return g
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	g.router.ServeHTTP(w, r)
+}
+
+// Drain turns readiness off. Requests are still served, since the balancer may
+// send some for a while; their connections are closed after the answer.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// serveHealth answers that the process runs.
+func (g *Gateway) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// serveReady tells the balancer whether to send requests here.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case g.draining.Load():
+		problem.Write(w, problem.New(problem.Draining, http.StatusServiceUnavailable, problem.NotRun, ""))
+	case g.options.Configuration.Snapshot() == nil:
+		problem.Write(w, notReady())
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
+
+// exchange is one request and what is known of it.
+type exchange struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	number   uint64
+	id       string
+	arrived  time.Time
+	snapshot *configuration.Snapshot
+	team     *configuration.CompiledTeam
+	class    *configuration.Class
+}
+
+// begin authenticates the team. It answers the refusal itself and returns nil.
+func (g *Gateway) begin(w http.ResponseWriter, r *http.Request) *exchange {
+	number := g.numbers.Add(1)
+	x := &exchange{w: w, r: r, number: number, id: g.requestID(number), arrived: time.Now()}
+	w.Header().Set(RequestIDHeader, x.id)
+	x.snapshot = g.options.Configuration.Snapshot()
+	if x.snapshot == nil {
+		g.refuse(x, notReady())
+		return nil
+	}
+	team, found := x.snapshot.TeamByKey(bearer(r))
+	if !found {
+		g.Counters.Unauthorized.Add(1)
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		g.refuse(x, problem.New(problem.Unauthorized, http.StatusUnauthorized, problem.NotRun, ""))
+		return nil
+	}
+	x.team = team
+	g.Counters.Received.Add(1)
+	return x
+}
+
+// classify finds the class of request. It answers the refusal itself.
+func (g *Gateway) classify(x *exchange, model string) bool {
+	class, found := x.team.Match(x.r.Method, x.r.URL.Path, model, x.r.Header.Get(ClassHeader))
+	if !found {
+		detail := "no class for " + x.r.Method + " " + x.r.URL.Path
+		if model != "" {
+			detail += " and model " + model
+		}
+		g.refuse(x, problem.New(problem.ClassNotAllowed, http.StatusForbidden, problem.NotRun, detail))
+		return false
+	}
+	x.class = class
+	g.options.Events.Record(timeline.RequestReceived, x.id, class.Name)
+	return true
+}
+
+// requestID formats the id shown to callers.
+func (g *Gateway) requestID(number uint64) string {
+	b := make([]byte, 0, len(g.options.VM)+42)
+	b = append(b, g.options.VM...)
+	b = append(b, '.')
+	b = strconv.AppendUint(b, g.options.Incarnation, 10)
+	b = append(b, '.')
+	b = strconv.AppendUint(b, number, 10)
+	return string(b)
+}
+
+// refuse answers with a problem and counts it.
+func (g *Gateway) refuse(x *exchange, d *problem.Details) {
+	switch d.Outcome {
+	case problem.NotRun:
+		g.Counters.RefusedNotRun.Add(1)
+	case problem.Ran:
+		g.Counters.RefusedRan.Add(1)
+	default:
+		g.Counters.RefusedUnknown.Add(1)
+	}
+	d.Request = x.id
+	g.options.Events.Record(timeline.RequestRefused, x.id, string(d.Type)+" "+string(d.Outcome))
+	g.limitWrite(x.w)
+	problem.Write(x.w, d)
+}
+
+// answered counts a whole answer.
+func (g *Gateway) answered(x *exchange) {
+	g.Counters.Answered.Add(1)
+	g.options.Events.Record(timeline.RequestAnswered, x.id, x.class.Name)
+}
+
+// callerGone counts a request whose caller went.
+func (g *Gateway) callerGone(x *exchange) {
+	g.Counters.CallersGone.Add(1)
+	g.options.Events.Record(timeline.CallerGone, x.id, x.class.Name)
+}
+
+// limitWrite bounds the next writes to a caller that does not read.
+func (g *Gateway) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(g.options.WriteTimeout))
+}
+
+// bearer returns the bearer key of a request, empty if there is none.
+func bearer(r *http.Request) string {
+	const scheme = "Bearer "
+	value := r.Header.Get("Authorization")
+	if len(value) <= len(scheme) || value[:len(scheme)] != scheme {
+		return ""
+	}
+	return value[len(scheme):]
+}
+
+const notReadyRetryAfter = 2 * time.Second
+
+func notReady() *problem.Details {
+	return problem.New(problem.NotReady, http.StatusServiceUnavailable, problem.NotRun, "").After(notReadyRetryAfter)
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/ospreyshed/ospreyshed/internal/claim"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/forward"
+	"github.com/ospreyshed/ospreyshed/internal/problem"
+)
+
+// servePlain serves requests of plain classes.
+func (g *Gateway) servePlain(w http.ResponseWriter, r *http.Request) {
+	g.Counters.InFlight.Add(1)
+	defer g.Counters.InFlight.Add(-1)
+	x := g.begin(w, r)
+	if x == nil {
+		return
+	}
+	if !g.classify(x, "") {
+		return
+	}
+	body, ok := g.readBody(x)
+	if !ok {
+		return
+	}
+	if x.class.ModelBacked() {
+		g.refuse(x, problem.New(problem.BadRequest, http.StatusBadRequest, problem.NotRun,
+			"a model-backed class is served at /v1/completions and /v1/chat/completions"))
+		return
+	}
+	g.forwardPlain(x, body)
+}
+
+// forwardPlain sends a request to a plain service, at most once if it may not
+// be repeated.
+func (g *Gateway) forwardPlain(x *exchange, body []byte) {
+	key, ok := g.keyOf(x)
+	if !ok {
+		return
+	}
+	if x.class.Repeat == configuration.NeverRepeat {
+		g.forwardOnce(x, body, key)
+		return
+	}
+	reply, err := g.options.Forwarder.Do(x.r.Context(), g.plainCall(x, body, key))
+	switch {
+	case err == nil:
+		g.pass(x, reply)
+	case x.r.Context().Err() != nil:
+		g.callerGone(x)
+	default:
+		g.refuse(x, plainProblem(err))
+	}
+}
+
+func (g *Gateway) plainCall(x *exchange, body []byte, key string) *forward.Call {
+	return &forward.Call{
+		RequestID: x.id,
+		Class:     x.class,
+		Path:      x.r.URL.RequestURI(),
+		Header:    x.r.Header,
+		Body:      body,
+		Key:       key,
+	}
+}
+
+// forwardOnce claims the key, sends the call once and records the outcome. The
+// call goes on if the caller goes, since its outcome would else be unknown.
+func (g *Gateway) forwardOnce(x *exchange, body []byte, key string) {
+	decision, err := g.options.Claims.Claim(x.r.Context(), claim.Key{Team: x.team.Name(), Key: key})
+	if err != nil {
+		g.refuse(x, claimProblem(err, firstAttempt(x.r)))
+		return
+	}
+	if decision.Kind != claim.Run {
+		g.repeat(x, &decision)
+		return
+	}
+	call := g.plainCall(x, body, key)
+	call.MayExecute = decision.Ticket.MayExecute
+	reply, err := g.options.Forwarder.Do(context.WithoutCancel(x.r.Context()), call)
+	if err != nil {
+		decision.Ticket.Finish(claim.Outcome{Execution: executionOf(err)})
+		g.refuse(x, plainProblem(err))
+		return
+	}
+	delivered := g.pass(x, reply)
+	decision.Ticket.Finish(claim.Outcome{
+		Execution: claim.Ran,
+		Delivered: delivered,
+		Answer:    claim.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body},
+	})
+}
+
+// executionOf says what an error of the forwarder means for the key.
+func executionOf(err error) claim.Execution {
+	switch {
+	case errorx.HasTrait(err, forward.NotRun):
+		return claim.DidNotRun
+	case errorx.IsOfType(err, forward.CutShort):
+		return claim.Ran
+	default:
+		return claim.MayHaveRun
+	}
+}
+
+// pass gives a reply to the caller and reports whether it was written whole.
+func (g *Gateway) pass(x *exchange, reply *forward.Reply) bool {
+	if x.r.Context().Err() != nil {
+		g.callerGone(x)
+		return false
+	}
+	header := x.w.Header()
+	for name, values := range reply.Header {
+		if name != RequestIDHeader {
+			header[name] = values
+		}
+	}
+	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	g.limitWrite(x.w)
+	x.w.WriteHeader(reply.Status)
+	_, err := x.w.Write(reply.Body)
+	if err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	if err != nil {
+		g.callerGone(x)
+		return false
+	}
+	g.answered(x)
+	return true
+}
+
+// plainProblem explains why a plain call has no reply.
+func plainProblem(err error) *problem.Details {
+	switch {
+	case errorx.IsOfType(err, forward.NoEndpoint):
+		return problem.New(problem.NoEndpoint, http.StatusServiceUnavailable, problem.NotRun, err.Error()).After(claimRetryAfter)
+	case errorx.HasTrait(err, forward.NotRun):
+		return problem.New(problem.EndpointFailed, http.StatusBadGateway, problem.NotRun, err.Error())
+	case errorx.IsOfType(err, forward.CutShort):
+		return problem.New(problem.EndpointFailed, http.StatusBadGateway, problem.Ran, err.Error())
+	default:
+		return problem.New(problem.EndpointFailed, http.StatusBadGateway, problem.Unknown, err.Error())
+	}
+}
--- a/internal/reservation/owner.go
+++ b/internal/reservation/owner.go
@@ -24,6 +24,8 @@
 		coordinator: scheduling.NewCoordinator(settings),
 		waiters:     make(map[engine.AttemptID]chan scheduling.Outcome),
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.timer = time.AfterFunc(0, o.tick)
 	return o
 }
