--- a/cmd/ospreyshed/main.go
+++ b/cmd/ospreyshed/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	code := cli.Main(ctx, os.Args[1:], cli.Streams{Out: os.Stdout, Err: os.Stderr})
+	code := cli.Main(ctx, os.Args[1:], cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr})
 	stop()
 	os.Exit(code)
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -24,6 +24,7 @@
 
 // Streams are the standard streams of a command.
 type Streams struct {
+	In       io.Reader
 	Out, Err io.Writer
 }
 
--- /dev/null
+++ b/internal/questionnaire/digest.go
@@ -0,0 +1,38 @@
+package questionnaire
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/joomcode/errorx"
+)
+
+// MaxKeyBytes is the longest bearer key in bytes, with a line break at its end.
+const MaxKeyBytes = 4096
+
+var namespace = errorx.NewNamespace("questionnaire").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// BadKey is the type of errors of texts that cannot be bearer keys.
+var BadKey = namespace.NewType("bad-key")
+
+// Digest returns the SHA-256 digest of a bearer key in hexadecimal digits. A
+// line break at the end is no part of the key. An empty or overlong key and one
+// with characters that a header cannot carry is a BadKey error.
+func Digest(key []byte) (string, error) {
+	if len(key) > MaxKeyBytes {
+		return "", BadKey.New("the key is longer than %d bytes", MaxKeyBytes)
+	}
+	key = bytes.TrimSuffix(key, []byte("\n"))
+	key = bytes.TrimSuffix(key, []byte("\r"))
+	if len(key) == 0 {
+		return "", BadKey.New("the key is empty")
+	}
+	for _, b := range key {
+		if b <= ' ' || b > '~' {
+			return "", BadKey.New("the key has a character other than visible ASCII")
+		}
+	}
+	sum := sha256.Sum256(key)
+	return hex.EncodeToString(sum[:]), nil
+}
