--- a/internal/questionnaire/questionnaire.go
+++ b/internal/questionnaire/questionnaire.go
@@ -199,7 +199,9 @@
 	Method string `json:"method,omitempty"`
 	// Path is the path of the requests. For a model-backed class it is
 	// "/v1/completions", the default, or "/v1/chat/completions". For a plain
-	// class it is any path; "/*" at its end stands for all paths below.
+	// class it is any path; "/*" at its end stands for all paths below. The
+	// longest path that fits a request decides. Classes with the same method,
+	// path and model must agree on repeat and key.
 	Path string `json:"path,omitempty"`
 	// Repeat is "repeatable" if a request may run more than once and "never" if
 	// it may not. It must be given for a plain class unless its method is GET
--- a/internal/questionnaire/teams.go
+++ b/internal/questionnaire/teams.go
@@ -47,13 +47,20 @@
 	}
 }
 
-// route is what tells the classes of a team apart.
+// route is what tells the requests of a team's classes apart. The service is
+// empty for plain classes, because only a model is named by the request itself.
 type route struct{ method, path, service string }
 
+// routed is the first class of a route.
+type routed struct {
+	class *Class
+	path  string
+}
+
 func (v *validator) validateClasses(path string, classes []Class) {
 	v.notEmpty(path, len(classes), "class")
 	names := map[string]string{}
-	routes := map[route]string{}
+	routes := map[route]routed{}
 	for i := range classes {
 		class := &classes[i]
 		classPath := element(path, i)
@@ -63,7 +70,7 @@
 	}
 }
 
-func (v *validator) validateClass(path string, c *Class, routes map[route]string) {
+func (v *validator) validateClass(path string, c *Class, routes map[route]routed) {
 	v.validateRepeat(path, c)
 	oneOf(v, path+".order", c.Order, configuration.OrderFirstCome, configuration.OrderAny)
 	positive(v, path+".queue_limit", c.QueueLimit)
@@ -78,10 +85,10 @@
 		v.Addf(path+".service", "no service is named %q", c.Service)
 	case service.Model != nil:
 		v.validateModelClass(path, c, service)
-		v.validateRoute(path, route{c.Method, c.Path, c.Service}, routes)
+		v.validateRoute(path, c, route{c.Method, c.Path, c.Service}, routes)
 	default:
 		v.validatePlainClass(path, c)
-		v.validateRoute(path, route{c.Method, c.Path, ""}, routes)
+		v.validateRoute(path, c, route{c.Method, c.Path, ""}, routes)
 	}
 }
 
@@ -104,12 +111,17 @@
 	oneOf(v, path+".key", c.Key, configuration.KeyRequired, configuration.KeyOptional, configuration.KeyNone)
 }
 
-func (v *validator) validateRoute(path string, r route, routes map[route]string) {
-	if first, ok := routes[r]; ok {
-		v.Addf(path+".path", "%s %s is already used at %s", r.method, r.path, first)
+// validateRoute checks that classes which only the class name in a request
+// tells apart agree on whether a request may be repeated.
+func (v *validator) validateRoute(path string, c *Class, r route, routes map[route]routed) {
+	first, ok := routes[r]
+	if !ok {
+		routes[r] = routed{c, path}
 		return
 	}
-	routes[r] = path
+	if c.Repeat != first.class.Repeat || c.Key != first.class.Key {
+		v.Addf(path+".path", "%s %s is that of %s, so repeat and key must be the same", r.method, r.path, first.path)
+	}
 }
 
 func (v *validator) validatePlainClass(path string, c *Class) {
