Compare the reservation policy with three baselines

Cause: the first rule for early prefills compared one predicted end with a margin.

Change: the coordinator learns the distribution of answer lengths and starts early only if the probability that too few decodes end in time is below what the weights accept; new demands may use 85 % of the time to their latest start.

--- a/internal/reservation/service.go
+++ b/internal/reservation/service.go
@@ -195,7 +195,7 @@
 	s.mu.Lock()
 	o, ok = s.owners[model]
 	if !ok {
-		o = newOwner(scheduling.Settings{Model: *figures, Zone: s.params.View.Self().Zone})
+		o = newOwner(scheduling.Settings{Model: *figures})
 		s.owners[model] = o
 	}
 	s.mu.Unlock()
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -68,8 +68,9 @@
 	if d.Resumed {
 		return nil
 	}
-	if wait := c.predictWait(now, w); wait > slack {
-		return &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(d.ID, wait-slack)}
+	usable := seconds(slack.Seconds() * admissionShare)
+	if wait := c.predictWait(now, w); wait > usable {
+		return &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(d.ID, wait-usable)}
 	}
 	return nil
 }
@@ -106,12 +107,12 @@
 	service := w.work + c.bestTransfer(d.PromptTokens) + c.predict.model.TokenInterval.D()
 	var latest time.Time
 	if t := d.Targets.FirstToken.D(); t > 0 {
-		latest = w.arrival.Add(t - service)
+		latest = w.arrival.Add(t - safety(t) - service)
 	}
 	if t := d.Targets.WholeAnswer.D(); t > 0 {
-		decode := seconds(c.predict.expectedOutput(classKey{d.Team, d.Class}, d.OutputTokens) *
-			c.predict.model.TokenInterval.D().Seconds())
-		whole := w.arrival.Add(t - service - decode)
+		output := c.predict.lengths(classKey{d.Team, d.Class}).mean() * float64(d.OutputTokens)
+		decode := seconds(output * c.predict.model.TokenInterval.D().Seconds())
+		whole := w.arrival.Add(t - safety(t) - service - decode)
 		if latest.IsZero() || whole.Before(latest) {
 			latest = whole
 		}
--- /dev/null
+++ b/internal/scheduling/baseline_pickers.go
@@ -0,0 +1,50 @@
+package scheduling
+
+import "math/rand/v2"
+
+// roundRobin takes the engines in turn.
+type roundRobin struct {
+	next int
+}
+
+func (p *roundRobin) pick(candidates []*reported) *reported {
+	p.next++
+	return candidates[p.next%len(candidates)]
+}
+
+// leastLoad takes the engine with the least reported load, in turn if several
+// report the same.
+type leastLoad struct {
+	first int
+}
+
+func (p *leastLoad) pick(candidates []*reported) *reported {
+	p.first++
+	best := candidates[p.first%len(candidates)]
+	for i := range candidates {
+		e := candidates[(p.first+i)%len(candidates)]
+		if e.reportedLoad() < best.reportedLoad() {
+			best = e
+		}
+	}
+	return best
+}
+
+// twoChoices takes the less loaded of two random engines. It adds its own
+// grants since the last report to the reported load.
+type twoChoices struct {
+	random *rand.Rand
+}
+
+func newTwoChoices(seed uint64) twoChoices {
+	return twoChoices{random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+func (p twoChoices) pick(candidates []*reported) *reported {
+	x := candidates[p.random.IntN(len(candidates))]
+	y := candidates[p.random.IntN(len(candidates))]
+	if y.reportedLoad()+y.sent < x.reportedLoad()+x.sent {
+		return y
+	}
+	return x
+}
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -116,7 +116,7 @@
 	c.counters.Released++
 	c.slotTime.observe(now.Sub(h.granted))
 	if !h.decodeStart.IsZero() && p.Tokens > 1 {
-		c.predict.observeOutput(h.key, p.Tokens, h.outputTokens)
+		c.predict.lengths(h.key).observe(p.Tokens, h.outputTokens)
 		steps := time.Duration(p.Tokens - 1)
 		interval := c.predict.modelInterval(h.decode.slotsHeld)
 		h.decode.decodeRatio.observe(now.Sub(h.decodeStart), steps*interval)
--- /dev/null
+++ b/internal/scheduling/output_lengths.go
@@ -0,0 +1,72 @@
+package scheduling
+
+const (
+	// lengthBins is the resolution of the distribution of answer lengths.
+	lengthBins = 32
+	// lengthDecay is the weight that older answers keep with each new one.
+	lengthDecay = 0.98
+)
+
+// outputLengths is the distribution of answer lengths of a class as a part of
+// the permitted length. Until answers were seen they count as full length.
+type outputLengths struct {
+	// bins[i] is the weight of lengths in (i/lengthBins, (i+1)/lengthBins].
+	bins  [lengthBins]float64
+	total float64
+}
+
+func newOutputLengths() *outputLengths {
+	o := &outputLengths{total: 1}
+	o.bins[lengthBins-1] = 1
+	return o
+}
+
+// observe adds an answer's length.
+func (o *outputLengths) observe(tokens, limit int) {
+	if tokens <= 0 || limit <= 0 {
+		return
+	}
+	bin := min((tokens*lengthBins-1)/limit, lengthBins-1)
+	for i := range o.bins {
+		o.bins[i] *= lengthDecay
+	}
+	o.total = o.total*lengthDecay + 1
+	o.bins[bin]++
+}
+
+// mean returns the mean part of the permitted length.
+func (o *outputLengths) mean() float64 {
+	sum := 0.0
+	for i, weight := range o.bins {
+		sum += weight * (float64(i) + 1) / lengthBins
+	}
+	return sum / o.total
+}
+
+// longerThan returns the share of answers longer than a part of the permitted
+// length.
+func (o *outputLengths) longerThan(part float64) float64 {
+	if part <= 0 {
+		return 1
+	}
+	position := part * lengthBins
+	first := int(position)
+	if first >= lengthBins {
+		return 0
+	}
+	sum := o.bins[first] * (1 - (position - float64(first)))
+	for i := first + 1; i < lengthBins; i++ {
+		sum += o.bins[i]
+	}
+	return sum / o.total
+}
+
+// endsWithin returns the probability that an answer which has reached a part
+// of the permitted length ends before a later part.
+func (o *outputLengths) endsWithin(reached, later float64) float64 {
+	alive := o.longerThan(reached)
+	if alive < 1e-6 {
+		return 1
+	}
+	return 1 - o.longerThan(later)/alive
+}
--- a/internal/scheduling/overlap.go
+++ b/internal/scheduling/overlap.go
@@ -7,8 +7,13 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 )
 
-// overlapPerEngine bounds the promised slots of one decode engine.
-const overlapPerEngine = 2
+const (
+	// overlapPerEngine bounds the promised slots of one decode engine.
+	overlapPerEngine = 4
+	// equalWaste is the share of the waste weight from which on a demand
+	// starts only with a slot in hand.
+	equalWaste = 0.5
+)
 
 // wasteShare returns the weight of wasted prefill between 0 and 1.
 func wasteShare(w configuration.Weights) float64 {
@@ -21,32 +26,31 @@
 
 // overlapAllowed reports whether a prefill may start before its decode slot is
 // free. A demand that weighs waste at least as much as goodput never does.
-func overlapAllowed(w configuration.Weights) bool { return wasteShare(w) < 0.5 }
+func overlapAllowed(w configuration.Weights) bool { return wasteShare(w) < equalWaste }
 
-// chooseOverlap chooses a full decode engine on which a slot is predicted to be
-// free when the prefill ends.
-func (c *Coordinator) chooseOverlap(now time.Time, d *Demand, p *placement) bool {
-	var best time.Duration
+// chooseOverlap chooses a full decode engine on which a slot is most probably
+// free between the end of the prefill and the eviction of its KV cache.
+func (c *Coordinator) chooseOverlap(now time.Time, w *waiter, p *placement) bool {
+	best := c.acceptableRisk(w.demand.Weights, p)
+	var bestTransfer time.Duration
 	for _, a := range c.pool.decode {
-		if !c.overlapPossible(a, d) {
-			continue
-		}
-		free, ok := c.slotFreeIn(now, a, wasteShare(d.Weights))
-		if !ok || free > p.prefillEnd.Sub(now) {
+		if !c.overlapPossible(a, &w.demand) {
 			continue
 		}
-		if _, ok := c.transferTime(p, a, d.PromptTokens); !ok {
+		transfer, ok := c.transferTime(p, a, w.demand.PromptTokens)
+		if !ok {
 			continue
 		}
-		if p.decode == nil || free < best {
-			p.decode, best = a, free
+		horizon := c.latestSlot(w, p, a, transfer).Sub(now)
+		risk := c.riskOfNoSlot(now, a, horizon)
+		if risk < best {
+			p.decode, best, bestTransfer = a, risk, transfer
 		}
 	}
 	if p.decode == nil {
 		return false
 	}
-	t, _ := c.transferTime(p, p.decode, d.PromptTokens)
-	p.transferEnd = p.prefillEnd.Add(t)
+	p.transferEnd = p.prefillEnd.Add(bestTransfer)
 	p.promised = true
 	return true
 }
@@ -67,37 +71,68 @@
 	return a.Pieces == 0 || need <= a.Pieces
 }
 
-// slotFreeIn returns the time until the engine has a slot beyond those already
-// promised. The margin grows with the weight of wasted prefill.
-func (c *Coordinator) slotFreeIn(now time.Time, a *account, waste float64) (time.Duration, bool) {
-	short := -a.freeSlots()
-	if short < 0 {
-		return 0, false
+// acceptableRisk returns the probability of a wasted prefill up to which an
+// early start pays. An early start saves the slot's idle time during the
+// prefill, which is worth that part of a request; a failure wastes the prefill.
+func (c *Coordinator) acceptableRisk(weights configuration.Weights, p *placement) float64 {
+	if c.slotTime.mean <= 0 {
+		return 0
+	}
+	saved := min(1, p.work.Seconds()/c.slotTime.mean.Seconds())
+	waste := wasteShare(weights)
+	return min(maxOverlapRisk, (1-waste)*saved*(1-waste/equalWaste))
+}
+
+// latestSlot returns the last moment at which the decode slot may become free.
+func (c *Coordinator) latestSlot(w *waiter, p *placement, a *account, transfer time.Duration) time.Time {
+	keep := seconds(c.settings.Model.KVRetention.D().Seconds()*retentionShare) - transfer
+	latest := p.prefillEnd.Add(max(0, keep))
+	if target := w.demand.Targets.FirstToken.D(); target > 0 {
+		step := c.predict.tokenInterval(a, a.slotsHeld)
+		deadline := w.arrival.Add(target - safety(target) - transfer - step)
+		if deadline.Before(latest) {
+			return deadline
+		}
 	}
-	var ends []time.Duration
+	return latest
+}
+
+// riskOfNoSlot returns the probability that fewer decodes end within a time
+// than are needed for all promised slots and one more.
+func (c *Coordinator) riskOfNoSlot(now time.Time, a *account, horizon time.Duration) float64 {
+	need := 1 - a.freeSlots()
+	if need < 1 || need > overlapPerEngine || horizon <= 0 {
+		return 1
+	}
+	// fewer[k] is the probability that exactly k decodes end, for k < need.
+	var fewer [overlapPerEngine]float64
+	fewer[0] = 1
 	for _, h := range a.held {
-		if h.phase == PhaseDecode && !h.promised {
-			ends = append(ends, c.decodeLeft(now, h))
+		if h.phase != PhaseDecode {
+			continue
+		}
+		ends := c.endsWithin(now, h, horizon)
+		for k := need - 1; k > 0; k-- {
+			fewer[k] = fewer[k]*(1-ends) + fewer[k-1]*ends
 		}
+		fewer[0] *= 1 - ends
 	}
-	if short >= len(ends) {
-		return 0, false
+	risk := 0.0
+	for _, probability := range fewer[:need] {
+		risk += probability
 	}
-	slices.Sort(ends)
-	left := ends[short]
-	return left + overlapMargin + seconds(2*waste*left.Seconds()), true
+	return risk
 }
 
-// decodeLeft returns the predicted time to the end of a decode.
-func (c *Coordinator) decodeLeft(now time.Time, h *holding) time.Duration {
+// endsWithin returns the probability that a decode ends within a time.
+func (c *Coordinator) endsWithin(now time.Time, h *holding, horizon time.Duration) float64 {
 	interval := c.predict.tokenInterval(h.decode, h.decode.slotsHeld)
-	if interval <= 0 {
+	if interval <= 0 || h.outputTokens <= 0 {
 		return 0
 	}
+	limit := float64(h.outputTokens)
 	delivered := float64(h.delivered) + float64(now.Sub(h.deliveredAt))/float64(interval)
-	left := c.predict.expectedOutput(h.key, h.outputTokens) - delivered
-	if left < 0 {
-		left = max(0, float64(h.outputTokens)-delivered) / 2
-	}
-	return time.Duration(left * float64(interval))
+	delivered = min(delivered, limit)
+	later := delivered + float64(horizon)/float64(interval)
+	return c.predict.lengths(h.key).endsWithin(delivered/limit, later/limit)
 }
--- a/internal/scheduling/placement.go
+++ b/internal/scheduling/placement.go
@@ -32,7 +32,7 @@
 	if !overlapAllowed(w.demand.Weights) {
 		return placement{}, false
 	}
-	if c.chooseOverlap(now, &w.demand, &p) {
+	if c.chooseOverlap(now, w, &p) {
 		return p, c.inTime(w, &p)
 	}
 	return placement{}, false
@@ -45,7 +45,7 @@
 		return true
 	}
 	first := p.transferEnd.Add(c.predict.tokenInterval(p.decode, p.decode.slotsHeld+1))
-	return !first.After(w.arrival.Add(target))
+	return !first.After(w.arrival.Add(target - safety(target)))
 }
 
 // choosePrefill chooses the engine that finishes the prefill first, cached
--- /dev/null
+++ b/internal/scheduling/policy_table_test.go
@@ -0,0 +1,139 @@
+package scheduling
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+var (
+	wasteWeights   = configuration.Weights{Goodput: 1, WastedPrefill: 4}
+	goodputWeights = configuration.Weights{Goodput: 4, WastedPrefill: 1}
+
+	dossiers = shape{
+		name: "dossiers", prefills: 15, decodes: 5, rate: 20_000, slowdown: 1,
+		promptMin: 8000, promptMax: 30_000, output: 300, weights: wasteWeights,
+		targets: configuration.Targets{
+			FirstToken:    configuration.Duration(20 * time.Second),
+			BetweenTokens: configuration.Duration(60 * time.Millisecond),
+		},
+	}
+	shortPrompts = shape{
+		name: "short", prefills: 13, decodes: 7, rate: 4000, slowdown: 1,
+		promptMin: 200, promptMax: 2000, output: 150, weights: goodputWeights,
+		targets: configuration.Targets{
+			FirstToken:    configuration.Duration(1500 * time.Millisecond),
+			BetweenTokens: configuration.Duration(50 * time.Millisecond),
+		},
+	}
+)
+
+// result sums up one run.
+type result struct {
+	offered, good, goodRate float64
+	wasted                  float64
+	refused, late           int
+	p50, p95                time.Duration
+}
+
+func (s *poolSim) result(warmUp, length time.Duration) result {
+	var res result
+	var waits []time.Duration
+	wasted := 0
+	for _, r := range s.requests {
+		if s.good(r) && r.end >= warmUp && r.end < length {
+			res.goodRate += 1 / (length - warmUp).Seconds()
+		}
+		if r.firstToken == 0 {
+			wasted += r.spent
+		} else {
+			wasted += r.spent - r.demand.PromptTokens
+		}
+		if r.arrival < warmUp {
+			continue
+		}
+		res.offered++
+		if r.refused {
+			res.refused++
+			continue
+		}
+		if r.firstToken > 0 {
+			waits = append(waits, r.firstToken-r.arrival)
+		}
+		if s.good(r) {
+			res.good++
+		} else {
+			res.late++
+		}
+	}
+	slices.Sort(waits)
+	if len(waits) > 0 {
+		res.p50, res.p95 = waits[len(waits)/2], waits[len(waits)*95/100]
+	}
+	res.wasted = float64(wasted) / float64(max(1, s.computed))
+	return res
+}
+
+// good reports whether a request met both targets.
+func (s *poolSim) good(r *simRequest) bool {
+	if r.firstToken == 0 || r.end == 0 {
+		return false
+	}
+	between := (r.end - r.firstToken) / time.Duration(max(1, r.tokens-1))
+	return r.firstToken-r.arrival <= r.demand.Targets.FirstToken.D() && between <= r.demand.Targets.BetweenTokens.D()
+}
+
+const (
+	tableLength = 3 * time.Minute
+	tableWarmUp = time.Minute
+	tableSeed   = 11
+)
+
+func TestPolicyTable(t *testing.T) {
+	for _, sh := range []shape{dossiers, shortPrompts} {
+		t.Logf("%s: capacity %.1f requests/s", sh.name, sh.capacity())
+		byLoad := map[float64]map[string]result{}
+		for _, load := range []float64{0.5, 0.8, 1.0, 1.3, 2.0} {
+			byLoad[load] = map[string]result{}
+			for _, name := range PolicyNames() {
+				res := runPool(name, sh, load, tableLength, tableSeed).result(tableWarmUp, tableLength)
+				byLoad[load][name] = res
+				t.Logf("%-8s %.1f %-12s offered %5.0f good %5.0f (%4.1f%%, %5.2f/s) wasted %5.2f%% refused %5d late %5d first token p50 %6.0f ms p95 %6.0f ms",
+					sh.name, load, name, res.offered, res.good, 100*res.good/res.offered, res.goodRate, 100*res.wasted,
+					res.refused, res.late, res.p50.Seconds()*1000, res.p95.Seconds()*1000)
+			}
+			assert.Check(t, byLoad[load][PolicyReservation].wasted < 0.01, "%s at %.1f", sh.name, load)
+		}
+		checkGoals(t, sh, byLoad)
+	}
+}
+
+func checkGoals(t *testing.T, sh shape, byLoad map[float64]map[string]result) {
+	t.Helper()
+	ours := byLoad[1.0][PolicyReservation]
+	best := 0.0
+	for _, name := range PolicyNames() {
+		if name != PolicyReservation {
+			best = max(best, byLoad[1.0][name].good)
+		}
+	}
+	assert.Check(t, ours.good >= 1.5*best || ours.good >= 0.95*ours.offered, "%s at capacity", sh.name)
+	assert.Check(t, byLoad[2.0][PolicyReservation].goodRate >= 0.95*ours.goodRate, "%s at twice the capacity", sh.name)
+}
+
+func TestWeightsTradeGoodputForWaste(t *testing.T) {
+	for _, sh := range []shape{dossiers, shortPrompts} {
+		for _, load := range []float64{0.8, 1.0, 1.3, 2.0} {
+			sh.weights = wasteWeights
+			careful := runPool(PolicyReservation, sh, load, tableLength, tableSeed).result(tableWarmUp, tableLength)
+			sh.weights = goodputWeights
+			eager := runPool(PolicyReservation, sh, load, tableLength, tableSeed).result(tableWarmUp, tableLength)
+			t.Logf("%-8s %.1f waste-weighted %5.2f/s wasted %.3f%%, goodput-weighted %5.2f/s wasted %.3f%%",
+				sh.name, load, careful.goodRate, 100*careful.wasted, eager.goodRate, 100*eager.wasted)
+		}
+	}
+}
--- a/internal/scheduling/predictor.go
+++ b/internal/scheduling/predictor.go
@@ -42,14 +42,12 @@
 
 // predictor turns the model's figures and the engines' corrections into times.
 type predictor struct {
-	model configuration.Model
-	// outputShare is the usual part of the permitted output that is produced,
-	// by class.
-	outputShare map[classKey]*ewma
+	model   configuration.Model
+	outputs map[classKey]*outputLengths
 }
 
 func newPredictor(model configuration.Model) *predictor {
-	return &predictor{model: model, outputShare: make(map[classKey]*ewma)}
+	return &predictor{model: model, outputs: make(map[classKey]*outputLengths)}
 }
 
 // prefill returns the time to prefill uncached tokens on an engine.
@@ -99,26 +97,14 @@
 	return 1 + int(spare/per)
 }
 
-// expectedOutput returns the tokens that a demand of a class usually yields.
-func (p *predictor) expectedOutput(key classKey, limit int) float64 {
-	e, ok := p.outputShare[key]
+// lengths returns the distribution of a class's answer lengths.
+func (p *predictor) lengths(key classKey) *outputLengths {
+	o, ok := p.outputs[key]
 	if !ok {
-		return float64(limit)
+		o = newOutputLengths()
+		p.outputs[key] = o
 	}
-	return float64(limit) * min(1, e.ratio())
-}
-
-// observeOutput records the length of a finished answer.
-func (p *predictor) observeOutput(key classKey, tokens, limit int) {
-	if tokens <= 0 || limit <= 0 {
-		return
-	}
-	e, ok := p.outputShare[key]
-	if !ok {
-		e = &ewma{}
-		p.outputShare[key] = e
-	}
-	e.observe(time.Duration(tokens), time.Duration(limit))
+	return o
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/scheduling/settings.go
+++ b/internal/scheduling/settings.go
@@ -10,8 +10,8 @@
 type Settings struct {
 	// Model gives the figures that predictions start from.
 	Model configuration.Model
-	// Zone is the availability zone of the engines.
-	Zone string
+	// Seed makes random choices repeatable; only baselines make any.
+	Seed uint64
 }
 
 const (
@@ -32,9 +32,16 @@
 	prefillLead = 30 * time.Millisecond
 	// retentionShare is the part of the KV retention that a transfer may take.
 	retentionShare = 0.8
-	// overlapMargin is the least time between the predicted end of a decode
-	// and the moment at which its slot must be free.
-	overlapMargin = 20 * time.Millisecond
+	// maxOverlapRisk bounds the probability of a wasted prefill that an early
+	// start takes, whatever the weights.
+	maxOverlapRisk = 0.05
+	// admissionShare is the part of the time up to the latest start that the
+	// predicted wait of a new demand may take; the rest covers its error.
+	admissionShare = 0.85
+	// targetSafetyShare and targetSafetyMax give the part of a target that is
+	// kept for message delays.
+	targetSafetyShare = 0.01
+	targetSafetyMax   = 50 * time.Millisecond
 	// agingStep is the wait after which a demand is served one priority higher.
 	agingStep = 5 * time.Second
 	// bypassLimit is how long the first demand in order may be passed by
@@ -48,3 +55,8 @@
 	minRetryAfter      = 50 * time.Millisecond
 	noEngineRetryAfter = time.Second
 )
+
+// safety returns the part of a target that is kept for message delays.
+func safety(target time.Duration) time.Duration {
+	return min(seconds(target.Seconds()*targetSafetyShare), targetSafetyMax)
+}
