--- /dev/null
+++ b/api/generate.go
@@ -0,0 +1,6 @@
+// Package api holds the protocols between the system's own processes. The
+// generated code is committed; "go generate ./api" makes it anew with protoc,
+// protoc-gen-go and protoc-gen-connect-go in PATH.
+package api
+
+//go:generate protoc -I .. --go_out=.. --go_opt=module=github.com/ospreyshed/ospreyshed --connect-go_out=.. --connect-go_opt=module=github.com/ospreyshed/ospreyshed ../api/timeline/v1/timeline.proto
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -4,6 +4,7 @@
 func commands() []command {
 	return []command{
 		questionnaireCommand,
+		timelineCommand,
 		versionCommand,
 	}
 }
--- /dev/null
+++ b/internal/cli/timeline.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+	"github.com/ospreyshed/ospreyshed/internal/timeline/timelinerpc"
+)
+
+// followInterval is the time between two reads of "timeline --follow".
+const followInterval = 500 * time.Millisecond
+
+var timelineCommand = command{
+	name:  "timeline",
+	short: "Show the merged time line of entry VMs",
+	long: "Reads the events that entry VMs keep and prints them in one order. " +
+		"Exits with 1 if an entry VM could not be read; the events of the others are printed.",
+	new: func(b base) flags.Commander { return &timelineOptions{base: b} },
+}
+
+type timelineOptions struct {
+	base
+	peerFlags
+	VMs     []string `long:"vm" value-name:"ADDRESS" required:"yes" description:"address for peers of an entry VM, IP number and port; may be given several times"`
+	Request string   `long:"request" value-name:"ID" description:"show only the events of this request and its attempts"`
+	JSON    bool     `long:"json" description:"print one JSON object per event"`
+	Follow  bool     `long:"follow" description:"go on printing new events until interrupted"`
+}
+
+// Execute implements flags.Commander.
+func (o *timelineOptions) Execute(rest []string) error {
+	if err := noArguments(rest); err != nil {
+		return err
+	}
+	dialer, err := o.dialer()
+	if err != nil {
+		return err
+	}
+	readers := o.readers(dialer)
+	if !o.Follow {
+		return o.printOnce(readers)
+	}
+	return o.follow(readers)
+}
+
+func (o *timelineOptions) readers(dialer peer.Dialer) []*timelinerpc.Reader {
+	readers := make([]*timelinerpc.Reader, len(o.VMs))
+	for i, address := range o.VMs {
+		readers[i] = timelinerpc.NewReader(dialer, address, o.Request)
+	}
+	return readers
+}
+
+// timelineRead is the outcome of reading one entry VM.
+type timelineRead struct {
+	address string
+	batch   timeline.Batch
+	err     error
+}
+
+// printOnce prints what all readers yield and returns an error if one failed.
+func (o *timelineOptions) printOnce(readers []*timelinerpc.Reader) error {
+	reads := readAll(o.ctx, readers)
+	if err := o.print(reads); err != nil {
+		return err
+	}
+	failed := o.printNotes(reads)
+	if failed > 0 {
+		return fmt.Errorf("%d of %d entry VMs could not be read", failed, len(reads))
+	}
+	return nil
+}
+
+// follow prints new events until the context is done.
+func (o *timelineOptions) follow(readers []*timelinerpc.Reader) error {
+	ticker := time.NewTicker(followInterval)
+	defer ticker.Stop()
+	for {
+		reads := readAll(o.ctx, readers)
+		if err := o.print(reads); err != nil {
+			return err
+		}
+		if o.ctx.Err() != nil {
+			return nil
+		}
+		o.printNotes(reads)
+		select {
+		case <-o.ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// readAll reads all entry VMs at the same time.
+func readAll(ctx context.Context, readers []*timelinerpc.Reader) []timelineRead {
+	reads := make([]timelineRead, len(readers))
+	var group sync.WaitGroup
+	for i, reader := range readers {
+		group.Go(func() {
+			batch, err := reader.Read(ctx)
+			reads[i] = timelineRead{address: reader.Address(), batch: batch, err: err}
+		})
+	}
+	group.Wait()
+	return reads
+}
+
+// print prints all events in one order.
+func (o *timelineOptions) print(reads []timelineRead) error {
+	var events []timeline.Event
+	for i := range reads {
+		events = append(events, reads[i].batch.Events...)
+	}
+	merged := timeline.Merge(events)
+	if o.JSON {
+		return timeline.WriteJSON(o.streams.Out, merged)
+	}
+	return timeline.WriteText(o.streams.Out, merged)
+}
+
+// printNotes names failures and dropped events on standard error and returns
+// the number of failures.
+func (o *timelineOptions) printNotes(reads []timelineRead) int {
+	failed := 0
+	for i := range reads {
+		read := &reads[i]
+		if read.batch.Dropped > 0 {
+			_, _ = fmt.Fprintf(o.streams.Err, "%s: %d events were overwritten before they were read\n",
+				read.address, read.batch.Dropped)
+		}
+		if read.err != nil {
+			_, _ = fmt.Fprintf(o.streams.Err, "%s: %s\n", read.address, read.err)
+			failed++
+		}
+	}
+	return failed
+}
