--- /dev/null
+++ b/internal/metrics/fields.go
@@ -0,0 +1,56 @@
+package metrics
+
+import (
+	"expvar"
+	"fmt"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"unicode"
+)
+
+// Fields publishes the fields of a struct of type atomic.Int64 or atomic.Uint64
+// by their names in snake case. The argument is a pointer to the struct. It
+// panics if a field is of another type.
+func Fields(counters any) *expvar.Map {
+	values := new(expvar.Map)
+	v := reflect.ValueOf(counters).Elem()
+	for i := range v.NumField() {
+		name := snakeCase(v.Type().Field(i).Name)
+		switch field := v.Field(i).Addr().Interface().(type) {
+		case *atomic.Int64:
+			values.Set(name, expvar.Func(func() any { return field.Load() }))
+		case *atomic.Uint64:
+			values.Set(name, expvar.Func(func() any { return field.Load() }))
+		default:
+			panic(fmt.Sprintf("metrics: field %s is no atomic integer", v.Type().Field(i).Name))
+		}
+	}
+	return values
+}
+
+// Snapshot publishes the integer fields of a struct by their names in snake
+// case. The function read returns the current struct and is safe for concurrent
+// use.
+func Snapshot[T any](read func() T) *expvar.Map {
+	values := new(expvar.Map)
+	t := reflect.TypeFor[T]()
+	for i := range t.NumField() {
+		values.Set(snakeCase(t.Field(i).Name), expvar.Func(func() any {
+			return reflect.ValueOf(read()).Field(i).Interface()
+		}))
+	}
+	return values
+}
+
+// snakeCase converts a Go name such as "InFlight" to "in_flight".
+func snakeCase(name string) string {
+	var b strings.Builder
+	for i, r := range name {
+		if unicode.IsUpper(r) && i > 0 {
+			b.WriteByte('_')
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -1,6 +1,7 @@
 package timeline
 
 import (
+	"expvar"
 	"math/bits"
 	"sync/atomic"
 	"time"
@@ -146,3 +147,11 @@
 		b.Events = append(b.Events, *event)
 	}
 }
+
+// Metrics returns the counters of the ring.
+func (r *Ring) Metrics() *expvar.Map {
+	values := new(expvar.Map)
+	values.Set("recorded", expvar.Func(func() any { return r.last.Load() }))
+	values.Set("dropped", expvar.Func(func() any { return r.Dropped() }))
+	return values
+}
