--- a/internal/questionnaire/questionnaire_test.go
+++ b/internal/questionnaire/questionnaire_test.go
@@ -61,8 +61,8 @@
 	golden.Assert(t, string(text)+"\n", "base.bundle.json")
 }
 
-// TestUnreachablePromises changes one answer of base at a time.
-func TestUnreachablePromises(t *testing.T) {
+// TestFindings changes one answer of base at a time.
+func TestFindings(t *testing.T) {
 	for _, test := range []struct{ name, from, to, want string }{
 		{"never repeated without key rule", `"key": "required", `, ``,
 			`base.json:20: teams[0].classes[2].key: required: a class that may never be repeated`},
@@ -88,6 +88,20 @@
 			`a model-backed class must be "repeatable"`},
 		{"overflowing number of tokens", `"service": "drafting",`, `"service": "drafting", "max_prompt_tokens": 9223372036854775807,`,
 			`must be from 1 to 100000000`},
+		{"link of a zone with itself", `"format": 1,`, `"format": 1, "links": [{"from": "zone-a", "to": "zone-a"}],`,
+			`links[0].to: a link joins two different availability zones`},
+		{"link without a zone", `"format": 1,`, `"format": 1, "links": [{"from": "zone-a"}],`, `links[0].to: required`},
+		{"port 0", `"10.0.0.1:7400"`, `"10.0.0.1:0"`, `zones[0].entry_vms[0].address: the port must not be 0`},
+		{"no name", `"name": "zone-a", `, ``, `zones[0].name: required`},
+		{"plain class on a model's path", `"/x/*"`, `"/v1/completions"`, `/v1/completions is for model-backed classes`},
+		{"wildcard inside a path", `"/x/*"`, `"/x/*/y"`, `"/*" may only stand at its end`},
+		{"plain class without path", `"path": "/x/*", `, ``, `classes[1].path: required for a plain class`},
+		{"tokens of a plain class", `"path": "/x/*",`, `"path": "/x/*", "max_prompt_tokens": 1,`, `are for model-backed classes only`},
+		{"negative delay", `"format": 1,`, `"format": 1, "zone_link": {"one_way_delay": "-1s"},`, `zone_link.one_way_delay: must not be negative, is -1s`},
+		{"clock skew beyond the key window", `"format": 1,`, `"format": 1, "times": {"clock_skew": "5h"},`,
+			`times.clock_skew: 5h0m0s is not below key_window, which is 4h0m0s`},
+		{"between tokens beyond whole answer", `"100ms"}`, `"30s", "whole_answer": "20s"}`,
+			`between_tokens: 30s contradicts whole_answer, which is 20s`},
 		{"huge pool", `"count": 2`, `"count": 2000000000`, `a pool has at most 10000 endpoints`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
