--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -4,5 +4,6 @@
 func commands() []command {
 	return []command{
 		versionCommand,
+		standinCommand,
 	}
 }
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -10,8 +10,8 @@
 func TestAnswerIsWholeAndItsOwn(t *testing.T) {
 	p := startPair(t, unchanged)
 	prompt := strings.Repeat("entry dossier ", 200)
-	response := p.startDecode(t.Context(), "vm-1.1.1.1", prompt)
-	events, done := readEvents(t, response.Body)
+	body := p.startDecode(t.Context(), "vm-1.1.1.1", prompt)
+	events, done := readEvents(t, body)
 	answer := NewAnswer(prompt, Range{Min: 20, Max: 40}, 100)
 	assert.Assert(t, done)
 	assert.Equal(t, text(events), answer.Text())
--- a/internal/standin/engine/fixture_test.go
+++ b/internal/standin/engine/fixture_test.go
@@ -94,11 +94,20 @@
 }
 
 // startDecode prefills a prompt and opens its stream.
-func (p *pair) startDecode(ctx context.Context, id, prompt string) *http.Response {
+func (p *pair) startDecode(ctx context.Context, id, prompt string) io.ReadCloser {
 	answer := p.runPrefill(id, prompt)
 	response, err := p.post(ctx, p.decode, "/v1/completions", id, decodeCall(prompt, answer.KV))
 	assert.NilError(p.t, err)
-	return response
+	assert.Equal(p.t, response.StatusCode, http.StatusOK)
+	return response.Body
+}
+
+// status posts a body and returns the status of the answer.
+func (p *pair) status(server *Server, path, id string, body any) int {
+	response, err := p.post(p.t.Context(), server, path, id, body)
+	assert.NilError(p.t, err)
+	assert.NilError(p.t, response.Body.Close())
+	return response.StatusCode
 }
 
 // event is one event of a stream.
