--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// unknownAttempt is the id in a crossed answer when no other attempt runs.
+const unknownAttempt = "unknown.1.1.1"
+
 // importKV waits for a slot, takes the KV cache from its prefill engine and
 // moves it over the link. It returns an Evicted error if there is no such
 // cache and a Cancelled error if the attempt ended before.
@@ -12,7 +15,8 @@
 	if !await(ctx, e, a, a.ready) {
 		return Cancelled.New("attempt %s ended in the queue", a.id)
 	}
-	export, err := e.takeKV(ctx, source, a.promptHash)
+	// A closed connection must not lose the answer, which the accounting needs.
+	export, err := e.takeKV(context.WithoutCancel(ctx), source, a.promptHash)
 	if err != nil {
 		e.refuseEvicted(a)
 		return err
@@ -161,15 +165,19 @@
 	}
 }
 
-// otherAttempt returns an attempt other than a, one that does not exist if
-// there is none.
+// otherAttempt returns the oldest attempt other than a, one that does not exist
+// if there is none.
 func (e *Engine) otherAttempt(a *attempt) *attempt {
+	var oldest *attempt
 	for _, other := range e.attempts {
-		if other != a {
-			return other
+		if other != a && (oldest == nil || other.arrival < oldest.arrival) {
+			oldest = other
 		}
 	}
-	return &attempt{id: "unknown.1.1.1", answer: NewAnswer("unknown", e.options.OutputTokens, 0)}
+	if oldest == nil {
+		return &attempt{id: unknownAttempt, answer: NewAnswer(unknownAttempt, e.options.OutputTokens, 0)}
+	}
+	return oldest
 }
 
 // crossed draws whether the next event of a stream is preceded or replaced by
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -233,6 +233,11 @@
 
 func (e *Engine) crash() {
 	e.counts.Crashes++
+	e.reset()
+}
+
+// reset ends all attempts and forgets all that is in memory.
+func (e *Engine) reset() {
 	// Queues are emptied first, so that no release starts a queued attempt.
 	e.prefillQueue, e.decodeQueue = nil, nil
 	for _, a := range slices.Collect(maps.Values(e.attempts)) {
@@ -241,7 +246,7 @@
 	e.ended = newRecent[string, cause]()
 	e.cancelledIncarnations = newRecent[incarnation, struct{}]()
 	e.cache.clear()
-	e.addEvent(EventCleared, nil)
+	e.addEvent(EventCleared, []string{})
 }
 
 // addEvent records a cache event unless there is nothing to record.
@@ -300,7 +305,7 @@
 	if !e.closed {
 		e.closed = true
 		close(e.stopped)
-		e.crash()
+		e.reset()
 		e.state.stop()
 	}
 	e.mu.Unlock()
--- a/internal/standin/engine/fixture_test.go
+++ b/internal/standin/engine/fixture_test.go
@@ -71,14 +71,19 @@
 	return p.client.Do(request)
 }
 
-// runPrefill prefills a prompt and returns the answer.
-func (p *pair) runPrefill(id, prompt string) prefillAnswer {
-	response, err := p.post(p.t.Context(), p.prefill, "/v1/completions", id, prefillCall(prompt))
+// postJSON posts a body and decodes the answer, whose status has to be 200.
+func (p *pair) postJSON(server *Server, path, id string, body, target any) {
+	response, err := p.post(p.t.Context(), server, path, id, body)
 	assert.NilError(p.t, err)
 	defer func() { _ = response.Body.Close() }()
 	assert.Equal(p.t, response.StatusCode, http.StatusOK)
+	assert.NilError(p.t, json.NewDecoder(response.Body).Decode(target))
+}
+
+// runPrefill prefills a prompt and returns the answer.
+func (p *pair) runPrefill(id, prompt string) prefillAnswer {
 	var answer prefillAnswer
-	assert.NilError(p.t, json.NewDecoder(response.Body).Decode(&answer))
+	p.postJSON(p.prefill, "/v1/completions", id, prefillCall(prompt), &answer)
 	return answer
 }
 
@@ -95,8 +100,13 @@
 
 // startDecode prefills a prompt and opens its stream.
 func (p *pair) startDecode(ctx context.Context, id, prompt string) io.ReadCloser {
-	answer := p.runPrefill(id, prompt)
-	response, err := p.post(ctx, p.decode, "/v1/completions", id, decodeCall(prompt, answer.KV))
+	kv := p.runPrefill(id, prompt).KV
+	return p.open(ctx, "/v1/completions", id, decodeCall(prompt, kv))
+}
+
+// open opens a stream of the decode engine.
+func (p *pair) open(ctx context.Context, path, id string, body call) io.ReadCloser {
+	response, err := p.post(ctx, p.decode, path, id, body)
 	assert.NilError(p.t, err)
 	assert.Equal(p.t, response.StatusCode, http.StatusOK)
 	return response.Body
@@ -110,6 +120,17 @@
 	return response.StatusCode
 }
 
+// decodeJSON calls a path without a body and decodes the answer.
+func (p *pair) decodeJSON(server *Server, method, path string, status int, target any) {
+	request, err := http.NewRequestWithContext(p.t.Context(), method, "http://"+server.Addr()+path, nil)
+	assert.NilError(p.t, err)
+	response, err := p.client.Do(request)
+	assert.NilError(p.t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(p.t, response.StatusCode, status)
+	assert.NilError(p.t, json.NewDecoder(response.Body).Decode(target))
+}
+
 // event is one event of a stream.
 type event struct {
 	ID         string `json:"id"`
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -1,8 +1,6 @@
 package engine
 
-import (
-	"time"
-)
+import "time"
 
 // keptKV is the KV cache of a finished prefill that waits for its export.
 type keptKV struct {
--- /dev/null
+++ b/internal/standin/engine/stress_test.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// TestNothingIsHeldAfterConcurrentWork runs many attempts, of which some are
+// cancelled or closed at random stages while the engine crashes now and then,
+// and checks that each whole answer is its own and that all memory is free.
+func TestNothingIsHeldAfterConcurrentWork(t *testing.T) {
+	p := startPair(t, func(prefill, decode *Options) {
+		prefill.QueueLimit, decode.QueueLimit = 50, 50
+		decode.Slots = 4
+		decode.MemoryPieces = 30
+		prefill.KVRetention = configuration.Duration(50 * time.Millisecond)
+	})
+	var group sync.WaitGroup
+	for worker := range uint64(8) {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(1, worker))
+			for request := range 20 {
+				p.oneRequest(random, fmt.Sprintf("vm-%d.1.%d.1", worker, request))
+			}
+		})
+	}
+	group.Wait()
+	for _, server := range []*Server{p.prefill, p.decode} {
+		eventually(t, server.Engine, "nothing held", func(c Counts) bool {
+			return c.PiecesHeld == 0 && c.Active+c.Importing+c.Queued+c.Kept == 0
+		})
+	}
+	assert.Assert(t, p.decode.Counts().AnswersFinished > 0)
+}
+
+// oneRequest runs a request and gives it up at a random time.
+func (p *pair) oneRequest(random *rand.Rand, id string) {
+	ctx, cancel := context.WithTimeout(p.t.Context(), time.Duration(random.IntN(100))*time.Millisecond)
+	defer cancel()
+	switch random.IntN(10) {
+	case 0:
+		p.decode.Crash()
+	case 1:
+		p.cancel(p.decode, id)
+	}
+	prefilled, ok := p.tryPrefill(ctx, id)
+	if !ok {
+		return
+	}
+	response, err := p.post(ctx, p.decode, "/v1/completions", id, decodeCall(id, prefilled.KV))
+	if err != nil {
+		return
+	}
+	if events, done := readEvents(p.t, response.Body); done {
+		assert.Check(p.t, text(events) == NewAnswer(id, Range{Min: 20, Max: 40}, 0).Text())
+	}
+}
+
+func (p *pair) tryPrefill(ctx context.Context, id string) (answer prefillAnswer, ok bool) {
+	response, err := p.post(ctx, p.prefill, "/v1/completions", id, prefillCall(id))
+	if err != nil {
+		return answer, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer, err == nil && response.StatusCode == http.StatusOK
+}
--- a/internal/standin/vmlist/registry.go
+++ b/internal/standin/vmlist/registry.go
@@ -76,6 +76,19 @@
 	r.record()
 }
 
+// SetState changes the state of a listed VM; the list shows it after the lag.
+func (r *Registry) SetState(name string, state platform.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	vm, ok := r.vms[name]
+	if !ok {
+		return
+	}
+	vm.State = state
+	r.vms[name] = vm
+	r.record()
+}
+
 // Remove takes a VM off the list, which shows it after the lag.
 func (r *Registry) Remove(name string) {
 	r.mu.Lock()
