--- a/internal/standin/bundle.go
+++ b/internal/standin/bundle.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
@@ -9,12 +10,25 @@
 	"github.com/ospreyshed/ospreyshed/internal/standin/plain"
 )
 
+// The properties of stand-ins that a configuration does not tell.
+const (
+	appendsPerSecond = 400
+	vmListLag        = 2 * time.Second
+	cacheEventLag    = 200 * time.Millisecond
+	cacheEventLoss   = 0.01
+	loadLag          = 250 * time.Millisecond
+	orderDuration    = time.Second
+	plainLimit       = 64
+)
+
 // FromBundle returns the stand-ins for the endpoints of a configuration, with
 // the performance figures of its models. Seeds differ between endpoints.
 func FromBundle(bundle *configuration.Bundle) Options {
 	fleet := &bundle.Fleet
 	options := Options{Links: fleet.Links}
 	options.Log.Retention = fleet.Times.LogRetention
+	options.Log.AppendsPerSecond = appendsPerSecond
+	options.VMList.Lag = configuration.Duration(vmListLag)
 	for _, vm := range fleet.VMs {
 		listed := vmlist.VM{Name: vm.Name, Address: vm.Address, Zone: vm.Zone, State: vmlist.Live}
 		options.VMList.VMs = append(options.VMList.VMs, listed)
@@ -30,7 +44,7 @@
 		o.Plain = append(o.Plain, PlainOptions{
 			Address: e.Address,
 			Zone:    e.Zone,
-			Options: plain.Options{Name: e.Name, Seed: seed},
+			Options: plain.Options{Name: e.Name, Limit: plainLimit, HideLoad: !e.ReportsLoad, Seed: seed},
 		})
 		return
 	}
@@ -67,6 +81,11 @@
 		KVBytesPerToken:         model.KVBytesPerToken,
 		LinkBytesPerSecond:      e.LinkBytesPerSecond,
 		KVRetention:             model.KVRetention,
+		CacheEventLag:           configuration.Duration(cacheEventLag),
+		CacheEventLoss:          cacheEventLoss,
+		LoadLag:                 configuration.Duration(loadLag),
+		HideLoad:                !e.ReportsLoad,
+		OrderDuration:           configuration.Duration(orderDuration),
 		ChecksFencing:           e.Fencing == configuration.FencingChecks,
 		Seed:                    seed,
 	}
--- a/internal/standin/engine/cache_test.go
+++ b/internal/standin/engine/cache_test.go
@@ -52,7 +52,7 @@
 	p.runPrefill("vm-1.1.2.1", block("b"))
 	p.prefill.Crash()
 	var answer eventsAnswer
-	p.decodeJSON(p.prefill, http.MethodGet, "/v1/cache/events?from=1", http.StatusOK, &answer)
+	p.decodeJSON(p.prefill, http.MethodGet, "/v1/cache/events?from=1", &answer)
 	a, b := BlockHashes(block("a")), BlockHashes(block("b"))
 	assert.DeepEqual(t, answer, eventsAnswer{Next: 4, Events: []CacheEvent{
 		{Seq: 1, Type: EventStored, BlockHashes: b, TokensPerBlock: TokensPerBlock},
--- a/internal/standin/engine/cancel_test.go
+++ b/internal/standin/engine/cancel_test.go
@@ -91,7 +91,7 @@
 
 func (p *pair) cancel(server *Server, id string) cancelAnswer {
 	var answer cancelAnswer
-	p.decodeJSON(server, http.MethodPost, "/v1/requests/"+id+"/cancel", http.StatusOK, &answer)
+	p.decodeJSON(server, http.MethodPost, "/v1/requests/"+id+"/cancel", &answer)
 	return answer
 }
 
@@ -110,7 +110,7 @@
 		p.runPrefill(id, "prompt")
 	}
 	var answer cancelIncarnationAnswer
-	p.decodeJSON(p.prefill, http.MethodPost, "/v1/incarnations/vm-1/1/cancel", http.StatusOK, &answer)
+	p.decodeJSON(p.prefill, http.MethodPost, "/v1/incarnations/vm-1/1/cancel", &answer)
 	assert.Equal(t, answer, cancelIncarnationAnswer{Cancelled: 2})
 	assert.Equal(t, p.prefill.Counts().Kept, 2)
 	assert.Equal(t, p.status(p.prefill, "/v1/completions", "vm-1.1.3.1", prefillCall("prompt")), http.StatusConflict)
--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -81,7 +81,7 @@
 		if !ok {
 			return
 		}
-		next = next.Add(interval)
+		next = nextStep(next, time.Now(), interval)
 		timer.Reset(time.Until(next))
 		select {
 		case <-timer.C:
@@ -91,6 +91,15 @@
 	}
 }
 
+// nextStep returns the time of the step after the one planned for last. A step
+// that ran late shortens the next interval, but a longer pause is not made up for.
+func nextStep(last, now time.Time, interval time.Duration) time.Time {
+	if now.Sub(last) > interval {
+		last = now
+	}
+	return last.Add(interval)
+}
+
 // stepInterval returns the time until the next step, false if the batch is empty.
 func (e *Engine) stepInterval() (time.Duration, bool) {
 	e.mu.Lock()
--- a/internal/standin/engine/fixture_test.go
+++ b/internal/standin/engine/fixture_test.go
@@ -120,14 +120,15 @@
 	return response.StatusCode
 }
 
-// decodeJSON calls a path without a body and decodes the answer.
-func (p *pair) decodeJSON(server *Server, method, path string, status int, target any) {
+// decodeJSON calls a path without a body and decodes the answer, whose status
+// has to be 200.
+func (p *pair) decodeJSON(server *Server, method, path string, target any) {
 	request, err := http.NewRequestWithContext(p.t.Context(), method, "http://"+server.Addr()+path, nil)
 	assert.NilError(p.t, err)
 	response, err := p.client.Do(request)
 	assert.NilError(p.t, err)
 	defer func() { _ = response.Body.Close() }()
-	assert.Equal(p.t, response.StatusCode, status)
+	assert.Equal(p.t, response.StatusCode, http.StatusOK)
 	assert.NilError(p.t, json.NewDecoder(response.Body).Decode(target))
 }
 
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -34,7 +34,9 @@
 	protocol.HandleFunc("/chat/completions", h.serveChat).Methods(http.MethodPost)
 	protocol.HandleFunc("/requests/{id}/cancel", h.serveCancel).Methods(http.MethodPost)
 	protocol.HandleFunc("/incarnations/{vm}/{incarnation}/cancel", h.serveCancelIncarnation).Methods(http.MethodPost)
-	protocol.HandleFunc("/load", h.serveLoad).Methods(http.MethodGet)
+	if !h.engine.options.HideLoad {
+		protocol.HandleFunc("/load", h.serveLoad).Methods(http.MethodGet)
+	}
 	protocol.HandleFunc("/state", h.serveState).Methods(http.MethodGet)
 	protocol.HandleFunc("/orders", h.serveOrder).Methods(http.MethodPost)
 	protocol.HandleFunc("/cache/events", h.serveEvents).Methods(http.MethodGet)
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -52,8 +52,9 @@
 	// CacheEventLoss the share, 0 to 1, of events that never are.
 	CacheEventLag  configuration.Duration `json:"cache_event_lag"`
 	CacheEventLoss float64                `json:"cache_event_loss"`
-	// LoadLag is the age of the load report.
-	LoadLag configuration.Duration `json:"load_lag"`
+	// LoadLag is the age of the load report, HideLoad makes it unknown (404).
+	LoadLag  configuration.Duration `json:"load_lag"`
+	HideLoad bool                   `json:"hide_load"`
 	// ChecksFencing makes the engine refuse orders with an old fencing number.
 	ChecksFencing bool `json:"checks_fencing"`
 	// OrderDuration is how long an order takes to be in force.
--- a/internal/standin/engine/orders_test.go
+++ b/internal/standin/engine/orders_test.go
@@ -48,7 +48,7 @@
 		assert.Equal(t, answer.State, OrderAccepted)
 		status := p.status(p.decode, "/v1/orders", "", Order{Fencing: 4, OrderID: "old", Desired: toPrefill})
 		var state State
-		p.decodeJSON(p.decode, http.MethodGet, "/v1/state", http.StatusOK, &state)
+		p.decodeJSON(p.decode, http.MethodGet, "/v1/state", &state)
 		assert.Equal(t, state.ChecksFencing, checks)
 		if checks {
 			assert.Equal(t, status, http.StatusConflict)
--- a/internal/standin/engine/stress_test.go
+++ b/internal/standin/engine/stress_test.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		return
 	}
+	defer func() { _ = response.Body.Close() }()
 	if events, done := readEvents(p.t, response.Body); done {
 		assert.Check(p.t, text(events) == NewAnswer(id, Range{Min: 20, Max: 40}, 0).Text())
 	}
--- a/internal/standin/logstore/store_test.go
+++ b/internal/standin/logstore/store_test.go
@@ -59,14 +59,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Options{AppendsPerSecond: 10, Burst: 2})
 		defer s.Close()
-		appended := func() bool {
-			_, err := s.Append(t.Context(), "s", entries("a", "b", "c"))
-			assert.Assert(t, err == nil || errorx.IsOfType(err, logservice.Throttled))
-			return err == nil
+		appendUntilThrottled := func() (appended int) {
+			for {
+				_, err := s.Append(t.Context(), "s", entries("a", "b", "c"))
+				if err != nil {
+					assert.Assert(t, errorx.IsOfType(err, logservice.Throttled))
+					return appended
+				}
+				appended++
+			}
 		}
-		assert.Assert(t, appended() && appended() && !appended())
+		assert.Equal(t, appendUntilThrottled(), 2)
 		time.Sleep(100 * time.Millisecond)
-		assert.Assert(t, appended() && !appended())
+		assert.Equal(t, appendUntilThrottled(), 1)
 		assert.Equal(t, s.Counts(), Counts{Appends: 3, Records: 9, Throttled: 2})
 	})
 }
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -3,6 +3,8 @@
 package standin
 
 import (
+	"github.com/joomcode/errorx"
+
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
 	"github.com/ospreyshed/ospreyshed/internal/standin/logstore"
@@ -10,6 +12,11 @@
 	"github.com/ospreyshed/ospreyshed/internal/standin/vmlist"
 )
 
+var namespace = errorx.NewNamespace("standin").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// UnknownName means that no stand-in has a name.
+var UnknownName = namespace.NewType("unknown-name")
+
 // AnyAddress makes a stand-in listen on a free port of the loopback interface.
 const AnyAddress = "127.0.0.1:0"
 
--- a/internal/standin/plain/service.go
+++ b/internal/standin/plain/service.go
@@ -32,8 +32,10 @@
 // Options set up a Service.
 type Options struct {
 	Name string `json:"name"`
-	// Limit is the number of concurrent calls in the load report.
-	Limit int `json:"limit"`
+	// Limit is the number of concurrent calls in the load report, HideLoad
+	// makes the report unknown (404).
+	Limit    int  `json:"limit"`
+	HideLoad bool `json:"hide_load"`
 	// Delay is the time that a call takes.
 	Delay configuration.Duration `json:"delay"`
 	// Seed makes the choice of lost replies repeatable.
@@ -121,6 +123,10 @@
 }
 
 func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	if s.options.HideLoad {
+		httpserver.WriteError(w, http.StatusNotFound, "%s does not report its load", s.options.Name)
+		return
+	}
 	answer := loadAnswer{TimeMS: time.Now().UnixMilli(), Active: s.Counts().Active, Limit: s.options.Limit}
 	httpserver.WriteJSON(w, http.StatusOK, answer)
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -21,6 +21,7 @@
 	Engines map[string]*engine.Server
 	Plain   map[string]*plain.Server
 
+	options Options
 	// zones maps the engines' addresses to availability zones.
 	zones map[string]string
 	links map[zonePair]*engine.Link
@@ -36,6 +37,7 @@
 // Start starts a set of stand-ins. If one cannot be started, none runs.
 func Start(options Options) (*Platform, error) {
 	p := &Platform{
+		options: options,
 		Engines: make(map[string]*engine.Server),
 		Plain:   make(map[string]*plain.Server),
 		zones:   make(map[string]string),
@@ -102,7 +104,9 @@
 		return err
 	}
 	p.Engines[o.Name] = server
-	p.zones[server.Addr()] = o.Zone
+	if _, known := p.zones[server.Addr()]; !known {
+		p.zones[server.Addr()] = o.Zone
+	}
 	return nil
 }
 
@@ -136,6 +140,46 @@
 	return ""
 }
 
+// Stop ends an engine or plain service, as if its VM were gone. Calls to its
+// address are refused until Restart.
+func (p *Platform) Stop(name string) error {
+	if server, ok := p.Engines[name]; ok {
+		return server.Close()
+	}
+	if server, ok := p.Plain[name]; ok {
+		return server.Close()
+	}
+	return UnknownName.New("no stand-in is called %q", name)
+}
+
+// Restart starts an engine or plain service that was stopped again, on the same
+// address and with nothing remembered. It replaces the entry of Engines or Plain
+// and must not run at the same time as a reader of these.
+func (p *Platform) Restart(name string) error {
+	address := p.Addr(name)
+	for _, o := range p.options.Engines {
+		if o.Name == name {
+			o.Address = address
+			return p.restartEngine(&o)
+		}
+	}
+	for _, o := range p.options.Plain {
+		if o.Name == name {
+			o.Address = address
+			return p.startPlain(&o)
+		}
+	}
+	return UnknownName.New("no stand-in is called %q", name)
+}
+
+func (p *Platform) restartEngine(o *EngineOptions) error {
+	if err := p.startEngine(o); err != nil {
+		return err
+	}
+	p.routeImports([]EngineOptions{*o})
+	return nil
+}
+
 // Close ends all stand-ins.
 func (p *Platform) Close() error {
 	var errs []error
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -37,3 +39,47 @@
 	assert.Equal(t, len(list.VMs), 4)
 	assert.Equal(t, p.Engines["decode-1"].Load().Slots, 7)
 }
+
+func TestStartLeavesNothingRunningWhenAPortIsTaken(t *testing.T) {
+	first, err := Start(Options{})
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, first.Close()) }()
+	options := Options{Plain: []PlainOptions{{Address: first.Log.Addr()}}}
+	_, err = Start(options)
+	assert.ErrorContains(t, err, "address already in use")
+}
+
+func TestEndpointIsRestartedOnItsAddress(t *testing.T) {
+	bundle := testBundle()
+	p, err := StartBundle(bundle, nil)
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, p.Close()) }()
+	assert.NilError(t, p.Stop("decode-1"))
+	assert.NilError(t, p.Stop("desk-1"))
+	_, err = new(net.Dialer).DialContext(t.Context(), "tcp", bundle.Fleet.Endpoints[1].Address)
+	assert.ErrorContains(t, err, "refused")
+	assert.NilError(t, p.Restart("decode-1"))
+	assert.NilError(t, p.Restart("desk-1"))
+	assert.Equal(t, p.Addr("decode-1"), bundle.Fleet.Endpoints[1].Address)
+	assert.Equal(t, p.Addr("desk-1"), bundle.Fleet.Endpoints[2].Address)
+	assert.Equal(t, p.Engines["decode-1"].Load().Slots, 7)
+}
+
+func TestLeavingEndpointIsListedSo(t *testing.T) {
+	p, err := StartBundle(testBundle(), func(o *Options) { o.VMList.Lag = 0 })
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, p.Close()) }()
+	p.Leave("decode-1")
+	p.Leave("desk-1")
+	assert.Assert(t, p.Engines["decode-1"].Faults().Leaving)
+	assert.Assert(t, p.Plain["desk-1"].Faults().Leaving)
+	list, err := p.VMList.List(t.Context())
+	assert.NilError(t, err)
+	leaving := 0
+	for _, vm := range list.VMs {
+		if vm.State == vmlist.Leaving {
+			leaving++
+		}
+	}
+	assert.Equal(t, leaving, 2)
+}
--- a/internal/standin/settings_test.go
+++ b/internal/standin/settings_test.go
@@ -32,7 +32,7 @@
 		`f.json:4: engines[0].slots: must not be negative`,
 		`f.json:5: engines[1].address: 127.0.0.1:9001 is already the address at engines[0].address`,
 		`f.json:5: engines[1].colour: unknown field; known are adapters, address, cache_blocks, cache_event_lag, ` +
-			`cache_event_loss, checks_fencing, kv_bytes_per_token, kv_retention, link_bytes_per_second, load_lag, ` +
+			`cache_event_loss, checks_fencing, hide_load, kv_bytes_per_token, kv_retention, link_bytes_per_second, load_lag, ` +
 			`memory_pieces, model, name, order_duration, output_tokens, piece_tokens, prefill_tokens_per_second, ` +
 			`queue_limit, role, seed, slots, token_interval, token_interval_per_request, version, zone`,
 		`f.json:5: engines[1].name: "e" is already the name at engines[0].name`,
--- a/internal/standin/totals.go
+++ b/internal/standin/totals.go
@@ -31,6 +31,16 @@
 	return t
 }
 
+// Executions returns how often all plain services together have executed a call
+// with an idempotency key.
+func (p *Platform) Executions(key string) int {
+	executions := 0
+	for _, server := range p.Plain {
+		executions += server.Counts().ByKey[key]
+	}
+	return executions
+}
+
 // Leave makes an engine or plain service leave: it marks its answers so, and
 // the list of VMs shows it as leaving after its lag.
 func (p *Platform) Leave(name string) {
