--- a/internal/standin/engine/cache_test.go
+++ b/internal/standin/engine/cache_test.go
@@ -40,7 +40,7 @@
 	c := newPrefixCache(2)
 	c.store([]string{"1", "2"})
 	assert.Equal(t, c.match([]string{"1"}), 1)
-	stored, removed := c.store([]string{"1", "3"})
+	stored, removed := c.store([]string{"3"})
 	assert.DeepEqual(t, stored, []string{"3"})
 	assert.DeepEqual(t, removed, []string{"2"})
 	assert.Equal(t, c.match([]string{"2"}), 0)
@@ -59,6 +59,7 @@
 		{Seq: 2, Type: EventRemoved, BlockHashes: a, TokensPerBlock: TokensPerBlock},
 		{Seq: 3, Type: EventCleared, BlockHashes: []string{}, TokensPerBlock: TokensPerBlock},
 	}})
+	assert.Equal(t, p.runPrefill("vm-1.1.3.1", block("b")).Usage.Details.CachedTokens, 0)
 }
 
 func TestCacheEventsComeLateAndWithGaps(t *testing.T) {
--- a/internal/standin/engine/cancel_test.go
+++ b/internal/standin/engine/cancel_test.go
@@ -12,8 +12,6 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 )
 
-const hour = configuration.Duration(time.Hour)
-
 // longPrompt takes an hour on a prefill engine of one token per second.
 var longPrompt = strings.Repeat("x", 3600*BytesPerToken)
 
@@ -36,11 +34,11 @@
 			go p.ignore(p.prefill, id, prefillCall(longPrompt))
 			return p.prefill, func(c Counts) bool { return c.Executions[id] == 1 }
 		}},
-		{"kept", keepLong, func(p *pair) (*Server, func(Counts) bool) {
+		{"kept", unchanged, func(p *pair) (*Server, func(Counts) bool) {
 			p.runPrefill(id, "prompt")
 			return p.prefill, func(c Counts) bool { return c.Kept == 1 }
 		}},
-		{"import", keepLong, func(p *pair) (*Server, func(Counts) bool) {
+		{"import", unchanged, func(p *pair) (*Server, func(Counts) bool) {
 			p.decode.SetFaults(Faults{StallTransfers: true})
 			kv := p.runPrefill(id, "prompt").KV
 			go p.ignore(p.decode, id, decodeCall("prompt", kv))
@@ -78,8 +76,6 @@
 	prefill.QueueLimit = 5
 }
 
-func keepLong(prefill, _ *Options) { prefill.KVRetention = hour }
-
 func slowDecode(_, decode *Options) { decode.TokenInterval = hour }
 
 // ignore posts a completion whose answer does not matter.
@@ -105,7 +101,7 @@
 }
 
 func TestCancelOfAnIncarnationSparesOthers(t *testing.T) {
-	p := startPair(t, keepLong)
+	p := startPair(t, unchanged)
 	for _, id := range []string{"vm-1.1.1.1", "vm-1.1.2.1", "vm-1.2.1.1", "vm-2.1.1.1"} {
 		p.runPrefill(id, "prompt")
 	}
@@ -137,21 +133,42 @@
 }
 
 func TestIgnoredClosedConnectionLetsTheAttemptFinish(t *testing.T) {
-	p := startPair(t, func(_, decode *Options) { decode.TokenInterval = configuration.Duration(5 * time.Millisecond) })
-	p.decode.SetFaults(Faults{IgnoreClose: true})
+	p := startPair(t, func(_, decode *Options) { decode.TokenInterval = configuration.Duration(20 * time.Millisecond) })
+	p.decode.SetFaults(Faults{IgnoreClose: true, LateAnswers: hour})
 	ctx, cancel := context.WithCancel(t.Context())
 	body := p.startDecode(ctx, "vm-1.1.1.1", "prompt")
 	cancel()
 	_ = body.Close()
 	whole := NewAnswer("prompt", Range{Min: 20, Max: 40}, 0).Len()
 	eventually(t, p.decode.Engine, "decoded for nobody", func(c Counts) bool {
-		return c.TokensDecoded == whole && c.TokensThrownAway > 0 && c.PrefillTokensWasted == 2
+		return c.TokensDecoded == whole && c.TokensThrownAway == whole && c.PrefillTokensWasted == 2
 	})
 	assert.Equal(t, p.decode.Counts().AnswersFinished, 0)
 }
 
+func TestIgnoredClosedConnectionLetsThePrefillFinish(t *testing.T) {
+	p := startPair(t, func(prefill, _ *Options) {
+		prefill.PrefillTokensPerSecond = 10_000
+		prefill.KVRetention = configuration.Duration(time.Millisecond)
+	})
+	p.prefill.SetFaults(Faults{IgnoreClose: true})
+	prompt := strings.Repeat("x", 1000*BytesPerToken)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		if response, err := p.post(ctx, p.prefill, "/v1/completions", "vm-1.1.1.1", prefillCall(prompt)); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	eventually(t, p.prefill.Engine, "prefill runs", func(c Counts) bool { return c.Executions["vm-1.1.1.1"] == 1 })
+	cancel()
+	eventually(t, p.prefill.Engine, "all computed, then evicted", func(c Counts) bool {
+		return c.TokensPrefilled == 1000 && c.PrefillTokensWasted == 1000 && c.PiecesHeld == 0
+	})
+	assert.Equal(t, p.prefill.Counts().Cancelled, 0)
+}
+
 func TestLostCancelAnswerComesAfterTheEffect(t *testing.T) {
-	p := startPair(t, keepLong)
+	p := startPair(t, unchanged)
 	p.runPrefill("vm-1.1.1.1", "prompt")
 	p.prefill.SetFaults(Faults{LoseCancelAnswers: true})
 	response, err := p.post(t.Context(), p.prefill, "/v1/requests/vm-1.1.1.1/cancel", "", nil)
--- a/internal/standin/engine/decode_test.go
+++ b/internal/standin/engine/decode_test.go
@@ -66,7 +66,7 @@
 }
 
 func TestDecodeWithoutKVCacheIsRefused(t *testing.T) {
-	p := startPair(t, keepLong)
+	p := startPair(t, unchanged)
 	kv := p.runPrefill("vm-1.1.1.1", "prompt").KV
 	assert.Equal(t, p.status(p.decode, "/v1/completions", "vm-1.1.2.1", decodeCall("another", kv)), http.StatusGone)
 	_, done := readEvents(t, p.open(t.Context(), "/v1/completions", "vm-1.1.1.1", decodeCall("prompt", kv)))
@@ -97,7 +97,6 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			p := startPair(t, func(prefill, decode *Options) {
-				keepLong(prefill, decode)
 				slowDecode(prefill, decode)
 				test.change(decode)
 			})
--- a/internal/standin/engine/fault_test.go
+++ b/internal/standin/engine/fault_test.go
@@ -86,7 +86,7 @@
 	p := startPair(t, func(prefill, _ *Options) { prefill.KVRetention = configuration.Duration(time.Millisecond) })
 	p.prefill.SetFaults(Faults{LateAnswers: configuration.Duration(20 * time.Millisecond)})
 	kv := p.runPrefill("vm-1.1.1.1", "prompt").KV
-	assert.Equal(t, p.prefill.Counts().Kept, 0)
+	eventually(t, p.prefill.Engine, "evicted", func(c Counts) bool { return c.Kept == 0 })
 	assert.Equal(t, p.status(p.decode, "/v1/completions", "vm-1.1.1.1", decodeCall("prompt", kv)), http.StatusGone)
 }
 
--- a/internal/standin/engine/fixture_test.go
+++ b/internal/standin/engine/fixture_test.go
@@ -17,7 +17,9 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 )
 
-// testOptions are those of a fast engine.
+const hour = configuration.Duration(time.Hour)
+
+// testOptions are those of a fast engine that keeps KV caches for long.
 func testOptions(role configuration.Role) Options {
 	return Options{
 		Name:                   string(role) + "-1",
@@ -27,6 +29,7 @@
 		PrefillTokensPerSecond: 1e6,
 		TokenInterval:          configuration.Duration(time.Millisecond),
 		KVBytesPerToken:        1000,
+		KVRetention:            hour,
 		OutputTokens:           Range{Min: 20, Max: 40},
 		Seed:                   1,
 	}
--- a/internal/standin/logstore/store_test.go
+++ b/internal/standin/logstore/store_test.go
@@ -207,14 +207,14 @@
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, server.Close()) }()
 	record := `{"records": [{"id": "a", "data": ""}]}`
-	_, _, _, err = exchange(t, server, http.MethodPut, "/standin/faults", `{"lose_next_answers": 1}`)
+	_, _, _, err = exchange(t, server, http.MethodPut, "/standin/faults", `{"lose_next_answers": 1, "latency": "2ns"}`)
 	assert.NilError(t, err)
 	_, _, _, err = exchange(t, server, http.MethodPost, recordsPath, record)
 	assert.Assert(t, err != nil)
 	// A later change leaves the other faults as they are.
 	_, _, answer, err := exchange(t, server, http.MethodPut, "/standin/faults", `{"outage": true}`)
 	assert.NilError(t, err)
-	assert.Equal(t, answer, `{"outage":true,"lose_answers":0,"lose_next_answers":0,"effect_delay":"0s","latency":"0s"}`)
+	assert.Equal(t, answer, `{"outage":true,"lose_answers":0,"lose_next_answers":0,"effect_delay":"0s","latency":"2ns"}`)
 	status, _, _, err := exchange(t, server, http.MethodPost, recordsPath, record)
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusServiceUnavailable)
