--- /dev/null
+++ b/internal/standin/engine/arrival.go
@@ -0,0 +1,105 @@
+package engine
+
+import (
+	"slices"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// arrive registers an attempt and puts it into the queue of its role. It
+// returns a typed error when the attempt is refused.
+func (e *Engine) arrive(a *attempt, model string, role configuration.Role) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.Received[a.id]++
+	if err := e.refusal(a, model, role); err != nil {
+		return err
+	}
+	e.attempts[a.id] = a
+	a.arrival = e.arrivals
+	e.arrivals++
+	queue := e.queue(role)
+	e.enqueue(queue, a)
+	e.dispatch()
+	if a.stage == stageQueued && len(*queue) > e.options.QueueLimit {
+		e.release(a, causeRefused)
+		e.counts.RefusedBusy++
+		return Busy.New("no slot or memory, and the queue is full")
+	}
+	e.recordLoad()
+	return nil
+}
+
+// refusal says why an attempt cannot be taken.
+func (e *Engine) refusal(a *attempt, model string, role configuration.Role) error {
+	if e.faults.Leaving {
+		e.counts.AfterLeaving++
+		return Leaving.New("the engine is leaving")
+	}
+	if e.refusesCancelled(a) {
+		e.counts.RefusedCancelled++
+		return Cancelled.New("attempt %s was cancelled or is running", a.id)
+	}
+	current := e.state.current()
+	if model != current.Model {
+		return UnknownModel.New("model %q is not served here", model)
+	}
+	if role != current.Role || e.state.busy() {
+		e.counts.RefusedBusy++
+		return Busy.New("the engine is not in the role %s", role)
+	}
+	if e.options.MemoryPieces > 0 && a.pieces > e.options.MemoryPieces {
+		return Invalid.New("%d memory pieces are needed, the engine has %d", a.pieces, e.options.MemoryPieces)
+	}
+	return nil
+}
+
+// refusesCancelled reports whether the attempt was cancelled or is running.
+func (e *Engine) refusesCancelled(a *attempt) bool {
+	if _, running := e.attempts[a.id]; running {
+		return true
+	}
+	if ended, ok := e.ended.get(a.id); ok && ended.cancelled() {
+		return true
+	}
+	_, cancelled := e.cancelledIncarnations.get(a.owner)
+	return cancelled
+}
+
+func (e *Engine) queue(role configuration.Role) *[]*attempt {
+	if role == configuration.RolePrefill {
+		return &e.prefillQueue
+	}
+	return &e.decodeQueue
+}
+
+func (e *Engine) enqueue(queue *[]*attempt, a *attempt) {
+	i, _ := slices.BinarySearchFunc(*queue, a, compareAttempts)
+	*queue = slices.Insert(*queue, i, a)
+}
+
+// dispatch starts the queued attempts that there is room for, in order.
+func (e *Engine) dispatch() {
+	for len(e.prefillQueue) > 0 && e.prefilling == nil && e.fits(e.prefillQueue[0]) {
+		a := e.prefillQueue[0]
+		e.prefillQueue = e.prefillQueue[1:]
+		e.prefilling = a
+		e.leaveQueue(a, stagePrefill)
+	}
+	for len(e.decodeQueue) > 0 && e.slotsUsed < e.options.Slots && e.fits(e.decodeQueue[0]) {
+		a := e.decodeQueue[0]
+		e.decodeQueue = e.decodeQueue[1:]
+		e.slotsUsed++
+		e.leaveQueue(a, stageImport)
+	}
+}
+
+func (e *Engine) fits(a *attempt) bool {
+	return e.options.MemoryPieces <= 0 || e.piecesHeld+a.pieces <= e.options.MemoryPieces
+}
+
+func (e *Engine) leaveQueue(a *attempt, next stage) {
+	a.stage = next
+	e.piecesHeld += a.pieces
+	close(a.ready)
+}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -9,6 +9,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/standin/ctxtime"
 	"github.com/ospreyshed/ospreyshed/internal/standin/httpserver"
 )
 
@@ -111,7 +112,7 @@
 		h.writeEnded(w, a)
 		return
 	}
-	if !httpserver.Sleep(r.Context(), result.late) {
+	if !ctxtime.Sleep(r.Context(), result.late) {
 		httpserver.Cut()
 	}
 	httpserver.WriteJSON(w, http.StatusOK, h.prefillAnswer(call, &result))
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/ospreyshed/ospreyshed/internal/standin/httpserver"
+	"github.com/ospreyshed/ospreyshed/internal/standin/ctxtime"
 )
 
 // importedComment is the SSE comment that ends the import.
@@ -58,7 +58,7 @@
 }
 
 func (s *stream) writeAll(ctx context.Context) bool {
-	if s.open() != nil || !httpserver.Sleep(ctx, s.engine.Faults().LateAnswers.D()) {
+	if s.open() != nil || !ctxtime.Sleep(ctx, s.engine.Faults().LateAnswers.D()) {
 		return false
 	}
 	for s.written < s.attempt.answer.Len() {
--- /dev/null
+++ b/internal/standin/httpserver/controls.go
@@ -0,0 +1,32 @@
+package httpserver
+
+import (
+	"net/http"
+
+	"github.com/gorilla/mux"
+)
+
+// The paths that every stand-in serves beside its protocol.
+const (
+	FaultsPath = "/standin/faults"
+	CountsPath = "/standin/counts"
+)
+
+// Controls adds the paths that switch faults and read counts. A PUT of faults
+// changes the fields that its body names and leaves the others.
+func Controls[F, C any](router *mux.Router, faults func() F, setFaults func(F), counts func() C) {
+	router.HandleFunc(FaultsPath, func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, faults())
+	}).Methods(http.MethodGet)
+	router.HandleFunc(FaultsPath, func(w http.ResponseWriter, r *http.Request) {
+		changed := faults()
+		if !ReadJSON(w, r, &changed) {
+			return
+		}
+		setFaults(changed)
+		WriteJSON(w, http.StatusOK, changed)
+	}).Methods(http.MethodPut)
+	router.HandleFunc(CountsPath, func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, counts())
+	}).Methods(http.MethodGet)
+}
--- a/internal/standin/logstore/store.go
+++ b/internal/standin/logstore/store.go
@@ -15,7 +15,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
-	"github.com/ospreyshed/ospreyshed/internal/standin/httpserver"
+	"github.com/ospreyshed/ospreyshed/internal/standin/ctxtime"
 )
 
 // Options set up a Store.
@@ -86,7 +86,7 @@
 		return 0, err
 	}
 	entries = cloneEntries(entries)
-	if !httpserver.Sleep(ctx, verdict.latency/2) {
+	if !ctxtime.Sleep(ctx, verdict.latency/2) {
 		s.appendLater(name, entries, verdict.latency/2+verdict.effectDelay)
 		return 0, logservice.InDoubt.Wrap(ctx.Err(), "append to %s", name)
 	}
@@ -95,7 +95,7 @@
 		return 0, logservice.InDoubt.New("answer of the append to %s lost", name)
 	}
 	first := s.append(name, entries)
-	if !httpserver.Sleep(ctx, verdict.latency-verdict.latency/2) {
+	if !ctxtime.Sleep(ctx, verdict.latency-verdict.latency/2) {
 		return 0, logservice.InDoubt.Wrap(ctx.Err(), "append to %s", name)
 	}
 	return first, nil
@@ -176,7 +176,7 @@
 	if limit <= 0 {
 		limit = defaultReadLimit
 	}
-	if !httpserver.Sleep(ctx, s.Faults().Latency.D()) {
+	if !ctxtime.Sleep(ctx, s.Faults().Latency.D()) {
 		return logservice.Page{}, logservice.Unreadable.Wrap(ctx.Err(), "read of %s", name)
 	}
 	deadline := time.NewTimer(wait)
--- /dev/null
+++ b/internal/standin/plain/http.go
@@ -0,0 +1,120 @@
+package plain
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/ospreyshed/ospreyshed/internal/standin/ctxtime"
+	"github.com/ospreyshed/ospreyshed/internal/standin/httpserver"
+)
+
+// The headers of the protocol towards plain services.
+const (
+	RequestIDHeader      = "X-Request-Id"
+	IdempotencyKeyHeader = "Idempotency-Key"
+	LeavingHeader        = "Ospreyshed-Leaving"
+)
+
+// maxBodyBytes bounds the body of a call.
+const maxBodyBytes = 16 << 20
+
+// Receipt is the body of a reply.
+type Receipt struct {
+	Service        string `json:"service"`
+	Execution      int    `json:"execution"`
+	Method         string `json:"method"`
+	Path           string `json:"path"`
+	Query          string `json:"query,omitempty"`
+	RequestID      string `json:"request_id,omitempty"`
+	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	// BodyDigest is the SHA-256 digest of the call's body in hex.
+	BodyDigest string `json:"body_digest"`
+}
+
+// Handler serves the service on every path but those of the load report and of
+// the stand-in's controls.
+func (s *Service) Handler() http.Handler {
+	router := mux.NewRouter().SkipClean(true)
+	httpserver.Controls(router, s.Faults, s.SetFaults, s.Counts)
+	router.HandleFunc("/v1/load", s.serveLoad).Methods(http.MethodGet)
+	router.PathPrefix("/").HandlerFunc(s.serveCall)
+	return router
+}
+
+type loadAnswer struct {
+	TimeMS int64 `json:"time_ms"`
+	Active int   `json:"active"`
+	Limit  int   `json:"limit"`
+}
+
+func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	if s.options.HideLoad {
+		httpserver.WriteError(w, http.StatusNotFound, "%s does not report its load", s.options.Name)
+		return
+	}
+	answer := loadAnswer{TimeMS: time.Now().UnixMilli(), Active: s.Counts().Active, Limit: s.options.Limit}
+	httpserver.WriteJSON(w, http.StatusOK, answer)
+}
+
+// outcome is what becomes of one call.
+type outcome struct {
+	refuse, loseReply bool
+	faults            Faults
+	execution         int
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		httpserver.WriteError(w, http.StatusBadRequest, "body: %v", err)
+		return
+	}
+	verdict := s.execute(r)
+	if verdict.faults.Leaving {
+		w.Header().Set(LeavingHeader, strconv.FormatBool(true))
+	}
+	if verdict.refuse {
+		httpserver.WriteError(w, http.StatusServiceUnavailable, "%s is leaving", s.options.Name)
+		return
+	}
+	defer s.finish()
+	if !ctxtime.Sleep(r.Context(), s.options.Delay.D()+verdict.faults.Slow.D()) || verdict.loseReply {
+		s.countLostReply()
+		httpserver.Cut()
+	}
+	if verdict.faults.CutReplies {
+		s.countLostReply()
+		cutReply(w)
+	}
+	httpserver.WriteJSON(w, http.StatusOK, s.receipt(r, body, verdict.execution))
+}
+
+// cutReply sends the first part of a body and cuts the connection.
+func cutReply(w http.ResponseWriter) {
+	const part = `{"service": "`
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(2*len(part)))
+	_, _ = io.WriteString(w, part)
+	_ = http.NewResponseController(w).Flush()
+	httpserver.Cut()
+}
+
+func (s *Service) receipt(r *http.Request, body []byte, execution int) Receipt {
+	digest := sha256.Sum256(body)
+	return Receipt{
+		Service:        s.options.Name,
+		Execution:      execution,
+		Method:         r.Method,
+		Path:           r.URL.Path,
+		Query:          r.URL.RawQuery,
+		RequestID:      r.Header.Get(RequestIDHeader),
+		IdempotencyKey: r.Header.Get(IdempotencyKeyHeader),
+		BodyDigest:     hex.EncodeToString(digest[:]),
+	}
+}
--- a/internal/standin/vmlist/registry.go
+++ b/internal/standin/vmlist/registry.go
@@ -12,7 +12,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	platform "github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
-	"github.com/ospreyshed/ospreyshed/internal/standin/httpserver"
+	"github.com/ospreyshed/ospreyshed/internal/standin/ctxtime"
 	"github.com/ospreyshed/ospreyshed/internal/standin/lagged"
 )
 
@@ -115,7 +115,7 @@
 // List implements the platform's list. It returns an Unavailable error during
 // an outage or when ctx ends.
 func (r *Registry) List(ctx context.Context) (platform.List, error) {
-	if !httpserver.Sleep(ctx, r.Faults().Latency.D()) {
+	if !ctxtime.Sleep(ctx, r.Faults().Latency.D()) {
 		return platform.List{}, Unavailable.Wrap(ctx.Err(), "list of VMs")
 	}
 	r.mu.Lock()
