--- a/internal/configuration/model.go
+++ b/internal/configuration/model.go
@@ -47,6 +47,10 @@
 	Format int    `json:"format"`
 	Fleet  Fleet  `json:"fleet"`
 	Teams  []Team `json:"teams"`
+	// BasedOn holds the version of each subject that the bundle was made from. A
+	// publish of another base is refused. A subject that is not listed is based
+	// on the version in force when it is published.
+	BasedOn map[string]uint64 `json:"based_on,omitempty"`
 }
 
 // Fleet describes what all teams of a deployment share.
--- /dev/null
+++ b/internal/configuration/reappender.go
@@ -0,0 +1,169 @@
+package configuration
+
+import (
+	"cmp"
+	"context"
+	"expvar"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+)
+
+const (
+	// reappendDivisor of the log's retention is the age at which the VM in charge
+	// re-appends a version.
+	reappendDivisor = 3
+	// takeoverDivisor of the retention is the further age after which the next VM
+	// in order does.
+	takeoverDivisor = 12
+	// maxTakeovers bounds the order, so that any VM re-appends well before expiry.
+	maxTakeovers = 6
+	// reappendPeriod is the time between checks.
+	reappendPeriod = time.Second
+	// reappendGroup is the number of versions re-appended per check at most.
+	reappendGroup = 50
+	// reappendTimeout bounds the wait for a group.
+	reappendTimeout = 10 * time.Second
+)
+
+// Appender appends groups of entries; logservice.Appender implements it.
+type Appender interface {
+	AppendAll(ctx context.Context, stream string, purpose logservice.Purpose, entries []logservice.Entry) []logservice.Appended
+}
+
+// Reappender repeats the current versions in the log before they expire.
+//
+// Each subject has one VM in charge, chosen by rendezvous hashing over the
+// members, which re-appends it at a third of the retention. If it does not, the
+// next VM in order does a twelfth of the retention later, and so on. Who does it
+// matters for cost only: a re-append that is doubled or late changes nothing.
+type Reappender struct {
+	store    *Store
+	members  membership.View
+	appender Appender
+	sequence uint64
+	// missing holds since when a version is known that the log does not hold.
+	missing    map[string]time.Time
+	reappended expvar.Int
+	failed     expvar.Int
+}
+
+// NewReappender returns a Reappender that starts with Run.
+func NewReappender(store *Store, members membership.View, appender Appender) *Reappender {
+	return &Reappender{store: store, members: members, appender: appender, missing: make(map[string]time.Time)}
+}
+
+// Vars returns the counters of the Reappender.
+func (r *Reappender) Vars() *expvar.Map {
+	vars := new(expvar.Map)
+	vars.Set("reappended", &r.reappended)
+	vars.Set("failed", &r.failed)
+	return vars
+}
+
+// Run re-appends until the context ends and returns the context's error.
+func (r *Reappender) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reappendPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			r.check(ctx)
+		}
+	}
+}
+
+// check re-appends the versions that are due, the oldest first.
+func (r *Reappender) check(ctx context.Context) {
+	due := r.due()
+	if len(due) == 0 {
+		return
+	}
+	entries := make([]logservice.Entry, 0, len(due))
+	for _, version := range due {
+		data, err := version.Reappend().Encode()
+		if err != nil {
+			r.failed.Add(1)
+			continue
+		}
+		entries = append(entries, logservice.Entry{ID: r.nextID(), Data: data})
+	}
+	ctx, cancel := context.WithTimeout(ctx, reappendTimeout)
+	defer cancel()
+	for _, appended := range r.appender.AppendAll(ctx, Stream, logservice.PurposeConfiguration, entries) {
+		if appended.Err != nil {
+			r.failed.Add(1)
+			continue
+		}
+		r.reappended.Add(1)
+	}
+}
+
+func (r *Reappender) nextID() string {
+	self := r.members.Self()
+	r.sequence++
+	return fmt.Sprintf("%s.%d.reappend.%d", self.VM, self.Incarnation, r.sequence)
+}
+
+// due returns the versions that this VM re-appends now, bounded to a group. A
+// VM that has not read the log does not know what is due.
+func (r *Reappender) due() []appendedVersion {
+	snapshot := r.store.Snapshot()
+	if snapshot == nil {
+		return nil
+	}
+	versions, now := r.store.lastAppended()
+	retention := snapshot.Fleet().Times.LogRetention.D()
+	members := r.members.Members()
+	due := slices.DeleteFunc(versions, func(v appendedVersion) bool {
+		rank := rendezvousRank(v.Record.Subject, r.members.Self().VM, members)
+		return r.age(v, now, retention) < reappendAge(retention, rank)
+	})
+	slices.SortStableFunc(due, func(a, b appendedVersion) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	return due[:min(len(due), reappendGroup)]
+}
+
+// age returns the time since a version was last appended. A version that the log
+// does not hold counts as due for the VM in charge from when it is first seen.
+func (r *Reappender) age(v appendedVersion, now time.Time, retention time.Duration) time.Duration {
+	subject := v.Record.Subject
+	if !v.at.IsZero() {
+		delete(r.missing, subject)
+		return now.Sub(v.at)
+	}
+	if _, ok := r.missing[subject]; !ok {
+		r.missing[subject] = now
+	}
+	return now.Sub(r.missing[subject]) + retention/reappendDivisor
+}
+
+// reappendAge returns the age at which the VM of a rank re-appends a version.
+func reappendAge(retention time.Duration, rank int) time.Duration {
+	return retention/reappendDivisor + time.Duration(min(rank, maxTakeovers))*retention/takeoverDivisor
+}
+
+// rendezvousRank returns how many members come before a VM in the order of a
+// subject. Members that finish their work are passed over.
+func rendezvousRank(subject, self string, members []membership.Member) int {
+	own := weight(subject, self)
+	rank := 0
+	for _, member := range members {
+		if member.VM == self || member.Draining || member.State != membership.Alive {
+			continue
+		}
+		other := weight(subject, member.VM)
+		if other > own || other == own && member.VM < self {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(subject, vm string) uint64 { return xxhash.Sum64String(subject + "\x00" + vm) }
--- a/internal/platform/logservice/appender.go
+++ b/internal/platform/logservice/appender.go
@@ -104,6 +104,11 @@
 	if err != nil {
 		return 0, err
 	}
+	return a.await(ctx, q, p)
+}
+
+// await waits for the outcome of a queued entry.
+func (a *Appender) await(ctx context.Context, q *queue, p *pending) (uint64, error) {
 	select {
 	case result := <-p.done:
 		return result.offset, result.err
@@ -126,20 +131,20 @@
 	}
 }
 
-func (a *Appender) enqueue(stream string, purpose Purpose, p *pending) (*queue, error) {
+func (a *Appender) enqueue(stream string, purpose Purpose, group ...*pending) (*queue, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
 		return nil, NotSent.New("the appender is closed")
 	}
 	now := time.Now()
-	a.purposeRate(purpose).add(now)
+	a.purposeRate(purpose).add(now, len(group))
 	q := a.queueOf(stream, purpose)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.arrived.add(now)
-	q.waiting = append(q.waiting, p)
-	a.counters.entries.Add(1)
+	q.arrived.add(now, len(group))
+	q.waiting = append(q.waiting, group...)
+	a.counters.entries.Add(int64(len(group)))
 	if !q.running {
 		q.running = true
 		a.flows.Go(func() { a.flush(q) })
--- /dev/null
+++ b/internal/platform/logservice/group.go
@@ -0,0 +1,31 @@
+package logservice
+
+import "context"
+
+// Appended is the outcome of one entry of a group.
+type Appended struct {
+	// Offset is valid if Err is nil.
+	Offset uint64
+	// Err has the meaning of Append's error.
+	Err error
+}
+
+// AppendAll adds entries to a stream and returns the outcome of each. They are
+// queued together, so they share as few appends as the limits allow; they are
+// not appended all or none.
+func (a *Appender) AppendAll(ctx context.Context, stream string, purpose Purpose, entries []Entry) []Appended {
+	group := make([]*pending, len(entries))
+	for i, entry := range entries {
+		group[i] = newPending(entry)
+	}
+	results := make([]Appended, len(entries))
+	q, err := a.enqueue(stream, purpose, group...)
+	for i, p := range group {
+		if err != nil {
+			results[i].Err = err
+			continue
+		}
+		results[i].Offset, results[i].Err = a.await(ctx, q, p)
+	}
+	return results
+}
--- a/internal/platform/logservice/rate.go
+++ b/internal/platform/logservice/rate.go
@@ -104,8 +104,8 @@
 	last  time.Time
 }
 
-func (r *observedRate) add(now time.Time) {
-	r.value = r.at(now) + 1/rateWindow.Seconds()
+func (r *observedRate) add(now time.Time, events int) {
+	r.value = r.at(now) + float64(events)/rateWindow.Seconds()
 	r.last = now
 }
 
