Carry configuration between VMs by digests

A VM that is new or cut off from the log pulls what supersedes its own versions from one peer of its zone and one of another each second; equal states cost one small message. Peers' records pass the rule for re-appends. The service also reports the versions in force.

--- a/internal/configuration/fold.go
+++ b/internal/configuration/fold.go
@@ -15,8 +15,8 @@
 	Origin uint64
 }
 
-// supersedes reports whether a version at p takes the place of one at other.
-func (p Position) supersedes(other Position) bool {
+// Supersedes reports whether a version at p takes the place of one at other.
+func (p Position) Supersedes(other Position) bool {
 	if p.Version != other.Version {
 		return p.Version > other.Version
 	}
@@ -44,7 +44,7 @@
 func decide(current Position, record *Record, offset uint64) (Outcome, Position) {
 	if record.Kind == KindReappend {
 		offered := Position{record.Version, record.Origin}
-		if offered.supersedes(current) {
+		if offered.Supersedes(current) {
 			return Accepted, offered
 		}
 		return Known, current
--- /dev/null
+++ b/internal/configuration/peersync/peersync.go
@@ -0,0 +1,59 @@
+// Package peersync carries configuration between entry VMs, so that a VM that is
+// new or cut off from the platform's log gets the versions in force from peers.
+//
+// A Syncer pulls: it compares digests with a peer of its own availability zone
+// and one of another, and fetches only the versions that supersede its own. The
+// Store accepts them by the rule for re-appends, so a stale peer changes nothing.
+package peersync
+
+import (
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+
+	configurationv1 "github.com/ospreyshed/ospreyshed/api/configuration/v1"
+)
+
+// maxFetchBytes bounds the documents of one answer; a single larger one is
+// still sent.
+const maxFetchBytes = 256 << 10
+
+// maxFetchSubjects bounds the subjects of one request.
+const maxFetchSubjects = 200
+
+func recordToWire(current configuration.Current) *configurationv1.Record {
+	record := current.Reappend()
+	return &configurationv1.Record{
+		Format:    uint32(record.Format),
+		Subject:   record.Subject,
+		Version:   record.Version,
+		Origin:    record.Origin,
+		Publisher: record.Publisher,
+		Removed:   record.Removed,
+		Document:  record.Document,
+	}
+}
+
+func recordFromWire(wire *configurationv1.Record) (configuration.Record, error) {
+	record := configuration.Record{
+		Format:    int(wire.GetFormat()),
+		Kind:      configuration.KindReappend,
+		Subject:   wire.GetSubject(),
+		Version:   wire.GetVersion(),
+		Origin:    wire.GetOrigin(),
+		Publisher: wire.GetPublisher(),
+		Removed:   wire.GetRemoved(),
+		Document:  wire.GetDocument(),
+	}
+	return record.Parsed()
+}
+
+func positionToWire(current configuration.Current) *configurationv1.Position {
+	return &configurationv1.Position{
+		Subject: current.Record.Subject,
+		Version: current.Version,
+		Origin:  current.Origin,
+	}
+}
+
+func positionFromWire(wire *configurationv1.Position) configuration.Position {
+	return configuration.Position{Version: wire.GetVersion(), Origin: wire.GetOrigin()}
+}
--- /dev/null
+++ b/internal/configuration/peersync/pull.go
@@ -0,0 +1,101 @@
+package peersync
+
+import (
+	"context"
+	"slices"
+
+	"connectrpc.com/connect"
+	"github.com/joomcode/errorx"
+
+	configurationv1 "github.com/ospreyshed/ospreyshed/api/configuration/v1"
+	"github.com/ospreyshed/ospreyshed/api/configuration/v1/configurationv1connect"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+var namespace = errorx.NewNamespace("peersync").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// BadAnswer means that a peer's answer cannot be used.
+var BadAnswer = namespace.NewType("bad-answer")
+
+type client = configurationv1connect.ConfigurationServiceClient
+
+// Pulled is what a peer's state adds to one's own.
+type Pulled struct {
+	// Records are the re-appends of the versions that supersede one's own.
+	Records []configuration.Record
+	// Complete says that the peer's state is complete and was pulled whole.
+	Complete bool
+}
+
+// pull compares a state with a peer's and fetches what supersedes it. Records
+// that this program cannot read are left out, and the result is then not complete.
+func pull(ctx context.Context, from client, versions []configuration.Current) (Pulled, error) {
+	own := digestsOf(versions)
+	compared, err := compare(ctx, from, own)
+	if err != nil {
+		return Pulled{}, err
+	}
+	wanted := newer(compared.GetPositions(), versions)
+	pulled := Pulled{Complete: compared.GetComplete()}
+	for len(wanted) > 0 {
+		ask := wanted[:min(len(wanted), maxFetchSubjects)]
+		answer, err := from.Fetch(ctx, connect.NewRequest(&configurationv1.FetchRequest{Subjects: ask}))
+		if err != nil {
+			return Pulled{Records: pulled.Records}, err
+		}
+		if len(answer.Msg.GetRecords()) == 0 {
+			return Pulled{Records: pulled.Records}, BadAnswer.New("no records of %d subjects", len(ask))
+		}
+		wanted = pulled.add(answer.Msg.GetRecords(), wanted)
+	}
+	return pulled, nil
+}
+
+// compare asks for the total first, so that equal states cost one small message.
+func compare(ctx context.Context, from client, own digests) (*configurationv1.CompareResponse, error) {
+	request := &configurationv1.CompareRequest{Digest: own.total()}
+	answer, err := from.Compare(ctx, connect.NewRequest(request))
+	if err != nil || answer.Msg.GetEqual() {
+		return messageOf(answer), err
+	}
+	request.Buckets = own.buckets[:]
+	answer, err = from.Compare(ctx, connect.NewRequest(request))
+	return messageOf(answer), err
+}
+
+func messageOf(answer *connect.Response[configurationv1.CompareResponse]) *configurationv1.CompareResponse {
+	if answer == nil {
+		return nil
+	}
+	return answer.Msg
+}
+
+// newer returns the subjects whose offered positions supersede one's own.
+func newer(offered []*configurationv1.Position, versions []configuration.Current) []string {
+	own := make(map[string]configuration.Position, len(versions))
+	for _, current := range versions {
+		own[current.Record.Subject] = current.Position
+	}
+	var wanted []string
+	for _, position := range offered {
+		if positionFromWire(position).Supersedes(own[position.GetSubject()]) {
+			wanted = append(wanted, position.GetSubject())
+		}
+	}
+	return wanted
+}
+
+// add takes in fetched records and returns the subjects that are still wanted.
+func (p *Pulled) add(records []*configurationv1.Record, wanted []string) []string {
+	got := make(map[string]bool, len(records))
+	for _, wire := range records {
+		got[wire.GetSubject()] = true
+		record, err := recordFromWire(wire)
+		if err != nil {
+			p.Complete = false
+			continue
+		}
+		p.Records = append(p.Records, record)
+	}
+	return slices.DeleteFunc(wanted, func(subject string) bool { return got[subject] })
+}
--- /dev/null
+++ b/internal/configuration/peersync/server.go
@@ -0,0 +1,97 @@
+package peersync
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	configurationv1 "github.com/ospreyshed/ospreyshed/api/configuration/v1"
+	"github.com/ospreyshed/ospreyshed/api/configuration/v1/configurationv1connect"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+)
+
+// Server answers peers from a Store.
+type Server struct {
+	store   *configuration.Store
+	members membership.View
+}
+
+var _ configurationv1connect.ConfigurationServiceHandler = (*Server)(nil)
+
+// NewServer returns a Server for this VM.
+func NewServer(store *configuration.Store, members membership.View) *Server {
+	return &Server{store: store, members: members}
+}
+
+// Handler returns the service for the listener for peers.
+func (s *Server) Handler() peer.Handler {
+	path, handler := configurationv1connect.NewConfigurationServiceHandler(s)
+	return peer.Handler{Path: path, Handler: handler}
+}
+
+// Compare implements configurationv1connect.ConfigurationServiceHandler.
+func (s *Server) Compare(
+	_ context.Context, request *connect.Request[configurationv1.CompareRequest],
+) (*connect.Response[configurationv1.CompareResponse], error) {
+	complete := s.store.Complete()
+	versions := s.store.All()
+	own := digestsOf(versions)
+	answer := &configurationv1.CompareResponse{Complete: complete, Equal: own.total() == request.Msg.GetDigest()}
+	theirs := request.Msg.GetBuckets()
+	if answer.GetEqual() || len(theirs) != bucketCount {
+		return connect.NewResponse(answer), nil
+	}
+	for _, current := range versions {
+		bucket := bucketOf(current.Record.Subject)
+		if own.buckets[bucket] != theirs[bucket] {
+			answer.Positions = append(answer.Positions, positionToWire(current))
+		}
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// Fetch implements configurationv1connect.ConfigurationServiceHandler.
+func (s *Server) Fetch(
+	_ context.Context, request *connect.Request[configurationv1.FetchRequest],
+) (*connect.Response[configurationv1.FetchResponse], error) {
+	answer := new(configurationv1.FetchResponse)
+	size := 0
+	for _, subject := range request.Msg.GetSubjects() {
+		current, ok := s.store.Current(subject)
+		if !ok {
+			continue
+		}
+		size += len(current.Record.Document)
+		if size > maxFetchBytes && len(answer.Records) > 0 {
+			break
+		}
+		answer.Records = append(answer.Records, recordToWire(current))
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// InForce implements configurationv1connect.ConfigurationServiceHandler.
+func (s *Server) InForce(
+	_ context.Context, request *connect.Request[configurationv1.InForceRequest],
+) (*connect.Response[configurationv1.InForceResponse], error) {
+	self := s.members.Self()
+	answer := &configurationv1.InForceResponse{Vm: self.VM, Zone: self.Zone}
+	snapshot := s.store.Snapshot()
+	if snapshot == nil {
+		return connect.NewResponse(answer), nil
+	}
+	answer.Serving = true
+	answer.Generation = snapshot.Generation()
+	subjects := request.Msg.GetSubjects()
+	if len(subjects) == 0 {
+		subjects = snapshot.Subjects()
+	}
+	for _, subject := range subjects {
+		answer.Versions = append(answer.Versions, &configurationv1.SubjectVersion{
+			Subject: subject, Version: snapshot.Version(subject),
+		})
+	}
+	return connect.NewResponse(answer), nil
+}
--- /dev/null
+++ b/internal/configuration/peersync/syncer.go
@@ -0,0 +1,126 @@
+package peersync
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/api/configuration/v1/configurationv1connect"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+)
+
+const (
+	// syncPeriod is the time between rounds.
+	syncPeriod = time.Second
+	// syncTimeout bounds the exchange with one peer.
+	syncTimeout = time.Second
+	// logGrace is how long a VM that starts waits for the log to be read before
+	// the state of peers counts as complete. Peers may be cut off from the log.
+	logGrace = 2 * time.Second
+)
+
+// Syncer keeps a Store in line with those of peers.
+type Syncer struct {
+	store   *configuration.Store
+	members membership.View
+	dialer  peer.Dialer
+	random  *rand.Rand
+
+	pulls, failures, records expvar.Int
+}
+
+// NewSyncer returns a Syncer that starts with Run. Random picks the peers.
+func NewSyncer(store *configuration.Store, members membership.View, dialer peer.Dialer, random *rand.Rand) *Syncer {
+	return &Syncer{store: store, members: members, dialer: dialer, random: random}
+}
+
+// Vars returns the counters of the Syncer.
+func (s *Syncer) Vars() *expvar.Map {
+	vars := new(expvar.Map)
+	vars.Set("pulls", &s.pulls)
+	vars.Set("failed_pulls", &s.failures)
+	vars.Set("records", &s.records)
+	return vars
+}
+
+// Run pulls from peers until the context ends and returns the context's error.
+func (s *Syncer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(syncPeriod)
+	defer ticker.Stop()
+	start := time.Now()
+	for {
+		s.round(ctx, time.Since(start) >= logGrace)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// round pulls from the chosen peers at the same time. A whole state completes
+// the Store only behind the others, so that the newest of all versions is in it.
+func (s *Syncer) round(ctx context.Context, mayComplete bool) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	var pulls sync.WaitGroup
+	var complete atomic.Bool
+	for _, member := range s.choose() {
+		pulls.Go(func() {
+			if s.pullFrom(ctx, member) {
+				complete.Store(true)
+			}
+		})
+	}
+	pulls.Wait()
+	if mayComplete && complete.Load() {
+		s.store.Completed()
+	}
+}
+
+// choose picks one peer of this VM's availability zone and one of another. A VM
+// whose state is not complete asks all peers.
+func (s *Syncer) choose() []membership.Member {
+	self := s.members.Self()
+	var near, far []membership.Member
+	for _, member := range s.members.Members() {
+		switch {
+		case member.VM == self.VM:
+		case member.Zone == self.Zone:
+			near = append(near, member)
+		default:
+			far = append(far, member)
+		}
+	}
+	if !s.store.Complete() {
+		return append(near, far...)
+	}
+	return append(s.pick(near), s.pick(far)...)
+}
+
+func (s *Syncer) pick(members []membership.Member) []membership.Member {
+	if len(members) == 0 {
+		return nil
+	}
+	chosen := s.random.IntN(len(members))
+	return members[chosen : chosen+1 : chosen+1]
+}
+
+// pullFrom takes in what supersedes the Store's versions and reports whether the
+// peer's whole state is in the Store now.
+func (s *Syncer) pullFrom(ctx context.Context, member membership.Member) bool {
+	s.pulls.Add(1)
+	from := configurationv1connect.NewConfigurationServiceClient(s.dialer.HTTPClient(), s.dialer.BaseURL(member.Address))
+	pulled, err := pull(ctx, from, s.store.All())
+	if err != nil {
+		s.failures.Add(1)
+	}
+	s.records.Add(int64(len(pulled.Records)))
+	s.store.ApplyPeer(pulled.Records)
+	return err == nil && pulled.Complete
+}
--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -84,17 +84,33 @@
 	if err := json.Unmarshal(data, &head); err != nil {
 		return Record{}, Malformed.Wrap(err, "decoding a record")
 	}
-	if head.Format != Format {
-		return Record{}, UnknownFormat.New("record format %d is not known", head.Format)
+	if err := checkFormat(head.Format); err != nil {
+		return Record{}, err
 	}
 	var record Record
 	if err := json.Unmarshal(data, &record); err != nil {
 		return Record{}, Malformed.Wrap(err, "decoding a record")
 	}
-	if err := record.parse(); err != nil {
+	return record.Parsed()
+}
+
+func checkFormat(format int) error {
+	if format != Format {
+		return UnknownFormat.New("record format %d is not known", format)
+	}
+	return nil
+}
+
+// Parsed returns a record that was put together field by field with its document
+// decoded. It makes the checks of DecodeRecord.
+func (r Record) Parsed() (Record, error) {
+	if err := checkFormat(r.Format); err != nil {
+		return Record{}, err
+	}
+	if err := r.parse(); err != nil {
 		return Record{}, err
 	}
-	return record, nil
+	return r, nil
 }
 
 // parse checks the record and decodes its document.
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -167,6 +167,10 @@
 // Version returns the version of a subject, 0 if it was never published.
 func (s *Snapshot) Version(subject string) uint64 { return s.versions[subject] }
 
+// Subjects returns all subjects that have a version, removed teams included, in
+// order.
+func (s *Snapshot) Subjects() []string { return slices.Sorted(maps.Keys(s.versions)) }
+
 // Generation rises with every snapshot of this process. It is not comparable
 // between processes.
 func (s *Snapshot) Generation() uint64 { return s.generation }
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -180,9 +180,7 @@
 }
 
 // ApplyPeer takes in re-appends that a peer gave; it ignores other records.
-// Complete says that the peer's own state is complete and that these are all of
-// its versions that are newer than the Store's.
-func (s *Store) ApplyPeer(records []Record, complete bool) {
+func (s *Store) ApplyPeer(records []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, record := range records {
@@ -190,7 +188,15 @@
 			s.counters.fromPeers.Add(1)
 		}
 	}
-	s.complete = s.complete || complete
+	s.publish()
+}
+
+// Completed notes that the whole state of a peer whose own is complete was taken
+// in, so that the Store may give out snapshots.
+func (s *Store) Completed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.complete = true
 	s.publish()
 }
 
