--- a/internal/configuration/fold.go
+++ b/internal/configuration/fold.go
@@ -69,11 +69,15 @@
 	Record Record
 }
 
+// rule decides about a record; all readers use the same one.
+type rule func(current Position, record *Record, offset uint64) (Outcome, Position)
+
 // Fold is the state of all subjects after a part of the log. Every reader that
 // applies the same records holds the same state; a reader that starts later and
 // sees a re-append of every subject converges to it. It is not safe for
 // concurrent use.
 type Fold struct {
+	rule     rule
 	subjects map[string]Current
 	// ahead holds the highest base seen per subject that was not known here.
 	ahead map[string]uint64
@@ -81,14 +85,18 @@
 
 // NewFold returns a state without subjects.
 func NewFold() *Fold {
-	return &Fold{subjects: make(map[string]Current), ahead: make(map[string]uint64)}
+	return newFold(decide)
+}
+
+func newFold(rule rule) *Fold {
+	return &Fold{rule: rule, subjects: make(map[string]Current), ahead: make(map[string]uint64)}
 }
 
 // Apply takes in a record found at an offset. Records of the log are applied in
 // the order of offsets; re-appends from peers, which have no offset, at any time.
 func (f *Fold) Apply(record Record, offset uint64) Outcome {
 	current := f.subjects[record.Subject]
-	outcome, position := decide(current.Position, &record, offset)
+	outcome, position := f.rule(current.Position, &record, offset)
 	switch outcome {
 	case Accepted:
 		f.subjects[record.Subject] = Current{Position: position, Record: record}
--- a/internal/configuration/publisher.go
+++ b/internal/configuration/publisher.go
@@ -22,12 +22,13 @@
 	appender Appender
 	name     string
 	seeds    []Record
+	rule     rule
 }
 
 // NewPublisher returns a Publisher. The name is shown to others whose publishes
 // lose against this one.
 func NewPublisher(service logservice.Service, appender Appender, name string) *Publisher {
-	return &Publisher{service: service, appender: appender, name: name}
+	return &Publisher{service: service, appender: appender, name: name, rule: decide}
 }
 
 // Seed adds the state of a VM, as re-appends, to what the log holds. It is needed
@@ -64,7 +65,7 @@
 	if err := Validate(bundle); err != nil {
 		return Report{}, err
 	}
-	r := newReader(p.service)
+	r := newReader(p.service, newFold(p.rule))
 	if err := p.load(ctx, r); err != nil {
 		return Report{}, err
 	}
--- a/internal/configuration/reader.go
+++ b/internal/configuration/reader.go
@@ -38,8 +38,8 @@
 	first uint64
 }
 
-func newReader(service logservice.Service) *reader {
-	return &reader{service: service, fold: NewFold()}
+func newReader(service logservice.Service, fold *Fold) *reader {
+	return &reader{service: service, fold: fold}
 }
 
 // toHead reads up to the head of the log and returns the entries.
@@ -102,7 +102,7 @@
 
 // ReadAll folds the whole log and returns its state and entries.
 func ReadAll(ctx context.Context, service logservice.Service) (*Fold, []Entry, error) {
-	r := newReader(service)
+	r := newReader(service, NewFold())
 	entries, err := r.toHead(ctx)
 	return r.fold, entries, err
 }
