claim: check concurrent histories and count executions under faults

The checker found one fault: a repeat was told 'answered' when the attempt that held the delivery had died. Deliveries are now confirmed by a record, and such a repeat is told that the delivery is unknown.

--- a/internal/claim/answers.go
+++ b/internal/claim/answers.go
@@ -84,7 +84,7 @@
 func (r *AnswerRegistry) Stop() {
 	r.cancel()
 	r.running.Wait()
-	r.outbox.wait()
+	r.outbox.stop()
 }
 
 // Flush waits until the ends of all attempts are registered or the context ends.
--- a/internal/claim/bound.go
+++ b/internal/claim/bound.go
@@ -26,9 +26,10 @@
 
 // boundEntry is the state of one bound key.
 type boundEntry struct {
-	finished  bool
-	outcome   Outcome
-	delivered bool
+	finished bool
+	outcome  Outcome
+	// handedOut says that an attempt holds the right to deliver.
+	handedOut bool
 }
 
 // boundAge is a remembered key and when it may be forgotten.
@@ -110,27 +111,29 @@
 		return Decision{Kind: ClosedNotRun}
 	case e.outcome.Execution != Ran:
 		return Decision{Kind: Unknown}
-	case e.delivered:
+	case e.outcome.Delivered:
 		return Decision{Kind: Answered}
+	case e.handedOut:
+		return Decision{Kind: Withheld, RetryAfter: b.settings.RetryAfter}
 	}
-	e.delivered = true
+	e.handedOut = true
 	return Decision{Kind: Recorded, Answer: e.outcome.Answer, Delivery: b.delivery(e)}
 }
 
 // delivery returns the right to deliver the answer of a bound key.
 func (b *boundKeys) delivery(e *boundEntry) *Delivery {
 	return &Delivery{
-		giveUp:  func() { b.setDelivered(e, false) },
-		release: func() { b.setDelivered(e, true) },
+		returned:  func() { b.endDelivery(e, false) },
+		confirmed: func() { b.endDelivery(e, true) },
 	}
 }
 
-func (b *boundKeys) setDelivered(e *boundEntry, delivered bool) {
+func (b *boundKeys) endDelivery(e *boundEntry, delivered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e.delivered = delivered
+	e.handedOut = false
 	if delivered {
-		e.outcome.Answer = Answer{}
+		e.outcome = Outcome{Execution: Ran, Delivered: true}
 	}
 }
 
@@ -139,8 +142,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e.finished = true
-	e.outcome = Outcome{Execution: outcome.Execution}
-	e.delivered = outcome.Delivered
+	e.outcome = Outcome{Execution: outcome.Execution, Delivered: outcome.Delivered}
 	if outcome.Execution == Ran && !outcome.Delivered {
 		e.outcome.Answer = answerFrom(outcome.Answer.message())
 	}
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -79,7 +79,7 @@
 	c.mu.Unlock()
 	c.cancel()
 	c.running.Wait()
-	c.outbox.wait()
+	c.outbox.stop()
 }
 
 // Flush waits until all outcomes are recorded or the context ends.
--- /dev/null
+++ b/internal/claim/cluster_test.go
@@ -0,0 +1,207 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var errCut = errors.New("connection cut")
+
+func testSettings() Settings {
+	return Settings{
+		KeyWindow:        time.Hour,
+		ClockSkew:        time.Second,
+		LogRetention:     2 * time.Hour,
+		ClaimTimeout:     defaultClaimTimeout,
+		AppendTimeout:    defaultAppendTimeout,
+		AppendsPerSecond: defaultAppendsPerSecond,
+		OutcomeDelay:     defaultOutcomeDelay,
+		ExecuteWithin:    defaultExecuteWithin,
+		RetryAfter:       defaultRetryAfter,
+		MaxBatch:         defaultMaxBatch,
+		ShardIdle:        defaultShardIdle,
+		MaxBoundKeys:     1000,
+	}
+}
+
+// cluster is a set of VMs in one process with a network between them.
+type cluster struct {
+	log      *fakeLog
+	settings Settings
+	delay    time.Duration
+
+	incarnations atomic.Uint64
+
+	mu    sync.Mutex
+	vms   []*vm
+	cut   map[[2]string]bool
+	drop  float64
+	dice  *rand.Rand
+	zones []string
+}
+
+type vm struct {
+	cluster *cluster
+	member  membership.Member
+	claims  *Claims
+	answers *AnswerRegistry
+	// hides are the VMs that this VM's view lacks.
+	hides map[string]bool
+	dead  bool
+}
+
+func newCluster(seed int64, settings Settings) *cluster {
+	return &cluster{
+		log:      newFakeLog(seed),
+		settings: settings,
+		delay:    time.Millisecond,
+		cut:      make(map[[2]string]bool),
+		dice:     rand.New(rand.NewSource(seed + 1)),
+		zones:    []string{"a", "b", "c"},
+	}
+}
+
+// start adds a VM; a name that was used before is a new incarnation.
+func (c *cluster) start(t assert.TestingT, name, zone string) *vm {
+	incarnation := c.incarnations.Add(1)
+	v := &vm{cluster: c, hides: make(map[string]bool)}
+	v.member = membership.Member{VM: name, Zone: zone, Address: fmt.Sprintf("%s/%d", name, incarnation), Incarnation: incarnation, State: membership.Alive}
+	var err error
+	v.claims, err = New(Dependencies{Log: c.log, View: v, Peers: v, Timeline: timeline.Discard}, c.settings)
+	assert.NilError(t, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms = append(c.vms, v)
+	return v
+}
+
+func (v *vm) startAnswers(t assert.TestingT) *vm {
+	var err error
+	v.answers, err = NewAnswerRegistry(AnswerDependencies{View: v, Peers: v, Zones: func() []string { return v.cluster.zones }}, v.cluster.settings)
+	assert.NilError(t, err)
+	return v
+}
+
+// kill ends a VM without letting it finish anything.
+func (v *vm) kill() {
+	v.cluster.mu.Lock()
+	v.dead = true
+	v.cluster.mu.Unlock()
+	v.claims.Stop()
+	if v.answers != nil {
+		v.answers.Stop()
+	}
+}
+
+func (c *cluster) stop() {
+	for _, v := range c.vms {
+		v.kill()
+	}
+}
+
+func (v *vm) Self() membership.Member { return v.member }
+
+func (v *vm) Members() []membership.Member {
+	v.cluster.mu.Lock()
+	defer v.cluster.mu.Unlock()
+	var members []membership.Member
+	for _, other := range v.cluster.vms {
+		if !other.dead && !v.hides[other.member.VM] {
+			members = append(members, other.member)
+		}
+	}
+	return members
+}
+
+// reach returns the VM at an address, or an error if the network loses the call.
+func (v *vm) reach(ctx context.Context, address string) (*vm, error) {
+	pause(ctx, v.cluster.delay)
+	c := v.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, other := range c.vms {
+		if other.member.Address == address && !other.dead && !v.dead && !c.cut[[2]string{v.member.VM, other.member.VM}] && c.dice.Float64() >= c.drop {
+			return other, nil
+		}
+	}
+	return nil, errCut
+}
+
+// call makes a call to a peer; its answer can be lost after it took effect.
+func call[Q, P any](ctx context.Context, v *vm, address string, serve func(*vm, context.Context, Q) (P, error), request Q) (P, error) {
+	var none P
+	other, err := v.reach(ctx, address)
+	if err != nil {
+		return none, err
+	}
+	response, err := serve(other, ctx, request)
+	if err != nil {
+		return none, err
+	}
+	if _, err := v.reach(ctx, address); err != nil {
+		return none, err
+	}
+	return response, nil
+}
+
+func (v *vm) Submit(ctx context.Context, address string, q *claimv1.SubmitRequest) (*claimv1.SubmitResponse, error) {
+	return call(ctx, v, address, func(o *vm, ctx context.Context, q *claimv1.SubmitRequest) (*claimv1.SubmitResponse, error) {
+		return o.claims.Serve(ctx, q)
+	}, q)
+}
+
+func (v *vm) Update(ctx context.Context, address string, q *claimv1.UpdateRequest) (*claimv1.UpdateResponse, error) {
+	return call(ctx, v, address, func(o *vm, ctx context.Context, q *claimv1.UpdateRequest) (*claimv1.UpdateResponse, error) {
+		return o.answers.Update(ctx, q)
+	}, q)
+}
+
+func (v *vm) Replicate(ctx context.Context, address string, q *claimv1.ReplicateRequest) (*claimv1.ReplicateResponse, error) {
+	return call(ctx, v, address, func(o *vm, _ context.Context, q *claimv1.ReplicateRequest) (*claimv1.ReplicateResponse, error) {
+		return o.answers.Replicate(q)
+	}, q)
+}
+
+func (v *vm) TakeOver(ctx context.Context, address string, q *claimv1.TakeOverRequest) (*claimv1.TakeOverResponse, error) {
+	return call(ctx, v, address, func(o *vm, _ context.Context, q *claimv1.TakeOverRequest) (*claimv1.TakeOverResponse, error) {
+		return o.answers.TakeOver(q)
+	}, q)
+}
+
+// newKey returns a key that was issued now.
+func newKey(n int) Key {
+	return Key{Team: "band", Key: strconv.FormatInt(time.Now().UnixMilli(), 10) + "-" + strconv.Itoa(n)}
+}
+
+// must claims and expects a kind of decision.
+func must(t *testing.T, v *vm, key Key, kind Kind) Decision {
+	t.Helper()
+	decision, err := v.claims.Claim(context.Background(), key)
+	assert.NilError(t, err)
+	assert.Equal(t, decision.Kind, kind, "%s instead of %s", decision.Kind, kind)
+	return decision
+}
+
+// flush waits until a VM's outcomes are recorded.
+func flush(t *testing.T, v *vm) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	assert.NilError(t, v.claims.Flush(ctx))
+}
--- a/internal/claim/decide.go
+++ b/internal/claim/decide.go
@@ -40,30 +40,37 @@
 // decideRan answers a repeat of a call that ran.
 func (c *Claims) decideRan(ctx context.Context, key ParsedKey, state *claimv1.KeyState) Decision {
 	if state.GetDelivered() || state.GetDeliverer() != nil {
-		return Decision{Kind: Answered}
+		return c.decideHandedOut(state)
 	}
 	writer := c.newWriter()
 	result := c.submit(ctx, deliveryRecord(key.Key, writer), key.Issued)
 	switch {
-	case result.status == claimv1.Settlement_SETTLEMENT_SETTLED && proto.Equal(result.state.GetDeliverer(), writer):
-		return Decision{Kind: Recorded, Answer: answerFrom(result.state.GetAnswer()), Delivery: c.delivery(key, writer)}
-	case result.status == claimv1.Settlement_SETTLEMENT_SETTLED && result.state.GetDeliverer() != nil:
-		return Decision{Kind: Answered}
 	case result.status == claimv1.Settlement_SETTLEMENT_IN_DOUBT:
-		c.returnDelivery(key, writer)
+		c.record(returnedRecord(key.Key, writer), key.Issued)
+	case result.status != claimv1.Settlement_SETTLEMENT_SETTLED:
+	case proto.Equal(result.state.GetDeliverer(), writer):
+		return Decision{Kind: Recorded, Answer: answerFrom(result.state.GetAnswer()), Delivery: c.delivery(key, writer)}
+	case result.state.GetDelivered() || result.state.GetDeliverer() != nil:
+		return c.decideHandedOut(result.state)
 	}
 	return Decision{Kind: Withheld, RetryAfter: c.settings.RetryAfter}
 }
 
+// decideHandedOut answers a repeat of a call whose answer was handed out.
+func (c *Claims) decideHandedOut(state *claimv1.KeyState) Decision {
+	switch {
+	case state.GetDelivered():
+		return Decision{Kind: Answered}
+	case aliveIn(c.deps.View, state.GetDeliverer()):
+		return Decision{Kind: Withheld, RetryAfter: c.settings.RetryAfter}
+	}
+	return Decision{Kind: DeliveryUnknown}
+}
+
 // delivery returns the right to deliver that a record won.
 func (c *Claims) delivery(key ParsedKey, writer *claimv1.Writer) *Delivery {
 	return &Delivery{
-		giveUp:  func() { c.returnDelivery(key, writer) },
-		release: func() {},
+		returned:  func() { c.record(returnedRecord(key.Key, writer), key.Issued) },
+		confirmed: func() { c.record(confirmedRecord(key.Key, writer), key.Issued) },
 	}
 }
-
-// returnDelivery records that a delivery did not happen and never will.
-func (c *Claims) returnDelivery(key ParsedKey, writer *claimv1.Writer) {
-	c.record(returnedRecord(key.Key, writer), key.Issued)
-}
--- a/internal/claim/decision.go
+++ b/internal/claim/decision.go
@@ -14,13 +14,16 @@
 	Run Kind = iota + 1
 	// Running means that another attempt is executing, or may be about to.
 	Running
-	// Answered means that the call ran and its answer was handed out.
+	// Answered means that the call ran and its answer was delivered.
 	Answered
 	// Recorded means that the call ran and that this attempt delivers its answer.
 	Recorded
 	// Withheld means that the call ran and that its answer is recorded but
-	// cannot be handed out now.
+	// cannot be handed out now, for example as another attempt delivers it.
 	Withheld
+	// DeliveryUnknown means that the call ran and that an attempt that is gone
+	// held the right to deliver its answer.
+	DeliveryUnknown
 	// ClosedNotRun means that nothing ran with this key and nothing will.
 	ClosedNotRun
 	// Unknown means that the call may or may not have run.
@@ -31,14 +34,15 @@
 
 // kindNames are the names used in counters and messages.
 var kindNames = map[Kind]string{
-	Run:          "run",
-	Running:      "running",
-	Answered:     "answered",
-	Recorded:     "recorded",
-	Withheld:     "withheld",
-	ClosedNotRun: "closed-not-run",
-	Unknown:      "unknown",
-	Elsewhere:    "elsewhere",
+	Run:             "run",
+	Running:         "running",
+	Answered:        "answered",
+	Recorded:        "recorded",
+	Withheld:        "withheld",
+	DeliveryUnknown: "delivery-unknown",
+	ClosedNotRun:    "closed-not-run",
+	Unknown:         "unknown",
+	Elsewhere:       "elsewhere",
 }
 
 // String returns the kind's name.
@@ -53,7 +57,7 @@
 	RetryAfter time.Duration
 	// Answer is the recorded answer; set for Recorded.
 	Answer Answer
-	// Delivery must be returned if the answer could not be delivered; set for Recorded.
+	// Delivery must be ended by one of its methods; set for Recorded.
 	Delivery *Delivery
 	// VM is the VM that knows the key; set for Elsewhere.
 	VM string
--- /dev/null
+++ b/internal/claim/fakelog_test.go
@@ -0,0 +1,149 @@
+package claim
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+)
+
+// faults are the probabilities of what goes wrong with an append.
+type faults struct {
+	// lost answers: the append takes effect before, later or never.
+	lostDone, lostLate, lostNever float64
+	throttled                     float64
+	// twice appends the records two times and answers with the first offset.
+	twice float64
+	// unreadable fails reads.
+	unreadable float64
+}
+
+// fakeLog is an in-memory log service on the bubble's clock.
+type fakeLog struct {
+	latency   time.Duration
+	retention time.Duration
+	lateBy    time.Duration
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	faults  faults
+	away    bool
+	streams map[string]*fakeStream
+	appends int
+	bytes   int
+}
+
+type fakeStream struct {
+	first   uint64
+	records []logservice.Record
+}
+
+func newFakeLog(seed int64) *fakeLog {
+	return &fakeLog{
+		random:    rand.New(rand.NewSource(seed)),
+		retention: 2 * time.Hour,
+		lateBy:    300 * time.Millisecond,
+		latency:   2 * time.Millisecond,
+		streams:   make(map[string]*fakeStream),
+	}
+}
+
+func (l *fakeLog) setAway(away bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.away = away
+}
+
+func (l *fakeLog) setFaults(f faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+func (l *fakeLog) stream(name string) *fakeStream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &fakeStream{}
+		l.streams[name] = s
+	}
+	for len(s.records) > 0 && time.Since(s.records[0].Time) >= l.retention {
+		s.records = s.records[1:]
+		s.first++
+	}
+	return s
+}
+
+// add appends entries; the lock is held.
+func (l *fakeLog) add(name string, entries []logservice.Entry) uint64 {
+	s := l.stream(name)
+	first := s.first + uint64(len(s.records))
+	for i, entry := range entries {
+		s.records = append(s.records, logservice.Record{Offset: first + uint64(i), Time: time.Now(), Entry: entry})
+		l.bytes += len(entry.ID) + len(entry.Data)
+	}
+	return first
+}
+
+func (l *fakeLog) Append(ctx context.Context, name string, entries []logservice.Entry) (uint64, error) {
+	pause(ctx, l.latency/2)
+	first, err := l.decide(name, entries)
+	pause(ctx, l.latency/2)
+	if err == nil && ctx.Err() != nil {
+		err = logservice.InDoubt.Wrap(ctx.Err(), "no answer")
+	}
+	return first, err
+}
+
+func (l *fakeLog) decide(name string, entries []logservice.Entry) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	if l.away {
+		return 0, logservice.Outage.New("away")
+	}
+	f := l.faults
+	dice := l.random.Float64()
+	below := func(p float64) bool {
+		dice -= p
+		return dice < 0
+	}
+	switch {
+	case below(f.throttled):
+		return 0, logservice.Throttled.New("limit")
+	case below(f.lostDone):
+		l.add(name, entries)
+		return 0, logservice.InDoubt.New("lost")
+	case below(f.lostNever):
+		return 0, logservice.InDoubt.New("lost")
+	case below(f.lostLate):
+		time.AfterFunc(time.Duration(1+l.random.Int63n(int64(l.lateBy))), func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.add(name, entries)
+		})
+		return 0, logservice.InDoubt.New("lost")
+	case below(f.twice):
+		first := l.add(name, entries)
+		l.add(name, entries)
+		return first, nil
+	}
+	return l.add(name, entries), nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, name string, from uint64, limit int, _ time.Duration) (logservice.Page, error) {
+	pause(ctx, l.latency)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away || l.random.Float64() < l.faults.unreadable {
+		return logservice.Page{}, logservice.Unreadable.New("away")
+	}
+	s := l.stream(name)
+	next := s.first + uint64(len(s.records))
+	page := logservice.Page{FirstOffset: s.first, NextOffset: next, Time: time.Now()}
+	from = min(max(from, s.first), next)
+	rest := s.records[from-s.first:]
+	page.Records = append(page.Records, rest[:min(limit, len(rest))]...)
+	return page, nil
+}
--- a/internal/claim/index.go
+++ b/internal/claim/index.go
@@ -88,6 +88,8 @@
 		e.deliver(writer)
 	case *claimv1.Record_DeliveryReturned:
 		e.giveBack(writer)
+	case *claimv1.Record_DeliveryConfirmed:
+		e.confirm(writer)
 	}
 }
 
@@ -131,6 +133,14 @@
 	}
 }
 
+// confirm ends a delivery that reached the caller.
+func (e *entry) confirm(writer writerID) {
+	if e.deliverer == writer {
+		e.delivered = true
+		e.answer = nil
+	}
+}
+
 // deliverable reports whether an answer waits for delivery.
 func (e *entry) deliverable() bool {
 	return e.execution == claimv1.Execution_EXECUTION_RAN && !e.delivered
@@ -151,6 +161,8 @@
 		return e.claimant != writer || e.execution != claimv1.Execution_EXECUTION_UNSPECIFIED
 	case *claimv1.Record_Delivery:
 		return !e.deliverable() || e.deliverer != (writerID{}) || slices.Contains(e.returned, writer)
+	case *claimv1.Record_DeliveryConfirmed:
+		return e.deliverer != writer || e.delivered
 	default:
 		return !e.deliverable() || slices.Contains(e.returned, writer)
 	}
--- a/internal/claim/outbox.go
+++ b/internal/claim/outbox.go
@@ -24,6 +24,7 @@
 	running  sync.WaitGroup
 
 	mu      sync.Mutex
+	closed  bool
 	waiting int
 	// idle is closed when waiting falls to 0; nil if nobody flushes.
 	idle chan struct{}
@@ -38,7 +39,7 @@
 func (o *outbox) add(try func(context.Context) bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.ctx.Err() != nil {
+	if o.closed {
 		o.counters.unrecorded.Add(1)
 		return
 	}
@@ -108,5 +109,10 @@
 	return o.idle
 }
 
-// wait waits for the end of all retries after the context has ended.
-func (o *outbox) wait() { o.running.Wait() }
+// stop waits for the end of all retries after the context has ended.
+func (o *outbox) stop() {
+	o.mu.Lock()
+	o.closed = true
+	o.mu.Unlock()
+	o.running.Wait()
+}
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -13,10 +13,11 @@
 
 // Prefixes of record ids; a writer's sequence is used once per kind.
 const (
-	claimPrefix    = "c"
-	outcomePrefix  = "o"
-	deliveryPrefix = "d"
-	returnedPrefix = "r"
+	claimPrefix     = "c"
+	outcomePrefix   = "o"
+	deliveryPrefix  = "d"
+	returnedPrefix  = "r"
+	confirmedPrefix = "f"
 )
 
 // newRecord returns a record of a key without its kind.
@@ -48,6 +49,12 @@
 	return record
 }
 
+func confirmedRecord(key Key, writer *claimv1.Writer) *claimv1.Record {
+	record := newRecord(key, writer)
+	record.Kind = &claimv1.Record_DeliveryConfirmed{DeliveryConfirmed: &claimv1.DeliveryConfirmed{}}
+	return record
+}
+
 // encodeRecord returns the log entry of a record.
 func encodeRecord(record *claimv1.Record) (logservice.Entry, error) {
 	data, err := proto.Marshal(record)
@@ -79,6 +86,8 @@
 		return outcomePrefix
 	case *claimv1.Record_Delivery:
 		return deliveryPrefix
+	case *claimv1.Record_DeliveryConfirmed:
+		return confirmedPrefix
 	default:
 		return returnedPrefix
 	}
--- a/internal/claim/ticket.go
+++ b/internal/claim/ticket.go
@@ -44,18 +44,18 @@
 
 // Delivery is the right to deliver one recorded answer.
 type Delivery struct {
-	once    sync.Once
-	giveUp  func()
-	release func()
+	once      sync.Once
+	returned  func()
+	confirmed func()
 }
 
-// Delivered ends the delivery after the caller received the whole answer.
+// Delivered records in the background that the caller received the whole answer.
 func (d *Delivery) Delivered() {
-	d.once.Do(d.release)
+	d.once.Do(d.confirmed)
 }
 
 // Return gives the answer back, so that another repeat can have it. It must
 // only be called if the caller did not receive the whole answer.
 func (d *Delivery) Return() {
-	d.once.Do(d.giveUp)
+	d.once.Do(d.returned)
 }
