--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -6,5 +6,6 @@
 		questionnaireCommand,
 		timelineCommand,
 		versionCommand,
+		standinCommand,
 	}
 }
--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// unknownAttempt is the id in a crossed answer when no other attempt runs.
+const unknownAttempt = "unknown.1.1.1"
+
 // importKV waits for a slot, takes the KV cache from its prefill engine and
 // moves it over the link. It returns an Evicted error if there is no such
 // cache and a Cancelled error if the attempt ended before.
@@ -12,7 +15,8 @@
 	if !await(ctx, e, a, a.ready) {
 		return Cancelled.New("attempt %s ended in the queue", a.id)
 	}
-	export, err := e.takeKV(ctx, source, a.promptHash)
+	// A closed connection must not lose the answer, which the accounting needs.
+	export, err := e.takeKV(context.WithoutCancel(ctx), source, a.promptHash)
 	if err != nil {
 		e.refuseEvicted(a)
 		return err
@@ -77,7 +81,7 @@
 		if !ok {
 			return
 		}
-		next = next.Add(interval)
+		next = nextStep(next, time.Now(), interval)
 		timer.Reset(time.Until(next))
 		select {
 		case <-timer.C:
@@ -87,6 +91,15 @@
 	}
 }
 
+// nextStep returns the time of the step after the one planned for last. A step
+// that ran late shortens the next interval, but a longer pause is not made up for.
+func nextStep(last, now time.Time, interval time.Duration) time.Time {
+	if now.Sub(last) > interval {
+		last = now
+	}
+	return last.Add(interval)
+}
+
 // stepInterval returns the time until the next step, false if the batch is empty.
 func (e *Engine) stepInterval() (time.Duration, bool) {
 	e.mu.Lock()
@@ -161,15 +174,19 @@
 	}
 }
 
-// otherAttempt returns an attempt other than a, one that does not exist if
-// there is none.
+// otherAttempt returns the oldest attempt other than a, one that does not exist
+// if there is none.
 func (e *Engine) otherAttempt(a *attempt) *attempt {
+	var oldest *attempt
 	for _, other := range e.attempts {
-		if other != a {
-			return other
+		if other != a && (oldest == nil || other.arrival < oldest.arrival) {
+			oldest = other
 		}
 	}
-	return &attempt{id: "unknown.1.1.1", answer: NewAnswer("unknown", e.options.OutputTokens, 0)}
+	if oldest == nil {
+		return &attempt{id: unknownAttempt, answer: NewAnswer(unknownAttempt, e.options.OutputTokens, 0)}
+	}
+	return oldest
 }
 
 // crossed draws whether the next event of a stream is preceded or replaced by
--- a/internal/standin/engine/fixture_test.go
+++ b/internal/standin/engine/fixture_test.go
@@ -17,7 +17,9 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 )
 
-// testOptions are those of a fast engine.
+const hour = configuration.Duration(time.Hour)
+
+// testOptions are those of a fast engine that keeps KV caches for long.
 func testOptions(role configuration.Role) Options {
 	return Options{
 		Name:                   string(role) + "-1",
@@ -27,6 +29,7 @@
 		PrefillTokensPerSecond: 1e6,
 		TokenInterval:          configuration.Duration(time.Millisecond),
 		KVBytesPerToken:        1000,
+		KVRetention:            hour,
 		OutputTokens:           Range{Min: 20, Max: 40},
 		Seed:                   1,
 	}
@@ -71,14 +74,19 @@
 	return p.client.Do(request)
 }
 
-// runPrefill prefills a prompt and returns the answer.
-func (p *pair) runPrefill(id, prompt string) prefillAnswer {
-	response, err := p.post(p.t.Context(), p.prefill, "/v1/completions", id, prefillCall(prompt))
+// postJSON posts a body and decodes the answer, whose status has to be 200.
+func (p *pair) postJSON(server *Server, path, id string, body, target any) {
+	response, err := p.post(p.t.Context(), server, path, id, body)
 	assert.NilError(p.t, err)
 	defer func() { _ = response.Body.Close() }()
 	assert.Equal(p.t, response.StatusCode, http.StatusOK)
+	assert.NilError(p.t, json.NewDecoder(response.Body).Decode(target))
+}
+
+// runPrefill prefills a prompt and returns the answer.
+func (p *pair) runPrefill(id, prompt string) prefillAnswer {
 	var answer prefillAnswer
-	assert.NilError(p.t, json.NewDecoder(response.Body).Decode(&answer))
+	p.postJSON(p.prefill, "/v1/completions", id, prefillCall(prompt), &answer)
 	return answer
 }
 
@@ -94,11 +102,37 @@
 }
 
 // startDecode prefills a prompt and opens its stream.
-func (p *pair) startDecode(ctx context.Context, id, prompt string) *http.Response {
-	answer := p.runPrefill(id, prompt)
-	response, err := p.post(ctx, p.decode, "/v1/completions", id, decodeCall(prompt, answer.KV))
+func (p *pair) startDecode(ctx context.Context, id, prompt string) io.ReadCloser {
+	kv := p.runPrefill(id, prompt).KV
+	return p.open(ctx, "/v1/completions", id, decodeCall(prompt, kv))
+}
+
+// open opens a stream of the decode engine.
+func (p *pair) open(ctx context.Context, path, id string, body call) io.ReadCloser {
+	response, err := p.post(ctx, p.decode, path, id, body)
 	assert.NilError(p.t, err)
-	return response
+	assert.Equal(p.t, response.StatusCode, http.StatusOK)
+	return response.Body
+}
+
+// status posts a body and returns the status of the answer.
+func (p *pair) status(server *Server, path, id string, body any) int {
+	response, err := p.post(p.t.Context(), server, path, id, body)
+	assert.NilError(p.t, err)
+	assert.NilError(p.t, response.Body.Close())
+	return response.StatusCode
+}
+
+// decodeJSON calls a path without a body and decodes the answer, whose status
+// has to be 200.
+func (p *pair) decodeJSON(server *Server, method, path string, target any) {
+	request, err := http.NewRequestWithContext(p.t.Context(), method, "http://"+server.Addr()+path, nil)
+	assert.NilError(p.t, err)
+	response, err := p.client.Do(request)
+	assert.NilError(p.t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(p.t, response.StatusCode, http.StatusOK)
+	assert.NilError(p.t, json.NewDecoder(response.Body).Decode(target))
 }
 
 // event is one event of a stream.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -9,6 +9,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/standin/ctxtime"
 	"github.com/ospreyshed/ospreyshed/internal/standin/httpserver"
 )
 
@@ -34,7 +35,9 @@
 	protocol.HandleFunc("/chat/completions", h.serveChat).Methods(http.MethodPost)
 	protocol.HandleFunc("/requests/{id}/cancel", h.serveCancel).Methods(http.MethodPost)
 	protocol.HandleFunc("/incarnations/{vm}/{incarnation}/cancel", h.serveCancelIncarnation).Methods(http.MethodPost)
-	protocol.HandleFunc("/load", h.serveLoad).Methods(http.MethodGet)
+	if !h.engine.options.HideLoad {
+		protocol.HandleFunc("/load", h.serveLoad).Methods(http.MethodGet)
+	}
 	protocol.HandleFunc("/state", h.serveState).Methods(http.MethodGet)
 	protocol.HandleFunc("/orders", h.serveOrder).Methods(http.MethodPost)
 	protocol.HandleFunc("/cache/events", h.serveEvents).Methods(http.MethodGet)
@@ -109,7 +112,7 @@
 		h.writeEnded(w, a)
 		return
 	}
-	if !httpserver.Sleep(r.Context(), result.late) {
+	if !ctxtime.Sleep(r.Context(), result.late) {
 		httpserver.Cut()
 	}
 	httpserver.WriteJSON(w, http.StatusOK, h.prefillAnswer(call, &result))
--- a/internal/standin/vmlist/registry.go
+++ b/internal/standin/vmlist/registry.go
@@ -12,7 +12,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	platform "github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
-	"github.com/ospreyshed/ospreyshed/internal/standin/httpserver"
+	"github.com/ospreyshed/ospreyshed/internal/standin/ctxtime"
 	"github.com/ospreyshed/ospreyshed/internal/standin/lagged"
 )
 
@@ -76,6 +76,19 @@
 	r.record()
 }
 
+// SetState changes the state of a listed VM; the list shows it after the lag.
+func (r *Registry) SetState(name string, state platform.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	vm, ok := r.vms[name]
+	if !ok {
+		return
+	}
+	vm.State = state
+	r.vms[name] = vm
+	r.record()
+}
+
 // Remove takes a VM off the list, which shows it after the lag.
 func (r *Registry) Remove(name string) {
 	r.mu.Lock()
@@ -102,7 +115,7 @@
 // List implements the platform's list. It returns an Unavailable error during
 // an outage or when ctx ends.
 func (r *Registry) List(ctx context.Context) (platform.List, error) {
-	if !httpserver.Sleep(ctx, r.Faults().Latency.D()) {
+	if !ctxtime.Sleep(ctx, r.Faults().Latency.D()) {
 		return platform.List{}, Unavailable.Wrap(ctx.Err(), "list of VMs")
 	}
 	r.mu.Lock()
