Share one reservation owner per model between the VMs of a zone

Cause: one ledger per VM overfills engines as soon as a zone has two VMs.

Change: the owner of a model is found by rendezvous hashing over the zone's members. A VM whose owner is silent but not suspected uses its static share of each engine; a suspected owner is passed over. A zone that refuses asks one other zone, which grants at once or is left alone for a while.

Shown by tests in one process: three VMs hold 5 of 5 slots in order of arrival, a lost answer costs no second slot, a new owner grants no held slot.

--- /dev/null
+++ b/internal/reservation/counters.go
@@ -0,0 +1,38 @@
+package reservation
+
+import (
+	"sync/atomic"
+
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+// Counters count what the service did since it started.
+type Counters struct {
+	OwnershipGained, OwnershipLost    atomic.Uint64
+	HeartbeatsFailed, StaleHeartbeats atomic.Uint64
+	Fallbacks                         atomic.Uint64
+	Spills, SpillsRefused             atomic.Uint64
+}
+
+// Counters returns the service's own counters.
+func (s *Service) Counters() *Counters { return &s.counters }
+
+// ModelStatus is the state of one model that this VM owns.
+type ModelStatus struct {
+	Waiting  int
+	Counters scheduling.Counters
+}
+
+// Status returns the state of all models that this VM owns.
+func (s *Service) Status() map[string]ModelStatus {
+	s.mu.Lock()
+	owners := copyOf(s.owners)
+	s.mu.Unlock()
+	status := make(map[string]ModelStatus, len(owners))
+	for model, o := range owners {
+		o.mu.Lock()
+		status[model] = ModelStatus{Waiting: o.coordinator.Waiting(), Counters: o.coordinator.Counters()}
+		o.mu.Unlock()
+	}
+	return status
+}
--- /dev/null
+++ b/internal/reservation/fleet_test.go
@@ -0,0 +1,305 @@
+package reservation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+// network connects services in one process and can cut them off.
+type network struct {
+	mu       sync.Mutex
+	services map[string]*Service
+	members  []membership.Member
+	cut      map[string]bool
+	// loseAnswers makes that many reservations take effect without an answer.
+	loseAnswers int
+	cancel      context.CancelFunc
+}
+
+// node is a VM's view of the network and its way into it.
+type node struct {
+	network *network
+	self    membership.Member
+}
+
+func (n node) Self() membership.Member { return n.self }
+
+func (n node) Members() []membership.Member {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	return append([]membership.Member(nil), n.network.members...)
+}
+
+func (n node) HTTPClient() connect.HTTPClient { return n }
+
+func (n node) BaseURL(address string) string { return "http://" + address }
+
+// Do serves the request in this process.
+func (n node) Do(request *http.Request) (*http.Response, error) {
+	target := request.URL.Hostname()
+	n.network.mu.Lock()
+	service, ok := n.network.services[target]
+	blocked := n.network.cut[n.self.VM] || n.network.cut[target]
+	n.network.mu.Unlock()
+	if blocked {
+		<-request.Context().Done()
+		return nil, request.Context().Err()
+	}
+	if !ok {
+		return nil, &url.Error{Op: "Post", URL: target, Err: errors.New("connection refused")}
+	}
+	recorder := httptest.NewRecorder()
+	service.Handler().Handler.ServeHTTP(recorder, request)
+	if err := request.Context().Err(); err != nil {
+		return nil, err
+	}
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	if n.network.loseAnswers > 0 && service.params.View.Self().VM == target && isReserve(request) {
+		n.network.loseAnswers--
+		return nil, errors.New("connection reset")
+	}
+	return recorder.Result(), nil
+}
+
+func isReserve(request *http.Request) bool {
+	return request.URL.Path == "/ospreyshed.reservation.v1.ReservationService/Reserve"
+}
+
+// remove stops routing to a VM and takes it off the members.
+func (n *network) remove(vm string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.services, vm)
+	for i, m := range n.members {
+		if m.VM == vm {
+			n.members = append(n.members[:i:i], n.members[i+1:]...)
+			return
+		}
+	}
+}
+
+// startNetwork starts services named a-1, a-2 ... in zone a and so on.
+func startNetwork(t *testing.T, fleet Fleet, sizes map[string]int) *network {
+	n := &network{services: map[string]*Service{}, cut: map[string]bool{}}
+	for _, zone := range []string{"a", "b"} {
+		for i := range sizes[zone] {
+			vm := fmt.Sprintf("%s-%d", zone, i+1)
+			n.members = append(n.members, membership.Member{VM: vm, Zone: zone, Address: vm + ":1", Incarnation: 1, State: membership.Alive})
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	n.cancel = cancel
+	for _, m := range n.members {
+		self := node{n, m}
+		n.services[m.VM] = New(Params{View: self, Dialer: self, Fleet: func() Fleet { return fleet }})
+	}
+	for _, s := range n.services {
+		go s.Run(ctx)
+	}
+	time.Sleep(time.Second)
+	return n
+}
+
+// owner returns the VM that owns the model in zone a, and one that does not.
+func (n *network) owner() (owner, other string) {
+	for _, vm := range []string{"a-1", "a-2", "a-3"} {
+		if s, ok := n.services[vm]; ok && s.ownsModel("m") {
+			owner = vm
+		} else if ok {
+			other = vm
+		}
+	}
+	return owner, other
+}
+
+func release(id engine.AttemptID) scheduling.Progress {
+	return scheduling.Progress{ID: id, Kind: scheduling.Released, Tokens: 100}
+}
+
+// start lets a granted attempt pass its prefill.
+func start(s *Service, id engine.AttemptID) {
+	s.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillDone, Tokens: 1000})
+	s.Progress(scheduling.Progress{ID: id, Kind: scheduling.FirstTokenSeen})
+}
+
+func runFleet(t *testing.T, slots int, sizes map[string]int, test func(t *testing.T, n *network)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := startNetwork(t, smallFleet{slots}, sizes)
+		defer n.cancel()
+		test(t, n)
+	})
+}
+
+func TestAllVMsShareOneLedger(t *testing.T) {
+	runFleet(t, 5, map[string]int{"a": 3}, func(t *testing.T, n *network) {
+		type granted struct {
+			s  *Service
+			id engine.AttemptID
+		}
+		grants := make(chan granted, 30)
+		for i := range 30 {
+			vm := fmt.Sprintf("a-%d", i%3+1)
+			go func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				d := demand(vm, uint64(i))
+				d.QueueLimit = 0
+				g, err := n.services[vm].Reserve(t.Context(), d)
+				if err != nil {
+					return
+				}
+				start(n.services[vm], g.ID)
+				grants <- granted{n.services[vm], g.ID}
+			}()
+		}
+		for i := range 30 {
+			time.Sleep(time.Second)
+			assert.Equal(t, len(grants), min(5, 30-i), "grants beside slots after %d releases", i)
+			g := <-grants
+			assert.Equal(t, g.id.Request, uint64(i), "out of order")
+			g.s.Progress(release(g.id))
+		}
+	})
+}
+
+func TestNewOwnerKnowsWhatTheMembersHold(t *testing.T) {
+	runFleet(t, 1, map[string]int{"a": 3}, func(t *testing.T, n *network) {
+		owner, other := n.owner()
+		s := n.services[other]
+		first, err := s.Reserve(t.Context(), demand(other, 1))
+		assert.NilError(t, err)
+		start(s, first.ID)
+		n.remove(owner)
+		time.Sleep(time.Second)
+
+		done := make(chan error, 1)
+		go func() {
+			_, err := s.Reserve(t.Context(), demand(other, 2))
+			done <- err
+		}()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(done), 0, "the new owner granted a slot that is held")
+		s.Progress(release(first.ID))
+		assert.NilError(t, <-done)
+	})
+}
+
+func TestLostAnswerCostsNoSecondSlot(t *testing.T) {
+	runFleet(t, 2, map[string]int{"a": 3}, func(t *testing.T, n *network) {
+		owner, other := n.owner()
+		n.mu.Lock()
+		n.loseAnswers = 1
+		n.mu.Unlock()
+		_, err := n.services[other].Reserve(t.Context(), demand(other, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, n.loseAnswers, 0)
+		o, err := n.services[owner].own("m")
+		assert.NilError(t, err)
+		assert.Equal(t, o.headroom(), 0.5)
+	})
+}
+
+func TestSilentOwnerMakesVMsUseTheirShares(t *testing.T) {
+	runFleet(t, 5, map[string]int{"a": 2}, func(t *testing.T, n *network) {
+		owner, other := n.owner()
+		n.mu.Lock()
+		n.cut[owner] = true
+		n.mu.Unlock()
+		s := n.services[other]
+		// Of five slots the first of two VMs has three.
+		limit := 3 - s.shareIndex()
+		for i := range limit {
+			g, err := s.Reserve(t.Context(), demand(other, uint64(i)))
+			assert.NilError(t, err)
+			start(s, g.ID)
+		}
+		short, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := s.Reserve(short, demand(other, 99))
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Equal(t, s.counters.Fallbacks.Load(), uint64(limit+1))
+	})
+}
+
+func TestSuspectedOwnerIsPassedOver(t *testing.T) {
+	runFleet(t, 5, map[string]int{"a": 3}, func(t *testing.T, n *network) {
+		owner, other := n.owner()
+		n.mu.Lock()
+		n.cut[owner] = true
+		for i := range n.members {
+			if n.members[i].VM == owner {
+				n.members[i].State = membership.Suspect
+			}
+		}
+		n.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for i := range 5 {
+			g, err := n.services[other].Reserve(t.Context(), demand(other, uint64(i)))
+			assert.NilError(t, err)
+			start(n.services[other], g.ID)
+		}
+		assert.Equal(t, n.services[other].counters.Fallbacks.Load(), uint64(0))
+	})
+}
+
+// spillFleet has engines in zone b only.
+type spillFleet struct{ smallFleet }
+
+func (f spillFleet) Engines(model string, role configuration.Role, zone string) []*configuration.Endpoint {
+	if zone == "a" {
+		return nil
+	}
+	return f.smallFleet.Engines(model, role, zone)
+}
+
+func (f spillFleet) Link(from, to string) (*configuration.Link, bool) {
+	return &configuration.Link{From: from, To: to, OneWayDelay: configuration.Duration(3 * time.Millisecond)}, true
+}
+
+func TestSpillAsksOneOtherZoneAndRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := startNetwork(t, spillFleet{smallFleet{2}}, map[string]int{"a": 1, "b": 1})
+		defer n.cancel()
+		s := n.services["a-1"]
+		first, err := s.Reserve(t.Context(), demand("a-1", 1))
+		assert.NilError(t, err)
+		assert.Equal(t, first.Decode, "b-decode")
+		start(s, first.ID)
+		time.Sleep(3 * scheduling.GrantLease)
+		o, err := n.services["b-1"].own("m")
+		assert.NilError(t, err)
+		assert.Equal(t, o.headroom(), 0.5, "the spilled grant was not renewed")
+
+		_, err = s.Reserve(t.Context(), demand("a-1", 2))
+		assert.NilError(t, err)
+		for i := range 3 {
+			_, err = s.Reserve(t.Context(), demand("a-1", uint64(3+i)))
+			assert.Assert(t, asRefusal(err) != nil)
+		}
+		assert.Equal(t, s.counters.SpillsRefused.Load(), uint64(1), "a full zone was asked again at once")
+	})
+}
+
+func TestHeartbeatOfFormerIncarnationIsRefused(t *testing.T) {
+	s := localService(1)
+	assert.NilError(t, s.checkIncarnation("vm-2", 2))
+	assert.Assert(t, s.checkIncarnation("vm-2", 1) != nil)
+	assert.NilError(t, s.checkIncarnation("vm-2", 2))
+	assert.Equal(t, s.counters.StaleHeartbeats.Load(), uint64(1))
+}
--- a/internal/reservation/inputs.go
+++ b/internal/reservation/inputs.go
@@ -13,6 +13,10 @@
 	Engines(model string, role configuration.Role, zone string) []*configuration.Endpoint
 	// Model returns a model's figures.
 	Model(name string) (*configuration.Model, bool)
+	// Models returns the names of all models.
+	Models() []string
+	// EntryVMs returns the names of the entry VMs of a zone.
+	EntryVMs(zone string) []string
 	// Link returns the link between two zones in either direction.
 	Link(from, to string) (*configuration.Link, bool)
 }
@@ -53,11 +57,7 @@
 	state.SlotLimit = condition.SlotLimit
 }
 
-// The periods of the service.
-const (
-	// heartbeatPeriod is the period of heartbeats to owners; four fit in a
-	// grant's lease, so that a grant outlives three lost ones.
-	heartbeatPeriod = 250 * time.Millisecond
-	// refreshPeriod is the period at which engine states are read again.
-	refreshPeriod = 250 * time.Millisecond
-)
+// heartbeatPeriod is the period of heartbeats to owners and at which members
+// and engine states are read again. Four fit in a grant's lease, so that a grant
+// outlives two lost heartbeats.
+const heartbeatPeriod = 250 * time.Millisecond
--- a/internal/reservation/owner.go
+++ b/internal/reservation/owner.go
@@ -14,15 +14,24 @@
 type owner struct {
 	mu          sync.Mutex
 	coordinator *scheduling.Coordinator
-	waiters     map[engine.AttemptID]chan scheduling.Outcome
+	calls       map[engine.AttemptID]chan scheduling.Outcome
 	timer       *time.Timer
-	stopped     bool
+	// moved is closed when this VM stops owning the model.
+	moved   chan struct{}
+	stopped bool
+	rebuild *rebuild
 }
 
-func newOwner(settings scheduling.Settings) *owner {
+// newOwner returns an owner. With a rebuild it grants nothing until that is done.
+func newOwner(settings scheduling.Settings, r *rebuild) *owner {
 	o := &owner{
 		coordinator: scheduling.NewCoordinator(settings),
-		waiters:     make(map[engine.AttemptID]chan scheduling.Outcome),
+		calls:       make(map[engine.AttemptID]chan scheduling.Outcome),
+		moved:       make(chan struct{}),
+		rebuild:     r,
+	}
+	if r != nil {
+		o.coordinator.Close()
 	}
 	o.timer = time.AfterFunc(0, o.tick)
 	return o
@@ -31,12 +40,14 @@
 // reserve submits a demand and waits for the decision. If ctx ends first the
 // demand is withdrawn.
 func (o *owner) reserve(ctx context.Context, d scheduling.Demand) (scheduling.Grant, error) {
-	outcome, wait := o.submit(d)
-	if wait != nil {
+	outcome, call := o.submit(d)
+	if call != nil {
 		select {
-		case outcome = <-wait:
+		case outcome = <-call:
+		case <-o.moved:
+			return scheduling.Grant{}, Moved.New("the ownership of %s moved", d.Model)
 		case <-ctx.Done():
-			o.cancel(d.ID)
+			o.withdraw(d.ID, call)
 			return scheduling.Grant{}, ctx.Err()
 		}
 	}
@@ -46,8 +57,9 @@
 	return *outcome.Grant, nil
 }
 
-// submit returns the decision, or a channel that yields it.
-func (o *owner) submit(d scheduling.Demand) (scheduling.Outcome, <-chan scheduling.Outcome) {
+// submit returns the decision, or a channel that yields it. A later call for
+// the same attempt takes the place of the earlier one.
+func (o *owner) submit(d scheduling.Demand) (scheduling.Outcome, chan scheduling.Outcome) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
@@ -56,17 +68,19 @@
 	if !outcome.Waiting() {
 		return outcome, nil
 	}
-	wait, ok := o.waiters[d.ID]
-	if !ok {
-		wait = make(chan scheduling.Outcome, 1)
-		o.waiters[d.ID] = wait
-	}
-	return outcome, wait
+	call := make(chan scheduling.Outcome, 1)
+	o.calls[d.ID] = call
+	return outcome, call
 }
 
-// cancel withdraws a demand or releases its grant.
-func (o *owner) cancel(id engine.AttemptID) {
-	o.update(func(now time.Time, c *scheduling.Coordinator) { c.Cancel(now, id) })
+// withdraw removes a waiting demand unless another call took its place.
+func (o *owner) withdraw(id engine.AttemptID, call chan scheduling.Outcome) {
+	o.update(func(now time.Time, c *scheduling.Coordinator) {
+		if o.calls[id] == call {
+			delete(o.calls, id)
+			c.Withdraw(now, id)
+		}
+	})
 }
 
 // update changes the coordinator and delivers the decisions that follow.
@@ -78,29 +92,60 @@
 	o.deliver(now)
 }
 
+// progress takes a holder's observation.
+func (o *owner) progress(p scheduling.Progress) {
+	o.update(func(now time.Time, c *scheduling.Coordinator) { c.Progress(now, p) })
+}
+
+// heartbeat takes all that one holder holds.
+func (o *owner) heartbeat(vm string, incarnation uint64, held []scheduling.Held) {
+	o.update(func(now time.Time, c *scheduling.Coordinator) {
+		c.Renew(now, vm, incarnation, held)
+		if o.rebuild != nil {
+			o.rebuild.heard(vm)
+		}
+	})
+}
+
+// headroom returns the free part of the slots.
+func (o *owner) headroom() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.coordinator.Headroom()
+}
+
 func (o *owner) tick() {
 	o.update(func(time.Time, *scheduling.Coordinator) {})
 }
 
-// deliver hands out decisions and sets the timer for the next ones.
+// deliver ends a rebuild that is done, hands out decisions and sets the timer
+// for the next ones.
 func (o *owner) deliver(now time.Time) {
+	if o.rebuild != nil && o.rebuild.done(now) {
+		o.rebuild = nil
+		o.coordinator.Open()
+	}
 	for _, outcome := range o.coordinator.Tick(now) {
-		wait, ok := o.waiters[outcome.ID]
+		call, ok := o.calls[outcome.ID]
 		if !ok {
 			continue
 		}
-		delete(o.waiters, outcome.ID)
-		wait <- outcome
+		delete(o.calls, outcome.ID)
+		call <- outcome
 	}
 	if !o.stopped {
 		o.timer.Reset(o.coordinator.NextWake(now).Sub(now))
 	}
 }
 
-// stop ends the timer. Waiting calls end with their contexts.
+// stop ends the timer and all waiting calls with Moved.
 func (o *owner) stop() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.stopped {
+		return
+	}
 	o.stopped = true
 	o.timer.Stop()
+	close(o.moved)
 }
--- /dev/null
+++ b/internal/reservation/reserve.go
@@ -0,0 +1,226 @@
+package reservation
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/joomcode/errorx"
+
+	reservationv1 "github.com/ospreyshed/ospreyshed/api/reservation/v1"
+	"github.com/ospreyshed/ospreyshed/api/reservation/v1/reservationv1connect"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+const (
+	// ownerPatience is how long a reservation looks for an owner that answers
+	// before it falls back to the static share.
+	ownerPatience = 600 * time.Millisecond
+	// ownerRetryDelay is the time between two attempts.
+	ownerRetryDelay = 25 * time.Millisecond
+)
+
+// Reserve implements Reserver. The own zone comes first; if it refuses for lack
+// of engines or time, one other zone is asked.
+func (s *Service) Reserve(ctx context.Context, d scheduling.Demand) (scheduling.Grant, error) {
+	started := time.Now()
+	key := routeKey{s.self().Zone, d.Model}
+	grant, err := s.reserveInZone(ctx, key, d)
+	if err == nil {
+		return grant, nil
+	}
+	refusal := asRefusal(err)
+	if refusal == nil || !mayspill(refusal) {
+		return scheduling.Grant{}, err
+	}
+	d.Waited += time.Since(started)
+	if grant, ok := s.spill(ctx, d); ok {
+		return grant, nil
+	}
+	return scheduling.Grant{}, err
+}
+
+// reserveInZone asks the owner, follows it when it moves and falls back to the
+// static share when none answers. Asking again is safe, because a reservation
+// is idempotent by attempt and a grant that nobody renews lapses.
+func (s *Service) reserveInZone(ctx context.Context, key routeKey, d scheduling.Demand) (scheduling.Grant, error) {
+	arrival := time.Now().Add(-d.Waited)
+	var failing time.Time
+	for {
+		grant, err := s.ask(ctx, key, d)
+		if err == nil || asRefusal(err) != nil || ctx.Err() != nil {
+			return grant, err
+		}
+		if s.stopped() {
+			return scheduling.Grant{}, Stopped.New("the service does not run")
+		}
+		if failing.IsZero() {
+			failing = time.Now()
+		}
+		if errorx.IsOfType(err, OwnerSilent) || time.Since(failing) > ownerPatience {
+			return s.reserveFromShare(ctx, key, d)
+		}
+		if err := pause(ctx, ownerRetryDelay); err != nil {
+			return scheduling.Grant{}, err
+		}
+		d.Waited = time.Since(arrival)
+	}
+}
+
+// ask asks the present owner once.
+func (s *Service) ask(ctx context.Context, key routeKey, d scheduling.Demand) (scheduling.Grant, error) {
+	way, err := s.router.acquire(key)
+	if err != nil {
+		return scheduling.Grant{}, err
+	}
+	// The grant must be on record before the route counts as settled.
+	defer s.router.release(way)
+	if way.silent {
+		return scheduling.Grant{}, OwnerSilent.New("%s did not answer lately", way.owner.VM)
+	}
+	grant, err := s.askOwner(ctx, way, d)
+	if err != nil {
+		return scheduling.Grant{}, err
+	}
+	s.holdings.add(key, &d, grant)
+	return grant, nil
+}
+
+func (s *Service) askOwner(ctx context.Context, way ticket, d scheduling.Demand) (scheduling.Grant, error) {
+	if way.owner.VM == s.self().VM {
+		return s.askSelf(ctx, d)
+	}
+	s.linkTo(way.owner.VM)
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-way.broken:
+			cancel()
+		case <-call.Done():
+		}
+	}()
+	grant, err := s.callOwner(call, way.owner, &d, false)
+	if err != nil && ctx.Err() != nil {
+		// The caller is gone for good; the owner may have granted meanwhile.
+		s.holdings.postpone(way.route.key, scheduling.Progress{ID: d.ID, Kind: scheduling.Released})
+		s.linkTo(way.owner.VM).wake()
+		return scheduling.Grant{}, ctx.Err()
+	}
+	return grant, err
+}
+
+// askSelf reserves from this VM's own coordinator.
+func (s *Service) askSelf(ctx context.Context, d scheduling.Demand) (scheduling.Grant, error) {
+	o, err := s.own(d.Model)
+	if err != nil {
+		return scheduling.Grant{}, err
+	}
+	return reserveForSelf(ctx, o, d)
+}
+
+// reserveForSelf reserves from a coordinator of this VM. If ctx ended, a grant
+// made at that moment is given back at once.
+func reserveForSelf(ctx context.Context, o *owner, d scheduling.Demand) (scheduling.Grant, error) {
+	grant, err := o.reserve(ctx, d)
+	if ctx.Err() != nil {
+		o.update(func(now time.Time, c *scheduling.Coordinator) { c.Cancel(now, d.ID) })
+		return scheduling.Grant{}, ctx.Err()
+	}
+	return grant, err
+}
+
+// callOwner makes one call to another VM.
+func (s *Service) callOwner(ctx context.Context, to membership.Member, d *scheduling.Demand, spilled bool) (scheduling.Grant, error) {
+	client, err := s.client(to.VM)
+	if err != nil {
+		return scheduling.Grant{}, err
+	}
+	request := &reservationv1.ReserveRequest{Demand: demandToProto(d), Spilled: spilled}
+	response, err := client.Reserve(ctx, connect.NewRequest(request))
+	if err != nil {
+		if ctx.Err() == nil && connect.CodeOf(err) == connect.CodeUnavailable {
+			s.router.markUnreachable(to.VM)
+		}
+		return scheduling.Grant{}, fromPeer(err)
+	}
+	return outcomeFromProto(d.ID, response.Msg)
+}
+
+// reserveFromShare reserves from this VM's static share.
+func (s *Service) reserveFromShare(ctx context.Context, key routeKey, d scheduling.Demand) (scheduling.Grant, error) {
+	s.counters.Fallbacks.Add(1)
+	o, err := s.share(d.Model)
+	if err != nil {
+		return scheduling.Grant{}, err
+	}
+	grant, err := reserveForSelf(ctx, o, d)
+	if err != nil {
+		return scheduling.Grant{}, err
+	}
+	s.holdings.add(key, &d, grant)
+	return grant, nil
+}
+
+// client returns the client of another VM.
+func (s *Service) client(vm string) (reservationv1connect.ReservationServiceClient, error) {
+	if s.params.Dialer == nil {
+		return nil, OwnerUnreachable.New("no way to dial %s", vm)
+	}
+	for _, m := range s.params.View.Members() {
+		if m.VM == vm {
+			url := s.params.Dialer.BaseURL(m.Address)
+			return reservationv1connect.NewReservationServiceClient(s.params.Dialer.HTTPClient(), url), nil
+		}
+	}
+	return nil, OwnerUnreachable.New("%s is no member", vm)
+}
+
+// linkTo returns the link to another VM and starts it if needed.
+func (s *Service) linkTo(vm string) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.links[vm]
+	if ok {
+		return l
+	}
+	l = &link{service: s, vm: vm, kick: make(chan struct{}, 1)}
+	if s.running == nil || s.running.Err() != nil {
+		return l
+	}
+	s.links[vm] = l
+	ctx := s.running
+	s.wait.Go(func() { l.run(ctx) })
+	return l
+}
+
+// dropLink forgets a link to a VM that owns nothing this VM needs.
+func (s *Service) dropLink(l *link) bool {
+	if len(s.keysOwnedBy(l.vm)) > 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.links, l.vm)
+	return true
+}
+
+// stopped reports whether Run has ended.
+func (s *Service) stopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running != nil && s.running.Err() != nil
+}
+
+// pause waits for a time unless ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/reservation/service.go
+++ b/internal/reservation/service.go
@@ -3,7 +3,8 @@
 //
 // One VM of the zone owns the engines of a model. All VMs find it by rendezvous
 // hashing over the members they see, reserve through it and send it heartbeats
-// of what they hold.
+// of what they hold. A new owner rebuilds the ledger from these heartbeats. A
+// VM that reaches no owner falls back to a static share of each engine.
 package reservation
 
 import (
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	reservationv1 "github.com/ospreyshed/ospreyshed/api/reservation/v1"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
@@ -29,7 +31,8 @@
 
 // Params are the inputs of a Service.
 type Params struct {
-	View   membership.View
+	View membership.View
+	// Dialer may be nil if the VM is alone.
 	Dialer peer.Dialer
 	// Fleet returns the configuration in force.
 	Fleet func() Fleet
@@ -37,184 +40,223 @@
 	Conditions Conditions
 }
 
-// Service is a Reserver that takes part in the ownership of its zone.
+// Service is a Reserver that takes part in the ownership of its zone. It is
+// safe for concurrent use.
 type Service struct {
-	params Params
+	params   Params
+	router   *router
+	holdings *holdings
+	counters Counters
+	spills   *spillPolicy
+	senders  *holders
 
-	mu     sync.Mutex
-	owners map[string]*owner
-	held   map[engine.AttemptID]*scheduling.Held
+	mu      sync.Mutex
+	owners  map[string]*owner
+	shares  map[string]*owner
+	links   map[string]*link
+	running context.Context
+	wait    sync.WaitGroup
 }
 
-// New returns a service that does nothing until Run.
+// New returns a service; Run must be running for grants to stay renewed.
 func New(params Params) *Service {
 	return &Service{
-		params: params,
-		owners: make(map[string]*owner),
-		held:   make(map[engine.AttemptID]*scheduling.Held),
+		params:   params,
+		router:   newRouter(params.View),
+		holdings: newHoldings(),
+		spills:   newSpillPolicy(),
+		senders:  newHolders(),
+		owners:   make(map[string]*owner),
+		shares:   make(map[string]*owner),
+		links:    make(map[string]*link),
 	}
 }
 
-// Run keeps grants renewed until ctx ends.
+// Run renews grants and follows changes of members and engines until ctx ends.
+// Calls of Reserve that still wait then end with an error.
 func (s *Service) Run(ctx context.Context) {
+	s.mu.Lock()
+	s.running = ctx
+	s.mu.Unlock()
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
 	for {
+		s.beat()
 		select {
 		case <-ctx.Done():
 			s.stop()
 			return
 		case <-ticker.C:
-			s.heartbeat()
-			s.refresh()
 		}
 	}
 }
 
-// Reserve implements Reserver.
-func (s *Service) Reserve(ctx context.Context, d scheduling.Demand) (scheduling.Grant, error) {
-	o, err := s.ownerOf(d.Model)
-	if err != nil {
-		return scheduling.Grant{}, err
-	}
-	grant, err := o.reserve(ctx, d)
-	if err != nil {
-		return scheduling.Grant{}, err
-	}
-	s.hold(d, grant)
-	return grant, nil
-}
-
 // Progress implements Reserver.
 func (s *Service) Progress(p scheduling.Progress) {
-	s.track(p)
-	for _, o := range s.allOwners() {
-		o.update(func(now time.Time, c *scheduling.Coordinator) { c.Progress(now, p) })
+	key, ok := s.holdings.track(p)
+	if !ok {
+		return
 	}
+	s.report(key, p)
+}
+
+// Delivered records how many tokens of an attempt were delivered, which makes
+// the prediction of its end exact. It costs one map access.
+func (s *Service) Delivered(id engine.AttemptID, tokens int) {
+	s.holdings.delivered(id, tokens)
 }
 
-// ObserveLoad passes an engine's load report on.
+// ObserveLoad takes an engine's load report. Owners need the reports of their
+// engines at any time, new owners at once, so every VM passes on what it has.
 func (s *Service) ObserveLoad(name string, report engine.LoadReport) {
-	for _, o := range s.allOwners() {
+	for _, o := range s.coordinators() {
 		o.update(func(now time.Time, c *scheduling.Coordinator) { c.ObserveLoad(now, name, report) })
 	}
 }
 
-// hold records a grant for the heartbeats.
-func (s *Service) hold(d scheduling.Demand, grant scheduling.Grant) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.held[d.ID] = &scheduling.Held{
-		ID:            d.ID,
-		Team:          d.Team,
-		Class:         d.Class,
-		Prefill:       grant.Prefill,
-		Decode:        grant.Decode,
-		PromptTokens:  d.PromptTokens,
-		OutputTokens:  d.OutputTokens,
-		BetweenTokens: d.Targets.BetweenTokens.D(),
+// CacheEvents takes prefix cache events of an engine; gap says that some were
+// lost before them.
+func (s *Service) CacheEvents(name string, events []scheduling.CacheEvent, gap bool) {
+	for _, o := range s.coordinators() {
+		o.update(func(now time.Time, c *scheduling.Coordinator) { c.CacheEvents(now, name, events, gap) })
 	}
 }
 
-// track follows the phase of a held attempt.
-func (s *Service) track(p scheduling.Progress) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h, ok := s.held[p.ID]
+// HolderGone releases all that an incarnation of an entry VM held here.
+func (s *Service) HolderGone(vm string, incarnation uint64) {
+	for _, o := range s.coordinators() {
+		o.update(func(now time.Time, c *scheduling.Coordinator) { c.HolderGone(now, vm, incarnation) })
+	}
+}
+
+// report passes progress to the coordinators that may know the attempt.
+func (s *Service) report(key routeKey, p scheduling.Progress) {
+	if share := s.shareOf(key); share != nil {
+		share.progress(p)
+	}
+	member, ok := s.router.current(key)
 	if !ok {
 		return
 	}
-	switch p.Kind {
-	case scheduling.PrefillDone:
-		h.Phase = scheduling.PhaseTransfer
-	case scheduling.FirstTokenSeen:
-		h.Phase = scheduling.PhaseDecode
-	case scheduling.Released:
-		delete(s.held, p.ID)
+	if member.VM != s.self().VM {
+		s.holdings.postpone(key, p)
+		s.linkTo(member.VM).wake()
+		return
+	}
+	if o, err := s.own(key.model); err == nil {
+		o.progress(p)
 	}
 }
 
-// heartbeat renews all that this VM holds.
-func (s *Service) heartbeat() {
-	held := s.heldNow()
-	self := s.params.View.Self()
-	for _, o := range s.allOwners() {
-		o.update(func(now time.Time, c *scheduling.Coordinator) {
-			c.Renew(now, self.VM, self.Incarnation, held)
-		})
+// beat renews what this VM holds from itself, follows changes of ownership and
+// of engines, and makes sure that every owner has a link.
+func (s *Service) beat() {
+	s.refreshRoutes()
+	s.refreshEngines()
+	for _, key := range s.keys() {
+		member, ok := s.router.current(key)
+		if !ok {
+			continue
+		}
+		if member.VM != s.self().VM {
+			s.linkTo(member.VM)
+			continue
+		}
+		s.renewOwn(key)
 	}
+	s.renewShares()
 }
 
-func (s *Service) heldNow() []scheduling.Held {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	held := make([]scheduling.Held, 0, len(s.held))
-	for _, h := range s.held {
-		held = append(held, *h)
+// renewOwn tells this VM's own coordinator what this VM holds.
+func (s *Service) renewOwn(key routeKey) {
+	if !s.router.settled(key) {
+		return
+	}
+	if o, err := s.own(key.model); err == nil {
+		o.heartbeat(s.self().VM, s.self().Incarnation, s.holdings.of(key))
 	}
-	return held
 }
 
-// refresh reads the engines' states again.
-func (s *Service) refresh() {
+// refreshRoutes gives up the models that another VM owns now.
+func (s *Service) refreshRoutes() {
 	s.mu.Lock()
-	models := make(map[string]*owner, len(s.owners))
+	defer s.mu.Unlock()
 	for model, o := range s.owners {
-		models[model] = o
-	}
-	s.mu.Unlock()
-	for model, o := range models {
-		s.configure(model, o)
+		if !s.ownsModel(model) {
+			o.stop()
+			delete(s.owners, model)
+			s.counters.OwnershipLost.Add(1)
+		}
 	}
 }
 
-func (s *Service) configure(model string, o *owner) {
-	fleet := s.params.Fleet()
-	states := engineStates(fleet, s.params.Conditions, model, s.params.View.Self().Zone)
-	figures, ok := fleet.Model(model)
-	o.update(func(now time.Time, c *scheduling.Coordinator) {
-		if ok {
-			c.SetModel(*figures)
-		}
-		c.SetEngines(now, states)
-	})
+// ownsModel reports whether this VM owns a model of its zone.
+func (s *Service) ownsModel(model string) bool {
+	member, ok := s.router.current(routeKey{s.self().Zone, model})
+	return ok && member.VM == s.self().VM
 }
 
-// ownerOf returns the owner of a model and makes it on first use.
-func (s *Service) ownerOf(model string) (*owner, error) {
-	s.mu.Lock()
-	o, ok := s.owners[model]
-	s.mu.Unlock()
-	if ok {
-		return o, nil
+// keys returns the models of the own zone and those held elsewhere.
+func (s *Service) keys() []routeKey {
+	var keys []routeKey
+	seen := make(map[routeKey]bool)
+	for _, model := range s.params.Fleet().Models() {
+		key := routeKey{s.self().Zone, model}
+		seen[key] = true
+		keys = append(keys, key)
 	}
-	figures, known := s.params.Fleet().Model(model)
-	if !known {
-		return nil, &scheduling.Refusal{Reason: scheduling.RefusedNoEngine}
+	for _, key := range s.holdings.keys() {
+		if !seen[key] {
+			keys = append(keys, key)
+		}
 	}
-	s.mu.Lock()
-	o, ok = s.owners[model]
-	if !ok {
-		o = newOwner(scheduling.Settings{Model: *figures})
-		s.owners[model] = o
+	return keys
+}
+
+// keysOwnedBy returns the models that a VM owns and may be told about.
+func (s *Service) keysOwnedBy(vm string) []routeKey {
+	var owned []routeKey
+	for _, key := range s.keys() {
+		member, ok := s.router.current(key)
+		if ok && member.VM == vm && s.router.settled(key) {
+			owned = append(owned, key)
+		}
 	}
-	s.mu.Unlock()
-	s.configure(model, o)
-	return o, nil
+	return owned
+}
+
+func (s *Service) heartbeatRequest() *reservationv1.HeartbeatRequest {
+	self := s.self()
+	return &reservationv1.HeartbeatRequest{Vm: self.VM, Incarnation: self.Incarnation}
 }
 
-func (s *Service) allOwners() []*owner {
+func (s *Service) listOf(key routeKey) *reservationv1.ModelHoldings {
+	list := &reservationv1.ModelHoldings{Model: key.model}
+	for _, held := range s.holdings.of(key) {
+		list.Held = append(list.Held, heldToProto(&held))
+	}
+	return list
+}
+
+func (s *Service) self() membership.Member { return s.params.View.Self() }
+
+// coordinators returns all owners and shares of this VM.
+func (s *Service) coordinators() []*owner {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := make([]*owner, 0, len(s.owners))
+	all := make([]*owner, 0, len(s.owners)+len(s.shares))
 	for _, o := range s.owners {
 		all = append(all, o)
 	}
+	for _, o := range s.shares {
+		all = append(all, o)
+	}
 	return all
 }
 
 func (s *Service) stop() {
-	for _, o := range s.allOwners() {
+	for _, o := range s.coordinators() {
 		o.stop()
 	}
+	s.wait.Wait()
 }
--- a/internal/reservation/service_test.go
+++ b/internal/reservation/service_test.go
@@ -32,6 +32,10 @@
 	}, true
 }
 
+func (f smallFleet) Models() []string { return []string{"m"} }
+
+func (f smallFleet) EntryVMs(zone string) []string { return []string{zone + "-1", zone + "-2"} }
+
 func (f smallFleet) Link(string, string) (*configuration.Link, bool) { return nil, false }
 
 func demand(vm string, n uint64) scheduling.Demand {
@@ -89,7 +93,7 @@
 		defer cancel()
 		_, err = s.Reserve(short, demand("vm-1", 2))
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
-		o, _ := s.ownerOf("m")
+		o, _ := s.own("m")
 		assert.Equal(t, o.coordinator.Waiting(), 0)
 		stop()
 		synctest.Wait()
--- /dev/null
+++ b/internal/reservation/spill.go
@@ -0,0 +1,143 @@
+package reservation
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+const (
+	// spillHeadroom is the free part of a zone's slots from which on it takes
+	// demands of other zones.
+	spillHeadroom = 0.1
+	// spillRest is how long a zone that refused is not asked again; the time
+	// doubles up to spillRestMax with each refusal, so that two full zones do
+	// not pass their load to and fro.
+	spillRest    = time.Second
+	spillRestMax = 30 * time.Second
+	// spillTimeout bounds a call to another zone beside the link's delay.
+	spillTimeout = 250 * time.Millisecond
+	// promptBytesPerToken estimates the length of a prompt on the wire.
+	promptBytesPerToken = 4
+)
+
+// mayspill reports whether another zone may do better.
+func mayspill(r *scheduling.Refusal) bool {
+	return r.Reason == scheduling.RefusedTarget || r.Reason == scheduling.RefusedNoEngine
+}
+
+// spillPolicy remembers which zones refused.
+type spillPolicy struct {
+	mu    sync.Mutex
+	rests map[routeKey]absence
+}
+
+func newSpillPolicy() *spillPolicy {
+	return &spillPolicy{rests: make(map[routeKey]absence)}
+}
+
+// open reports whether a zone may be asked.
+func (p *spillPolicy) open(key routeKey) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !time.Now().Before(p.rests[key].until)
+}
+
+// refused lets a zone rest, longer each time.
+func (p *spillPolicy) refused(key routeKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	length := min(max(2*p.rests[key].length, spillRest), spillRestMax)
+	p.rests[key] = absence{until: time.Now().Add(length), length: length}
+}
+
+// granted halves the next rest.
+func (p *spillPolicy) granted(key routeKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rests[key] = absence{length: p.rests[key].length / 2}
+}
+
+// spill asks the owner of one other zone, the nearest that is not resting.
+func (s *Service) spill(ctx context.Context, d scheduling.Demand) (scheduling.Grant, bool) {
+	key, link, ok := s.spillTarget(d.Model)
+	if !ok {
+		return scheduling.Grant{}, false
+	}
+	d, ok = overLink(d, link)
+	if !ok {
+		return scheduling.Grant{}, false
+	}
+	way, err := s.router.acquire(key)
+	if err != nil {
+		return scheduling.Grant{}, false
+	}
+	defer s.router.release(way)
+	call, cancel := context.WithTimeout(ctx, spillTimeout+2*link.OneWayDelay.D())
+	defer cancel()
+	grant, err := s.callOwner(call, way.owner, &d, true)
+	if err != nil {
+		s.spills.refused(key)
+		s.counters.SpillsRefused.Add(1)
+		return scheduling.Grant{}, false
+	}
+	s.spills.granted(key)
+	s.counters.Spills.Add(1)
+	s.holdings.add(key, &d, grant)
+	s.linkTo(way.owner.VM)
+	return grant, true
+}
+
+// spillTarget returns the nearest zone with members that is not resting.
+func (s *Service) spillTarget(model string) (routeKey, *configuration.Link, bool) {
+	type target struct {
+		key  routeKey
+		link *configuration.Link
+	}
+	var targets []target
+	seen := map[string]bool{s.self().Zone: true}
+	for _, m := range s.params.View.Members() {
+		if seen[m.Zone] {
+			continue
+		}
+		seen[m.Zone] = true
+		key := routeKey{m.Zone, model}
+		link, ok := s.params.Fleet().Link(s.self().Zone, m.Zone)
+		if ok && s.spills.open(key) {
+			targets = append(targets, target{key, link})
+		}
+	}
+	if len(targets) == 0 {
+		return routeKey{}, nil, false
+	}
+	nearest := slices.MinFunc(targets, func(x, y target) int {
+		return cmp.Or(cmp.Compare(x.link.OneWayDelay, y.link.OneWayDelay), cmp.Compare(x.key.zone, y.key.zone))
+	})
+	return nearest.key, nearest.link, true
+}
+
+// overLink shortens the targets by what the link costs: the way there and back
+// and the prompt at the link's rate. It is false if nothing is left.
+func overLink(d scheduling.Demand, link *configuration.Link) (scheduling.Demand, bool) {
+	cost := 2 * link.OneWayDelay.D()
+	if link.BytesPerSecond > 0 {
+		bytes := float64(d.PromptTokens * promptBytesPerToken)
+		cost += time.Duration(bytes / float64(link.BytesPerSecond) * float64(time.Second))
+	}
+	ok := true
+	shorten := func(target *configuration.Duration) {
+		if *target == 0 {
+			return
+		}
+		*target -= configuration.Duration(cost)
+		ok = ok && *target > 0
+	}
+	shorten(&d.Targets.FirstToken)
+	shorten(&d.Targets.WholeAnswer)
+	return d, ok
+}
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -67,6 +67,22 @@
 // Waiting returns the number of waiting demands.
 func (c *Coordinator) Waiting() int { return c.queue.len() }
 
+// Headroom returns the free part of all usable decode slots, 0 while any demand
+// waits.
+func (c *Coordinator) Headroom() float64 {
+	slots, free := 0, 0
+	for _, a := range c.pool.decode {
+		if a.usable() {
+			slots += a.slotLimit()
+			free += max(0, a.freeSlots())
+		}
+	}
+	if slots == 0 || c.closed || c.queue.len() > 0 {
+		return 0
+	}
+	return float64(free) / float64(slots)
+}
+
 // Close holds back all grants until Open; demands wait meanwhile. A new owner
 // is closed until it knows what the holders hold.
 func (c *Coordinator) Close() { c.closed = true }
@@ -147,6 +163,16 @@
 	c.dispatch(now)
 }
 
+// Withdraw removes a waiting demand, as Cancel does, but lets it be submitted
+// again. It serves calls that broke off, after which the holder may ask again.
+func (c *Coordinator) Withdraw(now time.Time, id engine.AttemptID) {
+	if w, ok := c.queue.byID[id]; ok {
+		c.queue.remove(w)
+		c.counters.Withdrawn++
+	}
+	c.dispatch(now)
+}
+
 // Tick expires leases, drops demands that cannot meet their targets any more
 // and grants what can start. It returns the decisions since the last call.
 func (c *Coordinator) Tick(now time.Time) []Outcome {
@@ -177,8 +203,7 @@
 	c.counters.Expired += uint64(c.ledger.expire(now))
 	for _, w := range c.queue.overdue(now) {
 		c.counters.Dropped++
-		refusal := &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(w.demand.ID, c.drainTime(1))}
-		c.decided = append(c.decided, Outcome{ID: w.demand.ID, Refusal: refusal})
+		c.refuse(w.demand.ID, RefusedTarget, c.drainTime(1))
 	}
 }
 
--- a/internal/scheduling/engines.go
+++ b/internal/scheduling/engines.go
@@ -169,7 +169,7 @@
 
 // freeSlots returns the slots that may be granted now.
 func (a *account) freeSlots() int {
-	return a.slotLimit() - a.slotsHeld - a.promised - a.foreign
+	return min(a.slotLimit(), a.Slots-a.foreign) - a.slotsHeld - a.promised
 }
 
 // freePieces returns the memory that may be granted now.
--- a/internal/scheduling/ledger.go
+++ b/internal/scheduling/ledger.go
@@ -128,7 +128,7 @@
 // promote gives free slots to promised holdings in the order of their grants.
 func (l *ledger) promote(d *account) {
 	for _, h := range d.held {
-		if d.promised == 0 || d.slotsHeld+d.foreign >= d.slotLimit() {
+		if d.promised == 0 || d.slotsHeld >= min(d.slotLimit(), d.Slots-d.foreign) {
 			return
 		}
 		if !h.promised || !d.memoryFits(h.pieces) {
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -24,7 +24,7 @@
 	h, ok := c.ledger.holdings[p.ID]
 	if !ok {
 		if p.Kind == Released {
-			c.ledger.tombstones[p.ID] = now
+			c.Cancel(now, p.ID)
 		}
 		return
 	}
@@ -204,15 +204,22 @@
 			c.counters.HolderGone++
 		}
 	}
-	for id, w := range c.queue.byID {
-		if belongs(id) {
+	for _, w := range c.queue.all() {
+		if id := w.demand.ID; belongs(id) {
 			c.queue.remove(w)
 			c.counters.Withdrawn++
+			c.refuse(id, RefusedTarget, minRetryAfter)
 		}
 	}
 	c.dispatch(now)
 }
 
+// refuse decides on a demand that was waiting.
+func (c *Coordinator) refuse(id engine.AttemptID, reason RefusalReason, wait time.Duration) {
+	refusal := &Refusal{Reason: reason, RetryAfter: c.retryAfter(id, wait)}
+	c.decided = append(c.decided, Outcome{ID: id, Refusal: refusal})
+}
+
 // ObserveLoad takes an engine's load report.
 func (c *Coordinator) ObserveLoad(now time.Time, name string, report engine.LoadReport) {
 	a, ok := c.pool.byName[name]
--- a/internal/scheduling/queue.go
+++ b/internal/scheduling/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -95,6 +96,13 @@
 // len returns the number of waiting demands.
 func (q *queue) len() int { return len(q.byID) }
 
+// all returns the waiting demands in the order of their ids.
+func (q *queue) all() []*waiter {
+	return slices.SortedFunc(maps.Values(q.byID), func(x, y *waiter) int {
+		return compareIDs(x.demand.ID, y.demand.ID)
+	})
+}
+
 // waitingOf returns the number of waiting demands of a team's class.
 func (q *queue) waitingOf(key classKey) int {
 	n := 0
