--- a/internal/reservation/holdings.go
+++ b/internal/reservation/holdings.go
@@ -1,6 +1,7 @@
 package reservation
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/ospreyshed/ospreyshed/internal/engine"
@@ -110,7 +111,7 @@
 func (h *holdings) postpone(key routeKey, progress ...scheduling.Progress) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := append(h.pending[key], progress...)
+	list := slices.Concat(h.pending[key], progress)
 	if len(list) > pendingLimit {
 		list = list[len(list)-pendingLimit:]
 	}
--- a/internal/reservation/routing.go
+++ b/internal/reservation/routing.go
@@ -1,6 +1,7 @@
 package reservation
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -159,7 +160,7 @@
 	next := &route{key: key, owner: owner, broken: make(chan struct{})}
 	if current != nil {
 		close(current.broken)
-		next.former = append(current.former, current)
+		next.former = slices.Concat(current.former, []*route{current})
 	}
 	r.routes[key] = next
 	return next
