--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,13 @@
+// Package examples holds the questionnaires that ship with ospreyshed.
+package examples
+
+import _ "embed"
+
+// Quickstart is the questionnaire of the demo: one team with all classes of
+// request on two availability zones. Its endpoints have no addresses.
+//
+//go:embed quickstart.json
+var Quickstart []byte
+
+// QuickstartKey is the bearer key of the team in Quickstart.
+const QuickstartKey = "quickstart-key"
--- a/internal/completion/runner_test.go
+++ b/internal/completion/runner_test.go
@@ -73,6 +73,11 @@
 	}
 	bundle.Format = configuration.Format
 	bundle.Fleet.Zones = []configuration.Zone{{Name: zoneName}}
+	bundle.Fleet.Times = configuration.Times{
+		DrainLimit:   configuration.Duration(time.Minute),
+		LogRetention: configuration.Duration(time.Hour),
+		KeyWindow:    configuration.Duration(time.Minute),
+	}
 	bundle.Fleet.Models = []configuration.Model{{
 		Name: modelName, PrefillTokensPerSecond: 20_000, KVBytesPerToken: 1000,
 		TokenInterval: configuration.Duration(2 * time.Millisecond),
--- /dev/null
+++ b/internal/configuration/lookup.go
@@ -0,0 +1,35 @@
+package configuration
+
+// Link returns the link between two availability zones, whichever way it is
+// written down.
+func (s *Snapshot) Link(from, to string) (*Link, bool) {
+	links := s.Fleet().Links
+	for i := range links {
+		l := &links[i]
+		if (l.From == from && l.To == to) || (l.From == to && l.To == from) {
+			return l, true
+		}
+	}
+	return nil, false
+}
+
+// EntryVMs returns the names of the entry VMs of a zone.
+func (s *Snapshot) EntryVMs(zone string) []string {
+	var names []string
+	for i := range s.Fleet().VMs {
+		if vm := &s.Fleet().VMs[i]; vm.Zone == zone {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
+// Models returns the names of all models.
+func (s *Snapshot) Models() []string {
+	models := s.Fleet().Models
+	names := make([]string, len(models))
+	for i := range models {
+		names[i] = models[i].Name
+	}
+	return names
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"go.uber.org/fx"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/configuration/peersync"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+	"github.com/ospreyshed/ospreyshed/internal/timeline/timelinerpc"
+)
+
+// controlModule provides what entry VMs agree on and tell each other.
+var controlModule = fx.Module("control",
+	fx.Provide(
+		newStore,
+		newView,
+		newKeys,
+		handler(func(ring *timeline.Ring) peer.Handler { return timelinerpc.NewHandler(ring) }),
+		handler(func(store *configuration.Store, view membership.View) peer.Handler {
+			return peersync.NewServer(store, view).Handler()
+		}),
+		handler(func(k *keys) peer.Handler { return k.claimHandler() }),
+		handler(func(k *keys) peer.Handler { return k.answerHandler() }),
+	),
+	fx.Invoke(runReappender, runSyncer, func(*vmlist.Poller) {}),
+)
+
+// handler provides a service for peers.
+func handler(constructor any) any {
+	return fx.Annotate(constructor, fx.ResultTags(`group:"peer"`))
+}
+
+// newStore returns the configuration store, kept up to date from the log.
+func newStore(lifecycle fx.Lifecycle, log logservice.Service, events timeline.Recorder) *configuration.Store {
+	store := configuration.NewStore(events)
+	background(lifecycle, func(ctx context.Context) { _ = store.Follow(ctx, log) })
+	return store
+}
+
+func runReappender(lifecycle fx.Lifecycle, store *configuration.Store, view membership.View, appender *logservice.Appender) {
+	reappender := configuration.NewReappender(store, view, appender)
+	background(lifecycle, func(ctx context.Context) { _ = reappender.Run(ctx) })
+}
+
+func runSyncer(lifecycle fx.Lifecycle, store *configuration.Store, view membership.View, dialer peer.Dialer) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	syncer := peersync.NewSyncer(store, view, dialer, random)
+	background(lifecycle, func(ctx context.Context) { _ = syncer.Run(ctx) })
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,98 @@
+// Package daemon wires the packages of an entry VM's process with fx.
+//
+// Order of a graceful shutdown: readiness goes off; the balancer's lag is waited
+// out; the listener for callers closes and requests in flight finish; cancels
+// and outcomes are flushed; the listener for peers and all background work end.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/settings"
+)
+
+// Identity names this process.
+type Identity struct {
+	// VM is the entry VM's name, Zone its availability zone.
+	VM, Zone string
+	// Incarnation is never used twice by one VM.
+	Incarnation uint64
+}
+
+// randomBits is the part of an incarnation that is random, so that two starts
+// at the same reading of a clock that was set back differ.
+const randomBits = 10
+
+// NewIncarnation returns a number that rises with each start: the wall clock in
+// milliseconds followed by random bits.
+func NewIncarnation() uint64 {
+	var random [2]byte
+	_, _ = rand.Read(random[:])
+	low := uint64(binary.BigEndian.Uint16(random[:])) & (1<<randomBits - 1)
+	return uint64(time.Now().UnixMilli())<<randomBits | low
+}
+
+const (
+	startTimeout = 15 * time.Second
+	// stopTimeout bounds a graceful shutdown beyond every configured drain limit.
+	stopTimeout = time.Hour
+)
+
+// Daemon is one entry VM's process.
+type Daemon struct {
+	app     *fx.App
+	callers *callerServer
+	peers   *peerServer
+	store   *configuration.Store
+	metrics *metrics.Registry
+}
+
+// New wires a daemon; Start starts it.
+func New(conf *settings.Settings, log logrus.FieldLogger) *Daemon {
+	d := &Daemon{}
+	d.app = fx.New(
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(stopTimeout),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(conf, Identity{VM: conf.VM, Zone: conf.Zone, Incarnation: NewIncarnation()}),
+		fx.Provide(func() logrus.FieldLogger { return log }),
+		platformModule,
+		controlModule,
+		pathModule,
+		serverModule,
+		fx.Populate(&d.callers, &d.peers, &d.store, &d.metrics),
+	)
+	return d
+}
+
+// Start starts the daemon. It returns once both listeners are open.
+func (d *Daemon) Start(ctx context.Context) error {
+	if err := d.app.Err(); err != nil {
+		return err
+	}
+	return d.app.Start(ctx)
+}
+
+// Stop shuts the daemon down gracefully.
+func (d *Daemon) Stop(ctx context.Context) error { return d.app.Stop(ctx) }
+
+// CallerAddr returns the address that callers reach, an IP number and port.
+func (d *Daemon) CallerAddr() string { return d.callers.addr() }
+
+// PeerAddr returns the address that peers reach, an IP number and port.
+func (d *Daemon) PeerAddr() string { return d.peers.addr() }
+
+// Ready reports whether the daemon has a configuration to serve by.
+func (d *Daemon) Ready() bool { return d.store.Snapshot() != nil }
+
+// Metrics returns the daemon's counters.
+func (d *Daemon) Metrics() *metrics.Registry { return d.metrics }
--- /dev/null
+++ b/internal/daemon/keys.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/ospreyshed/ospreyshed/internal/claim"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// keys holds the registries of idempotency keys. Their periods come from the
+// configuration, so that they begin with the first one; later changes of these
+// periods come into force with the next start.
+type keys struct {
+	store *configuration.Store
+	deps  keyDependencies
+	now   atomic.Pointer[registries]
+}
+
+type registries struct {
+	claims  *claim.Claims
+	answers *claim.AnswerRegistry
+}
+
+type keyDependencies struct {
+	fx.In
+	Log    logservice.Service
+	View   membership.View
+	Dialer peer.Dialer
+	Events timeline.Recorder
+}
+
+func newKeys(lifecycle fx.Lifecycle, store *configuration.Store, deps keyDependencies) *keys {
+	k := &keys{store: store, deps: deps}
+	background(lifecycle, k.run)
+	return k
+}
+
+// configurationPoll is the period at which the first configuration is awaited.
+const configurationPoll = 20 * time.Millisecond
+
+// run begins with the first configuration and stops the registries at the end.
+func (k *keys) run(ctx context.Context) {
+	ticker := time.NewTicker(configurationPoll)
+	defer ticker.Stop()
+	for k.store.Snapshot() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	k.begin()
+	<-ctx.Done()
+	if r := k.now.Load(); r != nil {
+		r.claims.Stop()
+		r.answers.Stop()
+	}
+}
+
+// begin makes the registries from the configuration in force.
+func (k *keys) begin() {
+	periods := claim.SettingsFrom(k.store.Snapshot().Fleet().Times)
+	peers := claim.NewConnectPeers(k.deps.Dialer)
+	claims, err := claim.New(claim.Dependencies{
+		Log: k.deps.Log, View: k.deps.View, Peers: peers, Timeline: k.deps.Events,
+	}, periods)
+	if err != nil {
+		return
+	}
+	answers, err := claim.NewAnswerRegistry(claim.AnswerDependencies{
+		View: k.deps.View, Peers: peers, Zones: k.zones,
+	}, periods)
+	if err != nil {
+		claims.Stop()
+		return
+	}
+	k.now.Store(&registries{claims: claims, answers: answers})
+}
+
+func (k *keys) zones() []string {
+	zones := k.store.Snapshot().Fleet().Zones
+	names := make([]string, len(zones))
+	for i := range zones {
+		names[i] = zones[i].Name
+	}
+	return names
+}
+
+// flush waits until outcomes are recorded or the context ends.
+func (k *keys) flush(ctx context.Context) {
+	if r := k.now.Load(); r != nil {
+		_ = r.claims.Flush(ctx)
+		_ = r.answers.Flush(ctx)
+	}
+}
+
+// Claim implements gateway.Claims.
+func (k *keys) Claim(ctx context.Context, key claim.Key) (claim.Decision, error) {
+	r := k.now.Load()
+	if r == nil {
+		return claim.Decision{}, claim.LogAway.New("no configuration yet")
+	}
+	return r.claims.Claim(ctx, key)
+}
+
+// Begin implements gateway.Answers.
+func (k *keys) Begin(ctx context.Context, key claim.Key) (claim.AnswerDecision, error) {
+	r := k.now.Load()
+	if r == nil {
+		return claim.AnswerDecision{}, claim.OwnerAway.New("no configuration yet")
+	}
+	return r.answers.Begin(ctx, key)
+}
+
+// claimHandler serves claims to peers.
+func (k *keys) claimHandler() peer.Handler {
+	return k.lateHandler((&claim.Claims{}).Peer().Path, func(r *registries) http.Handler { return r.claims.Peer().Handler })
+}
+
+// answerHandler serves the answer registry to peers.
+func (k *keys) answerHandler() peer.Handler {
+	return k.lateHandler((&claim.AnswerRegistry{}).Peer().Path, func(r *registries) http.Handler { return r.answers.Peer().Handler })
+}
+
+// lateHandler answers 503 until the registries have begun.
+func (k *keys) lateHandler(path string, of func(*registries) http.Handler) peer.Handler {
+	serve := func(w http.ResponseWriter, req *http.Request) {
+		r := k.now.Load()
+		if r == nil {
+			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+			return
+		}
+		of(r).ServeHTTP(w, req)
+	}
+	return peer.Handler{Path: path, Handler: http.HandlerFunc(serve)}
+}
--- /dev/null
+++ b/internal/daemon/loadpoller.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/engine/openai"
+	"github.com/ospreyshed/ospreyshed/internal/reservation"
+)
+
+const (
+	// loadPollInterval is the time between two load reports of an engine.
+	loadPollInterval = 500 * time.Millisecond
+	loadTimeout      = time.Second
+)
+
+// loadPoller fetches the load reports of the engines whose reservations this VM
+// owns, so that an engine is asked by one VM of its zone.
+type loadPoller struct {
+	zone      string
+	store     *configuration.Store
+	pool      *openai.Pool
+	endpoints *endpoint.Registry
+	service   *reservation.Service
+}
+
+func runLoadPoller(lifecycle fx.Lifecycle, id Identity, store *configuration.Store, pool *openai.Pool, endpoints *endpoint.Registry, service *reservation.Service) {
+	p := &loadPoller{zone: id.Zone, store: store, pool: pool, endpoints: endpoints, service: service}
+	background(lifecycle, p.run)
+}
+
+func (p *loadPoller) run(ctx context.Context) {
+	ticker := time.NewTicker(loadPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.poll(ctx)
+		}
+	}
+}
+
+// poll asks all engines of the owned models once.
+func (p *loadPoller) poll(ctx context.Context) {
+	snapshot := p.store.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for model := range p.service.Status() {
+		for _, role := range []configuration.Role{configuration.RolePrefill, configuration.RoleDecode} {
+			for _, e := range snapshot.Engines(model, role, p.zone) {
+				if e.ReportsLoad {
+					calls.Go(func() { p.ask(ctx, e.Name) })
+				}
+			}
+		}
+	}
+	calls.Wait()
+}
+
+func (p *loadPoller) ask(ctx context.Context, name string) {
+	client, found := p.pool.Engine(name)
+	if !found {
+		return
+	}
+	report, err := client.Load(ctx)
+	if err != nil {
+		return
+	}
+	if report.Leaving {
+		p.endpoints.MarkLeaving(name)
+	}
+	p.service.ObserveLoad(name, report)
+}
--- /dev/null
+++ b/internal/daemon/platform.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
+	"github.com/ospreyshed/ospreyshed/internal/settings"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// platformModule provides the clients of the platform's services and what every
+// other module needs.
+var platformModule = fx.Module("platform",
+	fx.Provide(
+		metrics.NewRegistry,
+		newRing,
+		newTransport,
+		newLog,
+		newAppender,
+		newVMList,
+	),
+)
+
+// ringCapacity is the number of events that a process keeps.
+const ringCapacity = 1 << 14
+
+func newRing(id Identity, registry *metrics.Registry) (*timeline.Ring, timeline.Recorder) {
+	ring := timeline.NewRing(id.VM, id.Incarnation, ringCapacity)
+	registry.Mount("timeline", ring.Metrics())
+	return ring, ring
+}
+
+const (
+	platformIdleTimeout = time.Minute
+	platformIdleConns   = 32
+)
+
+// platformTransport is the HTTP transport to the platform's services.
+type platformTransport struct{ *http.Transport }
+
+func newTransport(lifecycle fx.Lifecycle) platformTransport {
+	transport := platformTransport{&http.Transport{
+		MaxIdleConnsPerHost: platformIdleConns,
+		IdleConnTimeout:     platformIdleTimeout,
+	}}
+	onStop(lifecycle, func(context.Context) { transport.CloseIdleConnections() })
+	return transport
+}
+
+// newLog returns the log service behind its outage detector.
+func newLog(conf *settings.Settings, transport platformTransport, events timeline.Recorder, registry *metrics.Registry) logservice.Service {
+	client := logservice.NewClient(hostOf(conf.Platform.Log), transport)
+	health := logservice.NewHealth(client, events)
+	registry.Mount("log_health", health.Vars())
+	return health
+}
+
+// hostOf strips the scheme of a base URL.
+func hostOf(base string) string {
+	return strings.TrimSuffix(strings.TrimPrefix(base, "http://"), "/")
+}
+
+func newAppender(lifecycle fx.Lifecycle, log logservice.Service, registry *metrics.Registry) (*logservice.Appender, error) {
+	appender, err := logservice.NewAppender(log, logservice.AppenderOptions{})
+	if err != nil {
+		return nil, err
+	}
+	registry.Mount("log_append", appender.Vars())
+	onStop(lifecycle, func(context.Context) { appender.Close() })
+	return appender, nil
+}
+
+// vmListSubscribers are told of every fresh list.
+type vmListSubscribers struct {
+	fx.In
+	Subscribers []func(vmlist.List) `group:"vmlist"`
+}
+
+func newVMList(lifecycle fx.Lifecycle, conf *settings.Settings, transport platformTransport, registry *metrics.Registry, in vmListSubscribers) *vmlist.Poller {
+	poller := vmlist.NewPoller(vmlist.NewClient(conf.Platform.VMList, transport), in.Subscribers...)
+	registry.Mount("vm_list", metrics.Fields(&poller.Counters))
+	background(lifecycle, poller.Run)
+	return poller
+}
--- /dev/null
+++ b/internal/daemon/servers.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"golang.org/x/net/netutil"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/gateway"
+	"github.com/ospreyshed/ospreyshed/internal/settings"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// serverModule provides the listeners. The listener for callers is the last to
+// start and the first to stop.
+var serverModule = fx.Module("servers",
+	fx.Provide(newDialer, newPeerServer, newCallerServer),
+	fx.Invoke(func(*peerServer, *callerServer) {}),
+)
+
+// defaultDrainLimit bounds a shutdown of a VM without a configuration.
+const defaultDrainLimit = 10 * time.Second
+
+// callerServer serves callers.
+type callerServer struct {
+	settings *settings.Settings
+	gateway  *gateway.Gateway
+	keys     *keys
+	store    *configuration.Store
+	events   timeline.Recorder
+	log      logrus.FieldLogger
+	server   *http.Server
+	listener net.Listener
+}
+
+// callerParams are the collaborators of the listener for callers. The list of
+// VMs is among them so that its poller starts before callers are served.
+type callerParams struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Settings  *settings.Settings
+	Gateway   *gateway.Gateway
+	Keys      *keys
+	Store     *configuration.Store
+	Events    timeline.Recorder
+	Log       logrus.FieldLogger
+	Peers     *peerServer
+}
+
+func newCallerServer(p callerParams) *callerServer {
+	s := &callerServer{
+		settings: p.Settings,
+		gateway:  p.Gateway,
+		keys:     p.Keys,
+		store:    p.Store,
+		events:   p.Events,
+		log:      p.Log,
+	}
+	limits := &p.Settings.Limits
+	s.server = &http.Server{
+		Handler:           p.Gateway,
+		MaxHeaderBytes:    limits.HeaderBytes,
+		ReadHeaderTimeout: limits.ReadHeaderTimeout.D(),
+		ReadTimeout:       limits.ReadTimeout.D(),
+		IdleTimeout:       limits.IdleTimeout.D(),
+		Protocols:         callerProtocols(),
+	}
+	p.Lifecycle.Append(fx.Hook{OnStart: s.start, OnStop: s.stop})
+	return s
+}
+
+// callerProtocols are HTTP/1.1 and HTTP/2, with and without TLS.
+func callerProtocols() *http.Protocols {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &protocols
+}
+
+func (s *callerServer) addr() string { return s.listener.Addr().String() }
+
+func (s *callerServer) start(ctx context.Context) error {
+	if files := s.settings.Callers.TLS; files != nil {
+		certificate, err := files.Load()
+		if err != nil {
+			return err
+		}
+		s.server.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", s.settings.Callers.Listen)
+	if err != nil {
+		return err
+	}
+	s.listener = netutil.LimitListener(listener, s.settings.Limits.Connections)
+	go s.serve()
+	s.log.WithField("address", s.addr()).Info("serving callers")
+	return nil
+}
+
+func (s *callerServer) serve() {
+	var err error
+	if s.server.TLSConfig != nil {
+		err = s.server.ServeTLS(s.listener, "", "")
+	} else {
+		err = s.server.Serve(s.listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		s.log.WithError(err).Error("listener for callers failed")
+	}
+}
+
+// stop drains: no request in flight is cut off within the drain limit.
+func (s *callerServer) stop(ctx context.Context) error {
+	s.events.Record(timeline.ShutdownStarted, "", "")
+	s.log.Info("draining")
+	lag, limit := s.periods()
+	s.gateway.Drain()
+	pause(ctx, lag)
+	drain, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	err := s.server.Shutdown(drain)
+	if err != nil {
+		s.log.WithError(err).Error("requests were cut off at the drain limit")
+		_ = s.server.Close()
+	}
+	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
+	defer cancelFlush()
+	s.keys.flush(flush)
+	s.events.Record(timeline.ShutdownFinished, "", "")
+	return err
+}
+
+// periods returns the balancer's lag and the bound on requests in flight.
+func (s *callerServer) periods() (lag, limit time.Duration) {
+	snapshot := s.store.Snapshot()
+	if snapshot == nil {
+		return 0, defaultDrainLimit
+	}
+	times := snapshot.Fleet().Times
+	return times.BalancerLag.D(), times.DrainLimit.D()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
@@ -29,6 +30,11 @@
 	t.Helper()
 	bundle := configuration.Bundle{Format: configuration.Format}
 	bundle.Fleet.Zones = []configuration.Zone{{Name: "z"}}
+	bundle.Fleet.Times = configuration.Times{
+		DrainLimit:   configuration.Duration(time.Minute),
+		LogRetention: configuration.Duration(time.Hour),
+		KeyWindow:    configuration.Duration(time.Minute),
+	}
 	for i, address := range addresses {
 		bundle.Fleet.Endpoints = append(bundle.Fleet.Endpoints, configuration.Endpoint{
 			Name: string(rune('a' + i)), Zone: "z", Address: address,
--- /dev/null
+++ b/internal/localsite/site.go
@@ -0,0 +1,202 @@
+// Package localsite runs a whole deployment in one process on loopback ports:
+// the stand-ins of the platform and the endpoints, and entry VMs with real
+// sockets. The demo, the measuring tool and end-to-end tests use it.
+package localsite
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/daemon"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+	"github.com/ospreyshed/ospreyshed/internal/questionnaire"
+	"github.com/ospreyshed/ospreyshed/internal/settings"
+	"github.com/ospreyshed/ospreyshed/internal/standin"
+)
+
+var namespace = errorx.NewNamespace("localsite").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+var (
+	// NotReady means that an entry VM had no configuration in time.
+	NotReady = namespace.NewType("not-ready")
+	// Refused means that the configuration was not accepted.
+	Refused = namespace.NewType("refused")
+)
+
+// Options describe a site.
+type Options struct {
+	// Bundle is the configuration; empty addresses are filled in.
+	Bundle configuration.Bundle
+	// Tune may change the stand-ins before they start; nil leaves them.
+	Tune func(*standin.Options)
+	// Log takes the daemons' log lines; nil drops them.
+	Log logrus.FieldLogger
+}
+
+// Site is a running deployment.
+type Site struct {
+	// Platform are the stand-ins.
+	Platform *standin.Platform
+	// VMs are the entry VMs by name.
+	VMs map[string]*daemon.Daemon
+	// Bundle is the configuration with all addresses.
+	Bundle configuration.Bundle
+
+	log logrus.FieldLogger
+}
+
+// BundleOf generates the configuration of a questionnaire, which may leave
+// addresses open.
+func BundleOf(file string, data []byte) (configuration.Bundle, error) {
+	answers, err := questionnaire.Parse(file, data, questionnaire.AllowUnassigned())
+	if err != nil {
+		return configuration.Bundle{}, err
+	}
+	return questionnaire.Generate(answers, questionnaire.AllowUnassigned())
+}
+
+// Start starts the stand-ins and one daemon for every entry VM, publishes the
+// configuration and waits until all serve by it.
+func Start(ctx context.Context, options Options) (*Site, error) {
+	s := &Site{VMs: make(map[string]*daemon.Daemon), Bundle: options.Bundle, log: options.Log}
+	if s.log == nil {
+		s.log = discardLog()
+	}
+	if err := s.start(ctx, options.Tune); err != nil {
+		return nil, errors.Join(err, s.Close(ctx))
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context, tune func(*standin.Options)) error {
+	platform, err := standin.StartBundle(&s.Bundle, tune)
+	if err != nil {
+		return err
+	}
+	s.Platform = platform
+	for i := range s.Bundle.Fleet.VMs {
+		vm := &s.Bundle.Fleet.VMs[i]
+		if err := s.StartVM(ctx, vm.Name); err != nil {
+			return err
+		}
+		vm.Address = s.VMs[vm.Name].PeerAddr()
+	}
+	if err := s.Publish(ctx, s.Bundle); err != nil {
+		return err
+	}
+	return s.AwaitReady(ctx)
+}
+
+// StartVM starts the daemon of an entry VM of the bundle, on free ports unless
+// the bundle names its address for peers.
+func (s *Site) StartVM(ctx context.Context, name string) error {
+	conf := s.settingsOf(name)
+	d := daemon.New(conf, s.log.WithField("vm", name))
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	s.VMs[name] = d
+	return nil
+}
+
+func (s *Site) settingsOf(name string) *settings.Settings {
+	conf := settings.Default()
+	conf.VM = name
+	conf.Callers.Listen = standin.AnyAddress
+	conf.Peers.Listen = standin.AnyAddress
+	conf.Platform.Log = "http://" + s.Platform.Log.Addr()
+	conf.Platform.VMList = "http://" + s.Platform.VMList.Addr()
+	for _, vm := range s.Bundle.Fleet.VMs {
+		if vm.Name == name {
+			conf.Zone = vm.Zone
+		}
+		if vm.Name == name && vm.Address != "" {
+			conf.Peers.Listen = vm.Address
+		}
+		if vm.Name != name && vm.Address != "" {
+			conf.Peers.Seeds = append(conf.Peers.Seeds, vm.Address)
+		}
+	}
+	return conf
+}
+
+// Publish publishes a configuration and returns once it is accepted.
+func (s *Site) Publish(ctx context.Context, bundle configuration.Bundle) error {
+	client := logservice.NewClient(s.Platform.Log.Addr(), nil)
+	appender, err := logservice.NewAppender(client, logservice.AppenderOptions{})
+	if err != nil {
+		return err
+	}
+	defer appender.Close()
+	report, err := configuration.NewPublisher(client, appender, "localsite").Publish(ctx, bundle)
+	if err != nil {
+		return err
+	}
+	if !report.Accepted() {
+		return Refused.New("%+v", report)
+	}
+	return nil
+}
+
+const (
+	readyPoll    = 10 * time.Millisecond
+	readyTimeout = 30 * time.Second
+)
+
+// AwaitReady waits until all entry VMs serve by a configuration.
+func (s *Site) AwaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for name, vm := range s.VMs {
+		for !vm.Ready() {
+			select {
+			case <-ctx.Done():
+				return NotReady.New("%s", name)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// CallerAddrs returns the addresses for callers in the order of the bundle.
+func (s *Site) CallerAddrs() []string {
+	var addresses []string
+	for _, vm := range s.Bundle.Fleet.VMs {
+		if d, running := s.VMs[vm.Name]; running {
+			addresses = append(addresses, d.CallerAddr())
+		}
+	}
+	return addresses
+}
+
+// StopVM shuts an entry VM down gracefully.
+func (s *Site) StopVM(ctx context.Context, name string) error {
+	d := s.VMs[name]
+	delete(s.VMs, name)
+	return d.Stop(ctx)
+}
+
+// Close shuts everything down.
+func (s *Site) Close(ctx context.Context) error {
+	var all error
+	for name := range s.VMs {
+		all = errors.Join(all, s.StopVM(ctx, name))
+	}
+	if s.Platform != nil {
+		all = errors.Join(all, s.Platform.Close())
+	}
+	return all
+}
+
+func discardLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
