--- /dev/null
+++ b/internal/cli/configuration_wait.go
@@ -0,0 +1,96 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/configuration/peersync"
+)
+
+// waitPeriod is the time between two questions to a VM.
+const waitPeriod = 200 * time.Millisecond
+
+// published holds the versions to wait for.
+type published struct {
+	subjects []string
+	versions map[string]uint64
+}
+
+func newPublished(report configuration.Report) published {
+	p := published{versions: make(map[string]uint64, len(report.Results))}
+	for _, result := range report.Results {
+		p.subjects = append(p.subjects, result.Subject)
+		p.versions[result.Subject] = result.Version
+	}
+	return p
+}
+
+// waiters returns the addresses to ask: the given ones, or those of all VMs in
+// the bundle.
+func (o *publishOptions) waiters(bundle configuration.Bundle) []string {
+	if len(o.VMs) > 0 {
+		return o.VMs
+	}
+	addresses := make([]string, len(bundle.Fleet.VMs))
+	for i, vm := range bundle.Fleet.VMs {
+		addresses[i] = vm.Address
+	}
+	return addresses
+}
+
+// await waits until all VMs serve by the published versions. The error names the
+// VMs that did not say so in time.
+func (o *publishOptions) await(ctx context.Context, addresses []string, p published) error {
+	lines := make([]string, len(addresses))
+	var asked sync.WaitGroup
+	start := time.Now()
+	for i, address := range addresses {
+		asked.Go(func() {
+			inForce, ok := awaitVM(ctx, peersync.NewRemote(directDialer{}, address), p)
+			if ok {
+				elapsed := time.Since(start).Round(time.Millisecond)
+				lines[i] = fmt.Sprintf("in force: %s in %s after %s", inForce.VM, inForce.Zone, elapsed)
+			}
+		})
+	}
+	asked.Wait()
+	return o.printWait(addresses, lines)
+}
+
+func (o *publishOptions) printWait(addresses, lines []string) error {
+	var missing []string
+	for i, line := range lines {
+		if line == "" {
+			missing = append(missing, addresses[i])
+			continue
+		}
+		if _, err := fmt.Fprintln(o.streams.Out, line); err != nil {
+			return err
+		}
+	}
+	if len(missing) > 0 {
+		return fmt.Errorf("not known to be in force at the VMs at %s", strings.Join(missing, ", "))
+	}
+	return nil
+}
+
+// awaitVM asks a VM until it serves by the versions or the context ends.
+func awaitVM(ctx context.Context, remote *peersync.Remote, p published) (peersync.InForce, bool) {
+	ticker := time.NewTicker(waitPeriod)
+	defer ticker.Stop()
+	for {
+		inForce, err := remote.InForce(ctx, p.subjects)
+		if err == nil && inForce.Reached(p.versions) {
+			return inForce, true
+		}
+		select {
+		case <-ctx.Done():
+			return inForce, false
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -32,13 +32,13 @@
 	return batch
 }
 
-func fleetAndTeam(share float64) (Record, Record) {
-	fleet, team := testFleet(), testTeam("a", share)
+func fleetAndTeam() (Record, Record) {
+	fleet, team := testFleet(), testTeam("a", 1)
 	return publishOf(FleetSubject, 0, "p", &fleet), publishOf(TeamSubject("a"), 0, "p", &team)
 }
 
 func TestStoreServesOnlyACompleteState(t *testing.T) {
-	fleet, team := fleetAndTeam(1)
+	fleet, team := fleetAndTeam()
 	store := NewStore(timeline.Discard)
 	changed := store.Changed()
 	batch := batchOf(t, 0, fleet, team)
@@ -51,14 +51,14 @@
 }
 
 func TestStoreWithoutAFleetServesNothing(t *testing.T) {
-	_, team := fleetAndTeam(1)
+	_, team := fleetAndTeam()
 	store := NewStore(timeline.Discard)
 	store.ApplyBatch(batchOf(t, 0, team))
 	assert.Assert(t, store.Complete() && store.Snapshot() == nil)
 }
 
 func TestStoreKeepsItsVersionOverUnreadableRecords(t *testing.T) {
-	fleet, team := fleetAndTeam(1)
+	fleet, team := fleetAndTeam()
 	store := NewStore(timeline.Discard)
 	future := []byte(`{"format": 9, "kind": "publish", "subject": "team/a", "base": 1, "version": 2}`)
 	broken := []byte(`{"format": 1, "kind": "publish", "subject": "team/a", "base": 1, "version": 2, "document": {"name": "a"}}`)
@@ -73,7 +73,7 @@
 }
 
 func TestStalePeerChangesNothing(t *testing.T) {
-	fleet, team := fleetAndTeam(1)
+	fleet, team := fleetAndTeam()
 	next := testTeam("a", 2)
 	store := NewStore(timeline.Discard)
 	store.ApplyBatch(batchOf(t, 0, fleet, team, publishOf(TeamSubject("a"), 1, "p", &next)))
