--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -5,6 +5,7 @@
 	return []command{
 		questionnaireCommand,
 		timelineCommand,
+		configurationCommand,
 		versionCommand,
 		standinCommand,
 	}
