--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -141,7 +141,7 @@
 	counts := e.counts
 	counts.Received = maps.Clone(counts.Received)
 	counts.Executions = maps.Clone(counts.Executions)
-	counts.OrdersAccepted = slices.Clone(counts.OrdersAccepted)
+	counts.OrdersAccepted = append([]string{}, counts.OrdersAccepted...)
 	counts.PiecesHeld = e.piecesHeld
 	counts.Active = len(e.batch)
 	counts.Importing = e.slotsUsed - len(e.batch)
