--- a/internal/standin/engine/fault_test.go
+++ b/internal/standin/engine/fault_test.go
@@ -130,6 +130,7 @@
 		assert.NilError(t, e.arrive(testAttempt(1, 0, o), o.Model, o.Role))
 		time.Sleep(time.Second - time.Nanosecond)
 		assert.Equal(t, e.Load().Active, 0)
+		assert.Equal(t, e.Load().TimeMS, time.Now().Add(-time.Second).UnixMilli())
 		time.Sleep(time.Nanosecond)
 		assert.Equal(t, e.Load().Active, 1)
 		assert.Equal(t, e.Load().PiecesFree, o.MemoryPieces-1)
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -58,5 +58,9 @@
 func (e *Engine) Load() LoadReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.reports.At(time.Now().Add(-e.options.LoadLag.D()))
+	at := time.Now().Add(-e.options.LoadLag.D())
+	report := e.reports.At(at)
+	// The load stood unchanged from its record until then.
+	report.TimeMS = max(report.TimeMS, at.UnixMilli())
+	return report
 }
