Serve later attempts of an incarnation whose attempts were cancelled

Cause: an entry VM that was paused long enough to be taken for gone had all its later attempts refused with 409 for the rest of its life. Survivors need only the present attempts to end; the test now asks for both: a cancelled attempt stays refused, a new one of the same incarnation is served.

--- a/internal/standin/engine/cancel.go
+++ b/internal/standin/engine/cancel.go
@@ -37,13 +37,13 @@
 	}
 }
 
-// CancelIncarnation ends all attempts of an entry VM's incarnation, refuses
-// those that have not arrived, and returns the number of attempts ended.
+// CancelIncarnation ends all present attempts of an entry VM's incarnation and
+// returns their number. Later attempts are served: the VM may have been paused
+// and be back.
 func (e *Engine) CancelIncarnation(vm string, number uint64) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	owner := incarnation{vm: vm, number: number}
-	e.cancelledIncarnations.set(owner, struct{}{})
 	var owned []*attempt
 	for _, a := range e.attempts {
 		if a.owner == owner {
