--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,6 +35,8 @@
 	Class string
 	// Key is the idempotency key, empty for none.
 	Key string
+	// Attempt counts the sendings of the key from 1; 0 leaves it unsaid.
+	Attempt int
 }
 
 // Answer is what became of a request.
@@ -59,7 +62,7 @@
 }
 
 // OK reports whether the request was answered.
-func (a *Answer) OK() bool { return a.Status >= 200 && a.Status < 300 }
+func (a Answer) OK() bool { return a.Status >= 200 && a.Status < 300 }
 
 // Client sends requests to one entry VM or a balancer.
 type Client struct {
@@ -112,6 +115,9 @@
 	if request.Key != "" {
 		req.Header.Set("Idempotency-Key", request.Key)
 	}
+	if request.Attempt > 0 {
+		req.Header.Set("Ospreyshed-Attempt", strconv.Itoa(request.Attempt))
+	}
 	// Without GetBody net/http does not send a request twice by itself.
 	req.GetBody = nil
 	resp, err := c.http.Do(req)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -96,3 +96,13 @@
 
 // Metrics returns the daemon's counters.
 func (d *Daemon) Metrics() *metrics.Registry { return d.metrics }
+
+// Version returns the version of a subject of the configuration in force, 0 if
+// there is none.
+func (d *Daemon) Version(subject string) uint64 {
+	snapshot := d.store.Snapshot()
+	if snapshot == nil {
+		return 0
+	}
+	return snapshot.Version(subject)
+}
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/fx"
 
@@ -23,6 +23,9 @@
 	store *configuration.Store
 	deps  keyDependencies
 	now   atomic.Pointer[registries]
+
+	mu      sync.Mutex
+	stopped bool
 }
 
 type registries struct {
@@ -40,27 +43,29 @@
 
 func newKeys(lifecycle fx.Lifecycle, store *configuration.Store, deps keyDependencies) *keys {
 	k := &keys{store: store, deps: deps}
-	background(lifecycle, k.run)
+	onStop(lifecycle, func(context.Context) { k.stop() })
 	return k
 }
 
-// configurationPoll is the period at which the first configuration is awaited.
-const configurationPoll = 20 * time.Millisecond
-
-// run begins with the first configuration and stops the registries at the end.
-func (k *keys) run(ctx context.Context) {
-	ticker := time.NewTicker(configurationPoll)
-	defer ticker.Stop()
-	for k.store.Snapshot() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-	k.begin()
-	<-ctx.Done()
+// get returns the registries, nil while there is no configuration or once the
+// daemon has stopped.
+func (k *keys) get() *registries {
 	if r := k.now.Load(); r != nil {
+		return r
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.now.Load() == nil && !k.stopped && k.store.Snapshot() != nil {
+		k.begin()
+	}
+	return k.now.Load()
+}
+
+func (k *keys) stop() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stopped = true
+	if r := k.now.Swap(nil); r != nil {
 		r.claims.Stop()
 		r.answers.Stop()
 	}
@@ -105,7 +110,7 @@
 
 // Claim implements gateway.Claims.
 func (k *keys) Claim(ctx context.Context, key claim.Key) (claim.Decision, error) {
-	r := k.now.Load()
+	r := k.get()
 	if r == nil {
 		return claim.Decision{}, claim.LogAway.New("no configuration yet")
 	}
@@ -114,7 +119,7 @@
 
 // Begin implements gateway.Answers.
 func (k *keys) Begin(ctx context.Context, key claim.Key) (claim.AnswerDecision, error) {
-	r := k.now.Load()
+	r := k.get()
 	if r == nil {
 		return claim.AnswerDecision{}, claim.OwnerAway.New("no configuration yet")
 	}
@@ -134,7 +139,7 @@
 // lateHandler answers 503 until the registries have begun.
 func (k *keys) lateHandler(path string, of func(*registries) http.Handler) peer.Handler {
 	serve := func(w http.ResponseWriter, req *http.Request) {
-		r := k.now.Load()
+		r := k.get()
 		if r == nil {
 			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 			return
--- a/internal/localsite/site_test.go
+++ b/internal/localsite/site_test.go
@@ -14,17 +14,32 @@
 
 	"github.com/ospreyshed/ospreyshed/examples"
 	"github.com/ospreyshed/ospreyshed/internal/caller"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/standin"
 	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// startQuickstart starts the quickstart deployment.
+// eventually bounds the wait for something that has to happen.
+const eventually = time.Minute
+
+var outputs = engine.Range{Min: 20, Max: 40}
+
+const maxOutputTokens = 200
+
+// startQuickstart starts the quickstart deployment with fast engines.
 func startQuickstart(t *testing.T) *Site {
 	t.Helper()
 	bundle, err := BundleOf("quickstart.json", examples.Quickstart)
 	assert.NilError(t, err)
-	site, err := Start(t.Context(), Options{Bundle: bundle})
+	site, err := Start(t.Context(), Options{Bundle: bundle, Tune: func(options *standin.Options) {
+		for i := range options.Engines {
+			options.Engines[i].TokenInterval = configuration.Duration(2 * time.Millisecond)
+			options.Engines[i].OutputTokens = outputs
+		}
+		options.VMList.Lag = configuration.Duration(100 * time.Millisecond)
+	}})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, site.Close(context.Background())) })
 	return site
@@ -37,6 +52,16 @@
 	return caller.New(address, examples.QuickstartKey, &http.Client{Transport: transport})
 }
 
+// clientsOf returns a client for every entry VM.
+func clientsOf(t *testing.T, site *Site) []*caller.Client {
+	t.Helper()
+	var clients []*caller.Client
+	for _, address := range site.CallerAddrs() {
+		clients = append(clients, clientOf(t, address))
+	}
+	return clients
+}
+
 func newKey(t *testing.T) string {
 	t.Helper()
 	key, err := uuid.NewV7()
@@ -44,48 +69,73 @@
 	return key.String()
 }
 
+func summaryOf(prompt string) caller.Request {
+	return caller.Request{
+		Method: http.MethodPost, Path: "/v1/completions", Stream: true,
+		Body: fmt.Appendf(nil, `{"model":"drafter","prompt":%q,"stream":true}`, prompt),
+	}
+}
+
+func bookingOf(key string) caller.Request {
+	return caller.Request{Method: http.MethodPost, Path: "/bookings", Key: key, Body: []byte(`{}`)}
+}
+
+func lookup() caller.Request {
+	return caller.Request{Method: http.MethodGet, Path: "/rosters/7"}
+}
+
+func answerTo(prompt string) string {
+	return engine.NewAnswer(prompt, outputs, maxOutputTokens).Text()
+}
+
+// do sends a request that has to reach the router.
+func do(t *testing.T, client *caller.Client, request caller.Request) caller.Answer {
+	t.Helper()
+	answer, err := client.Do(t.Context(), request)
+	assert.NilError(t, err)
+	return answer
+}
+
+// awaitProblem repeats a request that must never be answered until it is
+// refused with a type of problem.
+func awaitProblem(t *testing.T, client *caller.Client, request caller.Request, want string) caller.Answer {
+	t.Helper()
+	var last caller.Answer
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		last = do(t, client, request)
+		if last.OK() {
+			return poll.Error(fmt.Errorf("a repeat was answered: %s", last.Body))
+		}
+		if last.Problem != want {
+			return poll.Continue("refused with %s", last.Problem)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(eventually))
+	return last
+}
+
 func TestEveryClassIsAnsweredByEveryVM(t *testing.T) {
 	site := startQuickstart(t)
-	outputs := engine.DefaultOptions().OutputTokens
-	for i, address := range site.CallerAddrs() {
-		client := clientOf(t, address)
+	for i, client := range clientsOf(t, site) {
 		prompt := fmt.Sprintf("Summarise dossier %d", i)
-		summary, err := client.Do(t.Context(), caller.Request{
-			Method: http.MethodPost, Path: "/v1/completions", Stream: true,
-			Body: fmt.Appendf(nil, `{"model":"drafter","prompt":%q,"stream":true}`, prompt),
-		})
-		assert.NilError(t, err)
+		summary := do(t, client, summaryOf(prompt))
 		assert.Assert(t, summary.OK(), "%+v", summary)
-		assert.Equal(t, summary.Text, engine.NewAnswer(prompt, outputs, 200).Text())
+		assert.Equal(t, summary.Text, answerTo(prompt))
 
-		chat, err := client.Do(t.Context(), caller.Request{
-			Method: http.MethodPost, Path: "/v1/chat/completions", Key: newKey(t),
+		chat := do(t, client, caller.Request{
+			Method: http.MethodPost, Path: "/v1/chat/completions",
 			Body: []byte(`{"model":"drafter","messages":[{"role":"user","content":"why?"}]}`),
 		})
-		assert.NilError(t, err)
-		assert.Assert(t, chat.OK(), "%s %s", chat.Problem, chat.Body)
-		assert.Equal(t, chat.Text, engine.NewAnswer("user\nwhy?\n", outputs, 200).Text())
-
-		lookup, err := client.Do(t.Context(), caller.Request{Method: http.MethodGet, Path: "/rosters/7"})
-		assert.NilError(t, err)
-		assert.Assert(t, lookup.OK(), "%s", lookup.Body)
-
-		key := newKey(t)
-		booking := caller.Request{Method: http.MethodPost, Path: "/bookings", Key: key, Body: []byte(`{}`)}
-		booked, err := client.Do(t.Context(), booking)
-		assert.NilError(t, err)
+		assert.Assert(t, chat.OK(), "%s", chat.Body)
+		assert.Equal(t, chat.Text, answerTo("user\nwhy?\n"))
+
+		roster := do(t, client, lookup())
+		assert.Assert(t, roster.OK(), "%s", roster.Body)
+
+		booking := bookingOf(newKey(t))
+		booked := do(t, client, booking)
 		assert.Assert(t, booked.OK(), "%s", booked.Body)
-		assert.Equal(t, site.Platform.Executions(key), 1)
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			again, err := client.Do(t.Context(), booking)
-			assert.NilError(t, err)
-			assert.Assert(t, !again.OK())
-			if again.Problem == "/problems/key-running" {
-				return poll.Continue("the outcome is not recorded yet")
-			}
-			assert.Equal(t, again.Problem, "/problems/key-answered")
-			return poll.Success()
-		}, poll.WithTimeout(time.Minute))
-		assert.Equal(t, site.Platform.Executions(key), 1)
+		awaitProblem(t, client, booking, "/problems/key-answered")
+		assert.Equal(t, site.Platform.Executions(booking.Key), 1)
 	}
 }
