--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -19,14 +19,8 @@
 	stream    bool
 	maxTokens int
 	prompt    engine.Prompt
-}
-
-// text returns the prompt's text for prefix hashing.
-func (b *completionBody) text() string {
-	if b.prompt.Chat() {
-		return string(b.prompt.Messages)
-	}
-	return b.prompt.Text
+	// text is the prompt's text for prefix hashing and length.
+	text string
 }
 
 // readBody reads a request body within the bound.
@@ -98,12 +92,13 @@
 func takePrompt(report *finding.Report, members map[string]json.RawMessage, chat bool, body *completionBody) {
 	if !chat {
 		take(report, members, "prompt", &body.prompt.Text)
+		body.text = body.prompt.Text
 		if body.prompt.Text == "" {
 			report.Addf("prompt", "a prompt of text is required")
 		}
 		return
 	}
-	var messages []json.RawMessage
+	var messages []prefix.Message
 	raw := members["messages"]
 	take(report, members, "messages", &messages)
 	if len(messages) == 0 {
@@ -111,6 +106,7 @@
 		return
 	}
 	body.prompt.Messages = raw
+	body.text = prefix.ChatText(messages)
 }
 
 // takeCount refuses requests for more than one answer.
@@ -131,7 +127,7 @@
 	if body.maxTokens > x.class.MaxOutputTokens {
 		report.Addf("max_tokens", "the class %s allows at most %d", x.class.Name, x.class.MaxOutputTokens)
 	}
-	if tokens := prefix.Tokens(len(body.text())); x.class.MaxPromptTokens > 0 && tokens > x.class.MaxPromptTokens {
+	if tokens := prefix.Tokens(len(body.text)); x.class.MaxPromptTokens > 0 && tokens > x.class.MaxPromptTokens {
 		report.Addf("prompt", "about %d tokens; the class %s allows at most %d", tokens, x.class.Name, x.class.MaxPromptTokens)
 	}
 	if err := report.Err(); err != nil {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -88,7 +88,7 @@
 		Team:       x.team.Team,
 		Class:      x.class,
 		Prompt:     &body.prompt,
-		PromptText: body.text(),
+		PromptText: body.text,
 		MaxTokens:  body.maxTokens,
 		Arrived:    x.arrived,
 	}
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -18,7 +18,7 @@
 	limited bool
 }
 
-// NewAnswer returns the answer to a prompt's text (see PromptText for a chat)
+// NewAnswer returns the answer to a prompt's text (see prefix.ChatText for a chat)
 // from engines whose Options.OutputTokens is outputs. A maxTokens of 0 or less
 // sets no bound of its own.
 func NewAnswer(prompt string, outputs Range, maxTokens int) Answer {
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -8,6 +8,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/prefix"
 )
 
 // requestIDHeader carries the attempt id.
@@ -15,15 +16,15 @@
 
 // completionBody is the body of a prefill or decode call.
 type completionBody struct {
-	Model      string    `json:"model"`
-	Prompt     *string   `json:"prompt"`
-	Messages   []Message `json:"messages"`
-	MaxTokens  int       `json:"max_tokens"`
-	Stream     bool      `json:"stream"`
-	Priority   int       `json:"priority"`
-	ResumeFrom int       `json:"resume_from"`
-	ResumeText string    `json:"resume_text"`
-	KV         *kvParams `json:"kv_transfer_params"`
+	Model      string           `json:"model"`
+	Prompt     *string          `json:"prompt"`
+	Messages   []prefix.Message `json:"messages"`
+	MaxTokens  int              `json:"max_tokens"`
+	Stream     bool             `json:"stream"`
+	Priority   int              `json:"priority"`
+	ResumeFrom int              `json:"resume_from"`
+	ResumeText string           `json:"resume_text"`
+	KV         *kvParams        `json:"kv_transfer_params"`
 }
 
 // kvParams are the KV transfer parameters of calls and answers.
@@ -70,7 +71,7 @@
 	case chat && len(b.Messages) == 0:
 		return "", Invalid.New("messages: at least one is needed")
 	case chat:
-		return PromptText(b.Messages), nil
+		return prefix.ChatText(b.Messages), nil
 	case b.Prompt == nil:
 		return "", Invalid.New("prompt: missing")
 	default:
--- a/internal/standin/engine/prompt.go
+++ b/internal/standin/engine/prompt.go
@@ -1,9 +1,7 @@
 package engine
 
 import (
-	"encoding/json"
 	"fmt"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -41,47 +39,3 @@
 	_, _ = digest.WriteString(block)
 	return fmt.Sprintf("%016x", digest.Sum64())
 }
-
-// Message is one message of a chat.
-type Message struct {
-	Role    string  `json:"role"`
-	Content Content `json:"content"`
-}
-
-// Content is the text of a message. In JSON it is a string or a list of parts,
-// of which the texts count.
-type Content string
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (c *Content) UnmarshalJSON(data []byte) error {
-	var text string
-	if json.Unmarshal(data, &text) == nil {
-		*c = Content(text)
-		return nil
-	}
-	var parts []struct {
-		Text string `json:"text"`
-	}
-	if err := json.Unmarshal(data, &parts); err != nil {
-		return fmt.Errorf("content is a string or a list of parts: %w", err)
-	}
-	var b strings.Builder
-	for _, part := range parts {
-		b.WriteString(part.Text)
-	}
-	*c = Content(b.String())
-	return nil
-}
-
-// PromptText returns the text of a chat: for each message its role, a newline,
-// its content and a newline.
-func PromptText(messages []Message) string {
-	var b strings.Builder
-	for _, m := range messages {
-		b.WriteString(m.Role)
-		b.WriteByte('\n')
-		b.WriteString(string(m.Content))
-		b.WriteByte('\n')
-	}
-	return b.String()
-}
