--- a/internal/cli/configuration.go
+++ b/internal/cli/configuration.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/user"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -132,6 +133,9 @@
 	Publisher string `long:"publisher" description:"name shown to others (default: user and host)"`
 }
 
+// pullTimeout bounds the exchange with VMs before a publish.
+const pullTimeout = 3 * time.Second
+
 // errRefused means that a change lost against another publish.
 var errRefused = errors.New("refused: others published since the version that the file is based on")
 
@@ -177,17 +181,35 @@
 	}
 	defer appender.Close()
 	publisher := configuration.NewPublisher(o.service(), appender, o.publisherName())
-	for _, address := range o.VMs {
-		pulled, err := peersync.NewRemote(directDialer{}, address).Pull(ctx)
-		if err != nil {
-			_, _ = fmt.Fprintf(o.streams.Err, "VM at %s: %v\n", address, err)
-			continue
-		}
-		publisher.Seed(pulled.Records)
-	}
+	publisher.Seed(o.pullAll(ctx, bundle))
 	return publisher.Publish(ctx, bundle)
 }
 
+// pullAll returns the states of the VMs that the command is to talk to. A VM that
+// does not answer is passed over: the log alone suffices unless it lost records.
+func (o *publishOptions) pullAll(ctx context.Context, bundle configuration.Bundle) []configuration.Record {
+	if !o.Wait && len(o.VMs) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	addresses := o.waiters(bundle)
+	states := make([]peersync.Pulled, len(addresses))
+	var pulls sync.WaitGroup
+	for i, address := range addresses {
+		pulls.Go(func() {
+			// What was pulled before an error is valid as well.
+			states[i], _ = peersync.NewRemote(directDialer{}, address).Pull(ctx)
+		})
+	}
+	pulls.Wait()
+	var records []configuration.Record
+	for _, state := range states {
+		records = append(records, state.Records...)
+	}
+	return records
+}
+
 func (o *publishOptions) publisherName() string {
 	if o.Publisher != "" {
 		return o.Publisher
--- a/internal/configuration/peersync/peersync_test.go
+++ b/internal/configuration/peersync/peersync_test.go
@@ -203,6 +203,28 @@
 	})
 }
 
+func TestIncompletePeersDoNotCompleteEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.publish(t, bundleOf(3, 1))
+		time.Sleep(4 * time.Second)
+		pulled, err := NewRemote(f.network, "vm-0").Pull(t.Context())
+		assert.NilError(t, err)
+		f.stop()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer f.tasks.Wait()
+		defer cancel()
+		members := []membership.Member{{VM: "vm-7", Address: "vm-7"}, {VM: "vm-8", Address: "vm-8"}}
+		first, second := newVM(f.network, 7, "", members), newVM(f.network, 8, "", members)
+		first.store.ApplyPeer(pulled.Records)
+		f.tasks.Go(func() { first.sync(ctx, f.network) })
+		f.tasks.Go(func() { second.sync(ctx, f.network) })
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(second.store.All()), 4)
+		assert.Assert(t, first.store.Snapshot() == nil && second.store.Snapshot() == nil)
+	})
+}
+
 func TestRemoteReportsWhatIsInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
--- a/internal/configuration/publisher_test.go
+++ b/internal/configuration/publisher_test.go
@@ -132,6 +132,27 @@
 	assert.DeepEqual(t, report.Results, []Result{{Subject: "team/a", Version: 2, Accepted: true}})
 }
 
+// TestPublishOverAnUnknownVersion checks the same for one team whose current
+// version expired while a publish based on it is still kept.
+func TestPublishOverAnUnknownVersion(t *testing.T) {
+	log := logtest.New(logtest.Options{})
+	bundle := testBundle("a")
+	for share := range 3 {
+		bundle.Teams[0].Share = float64(share + 1)
+		publish(t, log, bundle)
+	}
+	fold, _, err := ReadAll(t.Context(), log)
+	assert.NilError(t, err)
+	fleet, _ := fold.Get(FleetSubject)
+	data, err := fleet.Reappend().Encode()
+	assert.NilError(t, err)
+	_, err = log.Append(t.Context(), Stream, []logservice.Entry{{ID: "r", Data: data}})
+	assert.NilError(t, err)
+	log.Trim(Stream, 3)
+	_, err = tryPublish(t, log, bundle, "bob")
+	assert.Assert(t, errorx.IsOfType(err, Incomplete), "%v", err)
+}
+
 func TestDiff(t *testing.T) {
 	got := diff([]byte(`{"a": [1, 2], "b": {"c": 1}, "d": 1}`), []byte(`{"a": [1], "b": {"c": "x"}, "e": null, "d": 1}`))
 	assert.DeepEqual(t, got, []Difference{
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -80,6 +80,9 @@
 	before := store.Snapshot()
 	store.ApplyPeer([]Record{team.reappend(1), publishOf(TeamSubject("a"), 2, "p", &next)})
 	assert.Assert(t, store.Snapshot() == before)
+	empty := NewStore(timeline.Discard)
+	empty.ApplyPeer([]Record{fleet})
+	assert.Equal(t, len(empty.All()), 0, "a peer's publish has no offset and decides nothing")
 }
 
 // TestVersionsOutliveRetention runs three VMs of which one always dies before
