--- a/internal/cli/configuration_test.go
+++ b/internal/cli/configuration_test.go
@@ -102,10 +102,22 @@
 
 func TestWaitNamesTheVMsThatDidNotConfirm(t *testing.T) {
 	address := serve(t, logtest.Handler(logtest.New(logtest.Options{})))
-	silent := serve(t, http.NotFoundHandler())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	// The caller gives up after the second question.
+	questions := 0
+	silent := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/InForce") {
+			questions++
+		}
+		if questions == 2 {
+			cancel()
+		}
+		w.WriteHeader(http.StatusNotFound)
+	}))
 	var out, errs strings.Builder
-	code := Main(t.Context(), []string{
-		"configuration", "publish", writeBundle(t), "--log", address, "--vm", silent, "--wait", "--timeout", "1s",
+	code := Main(ctx, []string{
+		"configuration", "publish", writeBundle(t), "--log", address, "--vm", silent, "--wait",
 	}, Streams{Out: &out, Err: &errs})
 	assert.Equal(t, code, ExitFailed)
 	assert.Assert(t, strings.Contains(errs.String(), "not known to be in force at the VMs at "+silent), errs.String())
--- a/internal/configuration/history_test.go
+++ b/internal/configuration/history_test.go
@@ -234,14 +234,14 @@
 	appender, err := logservice.NewAppender(h.log, logservice.AppenderOptions{})
 	assert.NilError(t, err)
 	defer appender.Close()
-	for sleep(ctx, 350*time.Millisecond) == nil {
+	for i := 0; sleep(ctx, 350*time.Millisecond) == nil; i++ {
 		current, ok := h.stores[0].Current(TeamSubject("a"))
 		if !ok {
 			continue
 		}
 		data, err := current.Reappend().Encode()
 		assert.NilError(t, err)
-		_, _ = appender.Append(ctx, Stream, logservice.PurposeConfiguration, logservice.Entry{ID: "reappend", Data: data})
+		_, _ = appender.Append(ctx, Stream, logservice.PurposeConfiguration, logservice.Entry{ID: fmt.Sprintf("reappend.%d", i), Data: data})
 	}
 }
 
--- a/internal/configuration/peersync/inforce.go
+++ b/internal/configuration/peersync/inforce.go
@@ -6,7 +6,6 @@
 	"connectrpc.com/connect"
 
 	configurationv1 "github.com/ospreyshed/ospreyshed/api/configuration/v1"
-	"github.com/ospreyshed/ospreyshed/api/configuration/v1/configurationv1connect"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
 )
 
@@ -17,8 +16,7 @@
 
 // NewRemote returns the service of the VM at an address of IP number and port.
 func NewRemote(dialer peer.Dialer, address string) *Remote {
-	base := dialer.BaseURL(address)
-	return &Remote{client: configurationv1connect.NewConfigurationServiceClient(dialer.HTTPClient(), base)}
+	return &Remote{client: newClient(dialer, address)}
 }
 
 // Pull returns the VM's whole state.
--- a/internal/configuration/peersync/peersync.go
+++ b/internal/configuration/peersync/peersync.go
@@ -7,18 +7,34 @@
 package peersync
 
 import (
-	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"connectrpc.com/connect"
 
 	configurationv1 "github.com/ospreyshed/ospreyshed/api/configuration/v1"
+	"github.com/ospreyshed/ospreyshed/api/configuration/v1/configurationv1connect"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
 )
 
 // maxFetchBytes bounds the documents of one answer; a single larger one is
 // still sent.
 const maxFetchBytes = 256 << 10
 
+// maxRequestBytes bounds the requests that a Server reads, and maxAnswerBytes the
+// answers that a client reads.
+const (
+	maxRequestBytes = 1 << 20
+	maxAnswerBytes  = 16 << 20
+)
+
 // maxFetchSubjects bounds the subjects of one request.
 const maxFetchSubjects = 200
 
+// newClient returns the client of the VM at an address of IP number and port.
+func newClient(dialer peer.Dialer, address string) client {
+	return configurationv1connect.NewConfigurationServiceClient(
+		dialer.HTTPClient(), dialer.BaseURL(address), connect.WithReadMaxBytes(maxAnswerBytes))
+}
+
 func recordToWire(current configuration.Current) *configurationv1.Record {
 	record := current.Reappend()
 	return &configurationv1.Record{
--- a/internal/configuration/peersync/syncer.go
+++ b/internal/configuration/peersync/syncer.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ospreyshed/ospreyshed/api/configuration/v1/configurationv1connect"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
@@ -115,8 +114,7 @@
 // peer's whole state is in the Store now.
 func (s *Syncer) pullFrom(ctx context.Context, member membership.Member) bool {
 	s.pulls.Add(1)
-	from := configurationv1connect.NewConfigurationServiceClient(s.dialer.HTTPClient(), s.dialer.BaseURL(member.Address))
-	pulled, err := pull(ctx, from, s.store.All())
+	pulled, err := pull(ctx, newClient(s.dialer, member.Address), s.store.All())
 	if err != nil {
 		s.failures.Add(1)
 	}
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -85,8 +85,8 @@
 	assert.Equal(t, len(empty.All()), 0, "a peer's publish has no offset and decides nothing")
 }
 
-// TestVersionsOutliveRetention runs three VMs of which one always dies before
-// retention passes. A VM that starts late must still find every version.
+// TestVersionsOutliveRetention runs two VMs of three, with an outage in which all
+// records expire. A VM that starts late must still find every version.
 func TestVersionsOutliveRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const retention = 10 * time.Minute
@@ -104,7 +104,15 @@
 			view := membership.Static{This: member, All: members}
 			vms.Go(func() { runVM(ctx, t, log, view) })
 		}
-		time.Sleep(5 * retention)
+		time.Sleep(2 * retention)
+		log.SetAway(true)
+		time.Sleep(2 * retention)
+		log.SetAway(false)
+		time.Sleep(2 * time.Second)
+		outlived, _, err := ReadAll(t.Context(), log)
+		assert.NilError(t, err)
+		assert.Equal(t, len(outlived.All()), 4)
+		time.Sleep(3 * retention)
 		fold, entries, err := ReadAll(t.Context(), log)
 		assert.NilError(t, err)
 		assert.Assert(t, entries[0].Offset >= 4, "the publishes are still in the log")
