Carry calls between entry VMs over HTTP/2 with mutual TLS

Entry VMs had a contract for their transport but none behind it.

A server mounts the handlers for peers, a dialer reaches them. With certificate files both ends authenticate, and the names in the caller's certificate are in the context of each request. The files are looked at again every 2 s while connections are in use; unusable ones are counted and logged once and leave the former ones in force, and an open connection is verified again after a change. Without certificates only loopback addresses are listened on and dialed unless insecure_peers is set. Bodies, headers, connections and streams are bounded, silent connections are probed, and bytes on the wire are counted.

--- /dev/null
+++ b/internal/peer/certificates.go
@@ -0,0 +1,157 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"expvar"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/settings"
+)
+
+// reloadPeriod is the least time between two looks at the certificate files.
+const reloadPeriod = 2 * time.Second
+
+// Certificates hold this VM's certificate and the authorities that peers are
+// verified by. The files are looked at again while connections are in use, so
+// that new ones are in force without a restart. Files that cannot be used leave
+// the former ones in force. It is safe for concurrent use.
+type Certificates struct {
+	vm    string
+	files settings.PeerTLS
+	log   logrus.FieldLogger
+
+	current  atomic.Pointer[credentials]
+	checked  atomic.Int64
+	counters certificateCounters
+
+	mu sync.Mutex
+	// seen is the digest of the files that were looked at last.
+	seen uint64
+}
+
+type certificateCounters struct {
+	Reloaded, ReloadFailed atomic.Int64
+}
+
+// credentials are the content of one set of certificate files.
+type credentials struct {
+	// generation counts the sets that were in force, from 1.
+	generation  uint64
+	certificate tls.Certificate
+	authorities *x509.CertPool
+}
+
+// LoadCertificates reads the certificate files of a VM. The error is
+// BadCertificate if the files cannot be used or do not name the VM.
+func LoadCertificates(vm string, files settings.PeerTLS, log logrus.FieldLogger) (*Certificates, error) {
+	c := &Certificates{vm: vm, files: files, log: log, seen: digestOf(files)}
+	loaded, err := c.load(1)
+	if err != nil {
+		return nil, err
+	}
+	c.current.Store(loaded)
+	c.checked.Store(time.Now().UnixNano())
+	return c, nil
+}
+
+// Vars returns the counters of reloads.
+func (c *Certificates) Vars() *expvar.Map { return metrics.Fields(&c.counters) }
+
+// inForce returns the credentials in force after a look at the files if one is due.
+func (c *Certificates) inForce() *credentials {
+	now := time.Now().UnixNano()
+	last := c.checked.Load()
+	due := now-last >= int64(reloadPeriod)
+	if due && c.checked.CompareAndSwap(last, now) {
+		c.reload()
+	}
+	return c.current.Load()
+}
+
+// reload takes in files that changed since the last look.
+func (c *Certificates) reload() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	digest := digestOf(c.files)
+	if digest == c.seen {
+		return
+	}
+	c.seen = digest
+	loaded, err := c.load(c.current.Load().generation + 1)
+	if err != nil {
+		c.counters.ReloadFailed.Add(1)
+		c.log.WithError(err).Warning("new peer certificate files are not usable; the former ones stay in force")
+		return
+	}
+	c.current.Store(loaded)
+	c.counters.Reloaded.Add(1)
+	c.log.Info("peer certificates reloaded")
+}
+
+func (c *Certificates) load(generation uint64) (*credentials, error) {
+	certificate, err := c.files.Load()
+	if err != nil {
+		return nil, BadCertificate.Wrap(err, "certificate and key")
+	}
+	authorities, err := c.files.LoadCA()
+	if err != nil {
+		return nil, BadCertificate.Wrap(err, "authorities")
+	}
+	if !slices.Contains(namesOf(certificate.Leaf), c.vm) {
+		return nil, BadCertificate.New("%s does not name the VM %q", c.files.Certificate, c.vm)
+	}
+	return &credentials{generation: generation, certificate: certificate, authorities: authorities}, nil
+}
+
+// verify checks a peer's certificate chain for a use.
+func (c *credentials) verify(chain []*x509.Certificate, use x509.ExtKeyUsage) error {
+	if len(chain) == 0 {
+		return Untrusted.New("the peer has no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range chain[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots:         c.authorities,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{use},
+	})
+	if err != nil {
+		return Untrusted.Wrap(err, "certificate of %q", namesOf(chain[0]))
+	}
+	return nil
+}
+
+// namesOf returns the common name and the DNS names of a certificate.
+func namesOf(certificate *x509.Certificate) []string {
+	names := slices.Clone(certificate.DNSNames)
+	if name := certificate.Subject.CommonName; name != "" && !slices.Contains(names, name) {
+		names = append([]string{name}, names...)
+	}
+	return names
+}
+
+// digestOf returns a digest over the content of the files. A file that cannot
+// be read counts with its error.
+func digestOf(files settings.PeerTLS) uint64 {
+	hash := xxhash.New()
+	for _, name := range []string{files.Certificate, files.Key, files.CA} {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			data = []byte(err.Error())
+		}
+		_, _ = hash.Write(data)
+		_, _ = hash.Write([]byte{0})
+	}
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/peer/dialer.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+)
+
+// HTTPDialer implements Dialer over HTTP/2. It is safe for concurrent use.
+type HTTPDialer struct {
+	options   Options
+	transport *http.Transport
+	client    *http.Client
+	// generation is that of the credentials that idle connections were made with.
+	generation atomic.Uint64
+	counters   dialerCounters
+	traffic    traffic
+}
+
+type dialerCounters struct {
+	// Dialed counts connections made, DialFailed those that failed.
+	Dialed, DialFailed atomic.Int64
+	// Forbidden counts addresses that were not dialed for want of certificates.
+	Forbidden atomic.Int64
+}
+
+var _ Dialer = (*HTTPDialer)(nil)
+
+// NewDialer returns a dialer; the options' Listen is not used.
+func NewDialer(options Options) *HTTPDialer {
+	d := &HTTPDialer{options: options}
+	d.transport = &http.Transport{
+		DialContext:         d.dial,
+		Protocols:           protocols(options.Certificates != nil),
+		HTTP2:               http2Config(),
+		TLSHandshakeTimeout: handshakeTimeout,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	if options.Certificates != nil {
+		d.transport.TLSClientConfig = options.Certificates.clientTLS()
+		d.generation.Store(options.Certificates.inForce().generation)
+	}
+	d.client = &http.Client{Transport: roundTripper{d}, CheckRedirect: refuseRedirect}
+	return d
+}
+
+// HTTPClient implements Dialer. The client does not bound the time of a call;
+// callers bound it by their context.
+func (d *HTTPDialer) HTTPClient() connect.HTTPClient { return d.client }
+
+// BaseURL implements Dialer.
+func (d *HTTPDialer) BaseURL(address string) string {
+	if d.options.Certificates != nil {
+		return "https://" + address
+	}
+	return "http://" + address
+}
+
+// Close drops idle connections.
+func (d *HTTPDialer) Close() { d.transport.CloseIdleConnections() }
+
+// Vars returns the counters of the dialer.
+func (d *HTTPDialer) Vars() *expvar.Map {
+	vars := metrics.Fields(&d.counters)
+	addTraffic(vars, &d.traffic)
+	return vars
+}
+
+func (d *HTTPDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || !d.options.allows(parsed) {
+		d.counters.Forbidden.Add(1)
+		return nil, NotLoopback.New("%s may not be dialed without certificates", address)
+	}
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		d.counters.DialFailed.Add(1)
+		return nil, err
+	}
+	d.counters.Dialed.Add(1)
+	return &countedConn{Conn: conn, traffic: &d.traffic}, nil
+}
+
+// roundTripper drops idle connections after a change of credentials.
+type roundTripper struct{ dialer *HTTPDialer }
+
+// RoundTrip implements http.RoundTripper.
+func (r roundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
+	r.dialer.renew()
+	return r.dialer.transport.RoundTrip(request)
+}
+
+func (d *HTTPDialer) renew() {
+	if d.options.Certificates == nil {
+		return
+	}
+	generation := d.options.Certificates.inForce().generation
+	if d.generation.Swap(generation) != generation {
+		d.transport.CloseIdleConnections()
+	}
+}
+
+// refuseRedirect keeps calls to peers at the address they were made to.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- /dev/null
+++ b/internal/peer/tls.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+)
+
+// serverTLS returns the configuration of a listener. Each handshake uses the
+// credentials in force.
+func (c *Certificates) serverTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{"h2"},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			inForce := c.inForce()
+			return &tls.Config{
+				MinVersion:             tls.VersionTLS13,
+				NextProtos:             []string{"h2"},
+				Certificates:           []tls.Certificate{inForce.certificate},
+				ClientAuth:             tls.RequireAndVerifyClientCert,
+				ClientCAs:              inForce.authorities,
+				SessionTicketsDisabled: true,
+			}, nil
+		},
+	}
+}
+
+// clientTLS returns the configuration of a dialer. A peer is dialed by its IP
+// number, which certificates do not name, so its chain is verified here.
+func (c *Certificates) clientTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &c.inForce().certificate, nil
+		},
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return c.inForce().verify(state.PeerCertificates, x509.ExtKeyUsageServerAuth)
+		},
+	}
+}
