Add the demo and the load generator behind it

A newcomer had no command that shows the whole router at work. "ospreyshed demo" starts the quickstart deployment on loopback, sends an open-loop load of all classes through every entry VM, and prints latencies, goodput, wasted prefill and the checks of the promises.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -8,5 +8,6 @@
 		configurationCommand,
 		versionCommand,
 		standinCommand,
+		demoCommand,
 	}
 }
--- /dev/null
+++ b/internal/measure/checks.go
@@ -0,0 +1,239 @@
+package measure
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/problem"
+	"github.com/ospreyshed/ospreyshed/internal/standin"
+	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
+)
+
+// Check is the result of one check of a promise.
+type Check struct {
+	Name string `json:"name"`
+	// Subjects is the number of cases that were looked at.
+	Subjects int `json:"subjects"`
+	// Broken is the number of cases that break the promise, Examples describe
+	// the first of them.
+	Broken   int      `json:"broken"`
+	Examples []string `json:"examples,omitempty"`
+}
+
+// The names of the checks.
+const (
+	CheckSingleExecution = "no key executed more than once"
+	CheckNotRun          = "no request refused as not-run executed"
+	CheckNotRunKey       = "no key whose requests were all refused as not-run executed"
+	CheckOwnAnswer       = "every answer is whole, single and its caller's own"
+	CheckSingleAnswer    = "no key answered twice"
+	CheckMemory          = "engine memory back to zero after the end"
+	CheckLeaving         = "no work to an endpoint 3 s after it began to leave"
+)
+
+// maxExamples bounds the examples of a check.
+const maxExamples = 3
+
+func (c *Check) fail(format string, args ...any) {
+	c.Broken++
+	if len(c.Examples) < maxExamples {
+		c.Examples = append(c.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// executions are the counts of all endpoints.
+type executions struct {
+	// byKey and byRequest count executions of plain services by idempotency key
+	// and request id; engine executions count under the request of the attempt.
+	byKey, byRequest map[string]int
+}
+
+func newExecutions() executions {
+	return executions{byKey: make(map[string]int), byRequest: make(map[string]int)}
+}
+
+// executionsOf adds up the counts of all stand-ins.
+func executionsOf(p *standin.Platform) executions {
+	sum := newExecutions()
+	for _, server := range p.Plain {
+		counts := server.Counts()
+		addCounts(sum.byKey, counts.ByKey)
+		addCounts(sum.byRequest, counts.ByRequest)
+	}
+	for _, server := range p.Engines {
+		for attempt, n := range server.Counts().Executions {
+			sum.byRequest[requestOf(attempt)] += n
+		}
+	}
+	return sum
+}
+
+func addCounts(to, from map[string]int) {
+	for name, n := range from {
+		to[name] += n
+	}
+}
+
+// requestOf returns the request id of an attempt id.
+func requestOf(attempt string) string {
+	return attempt[:max(strings.LastIndexByte(attempt, '.'), 0)]
+}
+
+// evidence is what the checks look at.
+type evidence struct {
+	records    []record
+	executions executions
+	outputs    engine.Range
+	// piecesHeld is the engine memory held after memoryWait.
+	piecesHeld int
+	memoryWait time.Duration
+	// lateWork counts work received by endpoints 3 s after they began to leave.
+	lateWork map[string]int
+}
+
+// check makes all checks.
+func (e *evidence) check() []Check {
+	return []Check{
+		e.checkSingleExecution(),
+		e.checkNotRun(),
+		e.checkNotRunKey(),
+		e.checkOwnAnswer(),
+		e.checkSingleAnswer(),
+		e.checkMemory(),
+		e.checkLeaving(),
+	}
+}
+
+func (e *evidence) checkSingleExecution() Check {
+	c := Check{Name: CheckSingleExecution}
+	for key, n := range e.neverRepeatedKeys() {
+		c.Subjects++
+		if n > 1 {
+			c.fail("key %s was executed %d times", key, n)
+		}
+	}
+	return c
+}
+
+// neverRepeatedKeys returns the executions of keys of classes that may not be
+// repeated.
+func (e *evidence) neverRepeatedKeys() map[string]int {
+	keys := make(map[string]int)
+	for i := range e.records {
+		r := &e.records[i]
+		if r.key != "" && r.class.Repeat == configuration.NeverRepeat {
+			keys[r.key] = e.executions.byKey[r.key]
+		}
+	}
+	return keys
+}
+
+func (e *evidence) checkNotRun() Check {
+	c := Check{Name: CheckNotRun}
+	for i := range e.records {
+		r := &e.records[i]
+		if !r.refusedNotRun() {
+			continue
+		}
+		c.Subjects++
+		if n := e.executions.byRequest[r.requestID]; n > 0 {
+			c.fail("request %s was refused as not-run (%s) and executed %d times", r.requestID, r.problem, n)
+		}
+	}
+	return c
+}
+
+func (r *record) refusedNotRun() bool {
+	return r.fate == fateRefused && r.outcome == string(problem.NotRun)
+}
+
+func (e *evidence) checkNotRunKey() Check {
+	c := Check{Name: CheckNotRunKey}
+	ran := make(map[string]bool)
+	for i := range e.records {
+		if r := &e.records[i]; r.key != "" {
+			ran[r.key] = ran[r.key] || !r.refusedNotRun()
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(ran)) {
+		if ran[key] {
+			continue
+		}
+		c.Subjects++
+		if n := e.executions.byKey[key]; n > 0 {
+			c.fail("key %s was refused as not-run and executed %d times", key, n)
+		}
+	}
+	return c
+}
+
+func (e *evidence) checkOwnAnswer() Check {
+	c := Check{Name: CheckOwnAnswer}
+	for i := range e.records {
+		r := &e.records[i]
+		if r.fate != fateAnswered {
+			continue
+		}
+		c.Subjects++
+		if fault := e.answerFault(r); fault != "" {
+			c.fail("request %s of class %s: %s", r.requestID, r.Class, fault)
+		}
+	}
+	return c
+}
+
+// answerFault says what is wrong with an answer, empty if nothing is.
+func (e *evidence) answerFault(r *record) string {
+	if !r.class.ModelBacked() {
+		return receiptFault(r)
+	}
+	want := expectedText(r.planned, e.outputs)
+	if r.text == want {
+		return ""
+	}
+	return fmt.Sprintf("the answer has %d bytes and is not the expected one of %d bytes", len(r.text), len(want))
+}
+
+func (e *evidence) checkSingleAnswer() Check {
+	c := Check{Name: CheckSingleAnswer}
+	answers := make(map[string]int)
+	for i := range e.records {
+		r := &e.records[i]
+		if r.key == "" {
+			continue
+		}
+		if r.fate == fateAnswered {
+			answers[r.key]++
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(answers)) {
+		c.Subjects++
+		if answers[key] > 1 {
+			c.fail("key %s was answered %d times", key, answers[key])
+		}
+	}
+	return c
+}
+
+func (e *evidence) checkMemory() Check {
+	c := Check{Name: CheckMemory, Subjects: 1}
+	if e.piecesHeld > 0 {
+		c.fail("%d pieces were held %s after the end", e.piecesHeld, e.memoryWait)
+	}
+	return c
+}
+
+func (e *evidence) checkLeaving() Check {
+	c := Check{Name: CheckLeaving}
+	for _, name := range slices.Sorted(maps.Keys(e.lateWork)) {
+		c.Subjects++
+		if n := e.lateWork[name]; n > 0 {
+			c.fail("%s received %d pieces of work", name, n)
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/measure/fault.go
@@ -0,0 +1,206 @@
+package measure
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/localsite"
+	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
+	"github.com/ospreyshed/ospreyshed/internal/standin/logstore"
+	"github.com/ospreyshed/ospreyshed/internal/standin/plain"
+	"github.com/ospreyshed/ospreyshed/internal/standin/vmlist"
+)
+
+// FaultKind tells faults apart.
+type FaultKind string
+
+// The kinds of fault.
+const (
+	// FaultCrash crashes the endpoint and keeps it down.
+	FaultCrash FaultKind = "engine-crash"
+	// FaultStall stalls all KV cache transfers to the endpoint.
+	FaultStall FaultKind = "stalled-transfer"
+	// FaultSlow makes the endpoint slower by slowFactor.
+	FaultSlow FaultKind = "slow-engine"
+	// FaultLate delays the answers of the endpoint by lateDelay.
+	FaultLate FaultKind = "late-answers"
+	// FaultCrossed mixes answers of other attempts into those of the endpoint.
+	FaultCrossed FaultKind = "crossed-answers"
+	// FaultCacheEvents loses all cache events of all engines.
+	FaultCacheEvents FaultKind = "cache-events-lost"
+	// FaultLeaving makes the endpoint leave; it stays so until the run's end.
+	FaultLeaving FaultKind = "endpoint-leaving"
+	// FaultLogAway is an outage of the log service.
+	FaultLogAway FaultKind = "log-away"
+	// FaultListStale freezes the list of VMs.
+	FaultListStale FaultKind = "vm-list-stale"
+)
+
+// FaultKinds returns all kinds of fault.
+func FaultKinds() []FaultKind {
+	return []FaultKind{
+		FaultCrash, FaultStall, FaultSlow, FaultLate, FaultCrossed,
+		FaultCacheEvents, FaultLeaving, FaultLogAway, FaultListStale,
+	}
+}
+
+// Fault is a failure that is injected during a run.
+type Fault struct {
+	Kind FaultKind `json:"kind"`
+	// Endpoint names the engine or plain service of the kinds that have one.
+	Endpoint string `json:"endpoint"`
+	// Start is the time since the start of the run.
+	Start    configuration.Duration `json:"start"`
+	Duration configuration.Duration `json:"duration"`
+}
+
+const (
+	slowFactor   = 4
+	lateDelay    = 300 * time.Millisecond
+	crossedShare = 0.02
+	// leavingGrace is the time after which a leaving endpoint may get no work.
+	leavingGrace = 3 * time.Second
+)
+
+// faultName joins the names of faults.
+func faultName(faults []Fault) string {
+	names := make([]string, len(faults))
+	for i, f := range faults {
+		names[i] = string(f.Kind)
+	}
+	return strings.Join(names, " + ")
+}
+
+// faultRun injects faults while a run goes on.
+type faultRun struct {
+	site *localsite.Site
+	stop context.CancelFunc
+	wait sync.WaitGroup
+
+	// mu guards the changes of faults that several kinds share, and leaving.
+	mu sync.Mutex
+	// leaving holds the work counted when the grace of an endpoint had passed.
+	leaving map[string]int
+}
+
+// startFaults injects faults at their times after start.
+func startFaults(ctx context.Context, site *localsite.Site, start time.Time, faults []Fault) *faultRun {
+	ctx, stop := context.WithCancel(ctx)
+	run := &faultRun{site: site, stop: stop, leaving: make(map[string]int)}
+	for _, f := range faults {
+		run.wait.Go(func() { run.inject(ctx, start, &f) })
+	}
+	return run
+}
+
+// inject sets a fault for its duration.
+func (r *faultRun) inject(ctx context.Context, start time.Time, f *Fault) {
+	if !sleepUntil(ctx, start.Add(f.Start.D())) {
+		return
+	}
+	if f.Kind == FaultLeaving {
+		r.leave(ctx, f.Endpoint)
+		return
+	}
+	r.set(f, true)
+	sleepUntil(ctx, start.Add(f.Start.D()+f.Duration.D()))
+	r.set(f, false)
+}
+
+// leave makes an endpoint leave and notes its count after the grace.
+func (r *faultRun) leave(ctx context.Context, name string) {
+	r.site.Platform.Leave(name)
+	if !sleepUntil(ctx, time.Now().Add(leavingGrace)) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving[name] = r.afterLeaving(name)
+}
+
+// afterLeaving returns the work that an endpoint got after it began to leave.
+func (r *faultRun) afterLeaving(name string) int {
+	if server, ok := r.site.Platform.Engines[name]; ok {
+		return server.Counts().AfterLeaving
+	}
+	if server, ok := r.site.Platform.Plain[name]; ok {
+		return server.Counts().AfterLeaving
+	}
+	return 0
+}
+
+// end lifts all faults and returns the work that leaving endpoints got after
+// their grace.
+func (r *faultRun) end() map[string]int {
+	r.stop()
+	r.wait.Wait()
+	late := make(map[string]int, len(r.leaving))
+	for name, before := range r.leaving {
+		late[name] = r.afterLeaving(name) - before
+	}
+	return late
+}
+
+// set sets or lifts a fault.
+func (r *faultRun) set(f *Fault, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	platform := r.site.Platform
+	switch f.Kind {
+	case FaultLogAway:
+		platform.Log.SetFaults(logstore.Faults{Outage: on})
+	case FaultListStale:
+		platform.VMList.SetFaults(vmlist.Faults{Stale: on})
+	case FaultCacheEvents:
+		for _, server := range platform.Engines {
+			setEngineFault(server, f.Kind, on)
+		}
+	default:
+		if server, ok := platform.Engines[f.Endpoint]; ok {
+			setEngineFault(server, f.Kind, on)
+		}
+		if server, ok := platform.Plain[f.Endpoint]; ok {
+			setPlainFault(server, f.Kind, on)
+		}
+	}
+}
+
+func setEngineFault(server *engine.Server, kind FaultKind, on bool) {
+	faults := server.Faults()
+	switch kind {
+	case FaultCrash:
+		faults.Down = on
+	case FaultStall:
+		faults.StallTransfers = on
+	case FaultSlow:
+		faults.Slow = ifOn(on, slowFactor)
+	case FaultLate:
+		faults.LateAnswers = configuration.Duration(ifOn(on, float64(lateDelay)))
+	case FaultCrossed:
+		faults.CrossAnswers = ifOn(on, crossedShare)
+	case FaultCacheEvents:
+		faults.LoseCacheEvents = ifOn(on, 1)
+	}
+	server.SetFaults(faults)
+}
+
+func setPlainFault(server *plain.Server, kind FaultKind, on bool) {
+	faults := server.Faults()
+	switch kind {
+	case FaultSlow, FaultLate:
+		faults.Slow = configuration.Duration(ifOn(on, float64(lateDelay)))
+	case FaultCrash:
+		faults.CutReplies = on
+	}
+	server.SetFaults(faults)
+}
+
+func ifOn(on bool, value float64) float64 {
+	if on {
+		return value
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/measure/plan.go
@@ -0,0 +1,127 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// planned is one request whose send time is fixed before the run.
+type planned struct {
+	*offered
+	// at is the intended send time since the start of the run.
+	at time.Duration
+	// vm is the index of the entry VM that gets the request.
+	vm int
+	// prompt is the text of a model-backed request.
+	prompt string
+	// number tells requests apart, key is the idempotency key or empty.
+	number int
+	key    string
+	// goneAfter is when the caller goes after the sending; 0 means that it stays.
+	goneAfter time.Duration
+	// repeat says that the key was sent before.
+	repeat bool
+}
+
+// planner draws the requests of a run.
+type planner struct {
+	load    *Load
+	classes []offered
+	random  *rand.Rand
+	vms     int
+	texts   texts
+}
+
+func newPlanner(load *Load, classes []offered, vms int, seed uint64) *planner {
+	return &planner{
+		load:    load,
+		classes: classes,
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		vms:     vms,
+		texts:   texts{seed: seed},
+	}
+}
+
+// plan draws all requests of a run, ordered by their send times. Arrivals are a
+// Poisson process of rate requests per second, raised during bursts. Keys carry
+// the time at which start puts them.
+func (p *planner) plan(start time.Time, rate float64, length time.Duration) []planned {
+	var all []planned
+	for _, at := range arrivals(p.random, rate, length, p.load.Bursts) {
+		first := p.draw(start, at, len(all))
+		all = append(all, first)
+		if repeat, ok := p.drawRepeat(&first, length); ok {
+			all = append(all, repeat)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b planned) int { return int(a.at - b.at) })
+	return all
+}
+
+// draw makes the request of an arrival.
+func (p *planner) draw(start time.Time, at time.Duration, number int) planned {
+	c := p.drawClass()
+	r := planned{offered: c, at: at, vm: p.random.IntN(p.vms), number: number}
+	if c.class.ModelBacked() {
+		span := max(c.PromptTokens.Max-c.PromptTokens.Min, 0) + 1
+		r.prompt = p.texts.prompt(c, number, c.PromptTokens.Min+p.random.IntN(span))
+	}
+	if c.class.Key == configuration.KeyRequired || c.Keyed && c.class.Key != configuration.KeyNone {
+		r.key = p.drawKey(start.Add(at))
+	}
+	if p.random.Float64() < p.load.GoneShare {
+		r.goneAfter = 1 + p.drawDuration(p.load.GoneWithin.D())
+	}
+	return r
+}
+
+func (p *planner) drawClass() *offered {
+	rest := p.random.Float64()
+	for i := range p.classes {
+		rest -= p.classes[i].weight
+		if rest < 0 {
+			return &p.classes[i]
+		}
+	}
+	return &p.classes[len(p.classes)-1]
+}
+
+// drawKey makes a UUIDv7 of a time, so that runs of one seed differ only by it.
+func (p *planner) drawKey(at time.Time) string {
+	var id uuid.UUID
+	millis := uint64(at.UnixMilli())
+	for i := range 6 {
+		id[i] = byte(millis >> (8 * (5 - i)))
+	}
+	for i := 6; i < len(id); i++ {
+		id[i] = byte(p.random.Uint32())
+	}
+	const version, variant = 0x70, 0x80
+	id[6] = id[6]&0x0f | version
+	id[8] = id[8]&0x3f | variant
+	return id.String()
+}
+
+// drawRepeat draws whether a request is sent again, to another VM if there is one.
+func (p *planner) drawRepeat(first *planned, length time.Duration) (planned, bool) {
+	if first.key == "" || p.random.Float64() >= p.load.RepeatShare {
+		return planned{}, false
+	}
+	again := *first
+	again.repeat = true
+	again.goneAfter = 0
+	again.at = min(first.at+p.drawDuration(p.load.RepeatWithin.D()), length)
+	if p.vms > 1 {
+		again.vm = (first.vm + 1 + p.random.IntN(p.vms-1)) % p.vms
+	}
+	return again, true
+}
+
+func (p *planner) drawDuration(limit time.Duration) time.Duration {
+	return time.Duration(p.random.Float64() * float64(limit))
+}
--- /dev/null
+++ b/internal/measure/summary.go
@@ -0,0 +1,183 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Summary sums up the requests of a point or of one of its classes.
+type Summary struct {
+	// Sent counts all requests; Gone those whose caller went by plan; Repeats
+	// those that repeat a key. Offered is the rest, by which goodput is measured.
+	Sent    int `json:"sent"`
+	Gone    int `json:"gone"`
+	Repeats int `json:"repeats"`
+	Offered int `json:"offered"`
+	// Answered, Good, Refused, CutShort and Unreachable tell the fates of the
+	// offered requests. Good ones met all targets of their class.
+	Answered    int `json:"answered"`
+	Good        int `json:"good"`
+	Refused     int `json:"refused"`
+	CutShort    int `json:"cut_short"`
+	Unreachable int `json:"unreachable"`
+	// Refusals counts the refused of the offered requests by problem type and
+	// outcome.
+	Refusals map[string]int `json:"refusals,omitempty"`
+	// GoodPerSecond is the goodput and GoodShare its share of the offered.
+	GoodPerSecond float64 `json:"good_per_second"`
+	GoodShare     float64 `json:"good_share"`
+	// FirstToken and Whole count from the intended send times of answered
+	// requests; BetweenTokens is over all pairs of tokens. In milliseconds.
+	FirstToken    Percentiles `json:"first_token_ms"`
+	BetweenTokens Percentiles `json:"between_tokens_ms"`
+	Whole         Percentiles `json:"whole_ms"`
+	// SendDelay is how late requests were sent, in milliseconds.
+	SendDelay Percentiles `json:"send_delay_ms"`
+}
+
+// Percentiles of durations in milliseconds.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// The range and precision of the histograms.
+const (
+	histogramUnit = time.Microsecond
+	histogramMax  = int64(time.Hour / histogramUnit)
+	histogramFigs = 3
+)
+
+// durations is a histogram of durations.
+type durations struct{ histogram *hdrhistogram.Histogram }
+
+func newDurations() durations {
+	return durations{hdrhistogram.New(1, histogramMax, histogramFigs)}
+}
+
+func (d durations) add(value time.Duration) {
+	_ = d.histogram.RecordValue(min(max(int64(value/histogramUnit), 0), histogramMax))
+}
+
+func (d durations) percentiles() Percentiles {
+	at := func(q float64) float64 {
+		value := time.Duration(d.histogram.ValueAtQuantile(q)) * histogramUnit
+		return float64(value) / float64(time.Millisecond)
+	}
+	return Percentiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// summarize sums up the records that a filter selects, of a run of a length.
+func summarize(records []record, length time.Duration, selects func(*record) bool) Summary {
+	s := Summary{Refusals: make(map[string]int)}
+	first, between, whole, delay := newDurations(), newDurations(), newDurations(), newDurations()
+	for i := range records {
+		r := &records[i]
+		if !selects(r) {
+			continue
+		}
+		s.count(r)
+		delay.add(r.delay)
+		if r.fate != fateAnswered {
+			continue
+		}
+		whole.add(r.whole)
+		if r.class.ModelBacked() {
+			first.add(r.firstToken)
+		}
+		for _, gap := range r.gaps {
+			between.add(gap)
+		}
+	}
+	s.GoodPerSecond = float64(s.Good) / length.Seconds()
+	s.GoodShare = float64(s.Good) / float64(max(s.Offered, 1))
+	s.FirstToken = first.percentiles()
+	s.BetweenTokens = between.percentiles()
+	s.Whole = whole.percentiles()
+	s.SendDelay = delay.percentiles()
+	return s
+}
+
+// count adds one request.
+func (s *Summary) count(r *record) {
+	s.Sent++
+	switch {
+	case r.goneAfter > 0:
+		s.Gone++
+		return
+	case r.repeat:
+		s.Repeats++
+		return
+	}
+	s.Offered++
+	switch r.fate {
+	case fateAnswered:
+		s.Answered++
+	case fateRefused:
+		s.Refused++
+		s.Refusals[r.problem+" "+r.outcome]++
+	case fateCut:
+		s.CutShort++
+	default:
+		s.Unreachable++
+	}
+	if r.good() {
+		s.Good++
+	}
+}
+
+// ClassSummary is the summary of one class.
+type ClassSummary struct {
+	Team  string `json:"team"`
+	Class string `json:"class"`
+	Summary
+}
+
+func summarizeClasses(records []record, length time.Duration, classes []offered) []ClassSummary {
+	var all []ClassSummary
+	for _, c := range classes {
+		selects := func(r *record) bool { return r.Team == c.Team && r.Class == c.Class }
+		all = append(all, ClassSummary{Team: c.Team, Class: c.Class, Summary: summarize(records, length, selects)})
+	}
+	return all
+}
+
+// Prefill counts the tokens of a point at the engines.
+type Prefill struct {
+	// Computed are tokens computed, Cached those found in prefix caches, Wasted
+	// those computed whose output nobody used.
+	Computed int `json:"computed"`
+	Cached   int `json:"cached"`
+	Wasted   int `json:"wasted"`
+	// WastedShare is Wasted relative to Computed.
+	WastedShare float64 `json:"wasted_share"`
+}
+
+// Point is one run of a load.
+type Point struct {
+	Policy string `json:"policy"`
+	// Load is the offered rate relative to the capacity, Rate the same in
+	// requests per second.
+	Load float64 `json:"load"`
+	Rate float64 `json:"rate_per_second"`
+	// Fault names what was injected, empty for nothing.
+	Fault string `json:"fault,omitempty"`
+	// Model sums up the model-backed requests, Classes each class.
+	Model   Summary        `json:"model"`
+	Classes []ClassSummary `json:"classes"`
+	Prefill Prefill        `json:"prefill"`
+	Checks  []Check        `json:"checks"`
+}
+
+// Broken returns the checks that failed.
+func (p *Point) Broken() []Check {
+	var broken []Check
+	for _, c := range p.Checks {
+		if c.Broken > 0 {
+			broken = append(broken, c)
+		}
+	}
+	return broken
+}
--- /dev/null
+++ b/internal/measure/texts.go
@@ -0,0 +1,83 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
+)
+
+// texts makes the prompts of a run.
+type texts struct{ seed uint64 }
+
+// prompt returns a text of about a number of tokens that no other request has,
+// after the prefix that the class's prompts share.
+func (t texts) prompt(c *offered, number, tokens int) string {
+	var b strings.Builder
+	length := max(tokens, 1) * engine.BytesPerToken
+	b.Grow(length)
+	pad(&b, min(c.SharedTokens*engine.BytesPerToken, length), c.Class)
+	fmt.Fprintf(&b, "%s %d/%d ", c.Class, t.seed, number)
+	pad(&b, length, fmt.Sprintf("entry %d of run %d. ", number, t.seed))
+	return b.String()
+}
+
+// pad repeats a filler up to a length.
+func pad(b *strings.Builder, length int, filler string) {
+	for b.Len() < length {
+		b.WriteString(filler[:min(len(filler), length-b.Len())])
+	}
+}
+
+// chatPath is the path of chat completions.
+const chatPath = "/v1/chat/completions"
+
+// bodyOf returns the body of a request. Model-backed requests ask for a stream.
+func bodyOf(r *planned) []byte {
+	if !r.class.ModelBacked() {
+		return plainBody(r)
+	}
+	body := completionBody{Model: r.class.Model, Stream: true}
+	if r.class.Path == chatPath {
+		body.Messages = []engine.Message{{Role: "user", Content: engine.Content(r.prompt)}}
+	} else {
+		body.Prompt = r.prompt
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+type completionBody struct {
+	Model    string           `json:"model"`
+	Prompt   string           `json:"prompt,omitempty"`
+	Messages []engine.Message `json:"messages,omitempty"`
+	Stream   bool             `json:"stream"`
+}
+
+func plainBody(r *planned) []byte {
+	if r.key == "" {
+		return nil
+	}
+	return fmt.Appendf(nil, `{"number":%d}`, r.number)
+}
+
+// pathOf returns the path of a request; a wildcard becomes the request's number.
+func pathOf(r *planned) string {
+	if prefix, found := strings.CutSuffix(r.class.Path, "*"); found {
+		return fmt.Sprintf("%s%d", prefix, r.number)
+	}
+	return r.class.Path
+}
+
+// expectedText returns the stand-in's answer to a model-backed request.
+func expectedText(r *planned, outputs engine.Range) string {
+	prompt := r.prompt
+	if r.class.Path == chatPath {
+		prompt = engine.PromptText([]engine.Message{{Role: "user", Content: engine.Content(prompt)}})
+	}
+	return engine.NewAnswer(prompt, outputs, r.class.MaxOutputTokens).Text()
+}
