--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -21,7 +21,7 @@
 // serverModule provides the listeners. The listener for callers is the last to
 // start and the first to stop.
 var serverModule = fx.Module("servers",
-	fx.Provide(newDialer, newPeerServer, newCallerServer),
+	fx.Provide(newPeerOptions, newDialer, newPeerServer, newCallerServer),
 	fx.Invoke(func(*peerServer, *callerServer) {}),
 )
 
--- a/internal/measure/texts.go
+++ b/internal/measure/texts.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/ospreyshed/ospreyshed/internal/prefix"
 	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
 )
 
@@ -40,7 +41,7 @@
 	}
 	body := completionBody{Model: r.class.Model, Stream: true}
 	if r.class.Path == chatPath {
-		body.Messages = []engine.Message{{Role: "user", Content: engine.Content(r.prompt)}}
+		body.Messages = []prefix.Message{{Role: "user", Content: prefix.Content(r.prompt)}}
 	} else {
 		body.Prompt = r.prompt
 	}
@@ -54,7 +55,7 @@
 type completionBody struct {
 	Model    string           `json:"model"`
 	Prompt   string           `json:"prompt,omitempty"`
-	Messages []engine.Message `json:"messages,omitempty"`
+	Messages []prefix.Message `json:"messages,omitempty"`
 	Stream   bool             `json:"stream"`
 }
 
@@ -77,7 +78,7 @@
 func expectedText(r *planned, outputs engine.Range) string {
 	prompt := r.prompt
 	if r.class.Path == chatPath {
-		prompt = engine.PromptText([]engine.Message{{Role: "user", Content: engine.Content(prompt)}})
+		prompt = prefix.ChatText([]prefix.Message{{Role: "user", Content: prefix.Content(prompt)}})
 	}
 	return engine.NewAnswer(prompt, outputs, r.class.MaxOutputTokens).Text()
 }
