--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -127,6 +127,36 @@
 	})
 }
 
+// TestPublishAfterAnOutageIsInForceInTime draws the outage's length, so that its
+// end falls anywhere between two probes of the log.
+func TestPublishAfterAnOutageIsInForceInTime(t *testing.T) {
+	const limit = 4 * time.Second
+	for length := time.Second; length < 20*time.Second; length += 270 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			log := logtest.New(logtest.Options{Latency: 5 * time.Millisecond})
+			bundle := testBundle("a")
+			publish(t, log, bundle)
+			ctx, cancel := context.WithCancel(t.Context())
+			store := NewStore(timeline.Discard)
+			var follow sync.WaitGroup
+			follow.Go(func() { _ = store.Follow(ctx, logservice.NewHealth(log, timeline.Discard)) })
+			time.Sleep(10 * time.Second)
+			log.SetAway(true)
+			time.Sleep(length)
+			log.SetAway(false)
+			start := time.Now()
+			bundle.Teams[0].Share = 2
+			publish(t, log, bundle)
+			for changed := store.Changed(); store.Snapshot().Version(TeamSubject("a")) < 2; changed = store.Changed() {
+				<-changed
+			}
+			assert.Check(t, time.Since(start) <= limit, "%s after an outage of %s", time.Since(start), length)
+			cancel()
+			follow.Wait()
+		})
+	}
+}
+
 func runVM(ctx context.Context, t *testing.T, log logservice.Service, view membership.View) {
 	store := NewStore(timeline.Discard)
 	appender, err := logservice.NewAppender(log, logservice.AppenderOptions{})
