--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,7 +33,7 @@
 	name, short, long string
 	// new returns a flags.Commander with the command's options; nil for a group.
 	new func(base) flags.Commander
-	// children are the commands of a group.
+	// children are the commands of a group, or further commands below one.
 	children []command
 }
 
@@ -83,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	added.SubcommandsOptional = c.new != nil
 	for _, child := range c.children {
 		if err := add(ctx, added, child, streams); err != nil {
 			return err
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -9,5 +9,6 @@
 		versionCommand,
 		standinCommand,
 		demoCommand,
+		measureCommand,
 	}
 }
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -82,11 +82,8 @@
 // measure sends the load and shows its progress.
 func (d *demo) measure(ctx context.Context, site *localsite.Site) (measure.Point, error) {
 	d.printf("sending requests to %v for %s\n", site.CallerAddrs(), d.Duration)
-	target := measure.Target{
-		Site:    site,
-		Keys:    map[string]string{demoTeam: examples.QuickstartKey},
-		Outputs: engine.DefaultOptions().OutputTokens,
-	}
+	keys := map[string]string{demoTeam: examples.QuickstartKey}
+	target := measure.SiteTarget(site, keys, engine.DefaultOptions().OutputTokens)
 	return target.Measure(ctx, demoLoad(), &measure.Run{
 		Policy:     measure.OwnPolicy,
 		Rate:       demoRate,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/ospreyshed/ospreyshed/internal/completion"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
@@ -56,8 +57,17 @@
 	metrics *metrics.Registry
 }
 
+// Option changes how a daemon is wired. Measurements and tests use it; no
+// setting leads to it.
+type Option fx.Option
+
+// WithReserver replaces what assigns engines to requests.
+func WithReserver(reserver completion.Reserver) Option {
+	return fx.Decorate(func(completion.Reserver) completion.Reserver { return reserver })
+}
+
 // New wires a daemon; Start starts it.
-func New(conf *settings.Settings, log logrus.FieldLogger) *Daemon {
+func New(conf *settings.Settings, log logrus.FieldLogger, options ...Option) *Daemon {
 	d := &Daemon{}
 	d.app = fx.New(
 		fx.StartTimeout(startTimeout),
@@ -69,11 +79,20 @@
 		controlModule,
 		pathModule,
 		serverModule,
+		optionsOf(options),
 		fx.Populate(&d.callers, &d.peers, &d.store, &d.metrics),
 	)
 	return d
 }
 
+func optionsOf(options []Option) fx.Option {
+	all := make([]fx.Option, len(options))
+	for i, option := range options {
+		all[i] = option
+	}
+	return fx.Options(all...)
+}
+
 // Start starts the daemon. It returns once both listeners are open.
 func (d *Daemon) Start(ctx context.Context) error {
 	if err := d.app.Err(); err != nil {
--- a/internal/daemon/path.go
+++ b/internal/daemon/path.go
@@ -33,6 +33,7 @@
 		),
 		newCanceller,
 		newReservation,
+		func(s *reservation.Service) completion.Reserver { return s },
 		handler(func(s *reservation.Service) peer.Handler { return s.Handler() }),
 		newRunner,
 		newForwarder,
@@ -102,7 +103,7 @@
 type runnerParams struct {
 	fx.In
 	Identity  Identity
-	Reserver  *reservation.Service
+	Reserver  completion.Reserver
 	Pool      *openai.Pool
 	Canceller *canceller.Canceller
 	Endpoints *endpoint.Registry
--- a/internal/localsite/site.go
+++ b/internal/localsite/site.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 
+	"github.com/ospreyshed/ospreyshed/internal/completion"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/daemon"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
@@ -37,6 +38,9 @@
 	Tune func(*standin.Options)
 	// Log takes the daemons' log lines; nil drops them.
 	Log logrus.FieldLogger
+	// Reserver returns what assigns engines to the requests of an entry VM
+	// instead of the daemon's own reservations; nil leaves these.
+	Reserver func(site *Site, vm configuration.VM) completion.Reserver
 }
 
 // Site is a running deployment.
@@ -48,7 +52,8 @@
 	// Bundle is the configuration with all addresses.
 	Bundle configuration.Bundle
 
-	log logrus.FieldLogger
+	log      logrus.FieldLogger
+	reserver func(*Site, configuration.VM) completion.Reserver
 }
 
 // BundleOf generates the configuration of a questionnaire, which may leave
@@ -64,7 +69,7 @@
 // Start starts the stand-ins and one daemon for every entry VM, publishes the
 // configuration and waits until all serve by it.
 func Start(ctx context.Context, options Options) (*Site, error) {
-	s := &Site{VMs: make(map[string]*daemon.Daemon), Bundle: options.Bundle, log: options.Log}
+	s := &Site{VMs: make(map[string]*daemon.Daemon), Bundle: options.Bundle, log: options.Log, reserver: options.Reserver}
 	if s.log == nil {
 		s.log = discardLog()
 	}
@@ -97,7 +102,7 @@
 // the bundle names its address for peers.
 func (s *Site) StartVM(ctx context.Context, name string) error {
 	conf := s.settingsOf(name)
-	d := daemon.New(conf, s.log.WithField("vm", name))
+	d := daemon.New(conf, s.log.WithField("vm", name), s.daemonOptions(conf)...)
 	if err := d.Start(ctx); err != nil {
 		return err
 	}
@@ -105,6 +110,14 @@
 	return nil
 }
 
+func (s *Site) daemonOptions(conf *settings.Settings) []daemon.Option {
+	if s.reserver == nil {
+		return nil
+	}
+	vm := configuration.VM{Name: conf.VM, Zone: conf.Zone}
+	return []daemon.Option{daemon.WithReserver(s.reserver(s, vm))}
+}
+
 func (s *Site) settingsOf(name string) *settings.Settings {
 	conf := settings.Default()
 	conf.VM = name
--- a/internal/measure/errors.go
+++ b/internal/measure/errors.go
@@ -13,6 +13,8 @@
 	UnknownClass = namespace.NewType("unknown-class")
 	// BrokenPromise means that at least one check failed.
 	BrokenPromise = namespace.NewType("broken-promise")
+	// NoCounts means that the counts of a stand-in cannot be read.
+	NoCounts = namespace.NewType("no-counts")
 	// BadResult means that a result file cannot be read or compared.
 	BadResult = namespace.NewType("bad-result")
 )
--- /dev/null
+++ b/internal/measure/goals.go
@@ -0,0 +1,102 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+)
+
+// The goals of the policy.
+const (
+	goalAtCapacity   = 0.95 // of the offered, or
+	goalOverBaseline = 1.5  // times the best baseline
+	goalWaste        = 0.01 // of the prefill tokens
+	goalOverload     = 0.95 // of the goodput at capacity
+
+	capacityLoad = 1.0
+	overloadLoad = 2.0
+)
+
+// Goal is a goal of the policy and whether a result reaches it.
+type Goal struct {
+	Name    string
+	Reached bool
+	// Seen says what was measured.
+	Seen string
+}
+
+// Goals judges the points without faults of a variant against those of the
+// baselines. Goals whose points are missing are left out.
+func Goals(r *Result, variant string) []Goal {
+	var goals []Goal
+	at := pointAt(r, variant, capacityLoad)
+	if at != nil {
+		goals = append(goals, goalOfCapacity(r, at))
+	}
+	goals = append(goals, goalOfWaste(r, variant))
+	if over := pointAt(r, variant, overloadLoad); at != nil && over != nil {
+		goals = append(goals, goalOfOverload(at, over))
+	}
+	return goals
+}
+
+func pointAt(r *Result, variant string, load float64) *Point {
+	for i := range r.Points {
+		if p := &r.Points[i]; p.Variant == variant && p.Load == load && p.Fault == "" {
+			return p
+		}
+	}
+	return nil
+}
+
+func goalOfCapacity(r *Result, at *Point) Goal {
+	best := 0.0
+	for _, other := range variantsOf(r) {
+		if p := pointAt(r, other, capacityLoad); p != nil && p.Policy != OwnPolicy {
+			best = max(best, p.Model.GoodPerSecond)
+		}
+	}
+	good := &at.Model
+	return Goal{
+		Name:    "at 1.0 at least 95 % of the offered or 1.5 times the best baseline",
+		Reached: good.GoodShare >= goalAtCapacity || best > 0 && good.GoodPerSecond >= goalOverBaseline*best,
+		Seen:    fmt.Sprintf("%.1f %% of the offered, %.2f/s against %.2f/s", 100*good.GoodShare, good.GoodPerSecond, best),
+	}
+}
+
+func goalOfWaste(r *Result, variant string) Goal {
+	worst, load := 0.0, 0.0
+	for i := range r.Points {
+		p := &r.Points[i]
+		if p.Variant == variant && p.Fault == "" && p.Prefill.WastedShare >= worst {
+			worst, load = p.Prefill.WastedShare, p.Load
+		}
+	}
+	return Goal{
+		Name:    "wasted prefill under 1 % at every load",
+		Reached: worst < goalWaste,
+		Seen:    fmt.Sprintf("%.2f %% at most, at %.2f", 100*worst, load),
+	}
+}
+
+func goalOfOverload(at, over *Point) Goal {
+	ratio := over.Model.GoodPerSecond / max(at.Model.GoodPerSecond, 1e-9)
+	return Goal{
+		Name:    "goodput at 2.0 at most 5 % below that at 1.0",
+		Reached: ratio >= goalOverload,
+		Seen:    fmt.Sprintf("%.2f/s against %.2f/s", over.Model.GoodPerSecond, at.Model.GoodPerSecond),
+	}
+}
+
+// WriteGoals prints goals, one a line.
+func WriteGoals(out io.Writer, goals []Goal) error {
+	for _, g := range goals {
+		verdict := "MISSED"
+		if g.Reached {
+			verdict = "reached"
+		}
+		if _, err := fmt.Fprintf(out, "%s: %s (%s)\n", g.Name, verdict, g.Seen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/measure/send.go
+++ b/internal/measure/send.go
@@ -11,8 +11,7 @@
 
 // sender sends planned requests at their times.
 type sender struct {
-	// addresses are those of the entry VMs for callers.
-	addresses []string
+	balancer *balancer
 	// keys are the teams' bearer keys.
 	keys map[string]string
 	// grace bounds the time of an answer.
@@ -58,7 +57,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	delay := max(time.Since(start.Add(r.at)), 0)
-	answer, err := caller.New(s.addresses[r.vm], s.keys[r.Team], client).Do(ctx, caller.Request{
+	answer, err := caller.New(s.balancer.pick(r.vm), s.keys[r.Team], client).Do(ctx, caller.Request{
 		Method: r.class.Method,
 		Path:   pathOf(r),
 		Body:   bodyOf(r),
--- a/internal/measure/summary.go
+++ b/internal/measure/summary.go
@@ -157,7 +157,9 @@
 
 // Point is one run of a load.
 type Point struct {
-	Policy string `json:"policy"`
+	// Variant labels a policy with its weights.
+	Variant string `json:"variant"`
+	Policy  string `json:"policy"`
 	// Load is the offered rate relative to the capacity, Rate the same in
 	// requests per second.
 	Load float64 `json:"load"`
--- a/internal/measure/table.go
+++ b/internal/measure/table.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 )
 
@@ -45,3 +47,59 @@
 	}
 	return nil
 }
+
+// WritePoints prints a table of the model-backed requests of all points.
+func WritePoints(out io.Writer, r *Result) error {
+	_, _ = fmt.Fprintf(out, "%s: capacity %.1f requests/s (prefill %.1f, decode %.1f)\n",
+		r.Title, r.Capacity.Rate(), r.Capacity.Prefill, r.Capacity.Decode)
+	w := newTable(out)
+	_, _ = fmt.Fprintln(w, "load\tpolicy\toffered\tgood\tgoodput/s\twasted prefill\trefused\tcut\tfirst token p50/p95/p99 ms\tbetween tokens p50/p95/p99 ms\tchecks\tfault\t")
+	for i := range r.Points {
+		writePoint(w, &r.Points[i])
+	}
+	return w.Flush()
+}
+
+func writePoint(w io.Writer, p *Point) {
+	verdict := "kept"
+	if broken := len(p.Broken()); broken > 0 {
+		verdict = fmt.Sprintf("%d BROKEN", broken)
+	}
+	m := &p.Model
+	_, _ = fmt.Fprintf(w, "%.2f\t%s\t%d\t%.1f %%\t%.2f\t%.2f %%\t%d\t%d\t%.0f/%.0f/%.0f\t%.1f/%.1f/%.1f\t%s\t%s\t\n",
+		p.Load, p.Variant, m.Offered, 100*m.GoodShare, m.GoodPerSecond, 100*p.Prefill.WastedShare,
+		m.Refused, m.CutShort+m.Unreachable,
+		m.FirstToken.P50, m.FirstToken.P95, m.FirstToken.P99,
+		m.BetweenTokens.P50, m.BetweenTokens.P95, m.BetweenTokens.P99, verdict, p.Fault)
+}
+
+// WriteRefusals prints the refusals of all points by type and outcome.
+func WriteRefusals(out io.Writer, r *Result) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "load\tpolicy\tfault\tclass\trefusal\tcount")
+	for i := range r.Points {
+		p := &r.Points[i]
+		for j := range p.Classes {
+			c := &p.Classes[j]
+			for _, kind := range slices.Sorted(maps.Keys(c.Refusals)) {
+				_, _ = fmt.Fprintf(w, "%.2f\t%s\t%s\t%s\t%s\t%d\n", p.Load, p.Variant, p.Fault, c.Class, kind, c.Refusals[kind])
+			}
+		}
+	}
+	return w.Flush()
+}
+
+// WriteBroken prints the failed checks of all points.
+func WriteBroken(out io.Writer, r *Result) error {
+	for i := range r.Points {
+		p := &r.Points[i]
+		for _, c := range p.Broken() {
+			_, err := fmt.Fprintf(out, "BROKEN: %s, %s at %.2f %s: %d of %d, such as %q\n",
+				c.Name, p.Variant, p.Load, p.Fault, c.Broken, c.Subjects, c.Examples)
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
