Record whole sessions as golden files

Eleven sessions with every message to and from each stand-in and the merged time line. The first crash session showed a request that was given up because all its engines had failed once, though they were back: a request now tries failed engines again when no other is left, under the retry budget.

--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -104,7 +104,7 @@
 	}
 	var refusal *scheduling.Refusal
 	if errors.As(err, &refusal) {
-		return r.giveUp(*refusal, r.lastError)
+		return r.judgeRefusal(refusal)
 	}
 	r.lastError = err
 	if r.mayRetry(err) {
@@ -113,6 +113,16 @@
 	return r.giveUp(scheduling.Refusal{Reason: scheduling.RefusedEngineFailed, RetryAfter: failedRetryAfter}, err)
 }
 
+// judgeRefusal gives the request up unless only engines that failed it are left:
+// these may have recovered.
+func (r *run) judgeRefusal(refusal *scheduling.Refusal) error {
+	if refusal.Reason == scheduling.RefusedNoEngine && len(r.exclude) > 0 && r.mayRetry(r.lastError) {
+		r.exclude = nil
+		return nil
+	}
+	return r.giveUp(*refusal, r.lastError)
+}
+
 // mayRetry reports whether another attempt makes sense and is allowed.
 func (r *run) mayRetry(err error) bool {
 	if errorx.IsOfType(err, engine.BadRequest) || r.attempts >= maxAttempts {
--- a/internal/completion/runner_test.go
+++ b/internal/completion/runner_test.go
@@ -285,6 +285,16 @@
 	p.awaitNothingHeld(t)
 }
 
+func TestCrashOfEveryDecodeEngineIsSurvivedOnceTheyAreBack(t *testing.T) {
+	p := startPool(t, 4)
+	p.setFaults("d", standin.Faults{CrashAfterTokens: maxTokens / 4})
+	var got text
+	_, err := p.runner.Run(t.Context(), p.request("all crash"), &got)
+	assert.NilError(t, err)
+	assert.Equal(t, got.all.String(), wholeAnswer("all crash"))
+	p.awaitNothingHeld(t)
+}
+
 func TestCrossedEventsReachNoCaller(t *testing.T) {
 	p := startPool(t, 4)
 	p.setFaults("d1", standin.Faults{CrossAnswers: 1, ReplaceCrossed: true})
--- /dev/null
+++ b/internal/localsite/golden_test.go
@@ -0,0 +1,403 @@
+package localsite
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"gotest.tools/v3/poll"
+
+	"github.com/ospreyshed/ospreyshed/examples"
+	"github.com/ospreyshed/ospreyshed/internal/caller"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+	"github.com/ospreyshed/ospreyshed/internal/standin"
+	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
+	"github.com/ospreyshed/ospreyshed/internal/standin/logstore"
+	"github.com/ospreyshed/ospreyshed/internal/standin/plain"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+	"github.com/ospreyshed/ospreyshed/internal/timeline/timelinerpc"
+)
+
+// Golden sessions are whole sessions: what the caller sent and got, every
+// message to and from each stand-in, and the merged time line, with ids and
+// times normalized. `go test ./internal/localsite -run Golden -update` renews
+// them.
+
+// session is a deployment of one prefill and two decode engines in one zone with
+// two entry VMs, recorded at every stand-in.
+type session struct {
+	*Site
+	t       *testing.T
+	mu      sync.Mutex
+	taps    map[string]*tap
+	clients map[string]*caller.Client
+	said    strings.Builder
+}
+
+// sessionTokens is the length of every answer.
+const sessionTokens = 4
+
+// newSession starts a deployment that is recorded.
+func newSession(t *testing.T, tune func(*standin.Options)) *session {
+	t.Helper()
+	s := &session{t: t, taps: make(map[string]*tap), clients: make(map[string]*caller.Client)}
+	site, err := Start(t.Context(), Options{Bundle: sessionBundle(t), Via: s.via, Tune: func(options *standin.Options) {
+		for i := range options.Engines {
+			options.Engines[i].OutputTokens = engine.Range{Min: sessionTokens, Max: sessionTokens}
+			options.Engines[i].TokenInterval = configuration.Duration(2 * time.Millisecond)
+		}
+		options.VMList.Lag = configuration.Duration(50 * time.Millisecond)
+		if tune != nil {
+			tune(options)
+		}
+	}})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, site.Close(context.Background())) })
+	s.Site = site
+	for _, name := range []string{"entry-a", "entry-b"} {
+		s.clients[name] = clientOf(t, site.VMs[name].CallerAddr())
+	}
+	return s
+}
+
+// sessionBundle is the quickstart deployment with one zone that has both entry
+// VMs, one prefill engine, two decode engines and one plain service.
+func sessionBundle(t *testing.T) configuration.Bundle {
+	t.Helper()
+	bundle, err := BundleOf("quickstart.json", examples.Quickstart)
+	assert.NilError(t, err)
+	fleet := &bundle.Fleet
+	fleet.Zones = fleet.Zones[:1]
+	fleet.Links = nil
+	for i := range fleet.VMs {
+		fleet.VMs[i].Zone = fleet.Zones[0].Name
+	}
+	fleet.Endpoints = slices.DeleteFunc(fleet.Endpoints, func(e configuration.Endpoint) bool {
+		return e.Zone != fleet.Zones[0].Name
+	})
+	return bundle
+}
+
+// via puts a tap in front of every stand-in. Entry VMs reach their peers directly.
+func (s *session) via(name, address string) string {
+	if strings.HasSuffix(name, "/peers") {
+		return address
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, found := s.taps[name]
+	if !found {
+		p = newTap(s.t, name, address)
+		s.taps[name] = p
+	}
+	return p.addr()
+}
+
+// ask sends a request and notes what the caller sent and got.
+func (s *session) ask(ctx context.Context, vm string, request caller.Request) caller.Answer {
+	fmt.Fprintf(&s.said, "caller to %s: %s %s", vm, request.Method, request.Path)
+	if request.Key != "" {
+		fmt.Fprintf(&s.said, " key %s", request.Key)
+	}
+	fmt.Fprintf(&s.said, "\n  %s\n", request.Body)
+	answer, err := s.clients[vm].Do(ctx, request)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		s.said.WriteString("  went away\n")
+	case err != nil:
+		fmt.Fprintf(&s.said, "  failed: %v\n", err)
+	case answer.OK() && answer.Text != "":
+		fmt.Fprintf(&s.said, "  %d %q\n", answer.Status, answer.Text)
+	case answer.OK():
+		fmt.Fprintf(&s.said, "  %d %s\n", answer.Status, answer.Body)
+	default:
+		fmt.Fprintf(&s.said, "  %d %s outcome %s retry after %q\n", answer.Status, answer.Problem, answer.Outcome, answer.RetryAfter)
+	}
+	return answer
+}
+
+// note adds a line about what the test did.
+func (s *session) note(format string, args ...any) {
+	fmt.Fprintf(&s.said, format+"\n", args...)
+}
+
+// events returns the merged time line of the running entry VMs.
+func (s *session) events() []timeline.Event {
+	dialer := peer.NewDialer(peer.Options{})
+	defer dialer.Close()
+	var all []timeline.Event
+	for _, vm := range s.VMs {
+		batch, err := timelinerpc.NewReader(dialer, vm.PeerAddr(), "").Read(context.Background())
+		assert.NilError(s.t, err)
+		all = append(all, batch.Events...)
+	}
+	return timeline.Merge(all)
+}
+
+// awaitEvent waits until the time line has an event of a kind.
+func (s *session) awaitEvent(kind timeline.Kind) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if slices.ContainsFunc(s.events(), func(e timeline.Event) bool { return e.Kind == kind }) {
+			return poll.Success()
+		}
+		return poll.Continue("no %s", kind)
+	}, poll.WithTimeout(eventually))
+}
+
+// awaitAppends waits until the log has taken a number of appends: one for each
+// publish, claim and outcome.
+func (s *session) awaitAppends(want uint64) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if got := s.Platform.Log.Counts().Appends; got < want {
+			return poll.Continue("%d of %d appends", got, want)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(eventually))
+}
+
+// check compares the session with its golden file.
+func (s *session) check(name string) {
+	s.t.Helper()
+	var text strings.Builder
+	text.WriteString(s.said.String())
+	text.WriteString("\ntime line:\n")
+	text.WriteString(s.timeLine())
+	for _, tapName := range s.tapNames() {
+		if transcript := s.taps[tapName].transcript(); transcript != "" {
+			// Which VM appends for a shard follows from the random key.
+			_, service, _ := strings.Cut("/"+tapName, "/")
+			fmt.Fprintf(&text, "\n%s:\n%s", service[strings.LastIndex(service, "/")+1:], transcript)
+		}
+	}
+	golden.Assert(s.t, normalize(text.String()), name+".golden")
+}
+
+// timeLine lists the events of requests in their order, then those of background
+// work, which may happen at any moment between them, by name.
+func (s *session) timeLine() string {
+	var path, background []string
+	for _, e := range s.events() {
+		line := fmt.Sprintf("  %s %s %s %s\n", e.VM, e.Request, e.Kind, e.Detail)
+		switch {
+		case !told(e.Kind):
+		case concurrent(e.Kind):
+			background = append(background, line)
+		default:
+			path = append(path, line)
+		}
+	}
+	slices.Sort(background)
+	return strings.Join(path, "") + "in the background:\n" + strings.Join(background, "")
+}
+
+// concurrent reports whether events of a kind are recorded by background work.
+func concurrent(kind timeline.Kind) bool {
+	switch kind {
+	case timeline.CancelSent, timeline.CancelConfirmed, timeline.SlotReleased, timeline.ClaimOutcome,
+		timeline.ConfigurationSet:
+		return true
+	}
+	return false
+}
+
+// told reports whether events of a kind belong into a session's story. Those of
+// members, leases and the log's outages come by the clock.
+func told(kind timeline.Kind) bool {
+	group, _, _ := strings.Cut(string(kind), ".")
+	return group != "member" && group != "lease" && group != "log"
+}
+
+func (s *session) tapNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]string, 0, len(s.taps))
+	for name := range s.taps {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// normalizers replace what differs between runs.
+var normalizers = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`(entry-[a-z])[.](\d{12,})`), "$1.INCARNATION"},
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}`), "KEY"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`"remote_port":\d+`), `"remote_port":PORT`},
+	{regexp.MustCompile(`"(created|time_ms)":\d+`), `"$1":TIME`},
+	{regexp.MustCompile(`"data":"[^"]*","id":"[^"]*"`), `"data":"...","id":"..."`},
+	{regexp.MustCompile(`"first_offset":\d+`), `"first_offset":N`},
+	{regexp.MustCompile(`claims-\d+`), "claims-N"},
+	{regexp.MustCompile(`"body_digest":"[^"]*"`), `"body_digest":"..."`},
+	{regexp.MustCompile(`(?m)[ \t]+$`), ""},
+}
+
+func normalize(text string) string {
+	for _, n := range normalizers {
+		text = n.pattern.ReplaceAllString(text, n.with)
+	}
+	return text
+}
+
+// awaitIdle waits until engines hold nothing and the slot was released.
+func (s *session) awaitIdle() {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if held := s.Platform.Totals().PiecesHeld; held > 0 {
+			return poll.Continue("%d pieces are held", held)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(eventually))
+	s.awaitEvent(timeline.SlotReleased)
+}
+
+func explanation() caller.Request {
+	return caller.Request{
+		Method: http.MethodPost, Path: "/v1/chat/completions",
+		Body: []byte(`{"model":"drafter","messages":[{"role":"user","content":"Why this match?"}]}`),
+	}
+}
+
+func TestGoldenSummary(t *testing.T) {
+	s := newSession(t, nil)
+	s.ask(t.Context(), "entry-a", summaryOf("Summarise the dossier"))
+	s.check("summary")
+}
+
+func TestGoldenExplanation(t *testing.T) {
+	s := newSession(t, nil)
+	s.ask(t.Context(), "entry-b", explanation())
+	s.check("explanation")
+}
+
+func TestGoldenLookup(t *testing.T) {
+	s := newSession(t, nil)
+	s.ask(t.Context(), "entry-a", lookup())
+	s.check("lookup")
+}
+
+func TestGoldenBookingAndItsRepeat(t *testing.T) {
+	s := newSession(t, nil)
+	booking := bookingOf(newKey(t))
+	s.ask(t.Context(), "entry-a", booking)
+	s.awaitAppends(3)
+	s.note("the outcome is recorded")
+	s.ask(t.Context(), "entry-a", booking)
+	s.check("booking")
+}
+
+func TestGoldenBookingWithLostReply(t *testing.T) {
+	s := newSession(t, nil)
+	setPlainFaults(s.Site, plain.Faults{LoseNextReplies: 1})
+	s.note("the next reply of the service is lost")
+	s.ask(t.Context(), "entry-a", bookingOf(newKey(t)))
+	s.awaitAppends(3)
+	s.check("booking-lost-reply")
+}
+
+func TestGoldenRefusalWhileTheLogIsAway(t *testing.T) {
+	s := newSession(t, nil)
+	s.Platform.Log.SetFaults(logstore.Faults{Outage: true})
+	s.note("the log is away")
+	booking := bookingOf(newKey(t))
+	booking.Attempt = 1
+	s.ask(t.Context(), "entry-a", booking)
+	assert.Equal(t, s.Platform.Executions(booking.Key), 0)
+	s.check("refusal")
+}
+
+func TestGoldenCallerGone(t *testing.T) {
+	s := newSession(t, nil)
+	for _, e := range s.Platform.Engines {
+		e.SetFaults(engine.Faults{IgnoreClose: true, Slow: 5000})
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		s.ask(ctx, "entry-a", summaryOf("Nobody waits for this"))
+	}()
+	s.awaitEvent(timeline.DecodeStarted)
+	leave()
+	<-asked
+	s.awaitIdle()
+	s.check("caller-gone")
+}
+
+func TestGoldenDecodeCrashAndResume(t *testing.T) {
+	s := newSession(t, nil)
+	s.Platform.Engines["decode-a1"].SetFaults(engine.Faults{CrashAfterTokens: 2})
+	s.note("decode-a1 crashes after 2 tokens")
+	s.ask(t.Context(), "entry-a", summaryOf("Survive the crash"))
+	s.check("crash-resume")
+}
+
+func TestGoldenConfigurationRace(t *testing.T) {
+	s := newSession(t, nil)
+	first, second := s.Bundle, s.Bundle
+	first.Teams = slices.Clone(s.Bundle.Teams)
+	second.Teams = slices.Clone(s.Bundle.Teams)
+	first.Teams[0].Share = 2
+	second.Teams[0].Share = 3
+	first.BasedOn = map[string]uint64{"fleet": 1, "team/quickstart": 1}
+	second.BasedOn = first.BasedOn
+	s.note("two operators publish on top of version 1: share 2, then share 3")
+	s.note("first: %v", s.Publish(t.Context(), first))
+	err := s.Publish(t.Context(), second)
+	assert.Assert(t, err != nil, "both publishes were accepted")
+	s.note("second: %v", err)
+	s.check("configuration-race")
+}
+
+func TestGoldenShutdown(t *testing.T) {
+	s := newSession(t, nil)
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		s.ask(t.Context(), "entry-a", summaryOf("Finish before you stop"))
+	}()
+	s.awaitEvent(timeline.RequestReceived)
+	s.note("entry-a is told to stop")
+	assert.NilError(t, s.StopVM(context.Background(), "entry-a"))
+	<-asked
+	s.check("shutdown")
+}
+
+func TestGoldenPartitionAndHealing(t *testing.T) {
+	s := newSession(t, nil)
+	s.taps["entry-a/log"].cut.Store(true)
+	s.note("entry-a is cut off from the log")
+	booking := bookingOf(newKey(t))
+	s.ask(t.Context(), "entry-a", summaryOf("Serve on"))
+	changed := s.Bundle
+	changed.Teams = slices.Clone(s.Bundle.Teams)
+	changed.Teams[0].Share = 2
+	s.note("published: %v", s.Publish(t.Context(), changed))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.VMs["entry-a"].Version("team/quickstart") == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("entry-a serves by the old version")
+	}, poll.WithTimeout(eventually))
+	s.note("entry-a has the new version from its peer")
+	s.taps["entry-a/log"].cut.Store(false)
+	s.note("healed")
+	s.awaitEvent(timeline.LogBack)
+	s.ask(t.Context(), "entry-a", booking)
+	s.awaitAppends(4)
+	s.check("partition")
+}
