Send whole holdings only to an owner that does not know them

Cause: each heartbeat repeated every holding in whole, 4414 bytes for 100.

Change: attempts that the owner knows are renewed by number, phase and tokens; an owner that lacks one asks for whole records. 100 holdings: 4414 -> 1014 bytes, 10 holdings: 454 -> 113 bytes, before HTTP headers.

The timer of a new owner could fire before the field was set; the race detector found it in the test of the static share.

--- a/internal/reservation/convert.go
+++ b/internal/reservation/convert.go
@@ -116,7 +116,7 @@
 
 func heldToProto(h *scheduling.Held) *reservationv1.Held {
 	return &reservationv1.Held{
-		Attempt:         attemptToProto(h.ID),
+		Attempt:         &reservationv1.Attempt{Request: h.ID.Request, Attempt: h.ID.Attempt},
 		Team:            h.Team,
 		Class:           h.Class,
 		Prefill:         h.Prefill,
--- a/internal/reservation/fleet_test.go
+++ b/internal/reservation/fleet_test.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	reservationv1 "github.com/ospreyshed/ospreyshed/api/reservation/v1"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
@@ -200,6 +202,60 @@
 	})
 }
 
+func TestWaitingDemandsFollowTheOwner(t *testing.T) {
+	runFleet(t, 1, map[string]int{"a": 3}, func(t *testing.T, n *network) {
+		joining, _ := n.owner()
+		all, service := n.members, n.services[joining]
+		n.remove(joining)
+		time.Sleep(time.Second)
+		former, other := n.owner()
+		s := n.services[other]
+		first, err := s.Reserve(t.Context(), demand(other, 1))
+		assert.NilError(t, err)
+		start(s, first.ID)
+		order := make(chan uint64, 2)
+		for i := range uint64(2) {
+			go func() {
+				time.Sleep(time.Duration(i+1) * 10 * time.Millisecond)
+				g, err := s.Reserve(t.Context(), demand(other, 2+i))
+				assert.Check(t, err)
+				start(s, g.ID)
+				order <- g.ID.Request
+			}()
+		}
+		time.Sleep(time.Second)
+		n.mu.Lock()
+		n.members, n.services[joining] = all, service
+		n.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(order), 0, "granted a slot that is held")
+		assert.Assert(t, !n.services[former].ownsModel("m"))
+		s.Progress(release(first.ID))
+		assert.Equal(t, <-order, uint64(2))
+		s.Progress(release(demand(other, 2).ID))
+		assert.Equal(t, <-order, uint64(3))
+	})
+}
+
+func TestGrantThatLapsedWhileCutOffIsListedAgain(t *testing.T) {
+	runFleet(t, 2, map[string]int{"a": 3}, func(t *testing.T, n *network) {
+		owner, other := n.owner()
+		s := n.services[other]
+		first, err := s.Reserve(t.Context(), demand(other, 1))
+		assert.NilError(t, err)
+		start(s, first.ID)
+		o, err := n.services[owner].own("m")
+		assert.NilError(t, err)
+		for _, cut := range []bool{true, false} {
+			n.mu.Lock()
+			n.cut[other] = cut
+			n.mu.Unlock()
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, o.headroom() == 1.0, cut, "cut off: %t", cut)
+		}
+	})
+}
+
 func TestLostAnswerCostsNoSecondSlot(t *testing.T) {
 	runFleet(t, 2, map[string]int{"a": 3}, func(t *testing.T, n *network) {
 		owner, other := n.owner()
@@ -297,9 +353,30 @@
 }
 
 func TestHeartbeatOfFormerIncarnationIsRefused(t *testing.T) {
-	s := localService(1)
+	s := localService()
 	assert.NilError(t, s.checkIncarnation("vm-2", 2))
 	assert.Assert(t, s.checkIncarnation("vm-2", 1) != nil)
 	assert.NilError(t, s.checkIncarnation("vm-2", 2))
 	assert.Equal(t, s.counters.StaleHeartbeats.Load(), uint64(1))
 }
+
+// BenchmarkHeartbeat reports the size of a heartbeat without HTTP headers.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, held := range []int{10, 100} {
+		for _, whole := range []bool{true, false} {
+			b.Run(fmt.Sprintf("held=%d/whole=%t", held, whole), func(b *testing.B) {
+				s := localService()
+				for n := range held {
+					d := demand("vm-1", uint64(1_000_000+n))
+					s.holdings.add(routeKey{"a", "m"}, &d, scheduling.Grant{Prefill: "prefill-10", Decode: "decode-10"})
+				}
+				request := s.heartbeatRequest()
+				for b.Loop() {
+					request.Models = []*reservationv1.ModelHoldings{s.listOf(routeKey{"a", "m"}, whole)}
+					_ = proto.Size(request)
+				}
+				b.ReportMetric(float64(proto.Size(request)), "B/heartbeat")
+			})
+		}
+	}
+}
--- a/internal/reservation/link.go
+++ b/internal/reservation/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -25,6 +26,9 @@
 	vm      string
 	kick    chan struct{}
 	failed  int
+	// known are the models of which the owner knows all that is held, so that
+	// short records suffice.
+	known map[routeKey]bool
 }
 
 // wake makes the link send its progress now.
@@ -49,47 +53,69 @@
 			if l.service.dropLink(l) {
 				return
 			}
-			l.send(ctx, true)
+			if l.send(ctx, true) {
+				l.send(ctx, true)
+			}
 		}
 	}
 }
 
-// send reports progress and, with lists, all that is held.
-func (l *link) send(ctx context.Context, lists bool) {
+// send reports progress and, with lists, all that is held. It reports whether
+// the owner asks for whole records.
+func (l *link) send(ctx context.Context, lists bool) bool {
+	keys := l.service.keysOwnedBy(l.vm)
 	taken := make(map[routeKey][]scheduling.Progress)
 	request := l.service.heartbeatRequest()
-	for _, key := range l.service.keysOwnedBy(l.vm) {
+	for _, key := range keys {
 		taken[key] = l.service.holdings.take(key)
 		for _, p := range taken[key] {
 			request.Progress = append(request.Progress, progressToProto(key.model, p))
 		}
 		if lists {
-			request.Models = append(request.Models, l.service.listOf(key))
+			request.Models = append(request.Models, l.service.listOf(key, !l.known[key]))
 		}
 	}
 	if len(request.Progress) == 0 && len(request.Models) == 0 {
-		return
+		return false
 	}
-	if err := l.call(ctx, request); err != nil {
+	response, err := l.call(ctx, request)
+	if err != nil {
 		for key, progress := range taken {
 			l.service.holdings.restore(key, progress)
 		}
 		l.fail(ctx)
-		return
+		return false
 	}
 	l.failed = 0
 	l.service.router.markReachable(l.vm)
+	return lists && l.note(keys, response)
 }
 
-func (l *link) call(ctx context.Context, request *reservationv1.HeartbeatRequest) error {
+// note records of which models the owner knows all that is held. It reports
+// whether any is missing that whole records can complete.
+func (l *link) note(keys []routeKey, response *reservationv1.HeartbeatResponse) bool {
+	missing := false
+	for _, key := range keys {
+		was := l.known[key]
+		incomplete := slices.Contains(response.GetIncomplete(), key.model)
+		l.known[key] = !incomplete && !slices.Contains(response.GetNotOwned(), key.model)
+		missing = missing || was && incomplete
+	}
+	return missing
+}
+
+func (l *link) call(ctx context.Context, request *reservationv1.HeartbeatRequest) (*reservationv1.HeartbeatResponse, error) {
 	client, err := l.service.client(l.vm)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	_, err = client.Heartbeat(ctx, connect.NewRequest(request))
-	return err
+	response, err := client.Heartbeat(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
 }
 
 // fail counts a failed call.
@@ -98,6 +124,7 @@
 		return
 	}
 	l.service.counters.HeartbeatsFailed.Add(1)
+	clear(l.known)
 	l.failed++
 	if l.failed >= heartbeatFailures {
 		l.failed = 0
--- a/internal/reservation/owner.go
+++ b/internal/reservation/owner.go
@@ -33,6 +33,8 @@
 	if r != nil {
 		o.coordinator.Close()
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.timer = time.AfterFunc(0, o.tick)
 	return o
 }
@@ -97,14 +99,17 @@
 	o.update(func(now time.Time, c *scheduling.Coordinator) { c.Progress(now, p) })
 }
 
-// heartbeat takes all that one holder holds.
-func (o *owner) heartbeat(vm string, incarnation uint64, held []scheduling.Held) {
+// heartbeat takes all that one holder holds. It reports whether all of it is
+// known now.
+func (o *owner) heartbeat(vm string, incarnation uint64, held []scheduling.Held) bool {
+	complete := false
 	o.update(func(now time.Time, c *scheduling.Coordinator) {
-		c.Renew(now, vm, incarnation, held)
-		if o.rebuild != nil {
+		complete = c.Renew(now, vm, incarnation, held) == 0
+		if complete && o.rebuild != nil {
 			o.rebuild.heard(vm)
 		}
 	})
+	return complete
 }
 
 // headroom returns the free part of the slots.
--- a/internal/reservation/reserve.go
+++ b/internal/reservation/reserve.go
@@ -185,7 +185,7 @@
 	if ok {
 		return l
 	}
-	l = &link{service: s, vm: vm, kick: make(chan struct{}, 1)}
+	l = &link{service: s, vm: vm, kick: make(chan struct{}, 1), known: make(map[routeKey]bool)}
 	if s.running == nil || s.running.Err() != nil {
 		return l
 	}
--- a/internal/reservation/server.go
+++ b/internal/reservation/server.go
@@ -62,8 +62,11 @@
 	h.service.takeProgress(m.GetProgress())
 	response := &reservationv1.HeartbeatResponse{}
 	for _, list := range m.GetModels() {
-		if err := h.service.takeList(m.GetVm(), m.GetIncarnation(), list); err != nil {
+		complete, err := h.service.takeList(m.GetVm(), m.GetIncarnation(), list)
+		if err != nil {
 			response.NotOwned = append(response.NotOwned, list.GetModel())
+		} else if !complete {
+			response.Incomplete = append(response.Incomplete, list.GetModel())
 		}
 	}
 	return connect.NewResponse(response), nil
@@ -79,17 +82,19 @@
 	}
 }
 
-func (s *Service) takeList(vm string, incarnation uint64, list *reservationv1.ModelHoldings) error {
+// takeList renews a list and reports whether all of it is known now.
+func (s *Service) takeList(vm string, incarnation uint64, list *reservationv1.ModelHoldings) (bool, error) {
 	o, err := s.own(list.GetModel())
 	if err != nil {
-		return err
+		return false, err
 	}
 	held := make([]scheduling.Held, 0, len(list.GetHeld()))
 	for _, h := range list.GetHeld() {
-		held = append(held, heldFromProto(h))
+		record := heldFromProto(h)
+		record.ID.VM, record.ID.Incarnation = vm, incarnation
+		held = append(held, record)
 	}
-	o.heartbeat(vm, incarnation, held)
-	return nil
+	return o.heartbeat(vm, incarnation, held), nil
 }
 
 // checkIncarnation refuses heartbeats of former incarnations. The first
--- a/internal/reservation/service.go
+++ b/internal/reservation/service.go
@@ -230,9 +230,13 @@
 	return &reservationv1.HeartbeatRequest{Vm: self.VM, Incarnation: self.Incarnation}
 }
 
-func (s *Service) listOf(key routeKey) *reservationv1.ModelHoldings {
+// listOf lists all that is held of a model, in whole or short records.
+func (s *Service) listOf(key routeKey, whole bool) *reservationv1.ModelHoldings {
 	list := &reservationv1.ModelHoldings{Model: key.model}
 	for _, held := range s.holdings.of(key) {
+		if !whole {
+			held = scheduling.Held{ID: held.ID, Phase: held.Phase, Delivered: held.Delivered}
+		}
 		list.Held = append(list.Held, heldToProto(&held))
 	}
 	return list
--- a/internal/reservation/service_test.go
+++ b/internal/reservation/service_test.go
@@ -51,18 +51,19 @@
 	}
 }
 
-func localService(slots int) *Service {
+// localService is alone in its zone and has one slot.
+func localService() *Service {
 	self := membership.Member{VM: "vm-1", Zone: "a", Incarnation: 1, State: membership.Alive}
 	return New(Params{
 		View:  membership.Static{This: self, All: []membership.Member{self}},
-		Fleet: func() Fleet { return smallFleet{slots} },
+		Fleet: func() Fleet { return smallFleet{1} },
 	})
 }
 
 func TestReserveWaitsForTheSlotAndKeepsItRenewed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		s := localService(1)
+		s := localService()
 		go s.Run(ctx)
 		first, err := s.Reserve(ctx, demand("vm-1", 1))
 		assert.NilError(t, err)
@@ -85,7 +86,7 @@
 func TestReserveWithdrawsWhenTheContextEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		s := localService(1)
+		s := localService()
 		go s.Run(ctx)
 		_, err := s.Reserve(ctx, demand("vm-1", 1))
 		assert.NilError(t, err)
--- a/internal/scheduling/baseline.go
+++ b/internal/scheduling/baseline.go
@@ -93,7 +93,7 @@
 func (b *baseline) Progress(time.Time, Progress) {}
 
 // Renew implements Policy.
-func (b *baseline) Renew(time.Time, string, uint64, []Held) {}
+func (b *baseline) Renew(time.Time, string, uint64, []Held) int { return 0 }
 
 // HolderGone implements Policy.
 func (b *baseline) HolderGone(time.Time, string, uint64) {}
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -127,22 +127,29 @@
 // Renew takes a heartbeat of one incarnation of an entry VM with all that it
 // holds. Unknown attempts are adopted, even if the engine then counts as
 // overfull, because the holder uses the slot whether or not the ledger knows.
-func (c *Coordinator) Renew(now time.Time, vm string, incarnation uint64, held []Held) {
+// Records without engines renew only what is known; Renew returns how many of
+// them are not, so that the holder sends them whole.
+func (c *Coordinator) Renew(now time.Time, vm string, incarnation uint64, held []Held) int {
+	unknown := 0
 	for i := range held {
 		record := &held[i]
 		if record.ID.VM != vm || record.ID.Incarnation != incarnation {
 			continue
 		}
-		c.renewOne(now, record)
+		if !c.renewOne(now, record) {
+			unknown++
+		}
 	}
 	c.dispatch(now)
+	return unknown
 }
 
-func (c *Coordinator) renewOne(now time.Time, record *Held) {
+// renewOne renews or adopts an attempt. It is false if the record does not
+// suffice for that.
+func (c *Coordinator) renewOne(now time.Time, record *Held) bool {
 	h, ok := c.ledger.holdings[record.ID]
 	if !ok {
-		c.adopt(now, record)
-		return
+		return c.adopt(now, record)
 	}
 	h.renewed = now
 	if record.Delivered > h.delivered {
@@ -156,12 +163,16 @@
 		h.phase = PhaseTransfer
 		c.ledger.endPrefill(h)
 	}
+	return true
 }
 
 // adopt enters an attempt that another owner granted.
-func (c *Coordinator) adopt(now time.Time, r *Held) {
+func (c *Coordinator) adopt(now time.Time, r *Held) bool {
 	if _, released := c.ledger.tombstones[r.ID]; released {
-		return
+		return true
+	}
+	if r.Decode == "" {
+		return false
 	}
 	prefill, decode := c.pool.get(r.Prefill), c.pool.get(r.Decode)
 	h := &holding{
@@ -192,6 +203,7 @@
 	if w, ok := c.queue.byID[r.ID]; ok {
 		c.queue.remove(w)
 	}
+	return true
 }
 
 // HolderGone releases all that one incarnation of an entry VM holds or waits
--- a/internal/scheduling/policy.go
+++ b/internal/scheduling/policy.go
@@ -22,8 +22,9 @@
 	Cancel(now time.Time, id engine.AttemptID)
 	// Progress takes a holder's observation of a granted attempt.
 	Progress(now time.Time, p Progress)
-	// Renew takes a heartbeat with all that a holder holds.
-	Renew(now time.Time, vm string, incarnation uint64, held []Held)
+	// Renew takes a heartbeat with all that a holder holds. It returns the
+	// number of records that are neither known nor whole.
+	Renew(now time.Time, vm string, incarnation uint64, held []Held) int
 	// HolderGone releases all that a holder holds.
 	HolderGone(now time.Time, vm string, incarnation uint64)
 	// SetEngines replaces the engines.
