claim: fence owners of the answer registry and recover state only if complete

Random schedules of deaths, lagging views and lost calls gave one key two answers in three ways: a restarted VM reused an epoch number, an owner went on with a standby that had lost its state, and a VM with the state of an earlier epoch was believed complete.

--- a/internal/claim/answer_update.go
+++ b/internal/claim/answer_update.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
@@ -11,7 +10,7 @@
 )
 
 // Update changes the phase of an attempt at the owner of its key's slot. The
-// error is KeyMalformed.
+// error is KeyMalformed or that of the context.
 func (r *AnswerRegistry) Update(ctx context.Context, request *claimv1.UpdateRequest) (*claimv1.UpdateResponse, error) {
 	wanted := request.GetEntry()
 	key, err := ParseKey(Key{Team: wanted.GetTeam(), Key: wanted.GetKey()})
@@ -22,8 +21,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s.changes.Lock()
-	defer s.changes.Unlock()
+	if !s.lock(ctx) {
+		return nil, ctx.Err()
+	}
+	defer s.unlock()
 	if !r.ensureOwned(ctx, s, int(request.GetSlot())) {
 		return &claimv1.UpdateResponse{Result: claimv1.UpdateResult_UPDATE_RESULT_NOT_OWNER}, nil
 	}
@@ -136,6 +137,7 @@
 			Entries: []*claimv1.AnswerEntry{entry},
 		})
 		if err != nil || !response.GetAccepted() {
+			s.breakOff(epoch)
 			return false
 		}
 	}
@@ -153,8 +155,3 @@
 	}
 	return ""
 }
-
-// forgetBefore is the time before which issued keys are refused by any clock.
-func (r *AnswerRegistry) forgetBefore() time.Time {
-	return r.now().Add(-r.settings.KeyWindow - 2*r.settings.ClockSkew)
-}
--- a/internal/claim/answers.go
+++ b/internal/claim/answers.go
@@ -40,6 +40,12 @@
 	peerTimeout = 300 * time.Millisecond
 	// maintainEvery is the period of the check for slots to take over.
 	maintainEvery = 200 * time.Millisecond
+	// forgetEvery is the period of the search for expired entries.
+	forgetEvery = 30 * time.Second
+	// fenceRetry is the pause between calls to a VM that has to be fenced.
+	fenceRetry = 50 * time.Millisecond
+	// rememberMember is how long a VM that left the view is still fenced.
+	rememberMember = 10 * time.Minute
 )
 
 // AnswerRegistry decides which attempt of a model-backed call may answer. It
@@ -53,6 +59,7 @@
 	sequence atomic.Uint64
 	start    time.Time
 	slots    [Slots]*slot
+	known    zoneMembers
 
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -74,7 +81,7 @@
 	}
 	r.outbox = newOutbox(ctx, &r.settings, r.counters)
 	for i := range r.slots {
-		r.slots[i] = &slot{}
+		r.slots[i] = newSlot()
 	}
 	r.running.Go(func() { r.maintain(ctx) })
 	return r, nil
--- /dev/null
+++ b/internal/claim/answers_test.go
@@ -0,0 +1,336 @@
+package claim
+
+import (
+	"context"
+	"math/rand"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+)
+
+// settled is long enough for slots to be taken over and for new keys to be
+// known as issued afterwards.
+const settled = 3 * time.Second
+
+// answerBubble runs a test with two VMs in each of the zones a and b.
+func answerBubble(t *testing.T, test func(t *testing.T, c *cluster, vms []*vm)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, testSettings())
+		c.answers = true
+		c.zones = []string{"a", "b"}
+		var vms []*vm
+		for n, zone := range []string{"a", "a", "b", "b"} {
+			vms = append(vms, c.start(t, "vm-"+strconv.Itoa(n+1), zone))
+		}
+		time.Sleep(settled)
+		test(t, c, vms)
+		c.stop()
+	})
+}
+
+// homedKey returns a key that is issued now and homed in a zone.
+func homedKey(t assert.TestingT, zone string) Key {
+	id, err := uuid.NewV7()
+	assert.NilError(t, err)
+	// The UUID's own time is outside the bubble's clock.
+	millis := time.Now().UnixMilli()
+	for i := range 6 {
+		id[i] = byte(millis >> (40 - 8*i))
+	}
+	return Key{Team: "desk", Key: zone + "." + id.String()}
+}
+
+// begin begins and expects a kind of decision.
+func begin(t *testing.T, v *vm, key Key, kind Kind) *AnswerTicket {
+	t.Helper()
+	decision, err := v.answers.Begin(context.Background(), key)
+	assert.NilError(t, err)
+	assert.Equal(t, decision.Kind, kind, "%s instead of %s", decision.Kind, kind)
+	return decision.Ticket
+}
+
+func ownerAway(t *testing.T, v *vm, key Key) {
+	t.Helper()
+	_, err := v.answers.Begin(context.Background(), key)
+	assert.Assert(t, errorx.IsOfType(err, OwnerAway), "%v", err)
+	assert.Assert(t, errorx.HasTrait(err, NotRun))
+}
+
+// ownerOfKey returns the VM that owns the slot of a key, and another of its zone.
+func ownerOfKey(t *testing.T, vms []*vm, key Key) (owner, other *vm) {
+	t.Helper()
+	parsed, err := ParseKey(key)
+	assert.NilError(t, err)
+	ticket, err := vms[0].answers.newTicket(parsed)
+	assert.NilError(t, err)
+	name := slotOwner(ticket.zone, ticket.slot, vms[0].Members()).VM
+	for _, v := range vms {
+		switch {
+		case v.member.VM == name:
+			owner = v
+		case v.member.Zone == ticket.zone:
+			other = v
+		}
+	}
+	return owner, other
+}
+
+func TestAnswerIsGivenOnce(t *testing.T) {
+	answerBubble(t, func(t *testing.T, c *cluster, vms []*vm) {
+		c.log.setAway(true)
+		for n := range 20 {
+			key := newKey(n)
+			ticket := begin(t, vms[n%4], key, Run)
+			begin(t, vms[(n+1)%4], key, Running)
+			assert.NilError(t, ticket.MayAnswer(context.Background()))
+			begin(t, vms[(n+2)%4], key, Running)
+			ticket.Delivered()
+			assert.NilError(t, vms[n%4].answers.Flush(context.Background()))
+			begin(t, vms[(n+3)%4], key, Answered)
+		}
+	})
+}
+
+func TestAbandonedKeyIsFree(t *testing.T) {
+	answerBubble(t, func(t *testing.T, _ *cluster, vms []*vm) {
+		key := newKey(1)
+		ticket := begin(t, vms[0], key, Run)
+		assert.NilError(t, ticket.MayAnswer(context.Background()))
+		ticket.Abandon()
+		assert.NilError(t, vms[0].answers.Flush(context.Background()))
+		assert.Assert(t, ticket.MayAnswer(context.Background()) != nil)
+		begin(t, vms[1], key, Run)
+	})
+}
+
+func TestOwnerDiesAndStandbyKnows(t *testing.T) {
+	answerBubble(t, func(t *testing.T, c *cluster, vms []*vm) {
+		key := homedKey(t, "a")
+		fresh := homedKey(t, "a")
+		owner, other := ownerOfKey(t, vms, key)
+		ticket := begin(t, vms[2], key, Run)
+		assert.NilError(t, ticket.MayAnswer(context.Background()))
+		owner.kill()
+		begin(t, vms[3], key, Running)
+		begin(t, other, fresh, Run)
+		ticket.Delivered()
+		assert.NilError(t, vms[2].answers.Flush(context.Background()))
+		begin(t, vms[3], key, Answered)
+		c.start(t, owner.member.VM, "a")
+		time.Sleep(settled)
+		begin(t, vms[3], key, Answered)
+	})
+}
+
+func TestLostZoneRefusesAndThenKnowsNothingOfThePast(t *testing.T) {
+	answerBubble(t, func(t *testing.T, c *cluster, vms []*vm) {
+		key := homedKey(t, "a")
+		begin(t, vms[2], key, Run)
+		vms[0].kill()
+		vms[1].kill()
+		ownerAway(t, vms[2], key)
+		c.start(t, "vm-1", "a")
+		time.Sleep(settled)
+		begin(t, vms[2], key, Unknown)
+		begin(t, vms[2], homedKey(t, "a"), Run)
+	})
+}
+
+func TestCutOffZoneServesItsOwnKeys(t *testing.T) {
+	answerBubble(t, func(t *testing.T, c *cluster, vms []*vm) {
+		c.mu.Lock()
+		for _, one := range vms[:2] {
+			for _, other := range vms[2:] {
+				c.cut[[2]string{one.member.VM, other.member.VM}] = true
+				c.cut[[2]string{other.member.VM, one.member.VM}] = true
+				one.hides[other.member.VM] = true
+				other.hides[one.member.VM] = true
+			}
+		}
+		c.mu.Unlock()
+		home, away := homedKey(t, "a"), homedKey(t, "b")
+		begin(t, vms[0], home, Run)
+		begin(t, vms[1], home, Running)
+		ownerAway(t, vms[0], away)
+		ownerAway(t, vms[2], home)
+		begin(t, vms[2], away, Run)
+	})
+}
+
+// TestOwnerThatWasPausedIsFenced lets an owner act that others believe gone: it
+// learns what was granted without it before it decides.
+func TestOwnerThatWasPausedIsFenced(t *testing.T) {
+	answerBubble(t, func(t *testing.T, c *cluster, vms []*vm) {
+		key := homedKey(t, "a")
+		owner, other := ownerOfKey(t, vms, key)
+		c.mu.Lock()
+		other.hides[owner.member.VM] = true
+		vms[2].hides[owner.member.VM] = true
+		c.mu.Unlock()
+		ticket := begin(t, vms[2], key, Run)
+		assert.NilError(t, ticket.MayAnswer(context.Background()))
+		begin(t, owner, key, Running)
+	})
+}
+
+func TestAttemptThatIsGoneIsReplaced(t *testing.T) {
+	answerBubble(t, func(t *testing.T, c *cluster, vms []*vm) {
+		key := homedKey(t, "a")
+		old := begin(t, vms[2], key, Run)
+		c.mu.Lock()
+		vms[0].hides["vm-3"] = true
+		vms[1].hides["vm-3"] = true
+		c.mu.Unlock()
+		next := begin(t, vms[3], key, Run)
+		assert.Assert(t, old.MayAnswer(context.Background()) != nil)
+		assert.NilError(t, next.MayAnswer(context.Background()))
+		vms[3].kill()
+		begin(t, vms[0], key, Unknown)
+	})
+}
+
+func TestDrainingOwnerHandsOver(t *testing.T) {
+	answerBubble(t, func(t *testing.T, c *cluster, vms []*vm) {
+		key, unused := homedKey(t, "a"), homedKey(t, "a")
+		owner, _ := ownerOfKey(t, vms, key)
+		begin(t, vms[2], key, Run)
+		c.mu.Lock()
+		owner.member.Draining = true
+		c.mu.Unlock()
+		time.Sleep(settled)
+		owner.kill()
+		begin(t, vms[3], key, Running)
+		begin(t, vms[3], unused, Run)
+	})
+}
+
+func TestAnswerKeysAreJudged(t *testing.T) {
+	answerBubble(t, func(t *testing.T, _ *cluster, vms []*vm) {
+		old := Key{Key: strconv.FormatInt(time.Now().Add(-time.Hour-time.Second).UnixMilli(), 10) + "-x"}
+		for text, kind := range map[string]*errorx.Type{
+			old.Key: KeyExpired,
+			"x":     KeyMalformed,
+			"nowhere." + uuid.Must(uuid.NewV7()).String(): KeyMalformed,
+			"9780000000000-x": KeyFuture,
+		} {
+			_, err := vms[0].answers.Begin(context.Background(), Key{Team: "desk", Key: text})
+			assert.Assert(t, errorx.IsOfType(err, kind), "%s: %v", text, err)
+		}
+	})
+}
+
+// TestMergeIgnoresEarlierEpochs checks that a stale state does not override the
+// latest epoch by a higher version.
+func TestMergeIgnoresEarlierEpochs(t *testing.T) {
+	entry := func(version uint64, phase claimv1.AnswerPhase) []*claimv1.AnswerEntry {
+		return []*claimv1.AnswerEntry{{Team: "desk", Key: "k", Version: version, Phase: phase}}
+	}
+	merged := merge([]*claimv1.TakeOverResponse{
+		{State: &claimv1.SlotState{Epoch: &claimv1.Epoch{Number: 1}, Entries: entry(9, claimv1.AnswerPhase_ANSWER_PHASE_FREE), CompleteFromMs: 1}},
+		{State: &claimv1.SlotState{Epoch: &claimv1.Epoch{Number: 2}, Entries: entry(3, claimv1.AnswerPhase_ANSWER_PHASE_ANSWERED), CompleteFromMs: 2}},
+		{},
+	})
+	assert.Equal(t, merged.GetCompleteFromMs(), int64(2))
+	assert.Equal(t, merged.GetEntries()[0].GetPhase(), claimv1.AnswerPhase_ANSWER_PHASE_ANSWERED)
+}
+
+// TestAnswersUnderFaults counts answers per key while calls between VMs are
+// lost, views lag and VMs die.
+func TestAnswersUnderFaults(t *testing.T) {
+	setRapid(t, "400")
+	answered, total := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Int64().Draw(rt, "seed")
+		drop := rapid.IntRange(0, 15).Draw(rt, "drop")
+		counts := answerSchedule(t, seed, float64(drop)/100)
+		for key, count := range counts {
+			if count > 1 {
+				rt.Fatalf("key %d answered %d times", key, count)
+			}
+			answered += count
+			total++
+		}
+	})
+	t.Logf("%d keys, %d answered", total, answered)
+	assert.Assert(t, answered > total/2)
+}
+
+// answerSchedule runs a random schedule and returns the answers per key.
+func answerSchedule(t *testing.T, seed int64, drop float64) map[int]int {
+	t.Helper()
+	counts := make(map[int]int)
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(seed, testSettings())
+		c.answers = true
+		c.zones = []string{"a"}
+		for n := range scheduleVMs {
+			c.start(t, string(rune('p'+n)), "a")
+		}
+		r := &run{t: t, cluster: c}
+		time.Sleep(settled)
+		c.mu.Lock()
+		c.drop = drop
+		c.mu.Unlock()
+		dice := rand.New(rand.NewSource(seed))
+		var work sync.WaitGroup
+		work.Go(func() { r.unsettle(rand.New(rand.NewSource(seed+1)), scheduleLength) })
+		var mu sync.Mutex
+		for key := range 12 {
+			r.addKey(key)
+			for range repeatsOfKey {
+				a := randomCall(dice, key)
+				work.Go(func() {
+					time.Sleep(a.at)
+					count := r.answer(a)
+					mu.Lock()
+					defer mu.Unlock()
+					counts[key] += count
+				})
+			}
+			time.Sleep(scheduleLength / 12)
+		}
+		work.Wait()
+		c.stop()
+	})
+	return counts
+}
+
+// answer makes one attempt and returns the number of answers given.
+func (r *run) answer(a action) int {
+	v := r.vm(a.vm)
+	decision, err := v.answers.Begin(context.Background(), r.key(a.key))
+	if err != nil || decision.Kind != Run {
+		return 0
+	}
+	time.Sleep(a.last)
+	if v.isDead() || a.execution == DidNotRun || decision.Ticket.MayAnswer(context.Background()) != nil {
+		decision.Ticket.Abandon()
+		return 0
+	}
+	decision.Ticket.Delivered()
+	return 1
+}
+
+// unsettle kills VMs and lets views lag, one at a time.
+func (r *run) unsettle(dice *rand.Rand, span time.Duration) {
+	until := time.Now().Add(span)
+	for time.Now().Before(until) {
+		kinds := []act{actKill, actHide}
+		r.do(action{
+			at:   time.Duration(dice.Int63n(int64(time.Second))),
+			act:  kinds[dice.Intn(len(kinds))],
+			vm:   dice.Intn(scheduleVMs),
+			last: time.Duration(dice.Int63n(int64(2 * time.Second))),
+		})
+	}
+}
--- a/internal/claim/cluster_test.go
+++ b/internal/claim/cluster_test.go
@@ -54,6 +54,8 @@
 	drop  float64
 	dice  *rand.Rand
 	zones []string
+	// answers starts an answer registry at each VM.
+	answers bool
 }
 
 type vm struct {
@@ -86,26 +88,33 @@
 	v.claims, err = New(Dependencies{Log: c.log, View: v, Peers: v, Timeline: timeline.Discard}, c.settings)
 	assert.NilError(t, err)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.vms = append(c.vms, v)
+	c.mu.Unlock()
+	if c.answers {
+		v.startAnswers(t)
+	}
 	return v
 }
 
-func (v *vm) startAnswers(t assert.TestingT) *vm {
-	var err error
-	v.answers, err = NewAnswerRegistry(AnswerDependencies{View: v, Peers: v, Zones: func() []string { return v.cluster.zones }}, v.cluster.settings)
+// startAnswers publishes the registry once it can serve calls.
+func (v *vm) startAnswers(t assert.TestingT) {
+	zones := func() []string { return v.cluster.zones }
+	registry, err := NewAnswerRegistry(AnswerDependencies{View: v, Peers: v, Zones: zones}, v.cluster.settings)
 	assert.NilError(t, err)
-	return v
+	v.cluster.mu.Lock()
+	defer v.cluster.mu.Unlock()
+	v.answers = registry
 }
 
 // kill ends a VM without letting it finish anything.
 func (v *vm) kill() {
 	v.cluster.mu.Lock()
 	v.dead = true
+	answers := v.answers
 	v.cluster.mu.Unlock()
 	v.claims.Stop()
-	if v.answers != nil {
-		v.answers.Stop()
+	if answers != nil {
+		answers.Stop()
 	}
 }
 
@@ -115,7 +124,11 @@
 	}
 }
 
-func (v *vm) Self() membership.Member { return v.member }
+func (v *vm) Self() membership.Member {
+	v.cluster.mu.Lock()
+	defer v.cluster.mu.Unlock()
+	return v.member
+}
 
 func (v *vm) Members() []membership.Member {
 	v.cluster.mu.Lock()
@@ -136,13 +149,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, other := range c.vms {
-		if other.member.Address == address && !other.dead && !v.dead && !c.cut[[2]string{v.member.VM, other.member.VM}] && c.dice.Float64() >= c.drop {
+		if other.member.Address == address && other.serves() && !v.dead && !c.cut[[2]string{v.member.VM, other.member.VM}] && c.dice.Float64() >= c.drop {
 			return other, nil
 		}
 	}
 	return nil, errCut
 }
 
+// serves reports whether a VM takes calls; the lock is held.
+func (v *vm) serves() bool {
+	return !v.dead && (v.answers != nil || !v.cluster.answers)
+}
+
 // call makes a call to a peer; its answer can be lost after it took effect.
 func call[Q, P any](ctx context.Context, v *vm, address string, serve func(*vm, context.Context, Q) (P, error), request Q) (P, error) {
 	var none P
--- a/internal/claim/slot.go
+++ b/internal/claim/slot.go
@@ -1,8 +1,7 @@
 package claim
 
 import (
-	"maps"
-	"slices"
+	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -14,8 +13,8 @@
 
 // slot is what this VM holds of one slot of its own zone, as owner or standby.
 type slot struct {
-	// changes serializes the owner's work, calls to peers included.
-	changes sync.Mutex
+	// changes holds a token while the owner works, calls to peers included.
+	changes chan struct{}
 
 	// mu guards the fields below and is never held during a call.
 	mu sync.Mutex
@@ -29,6 +28,21 @@
 	completeFrom time.Time
 }
 
+func newSlot() *slot { return &slot{changes: make(chan struct{}, 1)} }
+
+// lock waits for the right to work as owner; it reports false if the context
+// ends first.
+func (s *slot) lock(ctx context.Context) bool {
+	select {
+	case s.changes <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *slot) unlock() { <-s.changes }
+
 // slotName is the name of a slot for rendezvous hashing.
 func slotName(zone string, number int) string {
 	return "answers-" + zone + "-" + strconv.Itoa(number)
@@ -49,6 +63,26 @@
 	return epoch != nil && s.epoch.GetNumber() == epoch.GetNumber() && s.promised == epoch.GetNumber() && s.promisedTo == epoch.GetOwner()
 }
 
+// breakOff ends this VM's part as owner of an epoch whose standby does not
+// follow any more, so that the next update takes the slot over again.
+func (s *slot) breakOff(epoch *claimv1.Epoch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holds(epoch) {
+		s.promisedTo = ""
+	}
+}
+
+// witness returns what this VM holds and has promised, for a new owner.
+func (s *slot) witness(vm string) *claimv1.TakeOverResponse {
+	return &claimv1.TakeOverResponse{
+		Promised:   s.promised,
+		PromisedTo: s.promisedTo,
+		Vm:         vm,
+		State:      s.state(),
+	}
+}
+
 // state returns a copy for a new owner.
 func (s *slot) state() *claimv1.SlotState {
 	state := &claimv1.SlotState{CompleteFromMs: s.completeFrom.UnixMilli()}
@@ -64,11 +98,11 @@
 }
 
 // replace sets the whole state at the beginning of an epoch.
-func (s *slot) replace(epoch *claimv1.Epoch, entries []*claimv1.AnswerEntry, completeFrom time.Time) {
+func (s *slot) replace(epoch *claimv1.Epoch, state *claimv1.SlotState) {
 	s.epoch = epoch
-	s.completeFrom = completeFrom
-	s.entries = make(map[string]*claimv1.AnswerEntry, len(entries))
-	for _, entry := range entries {
+	s.completeFrom = time.UnixMilli(state.GetCompleteFromMs())
+	s.entries = make(map[string]*claimv1.AnswerEntry, len(state.GetEntries()))
+	for _, entry := range state.GetEntries() {
 		s.entries[answerKey(entry)] = entry
 	}
 }
@@ -87,36 +121,3 @@
 func answerKey(entry *claimv1.AnswerEntry) string {
 	return Key{Team: entry.GetTeam(), Key: entry.GetKey()}.text()
 }
-
-// merge returns what the owner and the standby of the latest known epoch hold:
-// per key the entry with the higher version. What others kept of earlier epochs
-// is stale, since an epoch begins with all that is known.
-func merge(states []*claimv1.SlotState) *claimv1.SlotState {
-	latest := &claimv1.SlotState{}
-	for _, state := range states {
-		if state.GetEpoch().GetNumber() > latest.GetEpoch().GetNumber() {
-			latest = state
-		}
-	}
-	entries := make(map[string]*claimv1.AnswerEntry)
-	for _, state := range states {
-		if state.GetEpoch().GetNumber() == latest.GetEpoch().GetNumber() {
-			mergeEntries(entries, state.GetEntries())
-		}
-	}
-	return &claimv1.SlotState{
-		Epoch:          latest.GetEpoch(),
-		Entries:        slices.Collect(maps.Values(entries)),
-		CompleteFromMs: latest.GetCompleteFromMs(),
-	}
-}
-
-// mergeEntries adds the entries whose version is higher than the known ones.
-func mergeEntries(known map[string]*claimv1.AnswerEntry, entries []*claimv1.AnswerEntry) {
-	for _, entry := range entries {
-		key := answerKey(entry)
-		if old, ok := known[key]; !ok || entry.GetVersion() > old.GetVersion() {
-			known[key] = entry
-		}
-	}
-}
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,8 +15,13 @@
 func (r *AnswerRegistry) maintain(ctx context.Context) {
 	ticker := time.NewTicker(maintainEvery)
 	defer ticker.Stop()
+	forgot := time.Now()
 	for ctx.Err() == nil {
 		r.maintainSlots(ctx)
+		if time.Since(forgot) > forgetEvery {
+			r.forget()
+			forgot = time.Now()
+		}
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -24,20 +30,30 @@
 }
 
 func (r *AnswerRegistry) maintainSlots(ctx context.Context) {
+	r.known.others(r.deps.View.Self(), r.deps.View.Members())
 	var work sync.WaitGroup
 	for number, s := range r.slots {
 		work.Go(func() {
-			s.changes.Lock()
-			defer s.changes.Unlock()
+			if !s.lock(ctx) {
+				return
+			}
+			defer s.unlock()
 			r.ensureOwned(ctx, s, number)
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.forget(r.forgetBefore())
 		})
 	}
 	work.Wait()
 }
 
+// forget drops the entries of keys that every VM refuses by their age.
+func (r *AnswerRegistry) forget() {
+	before := r.now().Add(-r.settings.KeyWindow - 2*r.settings.ClockSkew)
+	for _, s := range r.slots {
+		s.mu.Lock()
+		s.forget(before)
+		s.mu.Unlock()
+	}
+}
+
 // ensureOwned reports whether this VM owns a slot, and takes it over if it
 // should own it but does not, or if the slot's standby has to change.
 func (r *AnswerRegistry) ensureOwned(ctx context.Context, s *slot, number int) bool {
@@ -49,7 +65,7 @@
 	standby := slotStandby(self, number, members)
 	s.mu.Lock()
 	epoch := s.epoch
-	owned := s.holds(epoch) && epoch.GetOwner() == self.VM
+	owned := s.holds(epoch) && epoch.GetOwner() == r.identity()
 	s.mu.Unlock()
 	if owned && epoch.GetStandby() == standby.VM {
 		return true
@@ -66,86 +82,143 @@
 
 // takeOver begins a new epoch of a slot: it fences the earlier ones at all VMs
 // of the zone, merges what they hold and copies it to the standby. Keys that
-// may have been used under an owner whose entries are lost stay unknown.
+// may have been used under an owner whose entries are lost stay unknown. Epoch
+// numbers follow the clock, so that a restarted VM, which has forgotten what it
+// promised, does not reuse one.
 func (r *AnswerRegistry) takeOver(ctx context.Context, s *slot, number int, standby membership.Member) bool {
-	self := r.deps.View.Self()
 	began := r.now()
-	s.mu.Lock()
-	epoch := &claimv1.Epoch{Number: s.promised + 1, Owner: self.VM, Standby: standby.VM}
-	s.promise(epoch.GetNumber(), self.VM)
-	states := []*claimv1.SlotState{s.state()}
-	s.mu.Unlock()
+	epoch, witness := r.promiseSelf(s, began, standby)
+	witnesses := []*claimv1.TakeOverResponse{witness}
 	for _, response := range r.fence(ctx, number, epoch) {
 		if !response.GetAccepted() {
-			s.learn(response.GetPromised())
+			s.learn(response)
 			return false
 		}
-		states = append(states, response.GetState())
+		witnesses = append(witnesses, response)
 	}
-	merged := merge(states)
-	completeFrom := time.UnixMilli(merged.GetCompleteFromMs())
-	if merged.GetEpoch() == nil {
-		completeFrom = began
+	state := recoverState(witnesses, began)
+	if state.GetCompleteFromMs() == began.UnixMilli() {
 		r.counters.partial.Add(1)
 	}
-	if !r.copyTo(ctx, standby, number, epoch, merged, completeFrom) {
+	if !r.copyTo(ctx, standby, number, epoch, state) {
 		return false
 	}
-	return r.assume(s, epoch, merged, completeFrom)
+	return r.assume(s, epoch, state)
 }
 
-// learn raises the promised number, so that the next try exceeds it.
-func (s *slot) learn(promised uint64) {
+// promiseSelf chooses the next epoch and returns what this VM held before.
+func (r *AnswerRegistry) promiseSelf(s *slot, began time.Time, standby membership.Member) (*claimv1.Epoch, *claimv1.TakeOverResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if promised > s.promised {
-		s.promised = promised
-		s.promisedTo = ""
+	witness := s.witness(r.identity())
+	epoch := &claimv1.Epoch{
+		Number:  max(s.promised+1, uint64(began.UnixMicro())),
+		Owner:   r.identity(),
+		Standby: standby.VM,
 	}
+	s.promise(epoch.GetNumber(), epoch.GetOwner())
+	return epoch, witness
+}
+
+// identity names this incarnation of the VM.
+func (r *AnswerRegistry) identity() string {
+	self := r.deps.View.Self()
+	return self.VM + "#" + strconv.FormatUint(self.Incarnation, 10)
+}
+
+// learn takes over a higher promise, so that the next try exceeds it.
+func (s *slot) learn(response *claimv1.TakeOverResponse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.promise(response.GetPromised(), response.GetPromisedTo())
 }
 
 // assume makes this VM the owner, unless a later epoch was promised meanwhile.
-func (r *AnswerRegistry) assume(s *slot, epoch *claimv1.Epoch, merged *claimv1.SlotState, completeFrom time.Time) bool {
+func (r *AnswerRegistry) assume(s *slot, epoch *claimv1.Epoch, state *claimv1.SlotState) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.promised != epoch.GetNumber() || s.promisedTo != epoch.GetOwner() {
 		return false
 	}
-	s.replace(epoch, merged.GetEntries(), completeFrom)
+	s.replace(epoch, state)
 	r.counters.takeovers.Add(1)
 	return true
 }
 
-// fence asks all other VMs of the zone to refuse earlier epochs, and returns
-// the responses of those that could be reached.
+// fence asks all other VMs of the zone to refuse earlier epochs, whether they
+// look alive or not, and returns the responses of those that could be reached.
 func (r *AnswerRegistry) fence(ctx context.Context, number int, epoch *claimv1.Epoch) []*claimv1.TakeOverResponse {
 	self := r.deps.View.Self()
-	request := &claimv1.TakeOverRequest{Zone: self.Zone, Slot: uint32(number), Number: epoch.GetNumber(), Vm: self.VM}
+	request := &claimv1.TakeOverRequest{Zone: self.Zone, Slot: uint32(number), Number: epoch.GetNumber(), Owner: epoch.GetOwner()}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var responses []*claimv1.TakeOverResponse
 	var calls sync.WaitGroup
-	for _, member := range r.deps.View.Members() {
-		if member.VM == self.VM || member.Zone != self.Zone {
-			continue
-		}
+	for _, member := range r.known.others(self, r.deps.View.Members()) {
 		calls.Go(func() {
-			response, err := r.deps.Peers.TakeOver(ctx, member.Address, request)
-			if err != nil {
-				return
-			}
+			response := r.fenceOne(ctx, member.Address, request)
 			mu.Lock()
 			defer mu.Unlock()
-			responses = append(responses, response)
+			if response != nil {
+				responses = append(responses, response)
+			}
 		})
 	}
 	calls.Wait()
 	return responses
 }
 
+// fenceOne calls one VM until it responds; nil if it does not in time.
+func (r *AnswerRegistry) fenceOne(ctx context.Context, address string, request *claimv1.TakeOverRequest) *claimv1.TakeOverResponse {
+	for ctx.Err() == nil {
+		response, err := r.deps.Peers.TakeOver(ctx, address, request)
+		if err == nil {
+			return response
+		}
+		pause(ctx, fenceRetry)
+	}
+	return nil
+}
+
+// zoneMembers remembers the VMs of this VM's zone, so that one that is wrongly
+// believed gone is fenced, too.
+type zoneMembers struct {
+	mu   sync.Mutex
+	seen map[string]seenMember
+}
+
+// seenMember is a VM with the time when a view last had it.
+type seenMember struct {
+	member membership.Member
+	at     time.Time
+}
+
+// others returns all VMs of the zone that a view had lately, but for this one.
+func (z *zoneMembers) others(self membership.Member, members []membership.Member) []membership.Member {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.seen == nil {
+		z.seen = make(map[string]seenMember)
+	}
+	for _, member := range members {
+		if member.Zone == self.Zone && member.VM != self.VM {
+			z.seen[member.VM] = seenMember{member: member, at: time.Now()}
+		}
+	}
+	var others []membership.Member
+	for vm, seen := range z.seen {
+		if time.Since(seen.at) > rememberMember {
+			delete(z.seen, vm)
+			continue
+		}
+		others = append(others, seen.member)
+	}
+	return others
+}
+
 // copyTo gives the standby of a new epoch the whole state.
-func (r *AnswerRegistry) copyTo(ctx context.Context, standby membership.Member, number int, epoch *claimv1.Epoch, merged *claimv1.SlotState, completeFrom time.Time) bool {
+func (r *AnswerRegistry) copyTo(ctx context.Context, standby membership.Member, number int, epoch *claimv1.Epoch, state *claimv1.SlotState) bool {
 	if standby.VM == "" {
 		return true
 	}
@@ -155,9 +228,9 @@
 		Zone:           r.deps.View.Self().Zone,
 		Slot:           uint32(number),
 		Epoch:          epoch,
-		Entries:        merged.GetEntries(),
+		Entries:        state.GetEntries(),
 		Whole:          true,
-		CompleteFromMs: completeFrom.UnixMilli(),
+		CompleteFromMs: state.GetCompleteFromMs(),
 	})
 	return err == nil && response.GetAccepted()
 }
@@ -176,7 +249,7 @@
 		return &claimv1.ReplicateResponse{}, nil
 	}
 	if request.GetWhole() {
-		s.replace(epoch, request.GetEntries(), time.UnixMilli(request.GetCompleteFromMs()))
+		s.replace(epoch, &claimv1.SlotState{Entries: request.GetEntries(), CompleteFromMs: request.GetCompleteFromMs()})
 		return &claimv1.ReplicateResponse{Accepted: true}, nil
 	}
 	if !s.holds(epoch) {
@@ -197,8 +270,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.promise(request.GetNumber(), request.GetVm()) {
-		return &claimv1.TakeOverResponse{Promised: s.promised}, nil
-	}
-	return &claimv1.TakeOverResponse{Accepted: true, Promised: s.promised, State: s.state()}, nil
+	response := s.witness(r.identity())
+	response.Accepted = s.promise(request.GetNumber(), request.GetOwner())
+	return response, nil
 }
