--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -117,10 +117,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.history = append(r.history, porcupine.Operation{ClientId: in.attempt, Input: in, Output: out, Call: call, Return: r.clock.Add(1)})
-	switch {
-	case in.op == opExecute:
+	switch in.op {
+	case opExecute:
 		r.executions[in.key]++
-	case in.op == opClaim:
+	case opClaim:
 		r.attempts[in.key]++
 		if out.kind == 0 {
 			r.refusals[in.key]++
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -13,6 +13,8 @@
 
 // Periods and bounds of a shard's work on its stream.
 const (
+	// appendBurst is the number of appends that a shard may make without delay.
+	appendBurst = 3
 	// pageLimit bounds the records of one read.
 	pageLimit = 500
 	// freshFor is how long an unfinished key's state is answered without a read.
@@ -89,7 +91,7 @@
 		log:      log,
 		settings: settings,
 		counters: counters,
-		limiter:  rate.NewLimiter(rate.Limit(share), 1),
+		limiter:  rate.NewLimiter(rate.Limit(share), appendBurst),
 		wake:     make(chan struct{}, 1),
 		index:    newIndex(),
 	}
