claim: read owned shards ahead and take bound keys' time from one clock

A new owner read a shard only when asked, so that the first claims waited for the whole stream. It now opens the shards it owns by its view. Bound keys took their time from the UUID library's clock, which never goes back and so could run ahead of the clock that judges them.

--- a/internal/claim/answers_test.go
+++ b/internal/claim/answers_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -40,13 +39,8 @@
 
 // homedKey returns a key that is issued now and homed in a zone.
 func homedKey(t assert.TestingT, zone string) Key {
-	id, err := uuid.NewV7()
+	id, err := newUUID(time.Now())
 	assert.NilError(t, err)
-	// The UUID's own time is outside the bubble's clock.
-	millis := time.Now().UnixMilli()
-	for i := range 6 {
-		id[i] = byte(millis >> (40 - 8*i))
-	}
 	return Key{Team: "desk", Key: zone + "." + id.String()}
 }
 
@@ -218,10 +212,10 @@
 	answerBubble(t, func(t *testing.T, _ *cluster, vms []*vm) {
 		old := Key{Key: strconv.FormatInt(time.Now().Add(-time.Hour-time.Second).UnixMilli(), 10) + "-x"}
 		for text, kind := range map[string]*errorx.Type{
-			old.Key: KeyExpired,
-			"x":     KeyMalformed,
-			"nowhere." + uuid.Must(uuid.NewV7()).String(): KeyMalformed,
-			"9780000000000-x": KeyFuture,
+			old.Key:                    KeyExpired,
+			"x":                        KeyMalformed,
+			homedKey(t, "nowhere").Key: KeyMalformed,
+			"9780000000000-x":          KeyFuture,
 		} {
 			_, err := vms[0].answers.Begin(context.Background(), Key{Team: "desk", Key: text})
 			assert.Assert(t, errorx.IsOfType(err, kind), "%s: %v", text, err)
--- a/internal/claim/bound.go
+++ b/internal/claim/bound.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
 )
 
@@ -46,7 +44,7 @@
 // claimed here while the log is away; when this process is gone, repeats of it
 // are answered with Unknown.
 func (c *Claims) Issue() (string, error) {
-	id, err := uuid.NewV7()
+	id, err := newUUID(c.bound.now())
 	if err != nil {
 		return "", err
 	}
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -69,9 +69,29 @@
 	}
 	c.bound = newBoundKeys(&c.settings)
 	c.outbox = newOutbox(ctx, &c.settings, c.counters)
+	c.running.Go(c.openOwned)
 	return c, nil
 }
 
+// openOwned opens the shards that this VM owns, so that they are read before
+// they are asked.
+func (c *Claims) openOwned() {
+	ticker := time.NewTicker(openEvery)
+	defer ticker.Stop()
+	for c.ctx.Err() == nil {
+		members := c.deps.View.Members()
+		for number := range Shards {
+			if ownerOf(number, members).VM == c.deps.View.Self().VM {
+				c.open(number)
+			}
+		}
+		select {
+		case <-c.ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
 // Stop ends all background work and waits for it. Claims afterwards are refused.
 func (c *Claims) Stop() {
 	c.mu.Lock()
@@ -195,17 +215,31 @@
 func (c *Claims) enqueue(p *pending) *shard {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s := c.openLocked(shardOf(p.key))
+	if s != nil {
+		s.enqueue(p)
+	}
+	return s
+}
+
+// open opens a shard if it is not.
+func (c *Claims) open(number int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.openLocked(number)
+}
+
+// openLocked returns an open shard, or nil after Stop; c.mu is held.
+func (c *Claims) openLocked(number int) *shard {
 	if c.stopped {
 		return nil
 	}
-	number := shardOf(p.key)
 	s, ok := c.shards[number]
 	if !ok {
 		s = newShard(streamOf(number), c.deps.Log, &c.settings, c.counters)
 		c.shards[number] = s
 		c.running.Go(func() { s.run(c.ctx, func() bool { return c.retire(number) }) })
 	}
-	s.enqueue(p)
 	return s
 }
 
--- a/internal/claim/key.go
+++ b/internal/claim/key.go
@@ -27,6 +27,10 @@
 // uuidTextBytes is the length of a UUID's canonical text.
 const uuidTextBytes = 36
 
+// uuidLowBits is the number of bits that follow the 48 bits of Unix
+// milliseconds in the first 8 bytes of a UUIDv7.
+const uuidLowBits = 16
+
 // KeyForm tells the forms of keys apart.
 type KeyForm int
 
@@ -118,9 +122,20 @@
 	if err != nil || id.Version() != 7 || id.String() != text {
 		return time.Time{}, false
 	}
-	// The first 48 bits of a UUIDv7 are Unix milliseconds.
-	const lowBits = 16
-	return time.UnixMilli(int64(binary.BigEndian.Uint64(id[:8]) >> lowBits)), true
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(id[:8]) >> uuidLowBits)), true
+}
+
+// newUUID returns a UUIDv7 of the given time. It serves where the time must
+// come from this package's own clock.
+func newUUID(at time.Time) (uuid.UUID, error) {
+	id, err := uuid.NewRandom()
+	if err != nil {
+		return uuid.UUID{}, err
+	}
+	const version = 7
+	low := uint64(binary.BigEndian.Uint16(id[6:8]))&0x0fff | version<<12
+	binary.BigEndian.PutUint64(id[:8], uint64(at.UnixMilli())<<uuidLowBits|low)
+	return id, nil
 }
 
 // text returns the key as one string that no other key has.
--- a/internal/claim/settings.go
+++ b/internal/claim/settings.go
@@ -16,6 +16,9 @@
 // Margin bounds the delay between the log service's clock and its reading here.
 const Margin = 5 * time.Second
 
+// openEvery is the period of the check for shards to read ahead.
+const openEvery = time.Second
+
 // Defaults of Settings.
 const (
 	defaultClaimTimeout     = 2 * time.Second
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -160,6 +160,7 @@
 // run serves the queue until the context ends, or until the shard is idle and
 // retire agrees to its end.
 func (s *shard) run(ctx context.Context, retire func() bool) {
+	s.synced = s.catchUp(ctx)
 	idle := time.NewTimer(s.settings.ShardIdle)
 	defer idle.Stop()
 	for {
