Probe entry VMs in the manner of SWIM

Entry VMs knew each other from fixed lists only; a dead one stayed in every view.

Package membership/swim implements membership.View. A pure machine probes one VM of its zone per 500 ms, asks three others for an indirect ping, suspects, and declares gone what does not refute in time; updates are piggybacked with bounded retransmission. Two VMs per pair of zones exchange digests. Only a zone decides on its own members: another zone that is silent as a whole is overlaid in the view, so that healing needs no refutation. Versions are ordered by incarnation, then refutation counter, so that a pause costs no new incarnation. Forged, replayed, stale, oversized, malformed and unlisted messages are dropped and counted. The package is apart from membership because configuration imports that.

--- /dev/null
+++ b/internal/membership/swim/candidate.go
@@ -0,0 +1,113 @@
+package swim
+
+import (
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+)
+
+// candidates are addresses at which an entry VM may be found.
+type candidates struct {
+	// seeds never change; configured and hinted are replaced as a whole. The
+	// values are names, empty if unknown.
+	seeds, configured, hinted map[string]string
+	turn                      int
+}
+
+func newCandidates() candidates {
+	return candidates{seeds: make(map[string]string)}
+}
+
+// startJoin calls the next candidate that is no member.
+func (m *machine) startJoin(now time.Time) []call {
+	open := m.openCandidates()
+	if len(open) == 0 {
+		return nil
+	}
+	m.candidates.turn++
+	addresses := sortedKeys(open)
+	address := addresses[m.candidates.turn%len(addresses)]
+	m.counters.Joins.Add(1)
+	return []call{m.exchange(now, address, open[address], 0)}
+}
+
+// openCandidates returns the candidates that are no member, and the addresses
+// of members that are gone, who may be back.
+func (m *machine) openCandidates() map[string]string {
+	open := make(map[string]string)
+	for _, group := range []map[string]string{m.candidates.hinted, m.candidates.seeds, m.candidates.configured} {
+		for address, vm := range group {
+			open[address] = vm
+		}
+	}
+	for _, vm := range sortedKeys(m.records) {
+		r := m.records[vm]
+		if r.State == membership.Gone && r != m.self && m.isListed(r.VM, r.Zone) {
+			open[r.Address] = r.VM
+		}
+	}
+	for _, r := range m.records {
+		if r.State != membership.Gone || r == m.self {
+			delete(open, r.Address)
+		}
+	}
+	for address, vm := range open {
+		if r, ok := m.records[vm]; ok && r.State != membership.Gone {
+			delete(open, address)
+		}
+	}
+	return open
+}
+
+// isListed reports whether a VM may be a member: the configuration, if there is
+// one, must name it in its zone.
+func (m *machine) isListed(vm, zone string) bool {
+	if len(m.listed) == 0 || vm == m.self.VM {
+		return true
+	}
+	configured, ok := m.listed[vm]
+	return ok && configured == zone
+}
+
+// configuredVM is an entry VM of the configuration.
+type configuredVM struct {
+	VM, Zone, Address string
+}
+
+// configure takes the entry VMs of the configuration in force. Members that it
+// does not name are gone.
+func (m *machine) configure(now time.Time, vms []configuredVM) {
+	m.listed = make(map[string]string, len(vms))
+	m.candidates.configured = make(map[string]string, len(vms))
+	for _, vm := range vms {
+		m.listed[vm.VM] = vm.Zone
+		m.candidates.configured[vm.Address] = vm.VM
+	}
+	for _, r := range m.records {
+		if r != m.self && r.State != membership.Gone && !m.isListed(r.VM, r.Zone) {
+			m.accuse(now, r, membership.Gone)
+		}
+	}
+}
+
+// hint takes the names and addresses of entry VMs in the platform's list. It
+// adds candidates, and has members probed soon that the list lost. It declares
+// nobody gone.
+func (m *machine) hint(now time.Time, listed map[string]string) {
+	m.lastHeard = now
+	former := m.candidates.hinted
+	m.candidates.hinted = make(map[string]string, len(listed))
+	present := make(map[string]bool, len(listed))
+	for address, vm := range listed {
+		present[vm] = true
+		if _, known := m.listed[vm]; known && len(m.candidates.hinted) < maxMembers {
+			m.candidates.hinted[address] = vm
+		}
+	}
+	for _, vm := range former {
+		r, ok := m.records[vm]
+		if ok && !present[vm] && r.Zone == m.self.Zone && r != m.self {
+			m.probeNext(vm)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/swim/digest.go
@@ -0,0 +1,49 @@
+package swim
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+)
+
+// digests are digests over the members that are not gone, in groups.
+type digests [bucketCount]uint64
+
+func bucketOf(vm string) int { return int(xxhash.Sum64String(vm) % bucketCount) }
+
+// toggle adds an update to its group, or takes it away if it is in there.
+func (d *digests) toggle(u *update) {
+	if u.State != membership.Gone {
+		d[bucketOf(u.VM)] ^= digestOf(u)
+	}
+}
+
+func digestOf(u *update) uint64 {
+	b := make([]byte, 0, 2*maxNameBytes+maxAddressBytes+24)
+	for _, text := range []string{u.VM, u.Zone, u.Address} {
+		b = append(b, text...)
+		b = append(b, 0)
+	}
+	b = binary.BigEndian.AppendUint64(b, u.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, u.Refutation)
+	b = append(b, byte(rank(u.State)))
+	return xxhash.Sum64(b)
+}
+
+// differing returns the groups that differ, nil if none does. No digests stand
+// for equal ones, digests of another length differ in all groups.
+func (d *digests) differing(other []uint64) map[int]bool {
+	if len(other) == 0 || slices.Equal(d[:], other) {
+		return nil
+	}
+	groups := make(map[int]bool, bucketCount)
+	for i := range d {
+		if len(other) != len(d) || d[i] != other[i] {
+			groups[i] = true
+		}
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/membership/swim/fault_test.go
@@ -0,0 +1,184 @@
+package swim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+)
+
+// goneTime is the time within which the death of one of n VMs of a zone is known
+// to the whole fleet: until it is probed and nobody reaches it, the suspicion,
+// and the spread of the news.
+func goneTime(n int) time.Duration {
+	probed := 2*probePeriod + pingTimeout + indirectTimeout
+	spread := time.Duration(doublings(n)) * probePeriod
+	return probed + suspicionTimeout(n) + spread + 2*linkPeriod
+}
+
+// ready returns a fleet whose members know each other.
+func ready(t *testing.T, vms, zones int) *sim {
+	t.Helper()
+	s := newFleet(1, vms, zones)
+	s.introduce()
+	s.run(5 * time.Second)
+	assert.Equal(t, s.disagreement(), "")
+	return s
+}
+
+// goneCount returns how many ends of processes a VM was told.
+func goneCount(s *sim, vm string) int { return len(s.nodes[vm].gone) }
+
+func TestFleetsJoinThroughASeed(t *testing.T) {
+	for _, test := range []struct {
+		vms, zones int
+		limit      time.Duration
+	}{
+		{2, 1, time.Second}, {8, 4, 2 * time.Second}, {40, 4, 8 * time.Second},
+	} {
+		took, wrong := newFleet(1, test.vms, test.zones).converge(test.limit)
+		assert.Equal(t, wrong, "", "%d VMs after %s", test.vms, took)
+	}
+}
+
+func TestADeathIsKnownWithinTheStatedTime(t *testing.T) {
+	for _, test := range []struct{ vms, zones int }{{3, 1}, {8, 4}, {8, 3}, {40, 4}} {
+		for victim := 1; victim < 4 && victim < test.vms; victim++ {
+			s := ready(t, test.vms, test.zones)
+			s.nodes[fmt.Sprintf("vm-%03d", victim)].down = true
+			_, wrong := s.converge(goneTime((test.vms + test.zones - 1) / test.zones))
+			assert.Equal(t, wrong, "", "%+v", test)
+		}
+	}
+}
+
+func TestAVMThatHearsFromNobodyWaitsForLonger(t *testing.T) {
+	s := ready(t, 2, 1)
+	s.nodes["vm-001"].down = true
+	s.run(2*probePeriod + pingTimeout + indirectTimeout + suspicionTimeout(2))
+	assert.Assert(t, s.disagreement() != "")
+	_, wrong := s.converge(suspicionTimeout(2))
+	assert.Equal(t, wrong, "")
+}
+
+// TestOneWayLossIsBridged cuts one direction between two VMs. Others still reach
+// both, also where the two are alone in their zone.
+func TestOneWayLossIsBridged(t *testing.T) {
+	for _, zones := range []int{1, 2} {
+		s := ready(t, 4, zones)
+		s.lost = func(from, to *simNode) bool { return from.VM == "vm-000" && to.VM == "vm-002" }
+		for range 300 {
+			s.run(100 * time.Millisecond)
+			assert.Equal(t, s.disagreement(), "", "%d zones", zones)
+		}
+	}
+}
+
+func TestAPausedVMIsGoneAndBackAndAccusesNobody(t *testing.T) {
+	s := ready(t, 6, 2)
+	paused := s.nodes["vm-002"]
+	s.pause(paused, 10*time.Second)
+	s.run(10*time.Second - time.Millisecond)
+	state, _ := s.state(s.nodes["vm-001"], paused.VM)
+	assert.Equal(t, state, membership.Gone)
+	took, wrong := s.converge(3 * time.Second)
+	assert.Equal(t, wrong, "", "%s", took)
+	assert.Equal(t, goneCount(s, paused.VM), 0)
+	assert.Equal(t, paused.counters.DeclaredGone.Load(), int64(1))
+	assert.Equal(t, paused.machine.self.Incarnation, paused.Incarnation)
+	assert.Assert(t, paused.machine.self.Refutation > 0)
+}
+
+func TestAShortPauseIsOnlySuspected(t *testing.T) {
+	s := ready(t, 6, 2)
+	s.pause(s.nodes["vm-002"], 3*time.Second)
+	for range 80 {
+		s.run(100 * time.Millisecond)
+		for vm := range s.nodes {
+			assert.Equal(t, goneCount(s, vm), 0)
+		}
+	}
+	assert.Equal(t, s.disagreement(), "")
+}
+
+// TestAZoneThatIsCutOffKeepsItsOwnView cuts off one zone. Each side takes the
+// other for gone, keeps its own members, and both are back after healing without
+// a single refutation.
+func TestAZoneThatIsCutOffKeepsItsOwnView(t *testing.T) {
+	s := ready(t, 9, 3)
+	s.lost = func(a, b *simNode) bool { return (a.Zone == "zone-b") != (b.Zone == "zone-b") }
+	s.run(zoneGoneAfter(3) + 5*time.Second)
+	for _, viewer := range s.nodes {
+		for vm, n := range s.nodes {
+			want := membership.Alive
+			if (viewer.Zone == "zone-b") != (n.Zone == "zone-b") {
+				want = membership.Gone
+			}
+			state, _ := s.state(viewer, vm)
+			assert.Equal(t, state, want, "%s of %s", viewer.VM, vm)
+		}
+	}
+	s.lost = func(_, _ *simNode) bool { return false }
+	_, wrong := s.converge(5 * time.Second)
+	assert.Equal(t, wrong, "")
+	for _, n := range s.nodes {
+		assert.Equal(t, n.counters.Refutations.Load(), int64(0), n.VM)
+	}
+}
+
+func TestAZoneWhoseVMsDieTogetherIsGone(t *testing.T) {
+	s := ready(t, 6, 3)
+	for _, n := range s.nodes {
+		n.down = n.Zone == "zone-b"
+	}
+	_, wrong := s.converge(zoneGoneAfter(2) + time.Second)
+	assert.Equal(t, wrong, "")
+	assert.Equal(t, goneCount(s, "vm-000"), 2)
+}
+
+func TestARestartedVMSupersedesItsFormerIncarnation(t *testing.T) {
+	s := ready(t, 4, 2)
+	former := s.nodes["vm-003"].machine.self.member()
+	s.start("vm-003", former.Zone, "10.9.9.9:7400")
+	_, wrong := s.converge(5 * time.Second)
+	assert.Equal(t, wrong, "")
+	for _, vm := range []string{"vm-000", "vm-001", "vm-002"} {
+		_, told := s.nodes[vm].gone[detailOf(&former)]
+		assert.Assert(t, told && goneCount(s, vm) == 1, "%s: %v", vm, s.nodes[vm].gone)
+	}
+}
+
+func TestAnAddressThatIsTakenOverEndsItsFormerVM(t *testing.T) {
+	s := ready(t, 4, 2)
+	former := s.nodes["vm-003"]
+	s.start("vm-new", former.Zone, former.Address)
+	took, wrong := s.converge(4 * time.Second)
+	assert.Equal(t, wrong, "", "%s", took)
+	assert.Assert(t, took < minSuspicion, "by the address, not by a time-out")
+}
+
+// TestCostPerVMDoesNotGrowWithTheFleet compares the busiest VM of fleets of
+// equal numbers of zones.
+func TestCostPerVMDoesNotGrowWithTheFleet(t *testing.T) {
+	const (
+		seconds       = 10
+		messagesBound = 20
+		bytesBound    = 3000
+	)
+	for _, vms := range []int{8, 80} {
+		s := newFleet(1, vms, 4)
+		s.introduce()
+		s.run(time.Second)
+		for _, n := range s.nodes {
+			n.bytes, n.messages = 0, 0
+		}
+		s.run(seconds * time.Second)
+		for _, n := range s.nodes {
+			assert.Assert(t, n.messages <= messagesBound*seconds, "%d VMs: %d messages", vms, n.messages)
+			assert.Assert(t, n.bytes <= bytesBound*seconds, "%d VMs: %d bytes", vms, n.bytes)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/swim/machine.go
@@ -0,0 +1,329 @@
+package swim
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+)
+
+// identity names a VM and its process.
+type identity struct {
+	VM, Zone, Address string
+	Incarnation       uint64
+}
+
+// machine decides on probes and on what is believed of members. It is not safe
+// for concurrent use; time comes with each call.
+type machine struct {
+	self     *record
+	random   *rand.Rand
+	counters *Counters
+
+	records    map[string]*record
+	digests    digests
+	spread     spread
+	pulses     map[string]*zonePulse
+	candidates candidates
+	listed     map[string]string
+	// cached is the topology, nil after a change.
+	cached *topology
+
+	sequence uint64
+	lastCall uint64
+	calls    map[uint64]*pendingCall
+
+	order     []string
+	linkTurn  int
+	lastTick  time.Time
+	nextProbe time.Time
+	nextLink  time.Time
+	nextSync  time.Time
+	nextJoin  time.Time
+	lastHeard time.Time
+
+	changes []change
+	// changed says that a record changed since the last takeChanges, zoneStates
+	// holds the states of zones at that time.
+	changed    bool
+	zoneStates map[string]membership.State
+}
+
+// pendingCall is a call whose outcome is awaited.
+type pendingCall struct {
+	call
+	started time.Time
+	probe   *probe
+	// pulls counts the exchanges that led to this one.
+	pulls int
+}
+
+// change is a change of what is believed of a member.
+type change struct {
+	member membership.Member
+	// former is the state before, empty if the member is new.
+	former membership.State
+}
+
+func newMachine(now time.Time, self identity, random *rand.Rand, counters *Counters) *machine {
+	m := &machine{
+		random:     random,
+		counters:   counters,
+		records:    make(map[string]*record),
+		spread:     newSpread(),
+		pulses:     make(map[string]*zonePulse),
+		candidates: newCandidates(),
+		calls:      make(map[uint64]*pendingCall),
+		zoneStates: make(map[string]membership.State),
+		lastTick:   now,
+		nextProbe:  now.Add(randomDuration(random, probePeriod)),
+		nextLink:   now.Add(randomDuration(random, linkPeriod)),
+		nextSync:   now.Add(randomDuration(random, syncPeriod)),
+		nextJoin:   now,
+		lastHeard:  now,
+	}
+	m.self = &record{since: now, update: update{
+		VM: self.VM, Zone: self.Zone, Address: self.Address,
+		Incarnation: self.Incarnation, State: membership.Alive,
+	}}
+	m.records[self.VM] = m.self
+	m.digests.toggle(&m.self.update)
+	m.changed = true
+	m.beat(now)
+	return m
+}
+
+func randomDuration(random *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(random.Int64N(int64(limit)))
+}
+
+// tick returns the calls that are due. It is called every tickPeriod.
+func (m *machine) tick(now time.Time) []call {
+	m.forgivePause(now)
+	m.expireSuspicions(now)
+	m.forgetGone(now)
+	if m.left() {
+		return nil
+	}
+	var calls []call
+	if due(now, &m.nextProbe, probePeriod) {
+		m.beat(now)
+		calls = append(calls, m.startProbe(now)...)
+	}
+	if due(now, &m.nextLink, linkPeriod) {
+		calls = append(calls, m.startLink(now)...)
+	}
+	if due(now, &m.nextSync, syncPeriod) {
+		calls = append(calls, m.startSync(now)...)
+	}
+	if due(now, &m.nextJoin, joinPeriod) {
+		calls = append(calls, m.startJoin(now)...)
+	}
+	return calls
+}
+
+// due reports whether a periodic action is due and sets its next time. Periods
+// that were missed are not made up for.
+func due(now time.Time, next *time.Time, period time.Duration) bool {
+	if now.Before(*next) {
+		return false
+	}
+	*next = next.Add(period)
+	if next.Before(now) {
+		*next = now.Add(period)
+	}
+	return true
+}
+
+// forgivePause moves all deadlines by the time that this process was paused,
+// in which it could not hear from others.
+func (m *machine) forgivePause(now time.Time) {
+	paused := now.Sub(m.lastTick)
+	m.lastTick = now
+	if paused < pauseThreshold {
+		return
+	}
+	m.counters.Pauses.Add(1)
+	for _, r := range m.records {
+		if r.State == membership.Suspect {
+			r.since = r.since.Add(paused)
+		}
+	}
+	for _, p := range m.pulses {
+		p.risen = p.risen.Add(paused)
+	}
+}
+
+// expireSuspicions declares suspects of the own zone gone that did not refute.
+func (m *machine) expireSuspicions(now time.Time) {
+	for _, r := range m.records {
+		if r.State == membership.Suspect && r.Zone == m.self.Zone && m.suspicionOver(now, r) {
+			m.accuse(now, r, membership.Gone)
+		}
+	}
+}
+
+// suspicionOver reports whether a suspect's time is over. A VM that hears from
+// nobody is likely cut off itself and waits for longer.
+func (m *machine) suspicionOver(now time.Time, r *record) bool {
+	timeout := suspicionTimeout(m.topology().zoneSize())
+	if m.lastHeard.Before(r.since) {
+		timeout *= isolationFactor
+	}
+	return now.Sub(r.since) >= timeout
+}
+
+// accuse sets a worse state of a member and spreads it.
+func (m *machine) accuse(now time.Time, r *record, state membership.State) {
+	accused := r.update
+	accused.State = state
+	if !accused.supersedes(&r.update) {
+		return
+	}
+	if state == membership.Suspect {
+		m.counters.Suspicions.Add(1)
+	}
+	m.store(now, r, accused)
+}
+
+// store sets what is known of a member and spreads it.
+func (m *machine) store(now time.Time, r *record, u update) {
+	m.digests.toggle(&r.update)
+	if u.Incarnation != r.Incarnation {
+		m.supersede(r)
+	}
+	if u.State != r.State || u.Incarnation != r.Incarnation {
+		r.since = now
+	}
+	moved := u.Address != r.Address
+	r.update = u
+	m.digests.toggle(&r.update)
+	m.spread.add(u.VM)
+	m.cached, m.changed = nil, true
+	if moved {
+		m.releaseAddress(now, r)
+	}
+}
+
+// supersede reports that the incarnation of a record is gone.
+func (m *machine) supersede(r *record) {
+	if r.Incarnation != 0 && r.reported != membership.Gone && r.VM != m.self.VM {
+		former := r.member()
+		former.State = membership.Gone
+		m.changes = append(m.changes, change{member: former, former: r.reported})
+	}
+	r.reported = ""
+	r.window = replayWindow{}
+}
+
+// releaseAddress declares members gone whose address a younger process of
+// another name has taken over.
+func (m *machine) releaseAddress(now time.Time, taker *record) {
+	if taker.State == membership.Gone {
+		return
+	}
+	for _, r := range m.records {
+		former := r != taker && r.VM != m.self.VM && r.Address == taker.Address
+		if former && r.State != membership.Gone && r.Incarnation < taker.Incarnation {
+			m.accuse(now, r, membership.Gone)
+		}
+	}
+}
+
+// forgetGone drops members that have been gone for long.
+func (m *machine) forgetGone(now time.Time) {
+	for vm, r := range m.records {
+		if r.State == membership.Gone && r.reported == membership.Gone && r != m.self && now.Sub(r.since) >= goneRetention {
+			delete(m.records, vm)
+			delete(m.spread.sent, vm)
+		}
+	}
+}
+
+// takeChanges returns the changes since the last call, in order of VM names.
+func (m *machine) takeChanges(now time.Time) []change {
+	if !m.hasChanged(now) {
+		return nil
+	}
+	for _, vm := range sortedKeys(m.records) {
+		r := m.records[vm]
+		state := m.effective(now, r)
+		if r.reported == state && r.reportedDraining == r.Draining {
+			continue
+		}
+		seen := r.member()
+		seen.State = state
+		m.changes = append(m.changes, change{member: seen, former: r.reported})
+		r.reported, r.reportedDraining = state, r.Draining
+	}
+	changes := m.changes
+	m.changes = nil
+	return changes
+}
+
+// hasChanged reports whether a record or the state of a zone has changed since
+// the last call.
+func (m *machine) hasChanged(now time.Time) bool {
+	changed := m.changed
+	m.changed = false
+	for zone := range m.pulses {
+		state := m.zoneState(now, zone)
+		changed = changed || m.zoneStates[zone] != state
+		m.zoneStates[zone] = state
+	}
+	return changed
+}
+
+// members returns all members that are alive or suspect, in order of names.
+func (m *machine) members(now time.Time) []membership.Member {
+	members := make([]membership.Member, 0, len(m.records))
+	for _, r := range m.records {
+		seen := r.member()
+		seen.State = m.effective(now, r)
+		if seen.State != membership.Gone {
+			members = append(members, seen)
+		}
+	}
+	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(a.VM, b.VM) })
+	return members
+}
+
+// setDraining announces that this VM takes no new requests.
+func (m *machine) setDraining(now time.Time) {
+	if m.self.Draining || m.left() {
+		return
+	}
+	changed := m.self.update
+	changed.Draining = true
+	changed.Refutation++
+	m.store(now, m.self, changed)
+}
+
+// leave announces that this VM ends and returns the calls that tell others.
+func (m *machine) leave(now time.Time) []call {
+	if m.left() {
+		return nil
+	}
+	changed := m.self.update
+	changed.State = membership.Gone
+	changed.Draining = true
+	changed.Refutation++
+	m.store(now, m.self, changed)
+	var calls []call
+	told := m.pick(m.topology().near, leaveCalls)
+	for _, zone := range m.topology().zones {
+		told = append(told, m.pick(m.topology().far[zone], 1)...)
+	}
+	for _, r := range told {
+		calls = append(calls, m.exchange(now, r.Address, r.VM, 0))
+	}
+	return calls
+}
+
+// left reports whether this VM has announced its end.
+func (m *machine) left() bool { return m.self.State == membership.Gone }
+
+func sortedKeys[V any](values map[string]V) []string { return slices.Sorted(maps.Keys(values)) }
--- /dev/null
+++ b/internal/membership/swim/pulse.go
@@ -0,0 +1,85 @@
+package swim
+
+import (
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+)
+
+// maxPulse bounds a count, so that a forged one cannot overflow.
+const maxPulse = 1 << 63
+
+// zonePulse is what the machine knows of the heartbeats of a zone.
+type zonePulse struct {
+	count uint64
+	// risen is the time at which count rose last.
+	risen time.Time
+}
+
+// beat raises the count of the own zone.
+func (m *machine) beat(now time.Time) {
+	own := m.zonePulse(now, m.self.Zone)
+	own.count = max(own.count+1, m.self.Incarnation%maxPulse)
+	own.risen = now
+}
+
+// zonePulse returns the pulse of a zone; a zone that is new counts as heard now.
+func (m *machine) zonePulse(now time.Time, zone string) *zonePulse {
+	p, ok := m.pulses[zone]
+	if !ok {
+		p = &zonePulse{risen: now}
+		m.pulses[zone] = p
+	}
+	return p
+}
+
+// mergePulses takes in counts that are higher than the known ones.
+func (m *machine) mergePulses(now time.Time, pulses []pulse) {
+	for _, received := range pulses {
+		if !validName(received.Zone) || received.Count >= maxPulse {
+			continue
+		}
+		if _, known := m.pulses[received.Zone]; !known && len(m.pulses) >= maxZones {
+			continue
+		}
+		p := m.zonePulse(now, received.Zone)
+		if received.Count > p.count {
+			p.count = received.Count
+			p.risen = now
+		}
+	}
+}
+
+func (m *machine) currentPulses() []pulse {
+	pulses := make([]pulse, 0, len(m.pulses))
+	for _, zone := range sortedKeys(m.pulses) {
+		pulses = append(pulses, pulse{Zone: zone, Count: m.pulses[zone].count})
+	}
+	return pulses
+}
+
+// zoneState is the state of another zone as a whole.
+func (m *machine) zoneState(now time.Time, zone string) membership.State {
+	p, ok := m.pulses[zone]
+	if zone == m.self.Zone || !ok {
+		return membership.Alive
+	}
+	silent, size := now.Sub(p.risen), m.topology().zoneSize()
+	switch {
+	case silent >= zoneGoneAfter(size):
+		return membership.Gone
+	case silent >= zoneSuspectAfter(size):
+		return membership.Suspect
+	default:
+		return membership.Alive
+	}
+}
+
+// effective is the state of a member that the view shows: that of its record,
+// or that of its zone if worse.
+func (m *machine) effective(now time.Time, r *record) membership.State {
+	if zone := m.zoneState(now, r.Zone); rank(zone) > rank(r.State) {
+		return zone
+	}
+	return r.State
+}
--- /dev/null
+++ b/internal/membership/swim/service.go
@@ -0,0 +1,217 @@
+package swim
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// Params are the inputs of a Service.
+type Params struct {
+	// VM, Zone and Address are this VM's name, availability zone and address for
+	// peers.
+	VM, Zone, Address string
+	// Incarnation rises with each start of the process; not 0.
+	Incarnation uint64
+	// Seeds are addresses of peers that are asked first.
+	Seeds  []string
+	Dialer peer.Dialer
+	Events timeline.Recorder
+	// Random picks whom to probe.
+	Random *rand.Rand
+}
+
+// Service keeps this VM's view of the members. It is safe for concurrent use.
+type Service struct {
+	params   Params
+	counters Counters
+	view     atomic.Pointer[view]
+	running  sync.WaitGroup
+
+	mu      sync.Mutex
+	machine *machine
+	// changes are those that subscribers have not been told yet.
+	changes []change
+	changed chan struct{}
+	// subscribers are called by Run.
+	subscribers []func(membership.Member)
+}
+
+var _ membership.View = (*Service)(nil)
+
+// view is an immutable snapshot.
+type view struct {
+	self    membership.Member
+	members []membership.Member
+}
+
+// New returns a service that takes part once Run runs and Peer is served.
+func New(params Params) *Service {
+	s := &Service{params: params, changed: make(chan struct{}, 1)}
+	self := identity{VM: params.VM, Zone: params.Zone, Address: params.Address, Incarnation: params.Incarnation}
+	now := time.Now()
+	s.machine = newMachine(now, self, params.Random, &s.counters)
+	for _, address := range params.Seeds {
+		s.machine.candidates.seeds[address] = ""
+	}
+	s.publish(now)
+	return s
+}
+
+// Self implements membership.View.
+func (s *Service) Self() membership.Member { return s.view.Load().self }
+
+// Members implements membership.View.
+func (s *Service) Members() []membership.Member { return s.view.Load().members }
+
+// Vars returns the counters of the service.
+func (s *Service) Vars() *expvar.Map {
+	vars := metrics.Fields(&s.counters)
+	for _, state := range []membership.State{membership.Alive, membership.Suspect} {
+		vars.Set("members_"+string(state), expvar.Func(func() any { return s.count(state) }))
+	}
+	return vars
+}
+
+func (s *Service) count(state membership.State) int {
+	n := 0
+	for _, m := range s.Members() {
+		if m.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+// OnGone registers a function that Run calls for each incarnation of another VM
+// that is gone or superseded by a younger one. It must not block and is
+// registered before Run.
+func (s *Service) OnGone(notify func(membership.Member)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, notify)
+}
+
+// SetDraining announces that this VM takes no new requests.
+func (s *Service) SetDraining() {
+	s.do(func(now time.Time, m *machine) []call {
+		m.setDraining(now)
+		return nil
+	})
+}
+
+// ApplyList takes the platform's list of VMs as a hint.
+func (s *Service) ApplyList(list vmlist.List) {
+	listed := make(map[string]string, len(list.VMs))
+	for _, vm := range list.VMs {
+		listed[vm.Address] = vm.Name
+	}
+	s.do(func(now time.Time, m *machine) []call {
+		m.hint(now, listed)
+		return nil
+	})
+}
+
+// ApplyConfiguration takes the entry VMs of a configuration; others are not
+// taken as members any more.
+func (s *Service) ApplyConfiguration(snapshot *configuration.Snapshot) {
+	if snapshot == nil {
+		return
+	}
+	var vms []configuredVM
+	for _, vm := range snapshot.Fleet().VMs {
+		vms = append(vms, configuredVM{VM: vm.Name, Zone: vm.Zone, Address: vm.Address})
+	}
+	s.do(func(now time.Time, m *machine) []call {
+		m.configure(now, vms)
+		return nil
+	})
+}
+
+// Run takes part in the membership until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	defer s.running.Wait()
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		s.start(ctx, s.do(func(now time.Time, m *machine) []call { return m.tick(now) }))
+		s.notify()
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// Leave tells others that this VM ends, and returns once the calls are answered
+// or the context ends. The VM then counts as gone.
+func (s *Service) Leave(ctx context.Context) {
+	calls := s.do(func(now time.Time, m *machine) []call { return m.leave(now) })
+	var told sync.WaitGroup
+	for _, c := range calls {
+		told.Go(func() { s.make(ctx, c) })
+	}
+	told.Wait()
+}
+
+// do runs a step of the machine, publishes the view and returns the calls to make.
+func (s *Service) do(step func(now time.Time, m *machine) []call) []call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	calls := step(now, s.machine)
+	s.publish(now)
+	return calls
+}
+
+// publish stores a new view if anything has changed.
+func (s *Service) publish(now time.Time) {
+	changes := s.machine.takeChanges(now)
+	if len(changes) == 0 {
+		return
+	}
+	s.view.Store(&view{self: s.machine.self.member(), members: s.machine.members(now)})
+	s.changes = append(s.changes, changes...)
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// notify records the changes and tells subscribers of members that are gone.
+func (s *Service) notify() {
+	s.mu.Lock()
+	changes := s.changes
+	s.changes = nil
+	s.mu.Unlock()
+	for i := range changes {
+		s.tell(&changes[i])
+	}
+}
+
+func (s *Service) tell(c *change) {
+	if c.member.VM == s.params.VM {
+		return
+	}
+	if c.member.State != c.former {
+		s.params.Events.Record(kindOf(c.member.State), "", detailOf(&c.member))
+	}
+	if c.member.State != membership.Gone || c.former == membership.Gone {
+		return
+	}
+	for _, notify := range s.subscribers {
+		notify(c.member)
+	}
+}
--- /dev/null
+++ b/internal/membership/swim/topology.go
@@ -0,0 +1,80 @@
+package swim
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+)
+
+// topology is what follows from the set of members that are not gone. It is
+// computed anew after a change.
+type topology struct {
+	// near are the other members of the own zone, far those of other zones by
+	// zone; all in order of names.
+	near []*record
+	far  map[string][]*record
+	// zones are the other zones in order, links those that this VM is linked to.
+	zones, links []string
+}
+
+// zoneSize returns the number of members of the own zone, this VM included.
+func (t *topology) zoneSize() int { return len(t.near) + 1 }
+
+// topology returns the topology in force.
+func (m *machine) topology() *topology {
+	if m.cached != nil {
+		return m.cached
+	}
+	t := &topology{far: make(map[string][]*record)}
+	for _, vm := range sortedKeys(m.records) {
+		r := m.records[vm]
+		switch {
+		case r == m.self || r.State == membership.Gone:
+		case r.Zone == m.self.Zone:
+			t.near = append(t.near, r)
+		default:
+			t.far[r.Zone] = append(t.far[r.Zone], r)
+		}
+	}
+	t.zones = sortedKeys(t.far)
+	own := append(slices.Clone(t.near), m.self)
+	for _, zone := range t.zones {
+		if slices.Contains(firstOf(own, m.self.Zone, zone, linkSenders), m.self) {
+			t.links = append(t.links, zone)
+		}
+	}
+	m.cached = t
+	return t
+}
+
+// firstOf returns the n members of a zone that rendezvous hashing puts first for
+// the link to another zone.
+func firstOf(members []*record, zone, other string, n int) []*record {
+	weight := func(r *record) uint64 { return xxhash.Sum64String(zone + "\x00" + other + "\x00" + r.VM) }
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.VM, b.VM))
+	})
+	return sorted[:min(n, len(sorted))]
+}
+
+// pick returns at most n records at random.
+func (m *machine) pick(records []*record, n int) []*record {
+	shuffled := slices.Clone(records)
+	m.random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	return shuffled[:min(n, len(shuffled))]
+}
+
+// filter returns the records that meet a condition.
+func filter(records []*record, condition func(*record) bool) []*record {
+	var met []*record
+	for _, r := range records {
+		if condition(r) {
+			met = append(met, r)
+		}
+	}
+	return met
+}
--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -9,17 +9,16 @@
 	"sync/atomic"
 )
 
-// Caller is the process that sent a request to the Server.
+// Caller is the process at the other end of a call.
 type Caller struct {
-	// Names are the names in the caller's certificate; nil if the Server works
-	// without certificates.
+	// Names are the names in its certificate; nil without certificates.
 	Names []string
 	// Authenticated says that the names were verified.
 	Authenticated bool
 }
 
-// MaySpeakFor reports whether a message of the caller may be from a VM. Without
-// certificates every caller may speak for every VM.
+// MaySpeakFor reports whether a message of the process may be from a VM.
+// Without certificates every process may speak for every VM.
 func (c Caller) MaySpeakFor(vm string) bool {
 	return !c.Authenticated || slices.Contains(c.Names, vm)
 }
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -95,7 +95,11 @@
 // RoundTrip implements http.RoundTripper.
 func (r roundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
 	r.dialer.renew()
-	return r.dialer.transport.RoundTrip(request)
+	response, err := r.dialer.transport.RoundTrip(request)
+	if err == nil {
+		storeResponder(request.Context(), response)
+	}
+	return response, err
 }
 
 func (d *HTTPDialer) renew() {
