Cancel the engine work of entry VMs that are gone

Engine memory stayed held for a dead VM's requests wherever an engine did not notice the closed connection.

For each engine two survivors, chosen by rendezvous hashing, cancel by incarnation: one at once, one 3 s later. Cancels are repeated with an exponential delay until they are acknowledged with no memory held, the engine leaves the configuration, the VM is seen alive, or 10 minutes have passed; at most 50 a second are sent. Every further death plans the recent ones anew. Where no entry VM of the engine's zone is seen, the engine must have answered for 5 s first, so that a zone that heals is not cut off its live work. Owners of reservations are told too.

With two stand-in engines that ignore closed connections the dead VM's memory is freed and a living VM's stream goes on.

--- /dev/null
+++ b/internal/orphan/errors.go
@@ -0,0 +1,8 @@
+package orphan
+
+import "github.com/joomcode/errorx"
+
+var namespace = errorx.NewNamespace("orphan").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// errStillHeld means that an engine has not yet released all memory.
+var errStillHeld = namespace.NewType("still-held")
--- /dev/null
+++ b/internal/orphan/plan.go
@@ -0,0 +1,105 @@
+package orphan
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+)
+
+const (
+	// actors is the number of VMs that cancel on one engine.
+	actors = 2
+	// backupDelay is how much later the second VM acts. It also ends attempts
+	// that reached the engine behind the first cancel.
+	backupDelay = 3 * time.Second
+)
+
+// process names an incarnation of an entry VM that is gone.
+type process struct {
+	vm          string
+	incarnation uint64
+}
+
+// String formats the process as "<vm>.<incarnation>".
+func (p process) String() string { return p.vm + "." + strconv.FormatUint(p.incarnation, 10) }
+
+// assignment is one engine on which this VM cancels.
+type assignment struct {
+	engine string
+	delay  time.Duration
+	// remote says that the engine's zone has no entry VM left that is seen from
+	// here. The zone may be cut off rather than dead.
+	remote bool
+}
+
+// plan returns the engines on which a VM cancels the work of a process.
+func plan(gone process, self string, members []membership.Member, engines []*configuration.Endpoint) []assignment {
+	var assigned []assignment
+	for _, e := range engines {
+		candidates, remote := candidatesFor(gone, e.Zone, members)
+		position := slices.Index(first(candidates, gone, e.Name), self)
+		if position < 0 {
+			continue
+		}
+		delay := time.Duration(position) * backupDelay
+		assigned = append(assigned, assignment{engine: e.Name, delay: delay, remote: remote})
+	}
+	return assigned
+}
+
+// candidatesFor returns the VMs that may act on the engines of a zone: those of
+// the zone, else those of other zones.
+func candidatesFor(gone process, zone string, members []membership.Member) (names []string, remote bool) {
+	var near, far []string
+	for i := range members {
+		m := &members[i]
+		switch {
+		case m.VM == gone.vm && m.Incarnation == gone.incarnation, m.State != membership.Alive, m.Draining:
+		case m.Zone == zone:
+			near = append(near, m.VM)
+		default:
+			far = append(far, m.VM)
+		}
+	}
+	if len(near) > 0 {
+		return near, false
+	}
+	return far, true
+}
+
+// first returns the VMs that rendezvous hashing puts first for an engine.
+func first(names []string, gone process, engine string) []string {
+	weight := func(vm string) uint64 { return xxhash.Sum64String(gone.String() + "\x00" + engine + "\x00" + vm) }
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
+	})
+	return names[:min(actors, len(names))]
+}
+
+// enginesOf returns the engines of a configuration.
+func enginesOf(snapshot *configuration.Snapshot) []*configuration.Endpoint {
+	if snapshot == nil {
+		return nil
+	}
+	endpoints := snapshot.Fleet().Endpoints
+	var engines []*configuration.Endpoint
+	for i := range endpoints {
+		if endpoints[i].Kind == configuration.KindEngine {
+			engines = append(engines, &endpoints[i])
+		}
+	}
+	return engines
+}
+
+// isAlive reports whether a process is seen alive.
+func isAlive(p process, members []membership.Member) bool {
+	return slices.ContainsFunc(members, func(m membership.Member) bool {
+		return m.VM == p.vm && m.Incarnation == p.incarnation && m.State == membership.Alive
+	})
+}
--- /dev/null
+++ b/internal/orphan/service.go
@@ -0,0 +1,219 @@
+package orphan
+
+import (
+	"context"
+	"expvar"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+const (
+	// callsPerSecond and callBurst bound the cancels that this VM sends, so that
+	// the death of many VMs makes no burst.
+	callsPerSecond = 50
+	callBurst      = 20
+	// callsInFlight bounds the calls at one time.
+	callsInFlight = 16
+	callTimeout   = 2 * time.Second
+	// idleWait is the longest time between two looks at the queue.
+	idleWait = time.Second
+	// maxDeaths bounds the processes that are remembered as gone, and maxTasks
+	// the cancels that are planned.
+	maxDeaths = 1024
+	maxTasks  = 16384
+)
+
+// Configuration yields the snapshot in force.
+type Configuration interface {
+	Snapshot() *configuration.Snapshot
+}
+
+// Clients finds engine clients by endpoint name.
+type Clients interface {
+	Engine(name string) (engine.Client, bool)
+}
+
+// Holders frees what a process held of engines.
+type Holders interface {
+	HolderGone(vm string, incarnation uint64)
+}
+
+// Params are the inputs of a Service.
+type Params struct {
+	View          membership.View
+	Configuration Configuration
+	Clients       Clients
+	Events        timeline.Recorder
+	// Holders may be nil.
+	Holders Holders
+}
+
+// counters count what the service did.
+type counters struct {
+	// Deaths counts processes that are gone, Refuted those that proved to be
+	// alive.
+	Deaths, Refuted atomic.Int64
+	// Sent counts calls, Failed those without an acknowledgement, Confirmed
+	// cancels that an engine acknowledged.
+	Sent, Failed, Confirmed atomic.Int64
+	// Abandoned counts cancels that were given up, EngineGone those whose engine
+	// left the configuration.
+	Abandoned, EngineGone atomic.Int64
+	// Pending is the number of cancels not yet acknowledged.
+	Pending atomic.Int64
+}
+
+// death is a process that is gone.
+type death struct {
+	at time.Time
+	// finished are the engines on which nothing is left to do for this VM.
+	finished map[string]bool
+}
+
+// Service cancels the engine work of processes that are gone. MemberGone may be
+// called from any goroutine.
+type Service struct {
+	params   Params
+	counters counters
+	limiter  *rate.Limiter
+	// engines returns the engines of the configuration in force.
+	engines func() []*configuration.Endpoint
+
+	mu sync.Mutex
+	// reported are deaths that Run has not taken yet.
+	reported []process
+	kick     chan struct{}
+
+	// What follows belongs to Run.
+	deaths  map[process]*death
+	queue   *queue
+	looks   map[string]*look
+	results chan result
+	flying  int
+}
+
+// result is the outcome of one call.
+type result struct {
+	// task is nil for a look.
+	task *task
+	// engine is the engine that was looked at.
+	engine string
+	err    error
+	// answered is the outcome of a look.
+	answered bool
+	// unknown says that the engine has left the configuration.
+	unknown bool
+}
+
+// New returns a service that works while Run runs.
+func New(params Params) *Service {
+	return &Service{
+		params:  params,
+		engines: func() []*configuration.Endpoint { return enginesOf(params.Configuration.Snapshot()) },
+		limiter: rate.NewLimiter(callsPerSecond, callBurst),
+		kick:    make(chan struct{}, 1),
+		deaths:  make(map[process]*death),
+		queue:   newQueue(),
+		looks:   make(map[string]*look),
+		results: make(chan result),
+	}
+}
+
+// Vars returns the counters of the service.
+func (s *Service) Vars() *expvar.Map { return metrics.Fields(&s.counters) }
+
+// MemberGone reports that an incarnation of an entry VM is gone. It does not
+// block.
+func (s *Service) MemberGone(m membership.Member) {
+	s.mu.Lock()
+	s.reported = append(s.reported, process{vm: m.VM, incarnation: m.Incarnation})
+	s.mu.Unlock()
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run cancels until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		s.takeReported(time.Now())
+		s.send(ctx, &calls)
+		timer := time.NewTimer(s.pause(time.Now()))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-s.kick:
+		case done := <-s.results:
+			s.finish(time.Now(), done)
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// takeReported takes deaths and plans the cancels anew for all recent ones,
+// since a VM that was to act may be among the dead.
+func (s *Service) takeReported(now time.Time) {
+	s.mu.Lock()
+	reported := s.reported
+	s.reported = nil
+	s.mu.Unlock()
+	if len(reported) == 0 {
+		return
+	}
+	for _, p := range reported {
+		s.counters.Deaths.Add(1)
+		s.deaths[p] = &death{at: now, finished: make(map[string]bool)}
+		if s.params.Holders != nil {
+			s.params.Holders.HolderGone(p.vm, p.incarnation)
+		}
+	}
+	s.forget(now)
+	for p, d := range s.deaths {
+		s.schedule(now, p, d)
+	}
+}
+
+// forget drops deaths that are old, and the oldest beyond the bound.
+func (s *Service) forget(now time.Time) {
+	maps.DeleteFunc(s.deaths, func(_ process, d *death) bool { return now.Sub(d.at) >= giveUpAfter })
+	if len(s.deaths) <= maxDeaths {
+		return
+	}
+	oldest := slices.SortedFunc(maps.Keys(s.deaths), func(a, b process) int {
+		return s.deaths[a].at.Compare(s.deaths[b].at)
+	})
+	for _, p := range oldest[:len(oldest)-maxDeaths] {
+		delete(s.deaths, p)
+	}
+}
+
+// schedule adds the tasks of a death that fall to this VM.
+func (s *Service) schedule(now time.Time, p process, d *death) {
+	for _, a := range plan(p, s.params.View.Self().VM, s.params.View.Members(), s.engines()) {
+		if d.finished[a.engine] || len(s.queue.known) >= maxTasks {
+			continue
+		}
+		t := &task{taskKey: taskKey{process: p, engine: a.engine}, remote: a.remote, started: now, due: now.Add(a.delay)}
+		if s.queue.add(t) {
+			s.counters.Pending.Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/orphan/standin_test.go
@@ -0,0 +1,129 @@
+package orphan
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/engine/openai"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	standin "github.com/ospreyshed/ospreyshed/internal/standin/engine"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// enginePair is a prefill and a decode engine that do not notice closed
+// connections.
+type enginePair struct {
+	prefill, decode *standin.Server
+	http            *http.Client
+}
+
+func startEngines(t *testing.T) *enginePair {
+	t.Helper()
+	p := &enginePair{http: &http.Client{Transport: &http.Transport{}}}
+	p.prefill = startEngine(t, configuration.RolePrefill)
+	p.decode = startEngine(t, configuration.RoleDecode)
+	t.Cleanup(p.http.CloseIdleConnections)
+	return p
+}
+
+func startEngine(t *testing.T, role configuration.Role) *standin.Server {
+	t.Helper()
+	server, err := standin.Start("127.0.0.1:0", standin.Options{
+		Name: string(role), Role: role, MemoryPieces: 1000, PrefillTokensPerSecond: 1e6,
+		TokenInterval: configuration.Duration(time.Second), KVBytesPerToken: 1,
+		KVRetention: configuration.Duration(time.Hour), OutputTokens: standin.Range{Min: 4000, Max: 4000},
+	})
+	assert.NilError(t, err)
+	server.SetFaults(standin.Faults{IgnoreClose: true})
+	t.Cleanup(func() { assert.NilError(t, server.Close()) })
+	return server
+}
+
+// Engine implements Clients.
+func (p *enginePair) Engine(name string) (engine.Client, bool) {
+	address := p.decode.Addr()
+	if name == string(configuration.RolePrefill) {
+		address = p.prefill.Addr()
+	}
+	return openai.New(address, p.http), true
+}
+
+// engines returns the engines of the configuration.
+func (p *enginePair) engines() []*configuration.Endpoint {
+	return []*configuration.Endpoint{
+		{Name: string(configuration.RolePrefill), Zone: "zone-a", Kind: configuration.KindEngine},
+		{Name: string(configuration.RoleDecode), Zone: "zone-a", Kind: configuration.KindEngine},
+	}
+}
+
+// work starts one decode and leaves one more prefill waiting for its decode.
+func (p *enginePair) work(ctx context.Context, t *testing.T, vm string, incarnation uint64) engine.Stream {
+	t.Helper()
+	prefill, _ := p.Engine(string(configuration.RolePrefill))
+	decode, _ := p.Engine(string(configuration.RoleDecode))
+	var kv []byte
+	for request := range uint64(2) {
+		id := engine.AttemptID{VM: vm, Incarnation: incarnation, Request: request, Attempt: 1}
+		done, err := prefill.Prefill(ctx, engine.Call{Attempt: id, Model: "drafter", Prompt: &engine.Prompt{Text: vm + id.String()}})
+		assert.NilError(t, err)
+		if request == 0 {
+			kv = done.KV
+		}
+	}
+	id := engine.AttemptID{VM: vm, Incarnation: incarnation, Request: 0, Attempt: 1}
+	stream, err := decode.Decode(ctx, engine.DecodeCall{
+		Call: engine.Call{Attempt: id, Model: "drafter", Prompt: &engine.Prompt{Text: vm + id.String()}},
+		KV:   kv, MaxTokens: 4000,
+	})
+	assert.NilError(t, err)
+	return stream
+}
+
+// held returns the memory pieces that the engines hold.
+func (p *enginePair) held() (prefill, decode int) {
+	return p.prefill.Counts().PiecesHeld, p.decode.Counts().PiecesHeld
+}
+
+// TestMemoryOfADeadVMIsFreed has two VMs work on engines that ignore closed
+// connections. One dies; its memory is freed and the other's is not touched.
+func TestMemoryOfADeadVMIsFreed(t *testing.T) {
+	p := startEngines(t)
+	living := p.work(t.Context(), t, "vm-a1", 1)
+	prefillOfOne, decodeOfOne := p.held()
+	assert.Assert(t, prefillOfOne > 0 && decodeOfOne > 0)
+	ctx, die := context.WithCancel(t.Context())
+	dying := p.work(ctx, t, dead.VM, dead.Incarnation)
+	die()
+	_ = dying.Close()
+	prefill, decode := p.held()
+	assert.Assert(t, prefill > prefillOfOne && decode > decodeOfOne, "memory is still held")
+
+	self := alive("vm-a1", "zone-a")
+	view := membership.Static{This: self, All: []membership.Member{self}}
+	service := New(Params{View: view, Clients: p, Events: timeline.Discard})
+	service.engines = p.engines
+	running, stop := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	wait.Go(func() { service.Run(running) })
+	defer wait.Wait()
+	defer stop()
+	service.MemberGone(dead)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		prefill, decode := p.held()
+		if prefill == prefillOfOne && decode == decodeOfOne {
+			return poll.Success()
+		}
+		return poll.Continue("%d and %d pieces are held", prefill, decode)
+	}, poll.WithTimeout(10*time.Second))
+	_, err := living.Next()
+	assert.NilError(t, err)
+	assert.NilError(t, living.Close())
+}
--- /dev/null
+++ b/internal/orphan/task.go
@@ -0,0 +1,104 @@
+package orphan
+
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	// initialDelay and maxDelay bound the delay between two cancels of a task;
+	// it doubles with each failure.
+	initialDelay = 100 * time.Millisecond
+	maxDelay     = 15 * time.Second
+	// giveUpAfter bounds the repeats.
+	giveUpAfter = 10 * time.Minute
+)
+
+// taskKey identifies a task.
+type taskKey struct {
+	process process
+	engine  string
+}
+
+// task is the cancel of one process on one engine.
+type task struct {
+	taskKey
+	remote   bool
+	started  time.Time
+	due      time.Time
+	failures int
+}
+
+// fail plans the next attempt and reports false if the task is given up.
+func (t *task) fail(now time.Time) bool {
+	t.due = now.Add(delayAfter(t.failures))
+	t.failures++
+	return now.Sub(t.started) < giveUpAfter
+}
+
+// delayAfter returns the delay after a number of failures.
+func delayAfter(failures int) time.Duration {
+	const maxDoublings = 16
+	return min(initialDelay<<min(failures, maxDoublings), maxDelay)
+}
+
+// queue holds tasks in the order in which they are due.
+type queue struct {
+	tasks []*task
+	known map[taskKey]*task
+}
+
+func newQueue() *queue { return &queue{known: make(map[taskKey]*task)} }
+
+// add adds a task unless there is one of its key.
+func (q *queue) add(t *task) bool {
+	if _, ok := q.known[t.taskKey]; ok {
+		return false
+	}
+	q.known[t.taskKey] = t
+	heap.Push(q, t)
+	return true
+}
+
+// next takes out the first task that is due, nil if none is. The task stays
+// known until it is returned or dropped.
+func (q *queue) next(now time.Time) *task {
+	if len(q.tasks) == 0 || q.tasks[0].due.After(now) {
+		return nil
+	}
+	return heap.Pop(q).(*task)
+}
+
+// putBack returns a task that was taken out.
+func (q *queue) putBack(t *task) { heap.Push(q, t) }
+
+// drop forgets a task that was taken out.
+func (q *queue) drop(t *task) { delete(q.known, t.taskKey) }
+
+// wait returns the time until the first task is due, at most the limit.
+func (q *queue) wait(now time.Time, limit time.Duration) time.Duration {
+	if len(q.tasks) == 0 {
+		return limit
+	}
+	return max(0, min(limit, q.tasks[0].due.Sub(now)))
+}
+
+// Len implements heap.Interface.
+func (q *queue) Len() int { return len(q.tasks) }
+
+// Less implements heap.Interface.
+func (q *queue) Less(i, j int) bool { return q.tasks[i].due.Before(q.tasks[j].due) }
+
+// Swap implements heap.Interface.
+func (q *queue) Swap(i, j int) { q.tasks[i], q.tasks[j] = q.tasks[j], q.tasks[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(t any) { q.tasks = append(q.tasks, t.(*task)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	last := len(q.tasks) - 1
+	t := q.tasks[last]
+	q.tasks = q.tasks[:last]
+	return t
+}
