--- /dev/null
+++ b/internal/measure/checks_test.go
@@ -0,0 +1,123 @@
+package measure
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/caller"
+	"github.com/ospreyshed/ospreyshed/internal/problem"
+	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
+	"github.com/ospreyshed/ospreyshed/internal/standin/plain"
+)
+
+// isType returns the predicate of an error type for assert.ErrorType.
+func isType(kind *errorx.Type) func(error) bool {
+	return func(err error) bool { return errorx.IsOfType(err, kind) }
+}
+
+var testOutputs = engine.Range{Min: 5, Max: 50}
+
+// keptEvidence is that of a run in which all promises were kept: a text, a
+// booking that ran and one that was refused as not run.
+func keptEvidence(t *testing.T) *evidence {
+	t.Helper()
+	classes, err := offeredClasses(testBundle(), testLoad())
+	assert.NilError(t, err)
+	text, book, refused := &classes[0], &classes[1], &classes[1]
+	receipt, err := json.Marshal(plain.Receipt{Path: "/book", IdempotencyKey: "k1", RequestID: "vm.1.2"})
+	assert.NilError(t, err)
+	e := &evidence{
+		outputs:  testOutputs,
+		counts:   &counts{byKey: map[string]int{"k1": 1}, byRequest: map[string]int{"vm.1.1": 2, "vm.1.2": 1}},
+		lateWork: map[string]int{"d1": 0},
+		records: []record{
+			{planned: &planned{offered: text, prompt: "hello"}, fate: fateAnswered, requestID: "vm.1.1"},
+			{planned: &planned{offered: book, key: "k1"}, fate: fateAnswered, requestID: "vm.1.2", body: receipt},
+			{planned: &planned{offered: refused, key: "k2"}, fate: fateRefused, requestID: "vm.1.3", outcome: string(problem.NotRun)},
+		},
+	}
+	e.records[0].text = expectedText(e.records[0].planned, testOutputs)
+	return e
+}
+
+// broken returns the names of the checks that failed.
+func broken(e *evidence) []string {
+	point := Point{Checks: e.check()}
+	names := []string{}
+	for _, c := range point.Broken() {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+func TestKeptPromisesPassAllChecks(t *testing.T) {
+	e := keptEvidence(t)
+	assert.DeepEqual(t, broken(e), []string{})
+	for _, c := range e.check() {
+		assert.Assert(t, c.Subjects > 0, "%s looked at nothing", c.Name)
+	}
+}
+
+func TestEveryCheckBites(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault func(e *evidence)
+		want  string
+	}{
+		{"second execution", func(e *evidence) { e.counts.byKey["k1"] = 2 }, CheckSingleExecution},
+		{"refused request ran", func(e *evidence) { e.counts.byRequest["vm.1.3"] = 1 }, CheckNotRun},
+		{"refused key ran", func(e *evidence) { e.counts.byKey["k2"] = 1 }, CheckNotRunKey},
+		{"cut answer", func(e *evidence) { e.records[0].text = e.records[0].text[1:] }, CheckOwnAnswer},
+		{"doubled answer", func(e *evidence) { e.records[0].text += e.records[0].text }, CheckOwnAnswer},
+		{"answer of another", func(e *evidence) {
+			e.records[0].text = engine.NewAnswer("other", testOutputs, 0).Text()
+		}, CheckOwnAnswer},
+		{"receipt of another key", func(e *evidence) { e.records[1].key = "k9" }, CheckOwnAnswer},
+		{"receipt of another path", func(e *evidence) { e.records[1].body = []byte(`{"path":"/x","idempotency_key":"k1"}`) }, CheckOwnAnswer},
+		{"no receipt", func(e *evidence) { e.records[1].body = nil }, CheckOwnAnswer},
+		{"second answer", func(e *evidence) { e.records = append(e.records, e.records[1]) }, CheckSingleAnswer},
+		{"memory held", func(e *evidence) { e.counts.piecesHeld = 1 }, CheckMemory},
+		{"work for a leaving endpoint", func(e *evidence) { e.lateWork["d1"] = 1 }, CheckLeaving},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := keptEvidence(t)
+			test.fault(e)
+			assert.DeepEqual(t, broken(e), []string{test.want})
+		})
+	}
+}
+
+func TestChecksWithoutCountsLookAtNothing(t *testing.T) {
+	e := keptEvidence(t)
+	e.counts = nil
+	for _, c := range e.check() {
+		needsCounts := c.Name != CheckOwnAnswer && c.Name != CheckSingleAnswer && c.Name != CheckLeaving
+		assert.Equal(t, c.Subjects == 0, needsCounts, c.Name)
+	}
+}
+
+func TestEngineExecutionsCountUnderTheirRequest(t *testing.T) {
+	c := newCounts()
+	c.addEngine(&engine.Counts{Executions: map[string]int{"vm.1.7.1": 1, "vm.1.7.2": 1, "vm.1.70.1": 1}})
+	assert.DeepEqual(t, c.byRequest, map[string]int{"vm.1.7": 2, "vm.1.70": 1})
+}
+
+func TestLatencyCountsFromTheIntendedSendTime(t *testing.T) {
+	classes, err := offeredClasses(testBundle(), testLoad())
+	assert.NilError(t, err)
+	answer := &caller.Answer{Status: 200, Tokens: 3, FirstToken: 900 * time.Millisecond, Whole: 960 * time.Millisecond,
+		Gaps: []time.Duration{30 * time.Millisecond, 30 * time.Millisecond}}
+	onTime := newRecord(&planned{offered: &classes[0]}, 0, answer, nil, false)
+	assert.Assert(t, onTime.good())
+	late := newRecord(&planned{offered: &classes[0]}, 200*time.Millisecond, answer, nil, false)
+	assert.Equal(t, late.firstToken, 1100*time.Millisecond)
+	assert.Equal(t, late.whole, 1160*time.Millisecond)
+	assert.Assert(t, !late.good())
+	answer.Whole += 2 * time.Millisecond
+	slow := newRecord(&planned{offered: &classes[0]}, 0, answer, nil, false)
+	assert.Assert(t, !slow.good(), "a mean of 31 ms between tokens misses 30 ms")
+}
