--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -20,6 +20,12 @@
 		"It shows its progress and stops by itself.",
 	new: func(b base) flags.Commander { return &measureRun{base: b} },
 	children: []command{
+		{
+			name:  "show",
+			short: "Print the tables of a result file",
+			long:  "Prints the tables of a result file and draws its plot.",
+			new:   func(b base) flags.Commander { return &measureShow{base: b} },
+		},
 		{
 			name:  "compare",
 			short: "Compare two result files",
@@ -60,19 +66,13 @@
 		Progress: newProgressLines(m.streams.Err).show,
 	}
 	result, err := measurement.Run(m.ctx)
-	return errors.Join(err, m.write(result, settings.Variants[0].Name))
+	return errors.Join(err, m.write(result))
 }
 
 // write prints the tables, writes the files and returns an error if a promise
 // was broken.
-func (m *measureRun) write(result *measure.Result, policy string) error {
-	out := m.streams.Out
-	err := errors.Join(
-		measure.WritePoints(out, result),
-		measure.WriteRefusals(out, result),
-		measure.WriteGoals(out, measure.Goals(result, policy)),
-		measure.WriteBroken(out, result),
-	)
+func (m *measureRun) write(result *measure.Result) error {
+	err := measure.WriteResult(m.streams.Out, result)
 	if m.JSON != "" {
 		err = errors.Join(err, result.WriteFile(m.JSON))
 	}
@@ -95,6 +95,30 @@
 	return os.WriteFile(file, drawn.Bytes(), plotFileMode)
 }
 
+type measureShow struct {
+	base
+
+	Plot       string `long:"plot" value-name:"FILE" description:"draw goodput and wasted prefill over load as SVG"`
+	Positional struct {
+		File string `positional-arg-name:"RESULT.json" description:"result file"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (m *measureShow) Execute(rest []string) error {
+	if err := noArguments(rest); err != nil {
+		return err
+	}
+	result, err := measure.ReadFile(m.Positional.File)
+	if err != nil {
+		return &usageError{err.Error()}
+	}
+	if m.Plot != "" {
+		err = writePlot(m.Plot, result)
+	}
+	return errors.Join(err, measure.WriteResult(m.streams.Out, result))
+}
+
 type measureCompare struct {
 	base
 
--- a/internal/measure/result_test.go
+++ b/internal/measure/result_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/xml"
-	"errors"
 	"io"
 	"path/filepath"
 	"strings"
@@ -80,7 +79,7 @@
 	r.Points[1].Checks = []Check{{Name: CheckMemory, Subjects: 1, Broken: 1, Examples: []string{"4 pieces"}}}
 	r.Points[1].Classes = []ClassSummary{{Class: "text", Summary: Summary{Refusals: map[string]int{"/problems/overloaded not-run": 7}}}}
 	var out bytes.Buffer
-	assert.NilError(t, errors.Join(WritePoints(&out, r), WriteRefusals(&out, r), WriteBroken(&out, r)))
+	assert.NilError(t, WriteResult(&out, r))
 	for _, want := range []string{"1 BROKEN", "4 pieces", CheckMemory, "/problems/overloaded not-run", "50.00 %"} {
 		assert.Assert(t, strings.Contains(out.String(), want), "%s in %s", want, out.String())
 	}
--- a/internal/measure/table.go
+++ b/internal/measure/table.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -73,6 +74,23 @@
 		m.BetweenTokens.P50, m.BetweenTokens.P95, m.BetweenTokens.P99, verdict, p.Fault)
 }
 
+// WritePlain prints a table of the classes that no model serves, of all points.
+func WritePlain(out io.Writer, r *Result) error {
+	w := newTable(out)
+	_, _ = fmt.Fprintln(w, "load\tpolicy\tclass\toffered\tgood\trefused\trepeats\twhole p50/p95/p99 ms\tsent late p99 ms\tfault\t")
+	for i := range r.Points {
+		p := &r.Points[i]
+		for j := range p.Classes {
+			if c := &p.Classes[j]; c.FirstToken.P99 == 0 {
+				_, _ = fmt.Fprintf(w, "%.2f\t%s\t%s\t%d\t%.1f %%\t%d\t%d\t%.1f/%.1f/%.1f\t%.1f\t%s\t\n",
+					p.Load, p.Variant, c.Class, c.Offered, 100*c.GoodShare, c.Refused, c.Repeats,
+					c.Whole.P50, c.Whole.P95, c.Whole.P99, c.SendDelay.P99, p.Fault)
+			}
+		}
+	}
+	return w.Flush()
+}
+
 // WriteRefusals prints the refusals of all points by type and outcome.
 func WriteRefusals(out io.Writer, r *Result) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
@@ -89,6 +107,22 @@
 	return w.Flush()
 }
 
+// WriteResult prints all tables of a result, the goals of its first variant and
+// the checks that failed.
+func WriteResult(out io.Writer, r *Result) error {
+	var goals []Goal
+	if variants := variantsOf(r); len(variants) > 0 {
+		goals = Goals(r, variants[0])
+	}
+	return errors.Join(
+		WritePoints(out, r),
+		WritePlain(out, r),
+		WriteRefusals(out, r),
+		WriteGoals(out, goals),
+		WriteBroken(out, r),
+	)
+}
+
 // WriteBroken prints the failed checks of all points.
 func WriteBroken(out io.Writer, r *Result) error {
 	for i := range r.Points {
