--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -29,6 +29,9 @@
 	CutShort = namespace.NewType("cut-short")
 	// Crossed means that an answer belonged to another attempt.
 	Crossed = namespace.NewType("crossed")
+	// StaleFencing means that the engine refused an order because it has seen a
+	// higher fencing number.
+	StaleFencing = namespace.NewType("stale-fencing", NotRun)
 	// BadAttemptID means that a text is no attempt id.
 	BadAttemptID = namespace.NewType("bad-attempt-id")
 )
--- /dev/null
+++ b/internal/engine/openai/orders.go
@@ -0,0 +1,86 @@
+package openai
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+const (
+	ordersPath = "/v1/orders"
+	statePath  = "/v1/state"
+)
+
+// wireDesired is a desired state or a state in force.
+type wireDesired struct {
+	Role     configuration.Role `json:"role"`
+	Model    string             `json:"model"`
+	Version  string             `json:"version"`
+	Adapters []string           `json:"adapters"`
+}
+
+type wireOrder struct {
+	Fencing uint64      `json:"fencing"`
+	OrderID string      `json:"order_id"`
+	Desired wireDesired `json:"desired"`
+}
+
+type wireOrderAnswer struct {
+	State engine.OrderResult `json:"state"`
+}
+
+type wireState struct {
+	wireDesired
+	Fencing       uint64 `json:"fencing"`
+	Busy          bool   `json:"busy"`
+	Leaving       bool   `json:"leaving"`
+	ChecksFencing bool   `json:"checks_fencing"`
+}
+
+// Order sends an order. The error is engine.StaleFencing if the engine has seen
+// a higher fencing number; errors without the trait engine.NotRun mean that the
+// order may be carried out.
+func (c *Client) Order(ctx context.Context, order engine.Order) (engine.OrderResult, error) {
+	wire := wireOrder{Fencing: order.Fencing, OrderID: order.ID, Desired: wireDesired(order.Desired)}
+	wire.Desired.Adapters = append([]string{}, wire.Desired.Adapters...)
+	body, err := json.Marshal(wire)
+	if err != nil {
+		return "", engine.BadRequest.Wrap(err, "order %s", order.ID)
+	}
+	resp, err := c.post(ctx, ordersPath, "", body)
+	if errorx.IsOfType(err, engine.Cancelled) {
+		return "", engine.StaleFencing.Wrap(err, "order %s", order.ID)
+	}
+	if err != nil {
+		return "", err
+	}
+	defer closeBody(resp)
+	var answer wireOrderAnswer
+	if err := decodeJSON(resp.Body, &answer); err != nil {
+		return "", engine.Unavailable.Wrap(err, "answer to order %s", order.ID)
+	}
+	if !slices.Contains([]engine.OrderResult{engine.OrderAccepted, engine.OrderInForce}, answer.State) {
+		return "", engine.Unavailable.New("order %s was answered %q", order.ID, answer.State)
+	}
+	return answer.State, nil
+}
+
+// State reads the engine's state in force.
+func (c *Client) State(ctx context.Context) (engine.State, error) {
+	var wire wireState
+	if err := c.get(ctx, statePath, &wire); err != nil {
+		return engine.State{}, err
+	}
+	return engine.State{
+		Desired:       engine.Desired(wire.wireDesired),
+		Fencing:       wire.Fencing,
+		Busy:          wire.Busy,
+		Leaving:       wire.Leaving,
+		ChecksFencing: wire.ChecksFencing,
+	}, nil
+}
--- /dev/null
+++ b/internal/engine/order.go
@@ -0,0 +1,54 @@
+package engine
+
+import (
+	"slices"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// Desired is the state that an order asks an engine for. Orders are idempotent.
+type Desired struct {
+	Role     configuration.Role
+	Model    string
+	Version  string
+	Adapters []string
+}
+
+// Equal reports whether two states are the same.
+func (d *Desired) Equal(other *Desired) bool {
+	return d.Role == other.Role && d.Model == other.Model && d.Version == other.Version &&
+		slices.Equal(d.Adapters, other.Adapters)
+}
+
+// Order asks an engine for a state.
+type Order struct {
+	// Fencing is the sender's fencing number.
+	Fencing uint64
+	// ID is unique per order.
+	ID      string
+	Desired Desired
+}
+
+// OrderResult is an engine's answer to an order that it took.
+type OrderResult string
+
+// The answers to an order.
+const (
+	// OrderAccepted means that the engine carries the order out.
+	OrderAccepted OrderResult = "accepted"
+	// OrderInForce means that the engine is in the desired state already.
+	OrderInForce OrderResult = "in-force"
+)
+
+// State is an engine's report of its state in force; it does not lag.
+type State struct {
+	Desired
+	// Fencing is the highest fencing number that the engine has seen, or the
+	// latest one if it does not check them.
+	Fencing uint64
+	// Busy says that the engine carries an order out.
+	Busy    bool
+	Leaving bool
+	// ChecksFencing says whether the engine refuses old fencing numbers.
+	ChecksFencing bool
+}
