Reconcile engines with the configuration under a lease

A changed model, version, adapter or role in the configuration reached no engine. The lease holder of a zone and model now reads states back, takes a bounded share of engines out of service through the lease's records and sends idempotent orders with its fencing number.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,7 @@
 		fx.Provide(func() logrus.FieldLogger { return log }),
 		platformModule,
 		controlModule,
+		ordersModule,
 		pathModule,
 		serverModule,
 		fx.Populate(&d.callers, &d.peers, &d.store, &d.metrics),
--- /dev/null
+++ b/internal/daemon/orders.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine/openai"
+	"github.com/ospreyshed/ospreyshed/internal/lease"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/order"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// ordersModule provides the leases and the orders to engines.
+var ordersModule = fx.Module("orders",
+	fx.Provide(newLeases),
+	fx.Invoke(runReconciler),
+)
+
+// leaseParams are the collaborators of the leases.
+type leaseParams struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Log       logservice.Service
+	Appender  *logservice.Appender
+	View      membership.View
+	Events    timeline.Recorder
+	Metrics   *metrics.Registry
+}
+
+func newLeases(p leaseParams) *lease.Manager {
+	leases := lease.NewManager(lease.Dependencies{
+		Log:      p.Log,
+		Appender: p.Appender,
+		View:     p.View,
+		Events:   p.Events,
+	}, lease.DefaultTerms())
+	p.Metrics.Mount("lease", metrics.Fields(&leases.Counters))
+	background(p.Lifecycle, func(ctx context.Context) { _ = leases.Run(ctx) })
+	return leases
+}
+
+// reconcilerParams are the collaborators of the reconciler. It stops before the
+// leases do.
+type reconcilerParams struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Identity  Identity
+	Leases    *lease.Manager
+	Pool      *openai.Pool
+	Store     *configuration.Store
+	Events    timeline.Recorder
+	Metrics   *metrics.Registry
+}
+
+func runReconciler(p reconcilerParams) {
+	reconciler := order.New(order.Options{
+		Zone:          p.Identity.Zone,
+		Leases:        p.Leases,
+		Engines:       func(name string) (order.Engine, bool) { return orderedEngine(p.Pool, name) },
+		Configuration: p.Store,
+		Events:        p.Events,
+	})
+	p.Metrics.Mount("order", metrics.Fields(&reconciler.Counters))
+	background(p.Lifecycle, func(ctx context.Context) { _ = reconciler.Run(ctx) })
+}
+
+// orderedEngine returns an engine whose adapter takes orders.
+func orderedEngine(pool *openai.Pool, name string) (order.Engine, bool) {
+	client, found := pool.Engine(name)
+	if !found {
+		return nil, false
+	}
+	ordered, ok := client.(order.Engine)
+	return ordered, ok
+}
--- a/internal/daemon/path.go
+++ b/internal/daemon/path.go
@@ -13,6 +13,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/engine/openai"
 	"github.com/ospreyshed/ospreyshed/internal/forward"
 	"github.com/ospreyshed/ospreyshed/internal/gateway"
+	"github.com/ospreyshed/ospreyshed/internal/lease"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
@@ -67,13 +68,13 @@
 	return c
 }
 
-func newReservation(lifecycle fx.Lifecycle, view membership.View, dialer peer.Dialer, store *configuration.Store, endpoints *endpoint.Registry) *reservation.Service {
+func newReservation(lifecycle fx.Lifecycle, view membership.View, dialer peer.Dialer, store *configuration.Store, endpoints *endpoint.Registry, leases *lease.Manager) *reservation.Service {
 	service := reservation.New(reservation.Params{
 		View:   view,
 		Dialer: dialer,
 		Fleet:  func() reservation.Fleet { return fleetOf(store) },
 		Conditions: func(name string) reservation.Condition {
-			leaving := endpoints.Leaving(name)
+			leaving := endpoints.Leaving(name) || leases.Excluded(name)
 			return reservation.Condition{Leaving: leaving, Ejected: !leaving && !endpoints.Usable(name)}
 		},
 	})
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -14,6 +14,8 @@
 		endpointGroup,
 		claimGroup,
 		answerGroup,
+		leaseGroup,
+		orderGroup,
 		appenderGroup,
 		healthGroup,
 		tailerGroup,
--- /dev/null
+++ b/internal/order/budget.go
@@ -0,0 +1,43 @@
+package order
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// weightBudget limits the bytes that one pool takes from the weight store. It
+// begins empty, because a former holder may have used the share just now.
+type weightBudget struct {
+	limiter *rate.Limiter
+	bytes   int64
+	share   float64
+}
+
+// poolShare returns a pool's part of the weight store's rate in bytes per
+// second: zones share it evenly, and so do the pools of a zone. 0 means no limit.
+func poolShare(fleet *configuration.Fleet, pools int) float64 {
+	parts := max(1, len(fleet.Zones)*pools)
+	return float64(fleet.WeightStoreBytesPerSecond) / float64(parts)
+}
+
+// set adapts the budget to the configuration: the size of the model's weights
+// and the pool's share of the store's rate.
+func (b *weightBudget) set(weightBytes int64, share float64, now time.Time) {
+	if b.bytes == weightBytes && b.share == share {
+		return
+	}
+	b.bytes, b.share = weightBytes, share
+	b.limiter = nil
+	if weightBytes > 0 && share > 0 {
+		b.limiter = rate.NewLimiter(rate.Limit(share), int(weightBytes))
+		b.limiter.AllowN(now, int(weightBytes))
+	}
+}
+
+// take reports whether the weights may be loaded once more, and takes their size.
+func (b *weightBudget) take(now time.Time) bool {
+	return b.limiter == nil || b.limiter.AllowN(now, int(b.bytes))
+}
--- /dev/null
+++ b/internal/order/reading.go
@@ -0,0 +1,95 @@
+package order
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+// readTimeout bounds the read of an engine's state or load.
+const readTimeout = time.Second
+
+// reading is what one pass knows of an engine.
+type reading struct {
+	endpoint *configuration.Endpoint
+	desired  engine.Desired
+	state    engine.State
+	readable bool
+}
+
+// converged reports whether the engine is in its desired state.
+func (r *reading) converged() bool {
+	return r.readable && !r.state.Busy && r.state.Equal(&r.desired)
+}
+
+// serving reports whether the engine takes work in a role of a model.
+func (r *reading) serving(model string, role configuration.Role) bool {
+	return r.readable && !r.state.Busy && !r.state.Leaving && r.state.Model == model && r.state.Role == role
+}
+
+// loads reports whether the desired state needs weights.
+func (r *reading) loads() bool {
+	return r.state.Model != r.desired.Model || r.state.Version != r.desired.Version
+}
+
+// misplaced reports whether the engine is of another role or model than the
+// configuration routes to it.
+func (r *reading) misplaced() bool {
+	return r.state.Model != r.desired.Model || r.state.Role != r.desired.Role
+}
+
+// needsDrain reports whether requests on the engine should end first. A change
+// of version or adapters lets them go on.
+func (r *reading) needsDrain() bool { return !r.state.Busy && r.misplaced() }
+
+// desiredState returns the state that the configuration asks for. A version that
+// is left open is the one in force.
+func desiredState(e *configuration.Endpoint, state *engine.State) engine.Desired {
+	desired := engine.Desired{Role: e.Role, Model: e.Model, Version: e.Version, Adapters: e.Adapters}
+	if desired.Version == "" && state.Model == e.Model {
+		desired.Version = state.Version
+	}
+	return desired
+}
+
+// read reads the states of engines back.
+func (r *Reconciler) read(ctx context.Context, endpoints []*configuration.Endpoint) []*reading {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	readings := make([]*reading, len(endpoints))
+	var calls sync.WaitGroup
+	for i, e := range endpoints {
+		calls.Go(func() { readings[i] = r.readOne(ctx, e) })
+	}
+	calls.Wait()
+	return readings
+}
+
+func (r *Reconciler) readOne(ctx context.Context, e *configuration.Endpoint) *reading {
+	result := &reading{endpoint: e}
+	if client, found := r.options.Engines(e.Name); found {
+		state, err := client.State(ctx)
+		result.state = state
+		result.readable = err == nil
+	}
+	if !result.readable {
+		r.Counters.Unreadable.Add(1)
+	}
+	result.desired = desiredState(e, &result.state)
+	return result
+}
+
+// idle reports whether an engine says that it does nothing.
+func (r *Reconciler) idle(ctx context.Context, name string) bool {
+	client, found := r.options.Engines(name)
+	if !found {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	load, err := client.Load(ctx)
+	return err == nil && load.Active == 0 && load.Queued == 0
+}
--- /dev/null
+++ b/internal/order/send.go
@@ -0,0 +1,110 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// orderTimeout bounds one order's call.
+const orderTimeout = 2 * time.Second
+
+// advance takes a task one step further.
+func (r *Reconciler) advance(ctx context.Context, snapshot *configuration.Snapshot, p *pool, reading *reading, t *task) {
+	if !reading.readable || !r.ready(ctx, snapshot, reading, t) {
+		return
+	}
+	now := time.Now()
+	if t.awaitsEffect(reading, now) {
+		return
+	}
+	if !t.pay(reading, &p.budget, now) {
+		r.Counters.WeightWaits.Add(1)
+		return
+	}
+	r.send(ctx, p, reading, t)
+}
+
+// ready reports whether the engine is out of service, and drained if need be.
+func (r *Reconciler) ready(ctx context.Context, snapshot *configuration.Snapshot, reading *reading, t *task) bool {
+	name := reading.endpoint.Name
+	now := time.Now()
+	t.observeExclusion(r.options.Leases.Excluded(name), now)
+	if !t.settled(now) {
+		return false
+	}
+	if !reading.needsDrain() {
+		return true
+	}
+	t.observeIdle(r.idle(ctx, name), now)
+	if t.drained(now) {
+		return true
+	}
+	if now.Sub(t.excluded) < snapshot.Fleet().Times.DrainLimit.D() {
+		return false
+	}
+	r.Counters.DrainTimeouts.Add(1)
+	return true
+}
+
+// send sends the order of a desired state. The lease is asked for right before,
+// and the call ends with it.
+func (r *Reconciler) send(ctx context.Context, p *pool, reading *reading, t *task) {
+	client, found := r.options.Engines(reading.endpoint.Name)
+	if !found {
+		return
+	}
+	p.sequence++
+	order := engine.Order{Desired: reading.desired}
+	grant, held := r.options.Leases.Held(p.lease)
+	if !held {
+		r.Counters.NoLease.Add(1)
+		return
+	}
+	order.Fencing = grant.Fencing
+	order.ID = fmt.Sprintf("%s/%d/%d", p.lease, grant.Fencing, p.sequence)
+	ctx, cancel := context.WithDeadline(ctx, earlier(grant.Until, time.Now().Add(orderTimeout)))
+	defer cancel()
+	r.Counters.Sent.Add(1)
+	r.options.Events.Record(timeline.OrderSent, "", fmt.Sprintf("%s %s %s", order.ID, reading.endpoint.Name, describe(&order.Desired)))
+	_, err := client.Order(ctx, order)
+	r.settle(p, t, &order, err)
+}
+
+// settle notes the outcome of an order. One whose answer was lost is repeated
+// after its engine was read back.
+func (r *Reconciler) settle(p *pool, t *task, order *engine.Order, err error) {
+	switch {
+	case err == nil:
+		t.sent = order
+		t.sentAt = time.Now()
+	case errorx.IsOfType(err, engine.StaleFencing):
+		r.Counters.Stale.Add(1)
+		r.options.Leases.Raise(p.lease)
+	default:
+		r.Counters.Failed.Add(1)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// describe formats a state for the time line.
+func describe(d *engine.Desired) string {
+	text := fmt.Sprintf("%s %s version %s", d.Role, d.Model, d.Version)
+	if len(d.Adapters) > 0 {
+		text += " adapters " + strings.Join(d.Adapters, ",")
+	}
+	return text
+}
