Test leases and orders under pauses, lost answers and outages

Schedules with fixed seeds disturb two candidates by pauses, cuts, outages and lost answers; the check rejects a holder that judges by the time of the answer and a successor without wait-out.

--- /dev/null
+++ b/internal/lease/schedule_test.go
@@ -0,0 +1,303 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice/logtest"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+const poolLease = "zone-a/drafter"
+
+// gate stops the calls of a paused VM.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{}
+}
+
+func (g *gate) pause(period time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened != nil {
+		return
+	}
+	opened := make(chan struct{})
+	g.opened = opened
+	time.AfterFunc(period, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.opened = nil
+		close(opened)
+	})
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	opened := g.opened
+	g.mu.Unlock()
+	if opened != nil {
+		<-opened
+	}
+}
+
+// pausedLog is the log as a VM sees it that may be paused before and after each
+// call, or cut off from the log.
+type pausedLog struct {
+	logservice.Service
+	gate gate
+	cut  atomic.Bool
+}
+
+func (l *pausedLog) Append(ctx context.Context, stream string, entries []logservice.Entry) (uint64, error) {
+	l.gate.pass()
+	if l.cut.Load() {
+		return 0, logservice.Outage.New("cut off")
+	}
+	defer l.gate.pass()
+	return l.Service.Append(ctx, stream, entries)
+}
+
+func (l *pausedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logservice.Page, error) {
+	l.gate.pass()
+	defer l.gate.pass()
+	if l.cut.Load() {
+		return logservice.Page{}, logservice.Unreadable.New("cut off")
+	}
+	return l.Service.Read(ctx, stream, from, limit, wait)
+}
+
+// vm is a candidate under test.
+type vm struct {
+	name    string
+	log     *pausedLog
+	manager *Manager
+	naive   *naiveJudge
+}
+
+// startVM runs a manager until the context ends.
+func startVM(ctx context.Context, t *testing.T, running *sync.WaitGroup, log logservice.Service, name string, vmTerms Terms) *vm {
+	members := []membership.Member{
+		{VM: "vm-a", Zone: "zone-a", Incarnation: 1, State: membership.Alive},
+		{VM: "vm-b", Zone: "zone-a", Incarnation: 1, State: membership.Alive},
+	}
+	view := membership.Static{This: members[0], All: members}
+	if name == members[1].VM {
+		view.This = members[1]
+	}
+	v := &vm{name: name, log: &pausedLog{Service: log}}
+	appender, err := logservice.NewAppender(v.log, logservice.AppenderOptions{})
+	assert.NilError(t, err)
+	v.manager = NewManager(Dependencies{Log: v.log, Appender: appender, View: view, Events: timeline.Discard}, vmTerms)
+	v.manager.Want([]string{poolLease})
+	v.naive = &naiveJudge{fold: NewFold(vmTerms), holder: v.manager.holder, terms: vmTerms}
+	tailer := logservice.NewTailer(v.log, logservice.TailerOptions{Stream: Stream})
+	running.Go(func() { _ = tailer.Run(ctx, v.naive.apply) })
+	running.Go(func() {
+		_ = v.manager.Run(ctx)
+		appender.Close()
+	})
+	return v
+}
+
+// naiveJudge takes a lease for held from when its record was read back: the
+// answer may be old by then.
+type naiveJudge struct {
+	holder Holder
+	terms  Terms
+
+	mu    sync.Mutex
+	fold  *Fold
+	grant Grant
+}
+
+func (j *naiveJudge) apply(batch logservice.Batch) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, logged := range batch.Records {
+		record, verdict := j.fold.Apply(logged)
+		if record.Holder == j.holder && (verdict == Acquired || verdict == Renewed) {
+			state, _ := j.fold.Get(record.Lease)
+			j.grant = grantFrom(state.Fencing, time.Now(), &j.terms)
+		}
+	}
+}
+
+func (j *naiveJudge) held() (Grant, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.grant, j.grant.Valid()
+}
+
+// target is an engine that ignores fencing numbers and notes old ones.
+type target struct {
+	mu      sync.Mutex
+	vm      string
+	fencing uint64
+	took    int
+	// handovers counts changes of the sender.
+	handovers int
+	wrong     string
+}
+
+func (g *target) take(vm string, fencing uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.took++
+	if vm != g.vm && g.took > 1 && fencing < g.fencing {
+		g.wrong = fmt.Sprintf("%s sent under %d after %s under %d", vm, fencing, g.vm, g.fencing)
+	}
+	if g.took > 1 && vm != g.vm {
+		g.handovers++
+	}
+	if fencing >= g.fencing {
+		g.vm, g.fencing = vm, fencing
+	}
+}
+
+// longestDelay is that of a message, below what margin and wait-out cover.
+var longestDelay = terms.Margin + terms.WaitOut - time.Second
+
+// sender sends by a grant whenever it holds one; each message takes a while.
+func (v *vm) sender(ctx context.Context, to *target, held func() (Grant, bool), random *rand.Rand, running *sync.WaitGroup) {
+	for ctx.Err() == nil {
+		time.Sleep(200 * time.Millisecond)
+		v.log.gate.pass()
+		grant, ok := held()
+		if !ok {
+			continue
+		}
+		delay := time.Duration(random.IntN(2)) * longestDelay
+		running.Go(func() {
+			time.Sleep(delay)
+			to.take(v.name, grant.Fencing)
+		})
+	}
+}
+
+// disturbance is one action of a schedule.
+type disturbance struct {
+	After  int // seconds
+	Kind   int
+	Length int // seconds
+}
+
+func drawDisturbance(t *rapid.T) disturbance {
+	return disturbance{
+		After:  rapid.IntRange(0, 15).Draw(t, "after"),
+		Kind:   rapid.IntRange(0, 6).Draw(t, "kind"),
+		Length: rapid.IntRange(1, 40).Draw(t, "length"),
+	}
+}
+
+// variant is what a schedule runs with.
+type variant struct {
+	terms Terms
+	// naive judges leases by the time of the answer.
+	naive bool
+}
+
+// runSchedule disturbs two candidates and returns their engine.
+func runSchedule(t *testing.T, seed uint64, schedule []disturbance, with variant) *target {
+	to := &target{}
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		var mu sync.Mutex
+		lossy := false
+		log := logtest.New(logtest.Options{Latency: time.Millisecond, Faults: func(string, []logservice.Entry) logtest.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if !lossy {
+				return logtest.Fault{}
+			}
+			return logtest.Fault{
+				LoseAnswer: random.IntN(2) == 0, LoseRequest: random.IntN(4) == 0,
+				Delay: time.Duration(random.IntN(8)) * time.Second,
+			}
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var vms []*vm
+		for i, name := range []string{"vm-a", "vm-b"} {
+			v := startVM(ctx, t, &running, log, name, with.terms)
+			held := func() (Grant, bool) { return v.manager.Held(poolLease) }
+			if with.naive {
+				held = v.naive.held
+			}
+			dice := rand.New(rand.NewPCG(seed, uint64(i)))
+			running.Go(func() { v.sender(ctx, to, held, dice, &running) })
+			vms = append(vms, v)
+		}
+		for _, d := range schedule {
+			time.Sleep(time.Duration(d.After) * time.Second)
+			length := time.Duration(d.Length) * time.Second
+			switch d.Kind {
+			case 0, 1:
+				vms[d.Kind].log.gate.pause(length)
+			case 2, 3:
+				cut := &vms[d.Kind-2].log.cut
+				cut.Store(true)
+				time.AfterFunc(length, func() { cut.Store(false) })
+			case 4:
+				log.SetAway(true)
+				time.AfterFunc(length, func() { log.SetAway(false) })
+			default:
+				mu.Lock()
+				lossy = d.Kind == 5
+				mu.Unlock()
+			}
+		}
+		time.Sleep(time.Minute)
+		cancel()
+		running.Wait()
+	})
+	return to
+}
+
+func drawSchedule(t *rapid.T) (uint64, []disturbance) {
+	return rapid.Uint64().Draw(t, "seed"), rapid.SliceOfN(rapid.Custom(drawDisturbance), 2, 10).Draw(t, "schedule")
+}
+
+func TestNoOrderOfAFormerHolderArrivesAfterItsSuccessors(t *testing.T) {
+	setChecks(t, "60")
+	handovers := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		seed, schedule := drawSchedule(rt)
+		to := runSchedule(t, seed, schedule, variant{terms: terms})
+		if to.wrong != "" {
+			rt.Fatal(to.wrong)
+		}
+		handovers += to.handovers
+	})
+	assert.Assert(t, handovers > 0, "no schedule has a successor")
+}
+
+func TestCheckRejectsBrokenVariants(t *testing.T) {
+	setChecks(t, "40")
+	noWaitOut := terms
+	noWaitOut.WaitOut = 0
+	for name, broken := range map[string]variant{
+		"judged by the time of the answer": {terms: terms, naive: true},
+		"successor without wait-out":       {terms: noWaitOut},
+	} {
+		found := 0
+		rapid.Check(t, func(rt *rapid.T) {
+			seed, schedule := drawSchedule(rt)
+			if runSchedule(t, seed, schedule, broken).wrong != "" {
+				found++
+			}
+		})
+		assert.Assert(t, found > 0, "no schedule rejects: %s", name)
+	}
+}
--- a/internal/order/pool.go
+++ b/internal/order/pool.go
@@ -17,10 +17,10 @@
 	// fencing is that of the lease by which the rest was learnt.
 	fencing uint64
 	held    bool
-	// generation is that of the configuration last reconciled with.
-	generation uint64
-	due        time.Time
-	tasks      map[string]*task
+	// snapshot is the configuration last reconciled with.
+	snapshot *configuration.Snapshot
+	due      time.Time
+	tasks    map[string]*task
 	// converged are the engines last seen in their desired state.
 	converged map[string]bool
 	budget    weightBudget
@@ -53,7 +53,7 @@
 	}
 	readings := r.read(ctx, engines(snapshot, p.model, r.options.Zone))
 	p.setBudget(snapshot, pools)
-	r.confirm(p, snapshot.Generation(), readings)
+	r.confirm(p, snapshot, readings)
 	r.takeOut(ctx, snapshot, p, readings)
 	r.options.Leases.Exclude(p.lease, p.excluded(readings))
 	for _, reading := range readings {
@@ -61,7 +61,7 @@
 			r.advance(ctx, snapshot, p, reading, t)
 		}
 	}
-	p.schedule(snapshot.Generation(), len(readings))
+	p.schedule(snapshot, len(readings))
 }
 
 // excluded returns the engines that get no new work: those with a task, and those
@@ -84,13 +84,13 @@
 		p.due = time.Time{}
 	}
 	p.fencing = grant.Fencing
-	return snapshot.Generation() != p.generation || !time.Now().Before(p.due)
+	return snapshot != p.snapshot || !time.Now().Before(p.due)
 }
 
 // schedule sets the time of the next pass: the next tick while an engine is not
 // in its desired state.
-func (p *pool) schedule(generation uint64, engines int) {
-	p.generation = generation
+func (p *pool) schedule(snapshot *configuration.Snapshot, engines int) {
+	p.snapshot = snapshot
 	p.due = time.Time{}
 	if len(p.converged) == engines {
 		p.due = time.Now().Add(quietInterval)
@@ -107,24 +107,24 @@
 
 // confirm ends the tasks of engines that are in their desired state and drops
 // those of engines that are no longer configured.
-func (r *Reconciler) confirm(p *pool, generation uint64, readings []*reading) {
+func (r *Reconciler) confirm(p *pool, snapshot *configuration.Snapshot, readings []*reading) {
 	configured := make(map[string]bool, len(readings))
 	for _, reading := range readings {
 		name := reading.endpoint.Name
 		configured[name] = true
-		r.confirmOne(p, generation, reading)
+		r.confirmOne(p, snapshot, reading)
 	}
 	maps.DeleteFunc(p.tasks, func(name string, _ *task) bool { return !configured[name] })
 	maps.DeleteFunc(p.converged, func(name string, _ bool) bool { return !configured[name] })
 }
 
-func (r *Reconciler) confirmOne(p *pool, generation uint64, reading *reading) {
+func (r *Reconciler) confirmOne(p *pool, snapshot *configuration.Snapshot, reading *reading) {
 	name := reading.endpoint.Name
 	if reading.readable && reading.state.ChecksFencing && reading.state.Fencing > p.fencing {
 		r.options.Leases.Raise(p.lease)
 	}
 	if !reading.converged() {
-		if reading.readable && p.converged[name] && p.generation == generation {
+		if reading.readable && p.converged[name] && p.snapshot == snapshot {
 			r.Counters.Diverged.Add(1)
 		}
 		delete(p.converged, name)
