--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -20,7 +20,6 @@
 var controlModule = fx.Module("control",
 	fx.Provide(
 		newStore,
-		newView,
 		newKeys,
 		handler(timelinerpc.NewHandler),
 		handler(func(store *configuration.Store, view membership.View) peer.Handler {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,6 +77,7 @@
 		fx.Provide(func() logrus.FieldLogger { return log }),
 		platformModule,
 		controlModule,
+		membersModule,
 		ordersModule,
 		pathModule,
 		serverModule,
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -18,7 +20,11 @@
 
 // newPeerOptions loads the certificates of the transport between entry VMs.
 func newPeerOptions(conf *settings.Settings, log logrus.FieldLogger, registry *metrics.Registry) (peer.Options, error) {
-	options := peer.Options{Listen: conf.Peers.Listen, Insecure: conf.Peers.Insecure}
+	listen, err := withPort(conf.Peers.Listen)
+	if err != nil {
+		return peer.Options{}, err
+	}
+	options := peer.Options{Listen: listen, Insecure: conf.Peers.Insecure}
 	if conf.Peers.TLS == nil {
 		return options, nil
 	}
@@ -31,6 +37,21 @@
 	return options, nil
 }
 
+// withPort replaces port 0 by a free port, which peers have to be told before
+// the listener opens.
+func withPort(address string) (string, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() != 0 {
+		return address, err
+	}
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
 func newDialer(lifecycle fx.Lifecycle, options peer.Options, registry *metrics.Registry) peer.Dialer {
 	dialer := peer.NewDialer(options)
 	registry.Mount("peer_dialer", dialer.Vars())
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -14,6 +14,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/gateway"
+	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
@@ -33,6 +34,7 @@
 	settings *settings.Settings
 	gateway  *gateway.Gateway
 	keys     *keys
+	members  *swim.Service
 	store    *configuration.Store
 	events   timeline.Recorder
 	log      logrus.FieldLogger
@@ -52,6 +54,7 @@
 	Events    timeline.Recorder
 	Log       logrus.FieldLogger
 	Peers     *peerServer
+	Members   *swim.Service
 }
 
 func newCallerServer(p callerParams) *callerServer {
@@ -59,6 +62,7 @@
 		settings: p.Settings,
 		gateway:  p.Gateway,
 		keys:     p.Keys,
+		members:  p.Members,
 		store:    p.Store,
 		events:   p.Events,
 		log:      p.Log,
@@ -124,6 +128,7 @@
 	s.log.Info("draining")
 	lag, limit := s.periods()
 	s.gateway.Drain()
+	s.members.SetDraining()
 	pause(ctx, lag)
 	drain, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -135,6 +140,7 @@
 	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
 	defer cancelFlush()
 	s.keys.flush(flush)
+	s.members.Leave(flush)
 	s.events.Record(timeline.ShutdownFinished, "", "")
 	s.log.Info("drained")
 	return err
--- a/internal/localsite/golden_test.go
+++ b/internal/localsite/golden_test.go
@@ -41,15 +41,20 @@
 	taps    map[string]*tap
 	clients map[string]*caller.Client
 	said    strings.Builder
+	// asked counts the requests to each entry VM.
+	asked map[string]int
 }
 
+// claimAndOutcome is the number of appends of one keyed call.
+const claimAndOutcome = 2
+
 // sessionTokens is the length of every answer.
 const sessionTokens = 4
 
 // newSession starts a deployment that is recorded.
 func newSession(t *testing.T, tune func(*standin.Options)) *session {
 	t.Helper()
-	s := &session{t: t, taps: make(map[string]*tap), clients: make(map[string]*caller.Client)}
+	s := &session{t: t, taps: make(map[string]*tap), clients: make(map[string]*caller.Client), asked: make(map[string]int)}
 	site, err := Start(t.Context(), Options{Bundle: sessionBundle(t), Via: s.via, Tune: func(options *standin.Options) {
 		for i := range options.Engines {
 			options.Engines[i].OutputTokens = engine.Range{Min: sessionTokens, Max: sessionTokens}
@@ -109,6 +114,7 @@
 		fmt.Fprintf(&s.said, " key %s", request.Key)
 	}
 	fmt.Fprintf(&s.said, "\n  %s\n", request.Body)
+	s.asked[vm]++
 	answer, err := s.clients[vm].Do(ctx, request)
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -144,31 +150,69 @@
 }
 
 // awaitEvent waits until the time line has an event of a kind.
-func (s *session) awaitEvent(kind timeline.Kind) {
+func (s *session) awaitEvent(kind timeline.Kind) { s.awaitEvents(kind, 1) }
+
+// awaitEvents waits until the time line has a number of events of a kind.
+func (s *session) awaitEvents(kind timeline.Kind, want int) {
 	s.t.Helper()
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
-		if slices.ContainsFunc(s.events(), func(e timeline.Event) bool { return e.Kind == kind }) {
-			return poll.Success()
+		got := 0
+		for _, e := range s.events() {
+			if e.Kind == kind {
+				got++
+			}
+		}
+		if got < want {
+			return poll.Continue("%d of %d %s", got, want, kind)
 		}
-		return poll.Continue("no %s", kind)
+		return poll.Success()
 	}, poll.WithTimeout(eventually))
 }
 
-// awaitAppends waits until the log has taken a number of appends: one for each
-// publish, claim and outcome.
-func (s *session) awaitAppends(want uint64) {
+// awaitClaimRecords waits until the log has answered a number of appends of claims
+// and outcomes.
+func (s *session) awaitClaimRecords(want int) {
 	s.t.Helper()
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
-		if got := s.Platform.Log.Counts().Appends; got < want {
+		got := 0
+		for _, name := range s.tapNames() {
+			got += strings.Count(s.taps[name].transcript(), "/claims-")
+		}
+		if got < want {
 			return poll.Continue("%d of %d appends", got, want)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(eventually))
 }
 
+// awaitEnds waits until the time line has the end of every request to an entry VM
+// that still runs: callers may have their answers a little earlier.
+func (s *session) awaitEnds() {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		missing := 0
+		for vm, asked := range s.asked {
+			if _, running := s.VMs[vm]; running {
+				missing += asked
+			}
+		}
+		for _, e := range s.events() {
+			switch e.Kind {
+			case timeline.RequestAnswered, timeline.RequestRefused, timeline.RequestFailed, timeline.CallerGone:
+				missing--
+			}
+		}
+		if missing > 0 {
+			return poll.Continue("%d requests have not ended", missing)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(eventually))
+}
+
 // check compares the session with its golden file.
 func (s *session) check(name string) {
 	s.t.Helper()
+	s.awaitEnds()
 	var text strings.Builder
 	text.WriteString(s.said.String())
 	text.WriteString("\ntime line:\n")
@@ -205,7 +249,7 @@
 func concurrent(kind timeline.Kind) bool {
 	switch kind {
 	case timeline.CancelSent, timeline.CancelConfirmed, timeline.SlotReleased, timeline.ClaimOutcome,
-		timeline.ConfigurationSet:
+		timeline.ConfigurationSet, timeline.OrphanCancelled:
 		return true
 	}
 	return false
@@ -235,6 +279,7 @@
 	with    string
 }{
 	{regexp.MustCompile(`(entry-[a-z])[.](\d{12,})`), "$1.INCARNATION"},
+	{regexp.MustCompile(`(/v1/incarnations/entry-[a-z])/\d+`), "$1/INCARNATION"},
 	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}`), "KEY"},
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
 	{regexp.MustCompile(`"remote_port":\d+`), `"remote_port":PORT`},
@@ -294,7 +339,7 @@
 	s := newSession(t, nil)
 	booking := bookingOf(newKey(t))
 	s.ask(t.Context(), "entry-a", booking)
-	s.awaitAppends(3)
+	s.awaitClaimRecords(claimAndOutcome)
 	s.note("the outcome is recorded")
 	s.ask(t.Context(), "entry-a", booking)
 	s.check("booking")
@@ -305,7 +350,7 @@
 	setPlainFaults(s.Site, plain.Faults{LoseNextReplies: 1})
 	s.note("the next reply of the service is lost")
 	s.ask(t.Context(), "entry-a", bookingOf(newKey(t)))
-	s.awaitAppends(3)
+	s.awaitClaimRecords(claimAndOutcome)
 	s.check("booking-lost-reply")
 }
 
@@ -374,6 +419,8 @@
 	s.note("entry-a is told to stop")
 	assert.NilError(t, s.StopVM(context.Background(), "entry-a"))
 	<-asked
+	s.note("entry-b makes sure that the engines hold nothing of it")
+	s.awaitEvents(timeline.OrphanCancelled, len(s.Platform.Engines))
 	s.check("shutdown")
 }
 
@@ -398,6 +445,6 @@
 	s.note("healed")
 	s.awaitEvent(timeline.LogBack)
 	s.ask(t.Context(), "entry-a", booking)
-	s.awaitAppends(4)
+	s.awaitClaimRecords(claimAndOutcome)
 	s.check("partition")
 }
--- a/internal/localsite/tap_test.go
+++ b/internal/localsite/tap_test.go
@@ -54,6 +54,9 @@
 	case "/v1/load", "/v1/vms", "/v1/cache/events", "/v1/state":
 		return true
 	}
+	if strings.HasPrefix(r.URL.Path, "/v1/streams/leases") {
+		return true
+	}
 	return r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/v1/streams/")
 }
 
