--- a/internal/reservation/link.go
+++ b/internal/reservation/link.go
@@ -53,16 +53,13 @@
 			if l.service.dropLink(l) {
 				return
 			}
-			if l.send(ctx, true) {
-				l.send(ctx, true)
-			}
+			l.send(ctx, true)
 		}
 	}
 }
 
-// send reports progress and, with lists, all that is held. It reports whether
-// the owner asks for whole records.
-func (l *link) send(ctx context.Context, lists bool) bool {
+// send reports progress and, with lists, all that is held.
+func (l *link) send(ctx context.Context, lists bool) {
 	keys := l.service.keysOwnedBy(l.vm)
 	taken := make(map[routeKey][]scheduling.Progress)
 	request := l.service.heartbeatRequest()
@@ -76,7 +73,7 @@
 		}
 	}
 	if len(request.Progress) == 0 && len(request.Models) == 0 {
-		return false
+		return
 	}
 	response, err := l.call(ctx, request)
 	if err != nil {
@@ -84,24 +81,22 @@
 			l.service.holdings.restore(key, progress)
 		}
 		l.fail(ctx)
-		return false
+		return
 	}
 	l.failed = 0
 	l.service.router.markReachable(l.vm)
-	return lists && l.note(keys, response)
+	if lists {
+		l.note(keys, response)
+	}
 }
 
-// note records of which models the owner knows all that is held. It reports
-// whether any is missing that whole records can complete.
-func (l *link) note(keys []routeKey, response *reservationv1.HeartbeatResponse) bool {
-	missing := false
+// note records of which models the owner knows all that is held. For the others
+// the next heartbeat carries whole records.
+func (l *link) note(keys []routeKey, response *reservationv1.HeartbeatResponse) {
 	for _, key := range keys {
-		was := l.known[key]
 		incomplete := slices.Contains(response.GetIncomplete(), key.model)
 		l.known[key] = !incomplete && !slices.Contains(response.GetNotOwned(), key.model)
-		missing = missing || was && incomplete
 	}
-	return missing
 }
 
 func (l *link) call(ctx context.Context, request *reservationv1.HeartbeatRequest) (*reservationv1.HeartbeatResponse, error) {
