Correct a prefill engine's rate under load as well

Cause: only prefills that found their engine idle corrected its rate, and under load hardly any does.

Change: behind another prefill the duration counts from that one's end.

--- a/internal/scheduling/engines.go
+++ b/internal/scheduling/engines.go
@@ -150,6 +150,8 @@
 
 	// lastPrefill is the time of the last grant on a prefill engine.
 	lastPrefill time.Time
+	// lastDone is when the last prefill was reported as done.
+	lastDone time.Time
 	// cacheInDoubt says that an eviction may have been missed.
 	cacheInDoubt bool
 
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -57,11 +57,14 @@
 		tokens = h.promptTokens
 	}
 	base := seconds(float64(tokens-p.Cached) / c.predict.model.PrefillTokensPerSecond)
-	// Only a prefill that found the engine idle shows the engine's rate;
-	// behind another one its duration holds the wait as well.
-	if h.foundIdle {
-		h.prefill.prefillRatio.observe(p.Elapsed, base)
+	elapsed := p.Elapsed
+	// Behind another prefill the duration holds the wait as well, which ended
+	// when that one was reported.
+	if !h.foundIdle {
+		elapsed = min(elapsed, now.Sub(h.prefill.lastDone))
 	}
+	h.prefill.lastDone = now
+	h.prefill.prefillRatio.observe(elapsed, base)
 }
 
 // shiftRunning moves the predicted ends of the prefills in flight after the
--- a/internal/scheduling/policy_table_test.go
+++ b/internal/scheduling/policy_table_test.go
@@ -182,3 +182,14 @@
 		}
 	}
 }
+
+func TestWrongFiguresAreCorrected(t *testing.T) {
+	slow := dossiers
+	slow.slowdown = 1.5
+	sim := runPool(PolicyReservation, slow, 2.0, tableLength, tableSeed)
+	assert.Equal(t, sim.result(tableWarmUp, tableLength).late, 0)
+	for _, a := range sim.policies[0].(*Coordinator).pool.prefill {
+		ratio := a.prefillRatio.ratio()
+		assert.Check(t, ratio > 1.45 && ratio < 1.55, "%s: %.2f", a.Name, ratio)
+	}
+}
