Take no early start that may miss the first token target

Cause: the risk of a late slot was weighed as waste only. At twice the capacity 58 of 4987 admitted short prompts came too late, each a broken promise.

Change: an early start needs a probability below 0.1 % that the slot is free too late for the target.

--- a/internal/scheduling/overlap.go
+++ b/internal/scheduling/overlap.go
@@ -41,9 +41,8 @@
 		if !ok {
 			continue
 		}
-		horizon := c.latestSlot(w, p, a, transfer).Sub(now)
-		risk := c.riskOfNoSlot(now, a, horizon)
-		if risk < best {
+		risk := c.riskOfNoSlot(now, a, c.evictionOf(p, transfer).Sub(now))
+		if risk < best && c.missRisk(now, w, a, transfer) <= maxMissRisk {
 			p.decode, best, bestTransfer = a, risk, transfer
 		}
 	}
@@ -83,18 +82,24 @@
 	return min(maxOverlapRisk, (1-waste)*saved*(1-waste/equalWaste))
 }
 
-// latestSlot returns the last moment at which the decode slot may become free.
-func (c *Coordinator) latestSlot(w *waiter, p *placement, a *account, transfer time.Duration) time.Time {
+// evictionOf returns the last moment at which a transfer can start before the
+// prefill engine evicts the KV cache.
+func (c *Coordinator) evictionOf(p *placement, transfer time.Duration) time.Time {
 	keep := seconds(c.settings.Model.KVRetention.D().Seconds()*retentionShare) - transfer
-	latest := p.prefillEnd.Add(max(0, keep))
-	if target := w.demand.Targets.FirstToken.D(); target > 0 {
-		step := c.predict.tokenInterval(a, a.slotsHeld)
-		deadline := w.arrival.Add(target - safety(target) - transfer - step)
-		if deadline.Before(latest) {
-			return deadline
-		}
+	return p.prefillEnd.Add(max(0, keep))
+}
+
+// missRisk returns the probability that the slot becomes free too late for the
+// first token target. The waste of a prefill can be weighed, a missed target of
+// an admitted demand cannot.
+func (c *Coordinator) missRisk(now time.Time, w *waiter, a *account, transfer time.Duration) float64 {
+	target := w.demand.Targets.FirstToken.D()
+	if target == 0 {
+		return 0
 	}
-	return latest
+	step := c.predict.tokenInterval(a, a.slotsHeld)
+	deadline := w.arrival.Add(target - safety(target) - transfer - step)
+	return c.riskOfNoSlot(now, a, deadline.Sub(now))
 }
 
 // riskOfNoSlot returns the probability that fewer decodes end within a time
--- a/internal/scheduling/settings.go
+++ b/internal/scheduling/settings.go
@@ -35,9 +35,11 @@
 	// maxOverlapRisk bounds the probability of a wasted prefill that an early
 	// start takes, whatever the weights.
 	maxOverlapRisk = 0.05
+	// maxMissRisk bounds the probability that an early start misses its target.
+	maxMissRisk = 0.001
 	// admissionShare is the part of the time up to the latest start that the
 	// predicted wait of a new demand may take; the rest covers its error.
-	admissionShare = 0.85
+	admissionShare = 0.7
 	// targetSafetyShare and targetSafetyMax give the part of a target that is
 	// kept for message delays.
 	targetSafetyShare = 0.01
