Keep what an engine reports of its leaving apart from the listed state

Cause: a report of leaving was overwritten by the next refresh of the engines' states, so that a leaving engine got new work until the VM list said so too.

Change: both count. Tests for that and for the order of resumed requests, priorities and arrival.

--- a/internal/scheduling/coordinator_test.go
+++ b/internal/scheduling/coordinator_test.go
@@ -171,6 +171,37 @@
 	}
 }
 
+func TestEngineThatReportsItsLeavingGetsNoGrants(t *testing.T) {
+	c := newPoolCoordinator(smallPool()[:3])
+	c.ObserveLoad(start, "d1", engine.LoadReport{Leaving: true})
+	c.SetEngines(start, smallPool()[:3])
+	o := c.Submit(start, testDemand(1))
+	assert.Assert(t, o.Refusal != nil && o.Refusal.Reason == RefusedNoEngine)
+}
+
+func TestResumedThenPriorityThenArrival(t *testing.T) {
+	c := newPoolCoordinator(smallPool())
+	fill(t, c, start, 100, 6)
+	waiting := []func(d *Demand){
+		func(d *Demand) { d.Class = "later" },
+		func(d *Demand) { d.Class, d.Waited = "earlier", 50*time.Millisecond },
+		func(d *Demand) { d.Class, d.Priority = "urgent", 5 },
+		func(d *Demand) { d.Resumed, d.QueueLimit = true, 1 },
+	}
+	for i, change := range waiting {
+		d := testDemand(uint64(i))
+		change(&d)
+		assert.Assert(t, c.Submit(start, d).Waiting())
+	}
+	for i, want := range []uint64{3, 2, 1, 0} {
+		c.Progress(start, Progress{ID: testDemand(uint64(100 + i)).ID, Kind: Released, Tokens: 100})
+		granted := c.Tick(start)
+		assert.Equal(t, len(granted), 1)
+		assert.Equal(t, granted[0].ID.Request, want)
+		decode(c, start, granted[0].ID)
+	}
+}
+
 func TestUnexplainedLoadTakesSlots(t *testing.T) {
 	c := newPoolCoordinator(smallPool()[:3])
 	fill(t, c, start, 100, 1)
--- a/internal/scheduling/engines.go
+++ b/internal/scheduling/engines.go
@@ -142,6 +142,9 @@
 	transfers []*holding
 	// keptPieces is the memory of prefills in flight or not yet transferred.
 	keptPieces int
+	// reportedLeaving is what the engine itself says; the states given from
+	// outside may lag behind it.
+	reportedLeaving bool
 	// foreign is the number of reported active requests that no holding explains.
 	foreign int
 	// released are the times of recent releases, which lagging load reports
@@ -190,11 +193,12 @@
 	a.forgetReleases(now)
 	explained := a.slotsHeld + a.promised + len(a.released)
 	a.foreign = max(0, report.Active-explained)
-	if report.Leaving {
-		a.Leaving = true
-	}
+	a.reportedLeaving = report.Leaving
 }
 
+// usable reports whether the engine takes new work.
+func (a *account) usable() bool { return a.EngineState.usable() && !a.reportedLeaving }
+
 // forgetReleases drops releases older than the lag of load reports.
 func (a *account) forgetReleases(now time.Time) {
 	horizon := now.Add(-loadReportLag)
