--- a/internal/reservation/reserve.go
+++ b/internal/reservation/reserve.go
@@ -31,7 +31,7 @@
 		return grant, nil
 	}
 	refusal := asRefusal(err)
-	if refusal == nil || !mayspill(refusal) {
+	if refusal == nil || !maySpill(refusal) {
 		return scheduling.Grant{}, err
 	}
 	d.Waited += time.Since(started)
--- a/internal/reservation/spill.go
+++ b/internal/reservation/spill.go
@@ -26,8 +26,8 @@
 	promptBytesPerToken = 4
 )
 
-// mayspill reports whether another zone may do better.
-func mayspill(r *scheduling.Refusal) bool {
+// maySpill reports whether another zone may do better.
+func maySpill(r *scheduling.Refusal) bool {
 	return r.Reason == scheduling.RefusedTarget || r.Reason == scheduling.RefusedNoEngine
 }
 
