--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
+
+	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
 )
 
 // bubble runs a test with three VMs on a fake clock.
@@ -128,6 +130,7 @@
 		time.Sleep(time.Minute)
 		c.log.setAway(false)
 		flush(t, a)
+		time.Sleep(2 * freshFor)
 		must(t, b, known, Answered)
 		must(t, b, fresh, Run)
 	})
@@ -228,6 +231,24 @@
 	})
 }
 
+// TestReturnedDeliveryNeverWins lets a delivery take effect after its attempt
+// has given it back.
+func TestReturnedDeliveryNeverWins(t *testing.T) {
+	x := newIndex()
+	key := newKey(1)
+	writer := func(n uint64) *claimv1.Writer { return &claimv1.Writer{Vm: "vm-1", Incarnation: 1, Sequence: n} }
+	for n, record := range []*claimv1.Record{
+		claimRecord(key, writer(1)),
+		outcomeRecord(key, writer(1), Outcome{Execution: Ran}.message()),
+		returnedRecord(key, writer(2)),
+		deliveryRecord(key, writer(2)),
+		deliveryRecord(key, writer(3)),
+	} {
+		x.apply(uint64(n), time.Now(), record)
+	}
+	assert.Equal(t, x.entries[key.text()].state().GetDeliverer().GetSequence(), uint64(3))
+}
+
 // TestIncompleteIndexRefuses checks the second guard: even a key within its
 // window is refused if an earlier claim could have left the log.
 func TestIncompleteIndexRefuses(t *testing.T) {
