--- a/internal/claim/answers_test.go
+++ b/internal/claim/answers_test.go
@@ -208,6 +208,41 @@
 	})
 }
 
+// TestRestartedStandbyIsReplaced restarts a standby so quickly that no view
+// shows it: its owner notices that the state is gone and copies it anew.
+func TestRestartedStandbyIsReplaced(t *testing.T) {
+	answerBubble(t, func(t *testing.T, c *cluster, vms []*vm) {
+		key := homedKey(t, "a")
+		_, standby := ownerOfKey(t, vms, key)
+		begin(t, vms[2], key, Run)
+		standby.kill()
+		c.start(t, standby.member.VM, "a")
+		for range 4 * Slots {
+			_, _ = vms[3].answers.Begin(context.Background(), homedKey(t, "a"))
+		}
+		time.Sleep(settled)
+		begin(t, vms[3], key, Running)
+		for range 4 * Slots {
+			begin(t, vms[3], homedKey(t, "a"), Run)
+		}
+	})
+}
+
+// TestFencedOwnerAcknowledgesNothing fences an owner without a standby between
+// its change and the acknowledgement.
+func TestFencedOwnerAcknowledgesNothing(t *testing.T) {
+	answerBubble(t, func(t *testing.T, c *cluster, _ []*vm) {
+		lone := c.start(t, "lone", "z").answers
+		time.Sleep(settled)
+		request := &claimv1.UpdateRequest{Zone: "z"}
+		assert.Assert(t, lone.replicate(context.Background(), lone.slots[0], request, nil))
+		response, err := lone.TakeOver(&claimv1.TakeOverRequest{Zone: "z", Number: 1 << 62, Owner: "other#1"})
+		assert.NilError(t, err)
+		assert.Assert(t, response.GetAccepted())
+		assert.Assert(t, !lone.replicate(context.Background(), lone.slots[0], request, nil))
+	})
+}
+
 func TestAnswerKeysAreJudged(t *testing.T) {
 	answerBubble(t, func(t *testing.T, _ *cluster, vms []*vm) {
 		old := Key{Key: strconv.FormatInt(time.Now().Add(-time.Hour-time.Second).UnixMilli(), 10) + "-x"}
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -166,6 +166,24 @@
 	})
 }
 
+// TestClaimIsGivenUpWhileItsAppendHangs lets the caller's time end before the
+// append's: the claim is on the log, so the key must be closed.
+func TestClaimIsGivenUpWhileItsAppendHangs(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster, _, b, _ *vm) {
+		c.settings.ClaimTimeout = c.settings.AppendTimeout / 2
+		alone := c.start(t, "vm-0", "a")
+		for _, other := range c.vms {
+			alone.hides[other.member.VM] = other != alone
+		}
+		c.log.setFaults(faults{slow: 1})
+		key := newKey(1)
+		refused(t, alone, key, NotSettled)
+		c.log.setFaults(faults{})
+		flush(t, alone)
+		must(t, b, key, ClosedNotRun)
+	})
+}
+
 func TestPausedClaimantDoesNotExecuteLate(t *testing.T) {
 	bubble(t, func(t *testing.T, _ *cluster, a, b, _ *vm) {
 		key := newKey(1)
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -10,10 +10,13 @@
 
 	"connectrpc.com/connect"
 	"github.com/joomcode/errorx"
+	"go.uber.org/fx"
 	"gotest.tools/v3/assert"
 
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
 
@@ -87,6 +90,22 @@
 	}
 }
 
+// TestModuleIsComplete checks the wiring without starting it.
+func TestModuleIsComplete(t *testing.T) {
+	err := fx.ValidateApp(
+		Module,
+		fx.Supply(testSettings(), Zones(nil)),
+		fx.Provide(
+			func() logservice.Service { return nil },
+			func() membership.View { return nil },
+			func() peer.Dialer { return nil },
+			func() timeline.Recorder { return nil },
+		),
+		fx.Invoke(fx.Annotate(func([]peer.Handler) {}, fx.ParamTags(`group:"peer"`))),
+	)
+	assert.NilError(t, err)
+}
+
 // TestServeRefusesOtherKeys checks that a bound key can never reach the log.
 func TestServeRefusesOtherKeys(t *testing.T) {
 	bubble(t, func(t *testing.T, _ *cluster, a, _, _ *vm) {
