Test membership's rules and document its counters

The counters of membership, orphan cancels and the transport were in no catalog, and only whole fleets were tested.

Tables check the order of versions, the replay window, dropped messages, who may accuse whom, refutations, bounded retransmission and that the platform's list stays a hint; a test on a fake clock checks what the service publishes, records and tells.

--- a/internal/membership/swim/fault_test.go
+++ b/internal/membership/swim/fault_test.go
@@ -33,6 +33,7 @@
 func goneCount(s *sim, vm string) int { return len(s.nodes[vm].gone) }
 
 func TestFleetsJoinThroughASeed(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		vms, zones int
 		limit      time.Duration
@@ -45,6 +46,7 @@
 }
 
 func TestADeathIsKnownWithinTheStatedTime(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct{ vms, zones int }{{3, 1}, {8, 4}, {8, 3}, {40, 4}} {
 		for victim := 1; victim < 4 && victim < test.vms; victim++ {
 			s := ready(t, test.vms, test.zones)
@@ -67,6 +69,7 @@
 // TestOneWayLossIsBridged cuts one direction between two VMs. Others still reach
 // both, also where the two are alone in their zone.
 func TestOneWayLossIsBridged(t *testing.T) {
+	t.Parallel()
 	for _, zones := range []int{1, 2} {
 		s := ready(t, 4, zones)
 		s.lost = func(from, to *simNode) bool { return from.VM == "vm-000" && to.VM == "vm-002" }
@@ -163,6 +166,7 @@
 // TestCostPerVMDoesNotGrowWithTheFleet compares the busiest VM of fleets of
 // equal numbers of zones.
 func TestCostPerVMDoesNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
 	const (
 		seconds       = 10
 		messagesBound = 20
--- /dev/null
+++ b/internal/membership/swim/machine_test.go
@@ -0,0 +1,207 @@
+package swim
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+)
+
+var began = time.Unix(1000, 0)
+
+// newTestMachine returns the machine of vm-a1 in zone-a with its counters.
+func newTestMachine() (*machine, *Counters) {
+	counters := new(Counters)
+	self := identity{VM: "vm-a1", Zone: "zone-a", Address: "10.0.0.1:7400", Incarnation: 5}
+	return newMachine(began, self, rand.New(rand.NewPCG(1, 1)), counters), counters
+}
+
+// member returns an update that says that a VM is alive.
+func member(vm, zone string, incarnation uint64) update {
+	address := "10.0.1." + strings.TrimLeft(vm, "vm-abc") + ":7400"
+	return update{VM: vm, Zone: zone, Address: address, Incarnation: incarnation, State: membership.Alive}
+}
+
+func (u update) with(state membership.State, refutation uint64) update {
+	u.State, u.Refutation = state, refutation
+	return u
+}
+
+func TestNewerUpdatesSupersede(t *testing.T) {
+	base := member("vm-a2", "zone-a", 5).with(membership.Suspect, 3)
+	for _, test := range []struct {
+		name       string
+		incarnated uint64
+		refutation uint64
+		state      membership.State
+		want       bool
+	}{
+		{"the same", 5, 3, membership.Suspect, false},
+		{"alive of the same refutation", 5, 3, membership.Alive, false},
+		{"gone of the same refutation", 5, 3, membership.Gone, true},
+		{"alive of a higher refutation", 5, 4, membership.Alive, true},
+		{"gone of a lower refutation", 5, 2, membership.Gone, false},
+		{"alive of a higher incarnation", 6, 0, membership.Alive, true},
+		{"gone of a lower incarnation", 4, 9, membership.Gone, false},
+	} {
+		other := base.with(test.state, test.refutation)
+		other.Incarnation = test.incarnated
+		assert.Equal(t, other.supersedes(&base), test.want, test.name)
+	}
+}
+
+func TestReplayWindow(t *testing.T) {
+	var w replayWindow
+	for _, step := range []struct {
+		sequence uint64
+		want     bool
+	}{{1, true}, {1, false}, {3, true}, {2, true}, {2, false}, {100, true}, {37, true}, {36, false}, {3, false}, {500, true}, {100, false}} {
+		assert.Equal(t, w.accept(step.sequence), step.want, "%d", step.sequence)
+	}
+}
+
+func TestRequestsThatAreDropped(t *testing.T) {
+	tooMany := message{From: member("vm-a2", "zone-a", 5), Sequence: 9, Updates: make([]update, maxUpdates+1)}
+	badName := member("vm-a3", strings.Repeat("z", maxNameBytes+1), 5)
+	badAddress := member("vm-a3", "zone-a", 5)
+	badAddress.Address = "localhost:7400"
+	for _, test := range []struct {
+		name    string
+		request message
+		want    *errorx.Type
+	}{
+		{"replayed", message{From: member("vm-a2", "zone-a", 5), Sequence: 1}, Replayed},
+		{"stale incarnation", message{From: member("vm-a2", "zone-a", 4), Sequence: 2}, Stale},
+		{"oversized", tooMany, Oversized},
+		{"own name", message{From: member("vm-a1", "zone-a", 9), Sequence: 2}, Malformed},
+		{"zone name", message{From: badName, Sequence: 2}, Malformed},
+		{"address", message{From: badAddress, Sequence: 2}, Malformed},
+		{"no incarnation", message{From: member("vm-a3", "zone-a", 0), Sequence: 2}, Malformed},
+		{"not configured", message{From: member("vm-a4", "zone-a", 5), Sequence: 2}, Unlisted},
+		{"configured in another zone", message{From: member("vm-a3", "zone-b", 5), Sequence: 2}, Unlisted},
+	} {
+		m, counters := newTestMachine()
+		m.configure(began, []configuredVM{{"vm-a2", "zone-a", "10.0.1.2:7400"}, {"vm-a3", "zone-a", "10.0.1.3:7400"}})
+		_, err := m.receive(began, &message{From: member("vm-a2", "zone-a", 5), Sequence: 1})
+		assert.NilError(t, err)
+		_, err = m.receive(began, &test.request)
+		assert.Assert(t, errorx.IsOfType(err, test.want), "%s: %v", test.name, err)
+		dropped := counters.Replayed.Load() + counters.Stale.Load() + counters.Oversized.Load() +
+			counters.Malformed.Load() + counters.Unlisted.Load()
+		assert.Equal(t, dropped, int64(1), test.name)
+		assert.Equal(t, len(m.members(began)), 2, test.name)
+	}
+}
+
+func TestOnlyTheOwnZoneAccusesItsMembers(t *testing.T) {
+	for _, test := range []struct{ sender, accused, want string }{
+		{"zone-a", "zone-a", "gone"}, {"zone-b", "zone-a", "alive"},
+		{"zone-b", "zone-b", "gone"}, {"zone-a", "zone-b", "gone"}, {"zone-b", "zone-c", "gone"},
+	} {
+		m, _ := newTestMachine()
+		accused := member("vm-a2", test.accused, 5)
+		m.apply(began, accused, test.accused)
+		m.apply(began, accused.with(membership.Gone, 0), test.sender)
+		assert.Equal(t, string(m.records["vm-a2"].State), test.want, "%+v", test)
+	}
+}
+
+func TestAccusationsAreRefutedOnce(t *testing.T) {
+	m, counters := newTestMachine()
+	self := m.self.update
+	m.apply(began, self.with(membership.Gone, 4), "zone-a")
+	assert.Equal(t, m.self.Refutation, uint64(5))
+	assert.Equal(t, m.self.State, membership.Alive)
+	m.apply(began, self.with(membership.Suspect, 4), "zone-a")
+	assert.Equal(t, counters.Refutations.Load(), int64(1))
+	former := self.with(membership.Gone, 9)
+	former.Incarnation--
+	m.apply(began, former, "zone-a")
+	assert.Equal(t, counters.Refutations.Load(), int64(1))
+	m.setDraining(began)
+	m.leave(began)
+	m.apply(began, m.self.with(membership.Gone, 7), "zone-a")
+	assert.Equal(t, m.self.State, membership.Gone, "a VM that leaves does not refute")
+}
+
+// TestASuspectIsToldOfItsSuspicion checks what a message to the VM says.
+func TestASuspectIsToldOfItsSuspicion(t *testing.T) {
+	m, _ := newTestMachine()
+	suspect := member("vm-a2", "zone-a", 5).with(membership.Suspect, 0)
+	m.apply(began, suspect, "zone-a")
+	m.spread = newSpread()
+	composed := m.compose("vm-a2")
+	assert.DeepEqual(t, composed.Updates, []update{suspect})
+	composed = m.compose("vm-a3")
+	assert.Equal(t, len(composed.Updates), 0)
+}
+
+func TestUpdatesAreSentABoundedNumberOfTimes(t *testing.T) {
+	m, _ := newTestMachine()
+	for _, vm := range []string{"vm-a2", "vm-a3"} {
+		m.apply(began, member(vm, "zone-a", 5), "zone-a")
+	}
+	sent := 0
+	for range 100 {
+		sent += len(m.compose("vm-a9").Updates)
+	}
+	assert.Equal(t, sent, 2*retransmits*doublings(3))
+}
+
+// TestTheListIsOnlyAHint has the platform's list add a candidate and lose a
+// member.
+func TestTheListIsOnlyAHint(t *testing.T) {
+	m, _ := newTestMachine()
+	m.configure(began, []configuredVM{
+		{"vm-a2", "zone-a", "10.0.1.2:7400"}, {"vm-a3", "zone-a", "10.0.1.3:7400"}, {"vm-a4", "zone-a", "10.0.1.4:7400"},
+	})
+	for _, vm := range []string{"vm-a2", "vm-a3"} {
+		m.apply(began, member(vm, "zone-a", 5), "zone-a")
+	}
+	m.hint(began, map[string]string{"10.0.1.2:7400": "vm-a2", "10.0.1.3:7400": "vm-a3", "10.7.7.7:7400": "vm-a4", "10.0.9.9:1": "engine-1"})
+	assert.DeepEqual(t, m.openCandidates(), map[string]string{"10.0.1.4:7400": "vm-a4", "10.7.7.7:7400": "vm-a4"})
+	m.newRound()
+	m.hint(began, map[string]string{"10.0.1.2:7400": "vm-a2"})
+	assert.Equal(t, m.order[0], "vm-a3")
+	assert.Equal(t, m.records["vm-a3"].State, membership.Alive)
+}
+
+func TestAnOlderProcessDoesNotTakeOverAnAddress(t *testing.T) {
+	m, _ := newTestMachine()
+	younger, older := member("vm-a2", "zone-a", 9), member("vm-a3", "zone-a", 5)
+	older.Address = younger.Address
+	m.apply(began, younger, "zone-a")
+	m.apply(began, older, "zone-a")
+	assert.Equal(t, m.records["vm-a2"].State, membership.Alive)
+	m, _ = newTestMachine()
+	m.apply(began, older, "zone-a")
+	m.apply(began, younger, "zone-a")
+	assert.Equal(t, m.records["vm-a3"].State, membership.Gone)
+}
+
+func TestGoneMembersAreForgotten(t *testing.T) {
+	m, _ := newTestMachine()
+	u := member("vm-a2", "zone-a", 5)
+	m.apply(began, u, "zone-a")
+	m.apply(began, u.with(membership.Gone, 0), "zone-a")
+	m.takeChanges(began)
+	m.tick(began.Add(goneRetention - time.Second))
+	assert.Assert(t, m.records["vm-a2"] != nil)
+	m.tick(began.Add(goneRetention))
+	assert.Assert(t, m.records["vm-a2"] == nil)
+	assert.Equal(t, m.digests, newDigests(m))
+}
+
+// newDigests computes a machine's digests from its records.
+func newDigests(m *machine) digests {
+	var d digests
+	for _, r := range m.records {
+		d.toggle(&r.update)
+	}
+	return d
+}
--- a/internal/membership/swim/property_test.go
+++ b/internal/membership/swim/property_test.go
@@ -74,6 +74,7 @@
 // TestViewsConvergeAfterFaults draws faults that overlap and asks that all views
 // are right within healTime of the last one's end.
 func TestViewsConvergeAfterFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 9).Draw(t, "vms"), rapid.IntRange(1, 3).Draw(t, "zones"))
 		s.run(5 * time.Second)
--- /dev/null
+++ b/internal/membership/swim/service_test.go
@@ -0,0 +1,126 @@
+package swim
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// wire is a peer.Dialer that hands requests to handlers in the same process.
+type wire struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+}
+
+// HTTPClient implements peer.Dialer.
+func (w *wire) HTTPClient() connect.HTTPClient { return w }
+
+// BaseURL implements peer.Dialer.
+func (w *wire) BaseURL(address string) string { return "http://" + address }
+
+// set connects an address, or cuts it off if the handler is nil.
+func (w *wire) set(address string, h http.Handler) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.handlers[address] = h
+}
+
+// Do implements connect.HTTPClient.
+func (w *wire) Do(r *http.Request) (*http.Response, error) {
+	w.mu.Lock()
+	h := w.handlers[r.URL.Host]
+	w.mu.Unlock()
+	if h == nil {
+		return nil, errors.New("connection refused")
+	}
+	recorder := httptest.NewRecorder()
+	h.ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+func newWire() *wire { return &wire{handlers: make(map[string]http.Handler)} }
+
+// join makes a service that is reachable on the wire.
+func (w *wire) join(vm, address string, incarnation uint64, ring *timeline.Ring) *Service {
+	s := New(Params{
+		VM: vm, Zone: "zone-a", Address: address, Incarnation: incarnation, Seeds: []string{"10.0.0.1:1"},
+		Dialer: w, Events: ring, Random: rand.New(rand.NewPCG(1, incarnation)),
+	})
+	w.set(address, s.Peer().Handler)
+	return s
+}
+
+// runService runs a service until the end of the test or the call of stop.
+func runService(t *testing.T, s *Service) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { s.Run(ctx) })
+	stop = func() { cancel(); running.Wait() }
+	t.Cleanup(stop)
+	return stop
+}
+
+func TestServicePublishesItsViewAndTellsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		ring := timeline.NewRing("vm-a1", 1, 64)
+		first := w.join("vm-a1", "10.0.0.1:1", 1, ring)
+		second := w.join("vm-a2", "10.0.0.2:1", 2, timeline.NewRing("vm-a2", 2, 64))
+		third := w.join("vm-a3", "10.0.0.3:1", 3, timeline.NewRing("vm-a3", 3, 64))
+		var gone []membership.Member
+		first.OnGone(func(m membership.Member) { gone = append(gone, m) })
+		runService(t, first)
+		stop := runService(t, second)
+		time.Sleep(2 * time.Second)
+		runService(t, third)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, first.Self(), membership.Member{
+			VM: "vm-a1", Zone: "zone-a", Address: "10.0.0.1:1", Incarnation: 1, State: membership.Alive,
+		})
+		assert.Equal(t, len(first.Members()), 3)
+		assert.Equal(t, first.Members()[2], third.Self())
+
+		held := first.Members()
+		w.set("10.0.0.2:1", nil)
+		stop()
+		time.Sleep(goneTime(3))
+		synctest.Wait()
+		assert.Equal(t, len(first.Members()), 2)
+		assert.Equal(t, len(held), 3, "a published view does not change")
+		assert.Equal(t, len(gone), 1)
+		assert.Equal(t, gone[0].VM, "vm-a2")
+		third.SetDraining()
+		time.Sleep(time.Second)
+		third.Leave(t.Context())
+		time.Sleep(time.Second)
+		assert.Equal(t, len(first.Members()), 1)
+		var told []string
+		for _, e := range ring.Since(timeline.Query{}).Events {
+			told = append(told, string(e.Kind)+" "+e.Detail)
+		}
+		assert.Equal(t, strings.Join(told, "\n"), strings.Join([]string{
+			"member.alive vm-a2.2", "member.alive vm-a3.3",
+			"member.suspect vm-a2.2", "member.gone vm-a2.2", "member.gone vm-a3.3",
+		}, "\n"))
+	})
+}
+
+func TestCountersAreDocumented(t *testing.T) {
+	registry := metrics.NewRegistry()
+	registry.Mount("membership", newWire().join("vm-a1", "10.0.0.1:1", 1, nil).Vars())
+	assert.Equal(t, len(registry.Undocumented())+len(registry.Unpublished()), 0)
+}
--- a/internal/membership/swim/transport_test.go
+++ b/internal/membership/swim/transport_test.go
@@ -188,6 +188,7 @@
 }
 
 func TestMessagesOfOthersAreDropped(t *testing.T) {
+	t.Parallel()
 	authority := peertest.NewAuthority(t)
 	a1 := startProcess(t, authority, "vm-a1", "zone-a")
 	stranger := peer.NewDialer(peer.Options{Certificates: certificatesOf(t, authority, "vm-a3")})
@@ -216,6 +217,7 @@
 
 // TestAnswersOfOthersAreDropped has a VM answer in the name of another one.
 func TestAnswersOfOthersAreDropped(t *testing.T) {
+	t.Parallel()
 	authority := peertest.NewAuthority(t)
 	impostor := startProcess(t, authority, "vm-a9", "zone-a")
 	impostor.machine.self.VM = "vm-a2"
--- a/internal/metrics/definition.go
+++ b/internal/metrics/definition.go
@@ -26,19 +26,21 @@
 
 // The units.
 const (
-	Requests   Unit = "requests"
-	Calls      Unit = "calls"
-	Attempts   Unit = "attempts"
-	Answers    Unit = "answers"
-	Tokens     Unit = "tokens"
-	Records    Unit = "records"
-	Bytes      Unit = "bytes"
-	Events     Unit = "events"
-	Endpoints  Unit = "endpoints"
-	Slots      Unit = "slots"
-	Keys       Unit = "keys"
-	Incidents  Unit = "incidents"
-	TrueIfAway Unit = "true while away"
+	Requests    Unit = "requests"
+	Calls       Unit = "calls"
+	Attempts    Unit = "attempts"
+	Answers     Unit = "answers"
+	Tokens      Unit = "tokens"
+	Records     Unit = "records"
+	Bytes       Unit = "bytes"
+	Events      Unit = "events"
+	Endpoints   Unit = "endpoints"
+	Slots       Unit = "slots"
+	Keys        Unit = "keys"
+	Incidents   Unit = "incidents"
+	VMs         Unit = "VMs"
+	Connections Unit = "connections"
+	TrueIfAway  Unit = "true while away"
 )
 
 // wildcard ends a name that stands for all names that begin like it.
--- a/internal/orphan/orphan_test.go
+++ b/internal/orphan/orphan_test.go
@@ -14,6 +14,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
 
@@ -316,3 +317,9 @@
 		})
 	}
 }
+
+func TestCountersAreDocumented(t *testing.T) {
+	registry := metrics.NewRegistry()
+	registry.Mount("orphan", New(Params{}).Vars())
+	assert.Equal(t, len(registry.Undocumented())+len(registry.Unpublished()), 0)
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/finding"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/peer/peertest"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
 )
@@ -300,3 +301,27 @@
 	assert.NilError(t, err)
 	assert.NilError(t, os.WriteFile(to, data, 0o600))
 }
+
+func TestCountersAreDocumented(t *testing.T) {
+	registry := metrics.NewRegistry()
+	server, err := NewServer(Options{Listen: loopback})
+	assert.NilError(t, err)
+	registry.Mount("peer_server", server.Vars())
+	registry.Mount("peer_dialer", dialer(t, Options{}).Vars())
+	registry.Mount("peer_certificates", load(t, "vm-a1", peertest.NewAuthority(t).Files(t, "vm-a1")).Vars())
+	assert.Equal(t, len(registry.Undocumented())+len(registry.Unpublished()), 0)
+}
+
+func TestTheCallerLearnsWhoAnswered(t *testing.T) {
+	authority := peertest.NewAuthority(t)
+	server := start(t, Options{Certificates: load(t, "vm-a1", authority.Files(t, "vm-a1"))}, namesHandler)
+	d := dialer(t, Options{Certificates: load(t, "vm-a2", authority.Files(t, "vm-a2"))})
+	var responder Caller
+	ctx := ContextWithResponder(t.Context(), &responder)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.BaseURL(server.Addr().String())+"/names/", nil)
+	assert.NilError(t, err)
+	response, err := d.HTTPClient().Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.DeepEqual(t, responder, Caller{Names: []string{"vm-a1"}, Authenticated: true})
+}
