Check that every request ends with a whole answer or a refusal

A run with crossed answers showed streams that ended with an error after their first tokens, and no check told so. The check counts them and requests without any answer; the caller keeps the problem that ended a stream. Runs are planned before their start, because the first requests were sent up to 107 ms late.

A resumed attempt is refused by the first-token target although the caller has the first token; that fault is in the scheduler and not mended here.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,6 +35,9 @@
 	Class string
 	// Key is the idempotency key, empty for none.
 	Key string
+	// Attempt says how often the key has been sent, counted from 1; 0 tells the
+	// router nothing.
+	Attempt int
 }
 
 // Answer is what became of a request.
@@ -43,8 +47,9 @@
 	RequestID string
 	// Outcome is the Ospreyshed-Outcome header, empty unless refused.
 	Outcome string
-	// Problem is the type of a refusal.
-	Problem string
+	// Problem is the type of a refusal or of the error that ended a stream, Detail
+	// its explanation.
+	Problem, Detail string
 	// RetryAfter is the Retry-After header.
 	RetryAfter string
 	// Text is the text of a model's answer, Body that of a plain service.
@@ -112,6 +117,9 @@
 	if request.Key != "" {
 		req.Header.Set("Idempotency-Key", request.Key)
 	}
+	if request.Attempt > 0 {
+		req.Header.Set("Ospreyshed-Attempt", strconv.Itoa(request.Attempt))
+	}
 	// Without GetBody net/http does not send a request twice by itself.
 	req.GetBody = nil
 	resp, err := c.http.Do(req)
@@ -130,6 +138,7 @@
 	}
 	var known struct {
 		Type    string `json:"type"`
+		Detail  string `json:"detail"`
 		Choices []struct {
 			Text    string `json:"text"`
 			Message struct {
@@ -140,7 +149,7 @@
 	if json.Unmarshal(data, &known) != nil {
 		return nil
 	}
-	a.Problem = known.Type
+	a.Problem, a.Detail = known.Type, known.Detail
 	if len(known.Choices) == 1 {
 		a.Text = known.Choices[0].Text + known.Choices[0].Message.Content
 	}
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -11,8 +11,11 @@
 // maxEventBytes bounds one line of a stream.
 const maxEventBytes = 1 << 20
 
-// event is one server-sent event of a model's answer.
+// event is one server-sent event of a model's answer, or the problem that ends
+// it early.
 type event struct {
+	Type    string `json:"type"`
+	Detail  string `json:"detail"`
 	Choices []struct {
 		Text  string `json:"text"`
 		Delta struct {
@@ -42,7 +45,11 @@
 			return nil
 		}
 		var e event
-		if err := json.Unmarshal([]byte(payload), &e); err != nil || len(e.Choices) != 1 {
+		if err := json.Unmarshal([]byte(payload), &e); err != nil {
+			continue
+		}
+		if len(e.Choices) != 1 {
+			a.Problem, a.Detail = e.Type, e.Detail
 			continue
 		}
 		now := time.Now()
--- a/internal/measure/checks.go
+++ b/internal/measure/checks.go
@@ -28,6 +28,7 @@
 	CheckNotRun          = "no request refused as not-run executed"
 	CheckNotRunKey       = "no key whose requests were all refused as not-run executed"
 	CheckOwnAnswer       = "every answer is whole, single and its caller's own"
+	CheckFinished        = "every request got a whole answer or a refusal"
 	CheckSingleAnswer    = "no key answered twice"
 	CheckMemory          = "engine memory back to zero after the end"
 	CheckLeaving         = "no work to an endpoint 3 s after it began to leave"
@@ -62,6 +63,7 @@
 		e.checkNotRun(),
 		e.checkNotRunKey(),
 		e.checkOwnAnswer(),
+		e.checkFinished(),
 		e.checkSingleAnswer(),
 		e.checkMemory(),
 		e.checkLeaving(),
@@ -167,6 +169,21 @@
 	return fmt.Sprintf("the answer has %d bytes and is not the expected one of %d bytes", len(r.text), len(want))
 }
 
+func (e *evidence) checkFinished() Check {
+	c := Check{Name: CheckFinished}
+	for i := range e.records {
+		r := &e.records[i]
+		if r.fate == fateGone {
+			continue
+		}
+		c.Subjects++
+		if r.fate == fateCut || r.fate == fateUnreachable {
+			c.fail("request %s of class %s: %s %s %s", r.requestID, r.Class, r.fate, r.problem, r.detail)
+		}
+	}
+	return c
+}
+
 func (e *evidence) checkSingleAnswer() Check {
 	c := Check{Name: CheckSingleAnswer}
 	answers := make(map[string]int)
--- a/internal/measure/checks_test.go
+++ b/internal/measure/checks_test.go
@@ -79,6 +79,8 @@
 		{"receipt of another key", func(e *evidence) { e.records[1].key = "k9" }, CheckOwnAnswer},
 		{"receipt of another path", func(e *evidence) { e.records[1].body = []byte(`{"path":"/x","idempotency_key":"k1"}`) }, CheckOwnAnswer},
 		{"no receipt", func(e *evidence) { e.records[1].body = nil }, CheckOwnAnswer},
+		{"interrupted answer", func(e *evidence) { e.records[0].fate = fateCut }, CheckFinished},
+		{"no answer", func(e *evidence) { e.records[0].fate = fateUnreachable }, CheckFinished},
 		{"second answer", func(e *evidence) { e.records = append(e.records, e.records[1]) }, CheckSingleAnswer},
 		{"memory held", func(e *evidence) { e.counts.piecesHeld = 1 }, CheckMemory},
 		{"work for a leaving endpoint", func(e *evidence) { e.lateWork["d1"] = 1 }, CheckLeaving},
@@ -95,7 +97,7 @@
 	e := keptEvidence(t)
 	e.counts = nil
 	for _, c := range e.check() {
-		needsCounts := c.Name != CheckOwnAnswer && c.Name != CheckSingleAnswer && c.Name != CheckLeaving
+		needsCounts := c.Name != CheckOwnAnswer && c.Name != CheckFinished && c.Name != CheckSingleAnswer && c.Name != CheckLeaving
 		assert.Equal(t, c.Subjects == 0, needsCounts, c.Name)
 	}
 }
--- a/internal/measure/plan.go
+++ b/internal/measure/plan.go
@@ -28,6 +28,18 @@
 	repeat bool
 }
 
+// attempt returns how often the key has been sent with the request, 0 without key.
+func (r *planned) attempt() int {
+	switch {
+	case r.key == "":
+		return 0
+	case r.repeat:
+		return 2
+	default:
+		return 1
+	}
+}
+
 // planner draws the requests of a run.
 type planner struct {
 	load    *Load
--- a/internal/measure/record.go
+++ b/internal/measure/record.go
@@ -31,6 +31,7 @@
 	requestID  string
 	outcome    string
 	problem    string
+	detail     string
 	text       string
 	body       []byte
 	firstToken time.Duration
@@ -48,6 +49,7 @@
 		requestID: answer.RequestID,
 		outcome:   answer.Outcome,
 		problem:   answer.Problem,
+		detail:    answer.Detail,
 		text:      answer.Text,
 		body:      answer.Body,
 		gaps:      answer.Gaps,
--- a/internal/measure/send.go
+++ b/internal/measure/send.go
@@ -58,12 +58,13 @@
 	defer cancel()
 	delay := max(time.Since(start.Add(r.at)), 0)
 	answer, err := caller.New(s.balancer.pick(r.vm), s.keys[r.Team], client).Do(ctx, caller.Request{
-		Method: r.class.Method,
-		Path:   pathOf(r),
-		Body:   bodyOf(r),
-		Stream: r.class.ModelBacked(),
-		Class:  r.class.Name,
-		Key:    r.key,
+		Method:  r.class.Method,
+		Path:    pathOf(r),
+		Body:    bodyOf(r),
+		Stream:  r.class.ModelBacked(),
+		Class:   r.class.Name,
+		Key:     r.key,
+		Attempt: r.attempt(),
 	})
 	return newRecord(r, delay, &answer, err, gone)
 }
--- a/internal/measure/summary.go
+++ b/internal/measure/summary.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -24,6 +25,8 @@
 	// Refusals counts the refused of the offered requests by problem type and
 	// outcome.
 	Refusals map[string]int `json:"refusals,omitempty"`
+	// CutExamples explain the first cut answers.
+	CutExamples []string `json:"cut_examples,omitempty"`
 	// GoodPerSecond is the goodput and GoodShare its share of the offered.
 	GoodPerSecond float64 `json:"good_per_second"`
 	GoodShare     float64 `json:"good_share"`
@@ -120,6 +123,9 @@
 		s.Refusals[r.problem+" "+r.outcome]++
 	case fateCut:
 		s.CutShort++
+		if len(s.CutExamples) < maxExamples {
+			s.CutExamples = append(s.CutExamples, strings.TrimSpace(r.requestID+" "+r.problem+" "+r.detail))
+		}
 	default:
 		s.Unreachable++
 	}
--- a/internal/measure/table.go
+++ b/internal/measure/table.go
@@ -91,7 +91,8 @@
 	return w.Flush()
 }
 
-// WriteRefusals prints the refusals of all points by type and outcome.
+// WriteRefusals prints the refusals of all points by type and outcome, and
+// examples of answers that were cut short.
 func WriteRefusals(out io.Writer, r *Result) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "load\tpolicy\tfault\tclass\trefusal\tcount")
@@ -102,6 +103,9 @@
 			for _, kind := range slices.Sorted(maps.Keys(c.Refusals)) {
 				_, _ = fmt.Fprintf(w, "%.2f\t%s\t%s\t%s\t%s\t%d\n", p.Load, p.Variant, p.Fault, c.Class, kind, c.Refusals[kind])
 			}
+			for _, example := range c.CutExamples {
+				_, _ = fmt.Fprintf(w, "%.2f\t%s\t%s\t%s\tcut short: %s\t\n", p.Load, p.Variant, p.Fault, c.Class, example)
+			}
 		}
 	}
 	return w.Flush()
--- a/internal/measure/target.go
+++ b/internal/measure/target.go
@@ -72,6 +72,9 @@
 	Planned, Answered, Refused, Failed int
 }
 
+// startLead is the time for planning before the first request may be sent.
+const startLead = 500 * time.Millisecond
+
 // answerGrace bounds the time from the sending of a request to its answer.
 const answerGrace = time.Minute
 
@@ -111,7 +114,7 @@
 // send sends the requests of a run while its faults are injected. It also
 // returns the work that leaving endpoints got too late.
 func (t *Target) send(ctx context.Context, load *Load, classes []offered, run *Run) ([]record, map[string]int) {
-	start := time.Now()
+	start := time.Now().Add(startLead)
 	length := run.WarmUp + run.Duration
 	requests := newPlanner(load, classes, len(t.addresses), run.Seed).plan(start, run.Rate, length)
 	balance := newBalancer(t.addresses)
