--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -146,9 +146,8 @@
 			} `json:"message"`
 		} `json:"choices"`
 	}
-	if json.Unmarshal(data, &known) != nil {
-		return nil
-	}
+	// A plain service may answer with anything, so that no JSON is no error.
+	_ = json.Unmarshal(data, &known)
 	a.Problem, a.Detail = known.Type, known.Detail
 	if len(known.Choices) == 1 {
 		a.Text = known.Choices[0].Text + known.Choices[0].Message.Content
