--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -35,7 +35,8 @@
 	Class string
 	// Key is the idempotency key, empty for none.
 	Key string
-	// Attempt counts the sendings of the key from 1; 0 leaves it unsaid.
+	// Attempt says how often the key has been sent, counted from 1; 0 tells the
+	// router nothing.
 	Attempt int
 }
 
@@ -46,8 +47,9 @@
 	RequestID string
 	// Outcome is the Ospreyshed-Outcome header, empty unless refused.
 	Outcome string
-	// Problem is the type of a refusal.
-	Problem string
+	// Problem is the type of a refusal or of the error that ended a stream, Detail
+	// its explanation.
+	Problem, Detail string
 	// RetryAfter is the Retry-After header.
 	RetryAfter string
 	// Text is the text of a model's answer, Body that of a plain service.
@@ -62,7 +64,7 @@
 }
 
 // OK reports whether the request was answered.
-func (a Answer) OK() bool { return a.Status >= 200 && a.Status < 300 }
+func (a *Answer) OK() bool { return a.Status >= 200 && a.Status < 300 }
 
 // Client sends requests to one entry VM or a balancer.
 type Client struct {
@@ -136,6 +138,7 @@
 	}
 	var known struct {
 		Type    string `json:"type"`
+		Detail  string `json:"detail"`
 		Choices []struct {
 			Text    string `json:"text"`
 			Message struct {
@@ -143,9 +146,9 @@
 			} `json:"message"`
 		} `json:"choices"`
 	}
-	// Plain services answer with any body, so that a mismatch is no error.
+	// A plain service may answer with anything, so that no JSON is no error.
 	_ = json.Unmarshal(data, &known)
-	a.Problem = known.Type
+	a.Problem, a.Detail = known.Type, known.Detail
 	if len(known.Choices) == 1 {
 		a.Text = known.Choices[0].Text + known.Choices[0].Message.Content
 	}
