--- /dev/null
+++ b/internal/localsite/orders_test.go
@@ -0,0 +1,111 @@
+package localsite
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ospreyshed/ospreyshed/examples"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/standin"
+)
+
+// startOrdered starts the quickstart with two prefill engines in each zone.
+// Engines of zone-a check fencing numbers, those of zone-b ignore them.
+func startOrdered(t *testing.T) *Site {
+	t.Helper()
+	bundle, err := BundleOf("quickstart.json", examples.Quickstart)
+	assert.NilError(t, err)
+	bundle.Fleet.WeightStoreBytesPerSecond = 0
+	for _, e := range bundle.Fleet.Endpoints {
+		if e.Role == configuration.RolePrefill {
+			e.Name += "-second"
+			bundle.Fleet.Endpoints = append(bundle.Fleet.Endpoints, e)
+		}
+	}
+	site, err := Start(t.Context(), Options{Bundle: bundle, Tune: func(options *standin.Options) {
+		for i := range options.Engines {
+			options.Engines[i].TokenInterval = configuration.Duration(time.Millisecond)
+			options.Engines[i].OutputTokens = outputs
+			options.Engines[i].OrderDuration = configuration.Duration(200 * time.Millisecond)
+		}
+	}})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, site.Close(context.Background())) })
+	return site
+}
+
+// withVersion returns a bundle that asks all engines for a version.
+func withVersion(bundle configuration.Bundle, version string) configuration.Bundle {
+	bundle.Fleet.Endpoints = slices.Clone(bundle.Fleet.Endpoints)
+	for i := range bundle.Fleet.Endpoints {
+		if e := &bundle.Fleet.Endpoints[i]; e.Kind == configuration.KindEngine {
+			e.Version = version
+		}
+	}
+	return bundle
+}
+
+// awaitVersion waits until all engines are of a version.
+func awaitVersion(t *testing.T, site *Site, version string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for name, e := range site.Platform.Engines {
+			if state := e.State(); state.Version != version || state.Busy {
+				return poll.Continue("%s: %+v", name, state)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(eventually))
+}
+
+func TestEnginesConvergeWhileRequestsGoOn(t *testing.T) {
+	site := startOrdered(t)
+	ctx, stop := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	var answered atomic.Int64
+	for worker, client := range clientsOf(t, site) {
+		callers.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				prompt := fmt.Sprintf("converge %d %d", worker, i)
+				answer, err := client.Do(t.Context(), summaryOf(prompt))
+				if err != nil || answer.Text != answerTo(prompt) {
+					t.Errorf("%s: %v %+v", prompt, err, answer)
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	assert.NilError(t, site.Publish(t.Context(), withVersion(site.Bundle, "2")))
+	awaitVersion(t, site, "2")
+	stop()
+	callers.Wait()
+	assert.Assert(t, answered.Load() > 0)
+	for name, e := range site.Platform.Engines {
+		counts, state := e.Counts(), e.State()
+		assert.Equal(t, len(counts.OrdersAccepted), 1, name)
+		assert.Equal(t, counts.OrdersStale, 0, name)
+		endpoint := endpointOf(site, name)
+		assert.Equal(t, state.ChecksFencing, endpoint.Fencing == configuration.FencingChecks, name)
+		assert.Equal(t, endpoint.Zone == "zone-a", state.ChecksFencing, name)
+	}
+	for _, vm := range site.VMs {
+		for _, name := range vm.Metrics().Undocumented() {
+			assert.Assert(t, !strings.HasPrefix(name, "lease.") && !strings.HasPrefix(name, "order."), name)
+		}
+	}
+}
+
+func endpointOf(site *Site, name string) configuration.Endpoint {
+	i := slices.IndexFunc(site.Bundle.Fleet.Endpoints, func(e configuration.Endpoint) bool { return e.Name == name })
+	return site.Bundle.Fleet.Endpoints[i]
+}
--- a/internal/order/pool.go
+++ b/internal/order/pool.go
@@ -150,7 +150,7 @@
 			return r.read(ctx, r.enginesElsewhere(snapshot, p.model, role))
 		},
 	}
-	held := false
+	held, waits := false, false
 	for _, reading := range readings {
 		if !p.needsTask(reading) {
 			continue
@@ -159,11 +159,14 @@
 			held = true
 			continue
 		}
-		r.begin(p, reading)
+		waits = !p.begin(reading) || waits
 	}
 	if held {
 		r.Counters.HeldBack.Add(1)
 	}
+	if waits {
+		r.Counters.WeightWaits.Add(1)
+	}
 }
 
 // needsTask reports whether an engine is to be changed and has no task yet.
@@ -172,14 +175,14 @@
 	return changes && p.tasks[reading.endpoint.Name] == nil
 }
 
-// begin begins the task of an engine whose weights the budget allows.
-func (r *Reconciler) begin(p *pool, reading *reading) {
+// begin begins the task of an engine and reports whether the budget allows it.
+func (p *pool) begin(reading *reading) bool {
 	t := &task{}
 	if !t.pay(reading, &p.budget, time.Now()) {
-		r.Counters.WeightWaits.Add(1)
-		return
+		return false
 	}
 	p.tasks[reading.endpoint.Name] = t
+	return true
 }
 
 // enginesElsewhere returns the engines of a role in other zones.
