--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -64,7 +64,7 @@
 }
 
 // OK reports whether the request was answered.
-func (a *Answer) OK() bool { return a.Status >= 200 && a.Status < 300 }
+func (a Answer) OK() bool { return a.Status >= 200 && a.Status < 300 }
 
 // Client sends requests to one entry VM or a balancer.
 type Client struct {
