claim: append outcomes that the reader's index knows no claim for

A reader that had not read on since the claim took the missing claim for one that retention had removed, and settled the outcome without appending it; the key then stayed 'running'. It never ran twice. Such records are now appended and settled by what the log makes of them; a test fails without the change. A test of restarted standbys asked too few keys to reach each slot.

--- a/internal/claim/answers_test.go
+++ b/internal/claim/answers_test.go
@@ -217,7 +217,8 @@
 		begin(t, vms[2], key, Run)
 		standby.kill()
 		c.start(t, standby.member.VM, "a")
-		for range 4 * Slots {
+		// So many keys that each slot is asked at least once.
+		for range 32 * Slots {
 			_, _ = vms[3].answers.Begin(context.Background(), homedKey(t, "a"))
 		}
 		time.Sleep(settled)
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -172,9 +172,7 @@
 	bubble(t, func(t *testing.T, c *cluster, _, b, _ *vm) {
 		c.settings.ClaimTimeout = c.settings.AppendTimeout / 2
 		alone := c.start(t, "vm-0", "a")
-		for _, other := range c.vms {
-			alone.hides[other.member.VM] = other != alone
-		}
+		c.isolate(alone)
 		c.log.setFaults(faults{slow: 1})
 		key := newKey(1)
 		refused(t, alone, key, NotSettled)
@@ -200,11 +198,13 @@
 
 func TestUnreachableOwnerIsPassedOver(t *testing.T) {
 	bubble(t, func(t *testing.T, c *cluster, a, b, d *vm) {
+		c.mu.Lock()
 		for _, from := range c.vms {
 			for _, to := range c.vms {
 				c.cut[[2]string{from.member.VM, to.member.VM}] = true
 			}
 		}
+		c.mu.Unlock()
 		for n := range 20 {
 			key := newKey(n)
 			must(t, a, key, Run)
@@ -235,9 +235,7 @@
 		for n := range 30 {
 			time.Sleep(5 * time.Minute)
 			fresh := c.start(t, "fresh", "a")
-			for _, other := range c.vms {
-				fresh.hides[other.member.VM] = other != fresh
-			}
+			c.isolate(fresh)
 			decision, err := fresh.claims.Claim(context.Background(), key)
 			if err == nil {
 				assert.Equal(t, decision.Kind, Unknown, "after %d steps", n)
@@ -249,6 +247,25 @@
 	})
 }
 
+// TestOutcomeOfUnseenClaimIsRecorded gives an outcome to a reader whose index
+// is older than the claim.
+func TestOutcomeOfUnseenClaimIsRecorded(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster, a, b, _ *vm) {
+		lone := c.start(t, "vm-0", "a")
+		c.isolate(lone)
+		time.Sleep(2 * openEvery)
+		for n := range Shards {
+			key := newKey(n)
+			ticket := must(t, a, key, Run).Ticket
+			record := outcomeRecord(key, ticket.writer, Outcome{Execution: Ran, Delivered: true}.message())
+			result := lone.claims.submitHere(context.Background(), record, ticket.key.Issued)
+			assert.Equal(t, result.status, claimv1.Settlement_SETTLEMENT_SETTLED)
+			time.Sleep(2 * freshFor)
+			must(t, b, key, Answered)
+		}
+	})
+}
+
 // TestReturnedDeliveryNeverWins lets a delivery take effect after its attempt
 // has given it back.
 func TestReturnedDeliveryNeverWins(t *testing.T) {
--- a/internal/claim/cluster_test.go
+++ b/internal/claim/cluster_test.go
@@ -118,6 +118,15 @@
 	}
 }
 
+// isolate hides all other VMs from the view of one.
+func (c *cluster) isolate(v *vm) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, other := range c.vms {
+		v.hides[other.member.VM] = other != v
+	}
+}
+
 func (c *cluster) stop() {
 	for _, v := range c.vms {
 		v.kill()
--- a/internal/claim/index.go
+++ b/internal/claim/index.go
@@ -152,7 +152,8 @@
 }
 
 // reflects reports whether the entry already decides a record of a writer, so
-// that appending it would change nothing.
+// that appending it would change nothing. It must not rest on the absence of a
+// record that may have been appended since.
 func (e *entry) reflects(writer writerID, record *claimv1.Record) bool {
 	switch record.GetKind().(type) {
 	case *claimv1.Record_Claim:
@@ -160,11 +161,9 @@
 	case *claimv1.Record_Outcome:
 		return e.claimant != writer || e.execution != claimv1.Execution_EXECUTION_UNSPECIFIED
 	case *claimv1.Record_Delivery:
-		return !e.deliverable() || e.deliverer != (writerID{}) || slices.Contains(e.returned, writer)
-	case *claimv1.Record_DeliveryConfirmed:
-		return e.deliverer != writer || e.delivered
+		return e.terminal() || e.deliverer != (writerID{}) || slices.Contains(e.returned, writer)
 	default:
-		return !e.deliverable() || slices.Contains(e.returned, writer)
+		return e.delivered || slices.Contains(e.returned, writer)
 	}
 }
 
--- a/internal/claim/shard_serve.go
+++ b/internal/claim/shard_serve.go
@@ -147,8 +147,6 @@
 		s.settle(p, e)
 	case e == nil && p.record.GetClaim() != nil:
 		return s.refuseByTime(p)
-	case e == nil && !opensKey(p.record):
-		p.settle(claimv1.Settlement_SETTLEMENT_SETTLED, nil)
 	default:
 		return false
 	}
@@ -226,7 +224,7 @@
 		s.index.apply(s.next, at, p.record)
 		s.next++
 	}
-	s.requeueKnown(batch)
+	s.settleApplied(batch)
 }
 
 // readBack finds the place of a batch that is or may be on the log behind
@@ -238,6 +236,10 @@
 	}
 	s.mu.Unlock()
 	s.synced = s.catchUp(ctx)
+	if appendErr == nil && s.synced {
+		s.settleApplied(batch)
+		return
+	}
 	s.requeueKnown(batch)
 	if appendErr != nil {
 		s.counters.inDoubt.Add(1)
@@ -246,6 +248,23 @@
 	}
 }
 
+// settleApplied settles a batch that the index contains.
+func (s *shard) settleApplied(batch []*pending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range batch {
+		e := s.index.entries[p.key]
+		switch {
+		case e != nil:
+			s.settle(p, e)
+		case opensKey(p.record):
+			p.settle(claimv1.Settlement_SETTLEMENT_IN_DOUBT, nil)
+		default:
+			p.settle(claimv1.Settlement_SETTLEMENT_SETTLED, nil)
+		}
+	}
+}
+
 // requeueKnown settles the records that the index reflects and queues the rest.
 func (s *shard) requeueKnown(batch []*pending) {
 	s.mu.Lock()
