claim: require final states after the faults have ended

The specification allowed 'running' at any time after a claim, and so missed the dropped outcomes. Once all outcomes are recorded it no longer does; with that fault put back the check fails.

--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -52,6 +52,7 @@
 	execution Execution
 	delivered bool
 	faults    faults
+	quiet     bool
 }
 
 func drawAction(t *rapid.T) action {
@@ -153,7 +154,7 @@
 func (r *run) call(a action) {
 	v := r.vm(a.vm)
 	attempt := int(r.attempt.Add(1))
-	in := step{op: opClaim, key: a.key, attempt: attempt}
+	in := step{op: opClaim, key: a.key, attempt: attempt, quiet: a.quiet}
 	began := r.clock.Add(1)
 	decision, err := r.claim(v, context.Background(), r.key(a.key))
 	r.note(began, in, refusalResult(decision, err))
@@ -297,7 +298,8 @@
 	time.Sleep(healTime)
 	for key := range r.keys {
 		for n := range scheduleVMs {
-			r.call(action{vm: n, key: key, execution: Ran, delivered: true})
+			r.call(action{vm: n, key: key, execution: Ran, delivered: true, quiet: true})
+			time.Sleep(2 * freshFor)
 		}
 	}
 }
--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -22,6 +22,8 @@
 	attempt   int
 	execution Execution
 	delivered bool
+	// quiet says that all outcomes were recorded a while before.
+	quiet bool
 }
 
 // result is the output of a history's operation.
@@ -44,7 +46,8 @@
 }
 
 // specification is the sequential specification of claims. Running is allowed
-// for each claimed key, since an answer may be a little stale.
+// for each claimed key, since an answer may be a little stale, but for attempts
+// after all outcomes were recorded.
 var specification = porcupine.NondeterministicModel{
 	Partition: partitionByKey,
 	Init:      func() []any { return []any{keyModel{}} },
@@ -110,7 +113,9 @@
 		ok := m.winner == 0
 		m.winner = in.attempt
 		return m, ok
-	case Running, Unknown:
+	case Running:
+		return m, m.winner != 0 && (!in.quiet || m.execution == 0)
+	case Unknown:
 		return m, m.winner != 0
 	case Answered:
 		return m, ran && m.delivered
