--- a/internal/measure/fault.go
+++ b/internal/measure/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -54,7 +55,7 @@
 type Fault struct {
 	Kind FaultKind `json:"kind"`
 	// Endpoint names the engine, plain service or entry VM of the kinds that
-	// have one.
+	// have one. If it is empty, the busiest decode engine at Start is taken.
 	Endpoint string `json:"endpoint"`
 	// Start is the time since the start of the run.
 	Start    configuration.Duration `json:"start"`
@@ -108,6 +109,9 @@
 	if !sleepUntil(ctx, start.Add(f.Start.D())) {
 		return
 	}
+	if f.Endpoint == "" {
+		f.Endpoint = r.busiest()
+	}
 	switch f.Kind {
 	case FaultLeaving:
 		r.leave(ctx, f.Endpoint)
@@ -121,6 +125,20 @@
 	r.set(f, false)
 }
 
+// busiest returns the name of the engine that decodes the most requests, the
+// first by name of several.
+func (r *faultRun) busiest() string {
+	engines := r.site.Platform.Engines
+	busiest, most := "", -1
+	for _, name := range slices.Sorted(maps.Keys(engines)) {
+		c := engines[name].Counts()
+		if active := c.Active + c.Importing; active > most {
+			busiest, most = name, active
+		}
+	}
+	return busiest
+}
+
 // leave makes an endpoint leave and notes its count after the grace.
 func (r *faultRun) leave(ctx context.Context, name string) {
 	r.site.Platform.Leave(name)
--- a/internal/measure/measurement_test.go
+++ b/internal/measure/measurement_test.go
@@ -45,6 +45,7 @@
 		{`{"loads": [1], "warm_up": "9m", "duration": "2m"}`, "at most 600 s"},
 		{`{"load": {"gone_share": 2}}`, "from 0 to 1"},
 		{`{"fault_runs": [{"load": 1, "faults": [{"kind": "fire"}]}]}`, `"fire" is none of`},
+		{`{"fault_runs": [{"load": 1, "faults": [{"kind": "vm-stopped"}]}]}`, "name of an entry VM"},
 		{`{"output_tokens": {"min": 3, "max": 2}}`, "1 <= min <= max"},
 	} {
 		_, err := ParseSettings("s.json", []byte(test.settings))
@@ -89,7 +90,7 @@
 	settings.Questionnaire = "../../examples/quickstart.json"
 	settings.Variants = append(settings.Variants, Variant{Name: "p2c", Policy: "p2c"})
 	settings.FaultRuns = []FaultRun{{Load: 0.1, Faults: []Fault{
-		{Kind: FaultCrossed, Endpoint: "decode-a1", Duration: configuration.Duration(time.Minute)},
+		{Kind: FaultCrossed, Duration: configuration.Duration(time.Minute)},
 		{Kind: FaultVMStop, Endpoint: "entry-b"},
 	}}}
 	var out bytes.Buffer
--- a/internal/measure/settings.go
+++ b/internal/measure/settings.go
@@ -172,6 +172,9 @@
 		if !slices.Contains(FaultKinds(), fault.Kind) {
 			report.Addf(at+".kind", "%q is none of %v", fault.Kind, FaultKinds())
 		}
+		if fault.Kind == FaultVMStop && fault.Endpoint == "" {
+			report.Addf(at+".endpoint", "%s needs the name of an entry VM", FaultVMStop)
+		}
 		if fault.Start < 0 || fault.Duration < 0 {
 			report.Addf(at, "start and duration must not be negative")
 		}
