--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -235,10 +235,12 @@
 	c.grant = &grant
 }
 
+// lose ends a grant. What was excluded under it is not excluded under the next.
 func (m *Manager) lose(c *candidacy) {
 	if c.grant == nil {
 		return
 	}
+	c.excluded = nil
 	m.Counters.Lost.Add(1)
 	m.deps.Events.Record(timeline.LeaseLost, "", fmt.Sprintf("%s fencing %d", c.name, c.grant.Fencing))
 	c.grant = nil
--- a/internal/localsite/orders_test.go
+++ b/internal/localsite/orders_test.go
@@ -85,8 +85,10 @@
 			}
 		})
 	}
+	begun := time.Now()
 	assert.NilError(t, site.Publish(t.Context(), withVersion(site.Bundle, "2")))
 	awaitVersion(t, site, "2")
+	t.Logf("%d engines converged after %s", len(site.Platform.Engines), time.Since(begun))
 	stop()
 	callers.Wait()
 	assert.Assert(t, answered.Load() > 0)
