--- a/internal/lease/candidacy.go
+++ b/internal/lease/candidacy.go
@@ -28,6 +28,8 @@
 	state State
 	known bool
 	now   time.Time
+	// settled says that the state is known.
+	settled bool
 	// mine says that this VM holds the lease.
 	mine bool
 }
@@ -42,7 +44,7 @@
 		return c.nextAsHolder(s, terms, now)
 	}
 	free := !s.known || !s.now.Before(s.state.Free)
-	if !free || !c.wanted {
+	if !free || !s.settled || !c.wanted {
 		c.freeSince = time.Time{}
 		return ""
 	}
--- a/internal/lease/fold.go
+++ b/internal/lease/fold.go
@@ -42,7 +42,7 @@
 	// latest is the highest time of any record, so that a step back of the
 	// log's clock extends leases and never shortens them.
 	latest time.Time
-	// settles is when the effect of missing records is over.
+	// settles is when the effect of missing and unreadable records is over.
 	settles time.Time
 }
 
@@ -74,7 +74,7 @@
 	}
 	record, err := Decode(logged.Data)
 	if err != nil {
-		return Record{}, Unreadable
+		return Record{}, f.unreadable()
 	}
 	switch record.Kind {
 	case KindAcquire:
@@ -84,10 +84,19 @@
 	case KindRelease:
 		return record, f.release(&record)
 	default:
-		return record, Unreadable
+		return record, f.unreadable()
 	}
 }
 
+// unreadable takes a record that may have given any lease to somebody.
+func (f *Fold) unreadable() Verdict {
+	settles := f.latest.Add(f.terms.Duration + f.terms.WaitOut)
+	if settles.After(f.settles) {
+		f.settles = settles
+	}
+	return Unreadable
+}
+
 // acquire gives a lease to the first that asks once it is free. Its holder may
 // acquire it again for a higher fencing number.
 func (f *Fold) acquire(record *Record, logged logservice.Record) Verdict {
--- a/internal/lease/fold_test.go
+++ b/internal/lease/fold_test.go
@@ -109,10 +109,17 @@
 	assert.Equal(t, w.renew(vmA, 0), Renewed)
 }
 
-func TestRecordOfAnotherFormatIsKeptOut(t *testing.T) {
-	for _, data := range []string{`{`, `{"format":2,"lease":"l","holder":{"vm":"v"}}`, `{"format":1}`} {
-		_, verdict := NewFold(terms).Apply(logservice.Record{Time: epoch, Entry: logservice.Entry{Data: []byte(data)}})
+func TestUnreadableRecordMayHaveGivenAnyLease(t *testing.T) {
+	for _, data := range []string{
+		`{`, `{"format":2,"lease":"l","holder":{"vm":"v"}}`, `{"format":1}`,
+		`{"format":1,"kind":"lend","lease":"l","holder":{"vm":"v"}}`,
+	} {
+		fold := NewFold(terms)
+		assert.Assert(t, fold.Settled(epoch))
+		_, verdict := fold.Apply(logservice.Record{Time: epoch, Entry: logservice.Entry{Data: []byte(data)}})
 		assert.Equal(t, verdict, Unreadable, data)
+		assert.Assert(t, !fold.Settled(epoch.Add(terms.Duration+terms.WaitOut-1)))
+		assert.Assert(t, fold.Settled(epoch.Add(terms.Duration+terms.WaitOut)))
 	}
 }
 
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -256,7 +256,7 @@
 			m.lose(c)
 		}
 	}
-	if !m.caughtUp || !m.fold.Settled(m.clock.now()) {
+	if !m.caughtUp {
 		return
 	}
 	for _, c := range m.leases {
@@ -275,6 +275,7 @@
 
 func (m *Manager) situation(name string) situation {
 	s := situation{now: m.clock.now()}
+	s.settled = m.fold.Settled(s.now)
 	s.state, s.known = m.fold.Get(name)
 	s.mine = s.known && s.state.Holder == m.holder && s.now.Before(s.state.Expires)
 	return s
