--- a/internal/lease/schedule_test.go
+++ b/internal/lease/schedule_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,67 +20,10 @@
 
 const poolLease = "zone-a/drafter"
 
-// gate stops the calls of a paused VM.
-type gate struct {
-	mu     sync.Mutex
-	opened chan struct{}
-}
-
-func (g *gate) pause(period time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.opened != nil {
-		return
-	}
-	opened := make(chan struct{})
-	g.opened = opened
-	time.AfterFunc(period, func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.opened = nil
-		close(opened)
-	})
-}
-
-func (g *gate) pass() {
-	g.mu.Lock()
-	opened := g.opened
-	g.mu.Unlock()
-	if opened != nil {
-		<-opened
-	}
-}
-
-// pausedLog is the log as a VM sees it that may be paused before and after each
-// call, or cut off from the log.
-type pausedLog struct {
-	logservice.Service
-	gate gate
-	cut  atomic.Bool
-}
-
-func (l *pausedLog) Append(ctx context.Context, stream string, entries []logservice.Entry) (uint64, error) {
-	l.gate.pass()
-	if l.cut.Load() {
-		return 0, logservice.Outage.New("cut off")
-	}
-	defer l.gate.pass()
-	return l.Service.Append(ctx, stream, entries)
-}
-
-func (l *pausedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logservice.Page, error) {
-	l.gate.pass()
-	defer l.gate.pass()
-	if l.cut.Load() {
-		return logservice.Page{}, logservice.Unreadable.New("cut off")
-	}
-	return l.Service.Read(ctx, stream, from, limit, wait)
-}
-
 // vm is a candidate under test.
 type vm struct {
 	name    string
-	log     *pausedLog
+	log     *logtest.Link
 	manager *Manager
 	naive   *naiveJudge
 }
@@ -96,7 +38,7 @@
 	if name == members[1].VM {
 		view.This = members[1]
 	}
-	v := &vm{name: name, log: &pausedLog{Service: log}}
+	v := &vm{name: name, log: logtest.NewLink(log)}
 	appender, err := logservice.NewAppender(v.log, logservice.AppenderOptions{})
 	assert.NilError(t, err)
 	v.manager = NewManager(Dependencies{Log: v.log, Appender: appender, View: view, Events: timeline.Discard}, vmTerms)
@@ -173,7 +115,7 @@
 func (v *vm) sender(ctx context.Context, to *target, held func() (Grant, bool), random *rand.Rand, running *sync.WaitGroup) {
 	for ctx.Err() == nil {
 		time.Sleep(200 * time.Millisecond)
-		v.log.gate.pass()
+		v.log.Pass()
 		grant, ok := held()
 		if !ok {
 			continue
@@ -244,11 +186,11 @@
 			length := time.Duration(d.Length) * time.Second
 			switch d.Kind {
 			case 0, 1:
-				vms[d.Kind].log.gate.pause(length)
+				time.AfterFunc(length, vms[d.Kind].log.Pause())
 			case 2, 3:
-				cut := &vms[d.Kind-2].log.cut
-				cut.Store(true)
-				time.AfterFunc(length, func() { cut.Store(false) })
+				link := vms[d.Kind-2].log
+				link.SetCut(true)
+				time.AfterFunc(length, func() { link.SetCut(false) })
 			case 4:
 				log.SetAway(true)
 				time.AfterFunc(length, func() { log.SetAway(false) })
--- /dev/null
+++ b/internal/lease/step.go
@@ -0,0 +1,130 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+)
+
+const (
+	// retryPause is the pause after an append that failed.
+	retryPause = time.Second
+	// releaseTimeout bounds the release of all leases at a shutdown.
+	releaseTimeout = 2 * time.Second
+)
+
+// step appends what is due.
+func (m *Manager) step(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forget()
+	for _, c := range m.leases {
+		if c.grant != nil && !c.grant.Valid() {
+			m.lose(c)
+		}
+	}
+	if !m.caughtUp {
+		return
+	}
+	for _, c := range m.leases {
+		m.stepLease(ctx, c)
+	}
+}
+
+func (m *Manager) stepLease(ctx context.Context, c *candidacy) {
+	s := m.situation(c.name)
+	delay := time.Duration(rank(c.name, m.deps.View.Self(), m.deps.View.Members())) * m.terms.Stagger
+	kind := c.next(&s, &m.terms, delay, time.Now())
+	if kind != "" {
+		m.send(ctx, c, m.record(c, kind, &s))
+	}
+}
+
+func (m *Manager) situation(name string) situation {
+	s := situation{now: m.clock.now()}
+	s.settled = m.fold.Settled(s.now)
+	s.state, s.known = m.fold.Get(name)
+	s.mine = s.known && s.state.Holder == m.holder && s.now.Before(s.state.Expires)
+	return s
+}
+
+func (m *Manager) record(c *candidacy, kind Kind, s *situation) Record {
+	record := Record{Format: Format, Kind: kind, Lease: c.name, Holder: m.holder}
+	switch kind {
+	case KindAcquire:
+		record.ValidUntilMillis = s.now.Add(m.terms.Validity).UnixMilli()
+		record.Excluded = c.excluded
+	case KindRenew:
+		record.Fencing = s.state.Fencing
+		record.Excluded = c.excluded
+	case KindRelease:
+		record.Fencing = s.state.Fencing
+	}
+	return record
+}
+
+// send appends a record. The time is taken before, so that the lease ends here
+// before it ends on the log.
+func (m *Manager) send(ctx context.Context, c *candidacy, record Record) {
+	data, err := record.Encode()
+	if err != nil {
+		m.Counters.Failed.Add(1)
+		return
+	}
+	m.sequence++
+	id := fmt.Sprintf("%s.%d.lease.%d", m.holder.VM, m.holder.Incarnation, m.sequence)
+	c.sending = true
+	c.begun = time.Now()
+	c.retryAt = time.Time{}
+	c.sent = record.Excluded
+	m.begun[id] = c.begun
+	m.Counters.Appends.Add(1)
+	m.flows.Go(func() { m.append(ctx, c, logservice.Entry{ID: id, Data: data}) })
+}
+
+func (m *Manager) append(ctx context.Context, c *candidacy, entry logservice.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, m.terms.Renewal)
+	defer cancel()
+	_, err := m.deps.Appender.Append(ctx, Stream, logservice.PurposeLease, entry)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c.sending = false
+	switch {
+	case errorx.HasTrait(err, logservice.NotAppended):
+		m.Counters.Failed.Add(1)
+		c.retryAt = time.Now().Add(retryPause)
+		delete(m.begun, entry.ID)
+	case err != nil:
+		m.Counters.InDoubt.Add(1)
+	}
+}
+
+// forget drops appends that can grant nothing any more.
+func (m *Manager) forget() {
+	for id, begun := range m.begun {
+		if time.Since(begun) > m.terms.Duration {
+			delete(m.begun, id)
+		}
+	}
+}
+
+// releaseAll gives up all leases at a shutdown.
+func (m *Manager) releaseAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	m.mu.Lock()
+	for _, c := range m.leases {
+		c.wanted = false
+		s := m.situation(c.name)
+		if s.mine {
+			m.lose(c)
+			m.send(ctx, c, m.record(c, KindRelease, &s))
+		}
+	}
+	m.mu.Unlock()
+	m.flows.Wait()
+}
--- a/internal/order/fixture_test.go
+++ b/internal/order/fixture_test.go
@@ -68,32 +68,6 @@
 	return engine.OrderResult(state), nil
 }
 
-// pausedLog is the log as a VM sees it that may be paused.
-type pausedLog struct {
-	logservice.Service
-	// opened is closed when the pause ends; nil while there is none.
-	opened atomic.Pointer[chan struct{}]
-}
-
-// pass waits while the VM is paused.
-func (l *pausedLog) pass() {
-	if opened := l.opened.Load(); opened != nil {
-		<-*opened
-	}
-}
-
-func (l *pausedLog) Append(ctx context.Context, stream string, entries []logservice.Entry) (uint64, error) {
-	l.pass()
-	defer l.pass()
-	return l.Service.Append(ctx, stream, entries)
-}
-
-func (l *pausedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logservice.Page, error) {
-	l.pass()
-	defer l.pass()
-	return l.Service.Read(ctx, stream, from, limit, wait)
-}
-
 // site is a zone with two entry VMs.
 type site struct {
 	t       *testing.T
@@ -110,7 +84,7 @@
 }
 
 type entryVM struct {
-	log        *pausedLog
+	log        *logtest.Link
 	leases     *lease.Manager
 	reconciler *Reconciler
 	hook       atomic.Pointer[hook]
@@ -159,7 +133,7 @@
 	for _, vm := range s.bundle.Fleet.VMs {
 		members = append(members, membership.Member{VM: vm.Name, Zone: vm.Zone, Incarnation: 1, State: membership.Alive})
 	}
-	v := &entryVM{log: &pausedLog{Service: s.log}, ring: timeline.NewRing(members[number].VM, 1, 1024)}
+	v := &entryVM{log: logtest.NewLink(s.log), ring: timeline.NewRing(members[number].VM, 1, 1024)}
 	appender, err := logservice.NewAppender(v.log, logservice.AppenderOptions{})
 	assert.NilError(s.t, err)
 	view := membership.Static{This: members[number], All: members}
--- a/internal/order/reconciler_test.go
+++ b/internal/order/reconciler_test.go
@@ -159,9 +159,10 @@
 	reached, opened := make(chan struct{}), make(chan struct{})
 	h := hook(func(ctx context.Context, _ engine.Order) context.Context {
 		v.hook.Store(nil)
-		v.log.opened.Store(&opened)
+		resume := v.log.Pause()
 		close(reached)
 		<-opened
+		resume()
 		if expire {
 			return ctx
 		}
--- /dev/null
+++ b/internal/platform/logservice/logtest/link.go
@@ -0,0 +1,66 @@
+package logtest
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+)
+
+// Link is a log service as one VM reaches it: the VM may be paused, before and
+// after each of its calls, or cut off. It is safe for concurrent use.
+type Link struct {
+	service logservice.Service
+	cut     atomic.Bool
+	// resumed is closed at the end of a pause; nil while there is none.
+	resumed atomic.Pointer[chan struct{}]
+}
+
+var _ logservice.Service = (*Link)(nil)
+
+// NewLink returns a link to a service.
+func NewLink(service logservice.Service) *Link { return &Link{service: service} }
+
+// SetCut cuts the link or restores it.
+func (l *Link) SetCut(cut bool) { l.cut.Store(cut) }
+
+// Pause holds all calls until the returned function is called. A pause during
+// another one has no effect.
+func (l *Link) Pause() (resume func()) {
+	resumed := make(chan struct{})
+	if !l.resumed.CompareAndSwap(nil, &resumed) {
+		return func() {}
+	}
+	return func() {
+		l.resumed.Store(nil)
+		close(resumed)
+	}
+}
+
+// Pass waits while the VM is paused.
+func (l *Link) Pass() {
+	if resumed := l.resumed.Load(); resumed != nil {
+		<-*resumed
+	}
+}
+
+// Append implements logservice.Service.
+func (l *Link) Append(ctx context.Context, stream string, entries []logservice.Entry) (uint64, error) {
+	l.Pass()
+	defer l.Pass()
+	if l.cut.Load() {
+		return 0, logservice.Outage.New("cut off")
+	}
+	return l.service.Append(ctx, stream, entries)
+}
+
+// Read implements logservice.Service.
+func (l *Link) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logservice.Page, error) {
+	l.Pass()
+	defer l.Pass()
+	if l.cut.Load() {
+		return logservice.Page{}, logservice.Unreadable.New("cut off")
+	}
+	return l.service.Read(ctx, stream, from, limit, wait)
+}
