--- a/internal/localsite/orders_test.go
+++ b/internal/localsite/orders_test.go
@@ -43,23 +43,30 @@
 	return site
 }
 
-// withVersion returns a bundle that asks all engines for a version.
-func withVersion(bundle configuration.Bundle, version string) configuration.Bundle {
+// changeEngines asks all engines for version 2, and a prefill engine of zone-a to
+// decode.
+func changeEngines(bundle *configuration.Bundle) {
 	bundle.Fleet.Endpoints = slices.Clone(bundle.Fleet.Endpoints)
 	for i := range bundle.Fleet.Endpoints {
-		if e := &bundle.Fleet.Endpoints[i]; e.Kind == configuration.KindEngine {
-			e.Version = version
+		e := &bundle.Fleet.Endpoints[i]
+		if e.Kind != configuration.KindEngine {
+			continue
+		}
+		e.Version = "2"
+		if e.Name == "prefill-a1-second" {
+			e.Role = configuration.RoleDecode
+			e.Slots = 20
 		}
 	}
-	return bundle
 }
 
-// awaitVersion waits until all engines are of a version.
-func awaitVersion(t *testing.T, site *Site, version string) {
+// awaitConverged waits until all engines are as configured.
+func awaitConverged(t *testing.T, site *Site) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for name, e := range site.Platform.Engines {
-			if state := e.State(); state.Version != version || state.Busy {
+			state, want := e.State(), endpointOf(site, name)
+			if state.Version != want.Version || state.Role != want.Role || state.Busy {
 				return poll.Continue("%s: %+v", name, state)
 			}
 		}
@@ -86,9 +93,10 @@
 		})
 	}
 	begun := time.Now()
-	assert.NilError(t, site.Publish(t.Context(), withVersion(site.Bundle, "2")))
-	awaitVersion(t, site, "2")
-	t.Logf("%d engines converged after %s", len(site.Platform.Engines), time.Since(begun))
+	changeEngines(&site.Bundle)
+	assert.NilError(t, site.Publish(t.Context(), site.Bundle))
+	awaitConverged(t, site)
+	t.Logf("%d engines converged after %s, %d requests answered", len(site.Platform.Engines), time.Since(begun), answered.Load())
 	stop()
 	callers.Wait()
 	assert.Assert(t, answered.Load() > 0)
