--- /dev/null
+++ b/internal/localsite/overhead_fixture_test.go
@@ -0,0 +1,75 @@
+package localsite
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
+)
+
+// newBody returns a body that net/http sends at most once.
+func newBody(body []byte) io.Reader { return io.MultiReader(bytes.NewReader(body)) }
+
+// countedConn adds the bytes of both directions to a count.
+type countedConn struct {
+	net.Conn
+	count *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count.Add(int64(n))
+	return n, err
+}
+
+// countingTransport returns a transport with the count of its bytes.
+func countingTransport() (*http.Transport, *atomic.Int64) {
+	count := new(atomic.Int64)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		return countedConn{Conn: conn, count: count}, err
+	}
+	return &http.Transport{DialContext: dial, DisableCompression: true}, count
+}
+
+// listedVMs returns entries with names and addresses of usual lengths.
+func listedVMs(n int) []vmlist.VM {
+	vms := make([]vmlist.VM, n)
+	for i := range vms {
+		vms[i] = vmlist.VM{
+			Name:    fmt.Sprintf("decode-south-b-%04d", i),
+			Address: fmt.Sprintf("10.20.%d.%d:7400", i/200, i%200),
+			Zone:    fmt.Sprintf("south-%d", i%7),
+			State:   vmlist.Live,
+		}
+	}
+	return vms
+}
+
+// serveList serves an encoded list and returns a client for it.
+func serveList(b *testing.B, encoded []byte) *vmlist.Client {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(encoded)
+	}))
+	transport := &http.Transport{}
+	b.Cleanup(func() {
+		transport.CloseIdleConnections()
+		server.Close()
+	})
+	return vmlist.NewClient(server.URL, transport)
+}
