--- a/internal/engine/openai/client_test.go
+++ b/internal/engine/openai/client_test.go
@@ -122,6 +122,25 @@
 	})
 }
 
+func TestEventsKeepNothingOfTheOneBefore(t *testing.T) {
+	s := newStream(io.NopCloser(strings.NewReader(
+		`data: {"id":"vm-1.7.3.1","token_index":4,"choices":[{"text":"a","delta":{"content":"b"},"finish_reason":"stop"}]}`+"\n\n"+
+			`data: {"id":"vm-1.7.3.1","choices":[{}]}`+"\n\n"+
+			`data: {"choices":[{"text":"c"}]}`+"\n\n")), attempt)
+	token, err := s.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, token.Index, 4)
+	assert.Equal(t, string(token.Text), "ab")
+	assert.Equal(t, token.FinishReason, "stop")
+	token, err = s.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, token.Index, 0)
+	assert.Equal(t, string(token.Text), "")
+	assert.Equal(t, token.FinishReason, "")
+	_, err = s.Next()
+	assert.Assert(t, errorx.IsOfType(err, engine.Crossed), "%v", err)
+}
+
 func BenchmarkStreamToken(b *testing.B) {
 	line := `data: {"id":"vm-1.7.3.1","token_index":0,"choices":[{"index":0,"text":"word ","finish_reason":null}]}` + "\n\n"
 	s := newStream(io.NopCloser(&endless{line: line}), attempt)
--- a/internal/engine/openai/stream.go
+++ b/internal/engine/openai/stream.go
@@ -43,6 +43,8 @@
 	text    []byte
 	ended   bool
 	pending []byte
+	// event is the event being decoded.
+	event chunk
 }
 
 func newStream(body io.ReadCloser, id engine.AttemptID) *stream {
@@ -99,8 +101,8 @@
 
 // token decodes one event.
 func (s *stream) token(payload []byte) (engine.Token, error) {
-	var c chunk
-	if err := json.Unmarshal(payload, &c); err != nil {
+	c := s.emptyEvent()
+	if err := json.Unmarshal(payload, c); err != nil {
 		return engine.Token{}, engine.Unavailable.Wrap(err, "stream event of %s", s.id)
 	}
 	if c.ID != s.id {
@@ -120,6 +122,15 @@
 	return token, nil
 }
 
+// emptyEvent returns the reused event without the values of the one before.
+// Unmarshal keeps what elements within the capacity hold, so these are cleared.
+func (s *stream) emptyEvent() *chunk {
+	choices := s.event.Choices[:cap(s.event.Choices)]
+	clear(choices)
+	s.event = chunk{Choices: choices[:0]}
+	return &s.event
+}
+
 // nextLine returns the event that awaitImport has read ahead, or reads one.
 func (s *stream) nextLine() ([]byte, error) {
 	if s.pending != nil {
