--- a/internal/localsite/golden_test.go
+++ b/internal/localsite/golden_test.go
@@ -52,7 +52,7 @@
 const sessionTokens = 4
 
 // newSession starts a deployment that is recorded.
-func newSession(t *testing.T, tune func(*standin.Options)) *session {
+func newSession(t *testing.T) *session {
 	t.Helper()
 	s := &session{t: t, taps: make(map[string]*tap), clients: make(map[string]*caller.Client), asked: make(map[string]int)}
 	site, err := Start(t.Context(), Options{Bundle: sessionBundle(t), Via: s.via, Tune: func(options *standin.Options) {
@@ -61,9 +61,6 @@
 			options.Engines[i].TokenInterval = configuration.Duration(2 * time.Millisecond)
 		}
 		options.VMList.Lag = configuration.Duration(50 * time.Millisecond)
-		if tune != nil {
-			tune(options)
-		}
 	}})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, site.Close(context.Background())) })
@@ -108,7 +105,7 @@
 }
 
 // ask sends a request and notes what the caller sent and got.
-func (s *session) ask(ctx context.Context, vm string, request caller.Request) caller.Answer {
+func (s *session) ask(ctx context.Context, vm string, request caller.Request) {
 	fmt.Fprintf(&s.said, "caller to %s: %s %s", vm, request.Method, request.Path)
 	if request.Key != "" {
 		fmt.Fprintf(&s.said, " key %s", request.Key)
@@ -128,7 +125,6 @@
 	default:
 		fmt.Fprintf(&s.said, "  %d %s outcome %s retry after %q\n", answer.Status, answer.Problem, answer.Outcome, answer.RetryAfter)
 	}
-	return answer
 }
 
 // note adds a line about what the test did.
@@ -318,25 +314,25 @@
 }
 
 func TestGoldenSummary(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	s.ask(t.Context(), "entry-a", summaryOf("Summarise the dossier"))
 	s.check("summary")
 }
 
 func TestGoldenExplanation(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	s.ask(t.Context(), "entry-b", explanation())
 	s.check("explanation")
 }
 
 func TestGoldenLookup(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	s.ask(t.Context(), "entry-a", lookup())
 	s.check("lookup")
 }
 
 func TestGoldenBookingAndItsRepeat(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	booking := bookingOf(newKey(t))
 	s.ask(t.Context(), "entry-a", booking)
 	s.awaitClaimRecords(claimAndOutcome)
@@ -346,7 +342,7 @@
 }
 
 func TestGoldenBookingWithLostReply(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	setPlainFaults(s.Site, plain.Faults{LoseNextReplies: 1})
 	s.note("the next reply of the service is lost")
 	s.ask(t.Context(), "entry-a", bookingOf(newKey(t)))
@@ -355,7 +351,7 @@
 }
 
 func TestGoldenRefusalWhileTheLogIsAway(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	s.Platform.Log.SetFaults(logstore.Faults{Outage: true})
 	s.note("the log is away")
 	booking := bookingOf(newKey(t))
@@ -366,7 +362,7 @@
 }
 
 func TestGoldenCallerGone(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	for _, e := range s.Platform.Engines {
 		e.SetFaults(engine.Faults{IgnoreClose: true, Slow: 5000})
 	}
@@ -384,7 +380,7 @@
 }
 
 func TestGoldenDecodeCrashAndResume(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	s.Platform.Engines["decode-a1"].SetFaults(engine.Faults{CrashAfterTokens: 2})
 	s.note("decode-a1 crashes after 2 tokens")
 	s.ask(t.Context(), "entry-a", summaryOf("Survive the crash"))
@@ -392,7 +388,7 @@
 }
 
 func TestGoldenConfigurationRace(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	first, second := s.Bundle, s.Bundle
 	first.Teams = slices.Clone(s.Bundle.Teams)
 	second.Teams = slices.Clone(s.Bundle.Teams)
@@ -409,7 +405,7 @@
 }
 
 func TestGoldenShutdown(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	asked := make(chan struct{})
 	go func() {
 		defer close(asked)
@@ -425,7 +421,7 @@
 }
 
 func TestGoldenPartitionAndHealing(t *testing.T) {
-	s := newSession(t, nil)
+	s := newSession(t)
 	s.taps["entry-a/log"].cut.Store(true)
 	s.note("entry-a is cut off from the log")
 	booking := bookingOf(newKey(t))
