Resume without the first token's target and drop foreign events one by one

And one event of another attempt ended the whole attempt, which wasted its prefill.

Change: a caller that has its first token has no open target for it. Foreign events of a stream are dropped and counted; the token index shows whether one of the stream's own is missing. An interrupted answer names the refusal beside the last engine error.

The tests of abandoned attempts slowed engines by a factor that let attempts end by themselves; they now outlast any test.

--- a/internal/completion/attempt.go
+++ b/internal/completion/attempt.go
@@ -145,6 +145,7 @@
 	watch.reset(limit)
 	for {
 		token, err := stream.Next()
+		a.countForeign(token.Foreign)
 		if err != nil {
 			return a.streamError(watch, err)
 		}
@@ -158,6 +159,15 @@
 	}
 }
 
+// countForeign counts dropped events of other attempts.
+func (a *attempt) countForeign(events int) {
+	if events == 0 {
+		return
+	}
+	a.Counters.Crossed.Add(int64(events))
+	a.options.Events.Record(timeline.AnswerDropped, a.request.ID, a.grant.Decode)
+}
+
 // last passes on the final token once the terminal event has confirmed it.
 func (a *attempt) last(stream engine.Stream, token engine.Token, started time.Time) error {
 	token.Text = append([]byte(nil), token.Text...)
@@ -210,10 +220,6 @@
 
 // streamError explains a stream that ended before its terminal event.
 func (a *attempt) streamError(watch *watchdog, err error) error {
-	if errorx.IsOfType(err, engine.Crossed) {
-		a.Counters.Crossed.Add(1)
-		a.options.Events.Record(timeline.AnswerDropped, a.request.ID, a.grant.Decode)
-	}
 	if watch.fired() {
 		a.Counters.DecodeStalls.Add(1)
 	}
@@ -256,8 +262,7 @@
 // error says that nothing ran.
 func (a *attempt) failedOn(name string, role configuration.Role, err error, holds *bool) {
 	if errorx.IsOfType(err, engine.Crossed) {
-		a.Counters.Crossed.Add(1)
-		a.options.Events.Record(timeline.AnswerDropped, a.request.ID, name)
+		a.countForeign(1)
 	}
 	if errorx.IsOfType(err, engine.Leaving) {
 		a.options.Endpoints.MarkLeaving(name)
--- a/internal/completion/errors.go
+++ b/internal/completion/errors.go
@@ -1,6 +1,8 @@
 package completion
 
 import (
+	"fmt"
+
 	"github.com/joomcode/errorx"
 
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
@@ -59,11 +61,16 @@
 type InterruptedError struct {
 	// Delivered is the number of tokens that the caller has.
 	Delivered int
-	Cause     error
+	// Refusal says why there is no further attempt.
+	Refusal scheduling.Refusal
+	// Cause is the last engine error.
+	Cause error
 }
 
 // Error implements error.
-func (e *InterruptedError) Error() string { return "answer interrupted: " + e.Cause.Error() }
+func (e *InterruptedError) Error() string {
+	return fmt.Sprintf("answer interrupted after %d tokens: %v, then %s", e.Delivered, e.Cause, e.Refusal.Error())
+}
 
 // Unwrap returns the cause.
 func (e *InterruptedError) Unwrap() error { return e.Cause }
--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/prefix"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
@@ -74,7 +75,7 @@
 		PromptTokens: prefix.Tokens(len(r.request.PromptText)) + r.next,
 		Blocks:       r.blocks,
 		OutputTokens: r.request.MaxTokens - r.next,
-		Targets:      class.Targets,
+		Targets:      r.targets(),
 		Weights:      r.request.Team.Weights,
 		Waited:       time.Since(r.request.Arrived),
 		Exclude:      r.exclude,
@@ -82,6 +83,16 @@
 	}
 }
 
+// targets returns the targets that are still open. The first token's is settled
+// once the caller has a token; with it the demand could only be refused.
+func (r *run) targets() configuration.Targets {
+	targets := r.request.Class.Targets
+	if r.next > 0 {
+		targets.FirstToken = 0
+	}
+	return targets
+}
+
 // call returns what prefill and decode calls of an attempt have in common.
 func (r *run) call(id engine.AttemptID) engine.Call {
 	return engine.Call{
@@ -140,10 +151,7 @@
 	if r.next == 0 {
 		return &RefusedError{Refusal: refusal, Cause: cause, Outcome: r.outcome}
 	}
-	if cause == nil {
-		cause = &refusal
-	}
-	return &InterruptedError{Delivered: r.next, Cause: cause}
+	return &InterruptedError{Delivered: r.next, Refusal: refusal, Cause: cause}
 }
 
 // ranOn notes that an engine may have started work.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -113,6 +113,9 @@
 	Text []byte
 	// FinishReason is empty but for the last token.
 	FinishReason string
+	// Foreign is the number of events of other attempts that were dropped since
+	// the last token; it is set beside an error as well.
+	Foreign int
 }
 
 // Stream yields the tokens of one decode attempt. Next returns io.EOF after the
--- a/internal/engine/openai/client.go
+++ b/internal/engine/openai/client.go
@@ -1,8 +1,9 @@
 // Package openai implements engine.Client for the OpenAI-compatible wire format
 // with KV transfer parameters that docs/PROTOCOLS.md specifies.
 //
-// Every answer is checked for the attempt id of its call; an answer of another
-// attempt yields engine.Crossed and none of its content.
+// Every answer is checked for the attempt id of its call. A prefill's answer of
+// another attempt yields engine.Crossed; a stream's events of other attempts are
+// dropped and counted, and the token index shows whether one of its own is missing.
 package openai
 
 import (
--- a/internal/engine/openai/stream.go
+++ b/internal/engine/openai/stream.go
@@ -43,6 +43,8 @@
 	text    []byte
 	ended   bool
 	pending []byte
+	// foreign counts dropped events of other attempts since the last token.
+	foreign int
 	// event is the event being decoded.
 	event chunk
 }
@@ -74,6 +76,14 @@
 
 // Next implements engine.Stream.
 func (s *stream) Next() (engine.Token, error) {
+	token, err := s.next()
+	token.Foreign = s.foreign
+	s.foreign = 0
+	return token, err
+}
+
+// next returns the next token of this attempt.
+func (s *stream) next() (engine.Token, error) {
 	for {
 		line, err := s.nextLine()
 		if err != nil {
@@ -87,7 +97,11 @@
 		if bytes.Equal(payload, doneMarker) {
 			return engine.Token{}, s.finish()
 		}
-		return s.token(payload)
+		token, own, err := s.token(payload)
+		if err != nil || own {
+			return token, err
+		}
+		s.foreign++
 	}
 }
 
@@ -99,17 +113,17 @@
 	return io.EOF
 }
 
-// token decodes one event.
-func (s *stream) token(payload []byte) (engine.Token, error) {
+// token decodes one event and reports whether it belongs to this attempt.
+func (s *stream) token(payload []byte) (engine.Token, bool, error) {
 	c := s.emptyEvent()
 	if err := json.Unmarshal(payload, c); err != nil {
-		return engine.Token{}, engine.Unavailable.Wrap(err, "stream event of %s", s.id)
+		return engine.Token{}, false, engine.Unavailable.Wrap(err, "stream event of %s", s.id)
 	}
 	if c.ID != s.id {
-		return engine.Token{}, engine.Crossed.New("stream of %s carries an event of %s", s.id, c.ID)
+		return engine.Token{}, false, nil
 	}
 	if len(c.Choices) != 1 {
-		return engine.Token{}, engine.Unavailable.New("stream event of %s has %d choices", s.id, len(c.Choices))
+		return engine.Token{}, false, engine.Unavailable.New("stream event of %s has %d choices", s.id, len(c.Choices))
 	}
 	only := &c.Choices[0]
 	s.text = append(s.text[:0], only.Text...)
@@ -119,7 +133,7 @@
 		s.ended = true
 		token.FinishReason = *only.FinishReason
 	}
-	return token, nil
+	return token, true, nil
 }
 
 // emptyEvent returns the reused event without the values of the one before.
--- /dev/null
+++ b/internal/localsite/inforce_bench_test.go
@@ -0,0 +1,108 @@
+package localsite
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/examples"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/standin/logstore"
+)
+
+const (
+	// inForcePoll is the resolution of the measurement.
+	inForcePoll = time.Millisecond
+	// outageLength is the length of the log's outage before each publish.
+	outageLength = time.Second
+)
+
+// BenchmarkConfigurationInForce measures the time from the start of a publish to
+// the moment at which all entry VMs serve by it.
+func BenchmarkConfigurationInForce(b *testing.B) {
+	b.Run("normal", func(b *testing.B) { inForce(b, func(*Site, *benchTaps) {}) })
+	b.Run("after an outage of the log", func(b *testing.B) {
+		inForce(b, func(s *Site, _ *benchTaps) {
+			s.Platform.Log.SetFaults(logstore.Faults{Outage: true})
+			time.Sleep(outageLength)
+			s.Platform.Log.SetFaults(logstore.Faults{})
+		})
+	})
+	b.Run("one zone cut from the log", func(b *testing.B) {
+		inForce(b, func(_ *Site, taps *benchTaps) { taps.log["entry-b"].cut.Store(true) })
+	})
+	b.Run("all VMs of one zone replaced", func(b *testing.B) {
+		inForce(b, func(s *Site, _ *benchTaps) {
+			if err := s.StopVM(context.Background(), "entry-b"); err != nil {
+				b.Fatal(err)
+			}
+			if err := s.StartVM(context.Background(), "entry-b"); err != nil {
+				b.Fatal(err)
+			}
+		})
+	})
+}
+
+// benchTaps are the taps between entry VMs and the log.
+type benchTaps struct{ log map[string]*tap }
+
+// inForce publishes b.N times, each after prepare.
+func inForce(b *testing.B, prepare func(*Site, *benchTaps)) {
+	bundle, err := BundleOf("quickstart.json", examples.Quickstart)
+	if err != nil {
+		b.Fatal(err)
+	}
+	bundle.Fleet.Times.BalancerLag = 0
+	taps := &benchTaps{log: make(map[string]*tap)}
+	site, err := Start(context.Background(), Options{Bundle: bundle, Via: func(name, address string) string {
+		vm, found := strings.CutSuffix(name, "/log")
+		if !found {
+			return address
+		}
+		if taps.log[vm] == nil {
+			taps.log[vm] = newTap(b, name, address)
+		}
+		return taps.log[vm].addr()
+	}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = site.Close(context.Background()) }()
+	var took []time.Duration
+	for i := range b.N {
+		prepare(site, taps)
+		changed := site.Bundle
+		changed.Teams = slices.Clone(site.Bundle.Teams)
+		changed.Teams[0].Share = float64(i + 2)
+		took = append(took, publishAndAwait(b, site, changed, uint64(i+2)))
+	}
+	report(b, took)
+}
+
+// publishAndAwait returns the time until all entry VMs serve by a version.
+func publishAndAwait(b *testing.B, site *Site, bundle configuration.Bundle, version uint64) time.Duration {
+	started := time.Now()
+	if err := site.Publish(context.Background(), bundle); err != nil {
+		b.Fatal(err)
+	}
+	for _, vm := range site.VMs {
+		for vm.Version("team/quickstart") < version {
+			time.Sleep(inForcePoll)
+		}
+	}
+	return time.Since(started)
+}
+
+// report reports the quantiles of durations in milliseconds.
+func report(b *testing.B, took []time.Duration) {
+	slices.Sort(took)
+	at := func(share float64) float64 {
+		return float64(took[int(share*float64(len(took)-1))].Microseconds()) / 1000
+	}
+	b.ReportMetric(at(0.5), "p50-ms")
+	b.ReportMetric(at(0.99), "p99-ms")
+	b.ReportMetric(at(1), "max-ms")
+	b.ReportMetric(0, "ns/op")
+}
--- a/internal/localsite/site_test.go
+++ b/internal/localsite/site_test.go
@@ -28,6 +28,10 @@
 
 const maxOutputTokens = 200
 
+// endless slows engines so much that only a cancel ends an attempt within the
+// time of a test.
+const endless = 1e6
+
 // startQuickstart starts the quickstart deployment with fast engines.
 func startQuickstart(t *testing.T) *Site {
 	t.Helper()
