--- a/internal/measure/plot.go
+++ b/internal/measure/plot.go
@@ -16,6 +16,9 @@
 const (
 	plotWidth  = 9 * vg.Inch
 	plotHeight = 4 * vg.Inch
+	// legendRoom is the part of the height, relative to the highest value, that
+	// keeps the legend off the lines.
+	legendRoom = 1.35
 )
 
 // WritePlot draws goodput and wasted prefill over load, one line per variant, as
@@ -31,6 +34,8 @@
 			return err
 		}
 	}
+	goodput.Y.Max *= legendRoom
+	waste.Y.Max *= legendRoom
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	halves := draw.Tiles{Rows: 1, Cols: 2}
 	whole := draw.New(canvas)
