Benchmark what each role costs by size of the fleet

Entry VMs run as processes of the test binary, so that processor time, memory, bytes to peers and bytes to the platform are those of one node; sizes differ in one quantity at a time.

--- a/internal/configuration/bench_test.go
+++ b/internal/configuration/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -91,3 +92,53 @@
 		assert.Assert(b, ok)
 	}
 }
+
+// BenchmarkMemory reports the bytes that a store keeps for each team.
+func BenchmarkMemory(b *testing.B) {
+	const teams = 1100
+	records, _ := encodedTeams(b, teams)
+	for b.Loop() {
+		before := liveHeap()
+		store := NewStore(timeline.Discard)
+		for i, data := range records {
+			store.ApplyBatch(logservice.Batch{CaughtUp: i == len(records)-1, Records: []logservice.Record{
+				{Offset: uint64(i), Entry: logservice.Entry{Data: data}},
+			}})
+		}
+		b.ReportMetric(float64(liveHeap()-before)/teams, "B/team")
+		runtime.KeepAlive(store)
+	}
+}
+
+// BenchmarkFleetMemory reports the bytes of a snapshot for each endpoint and VM
+// of the fleet.
+func BenchmarkFleetMemory(b *testing.B) {
+	const engines, vms = 1300, 400
+	for b.Loop() {
+		before := liveHeap()
+		bundle := testBundle()
+		for i := range engines {
+			e := bundle.Fleet.Endpoints[0]
+			e.Name, e.Address = fmt.Sprint("engine-", i), fmt.Sprintf("10.1.%d.%d:9100", i/200, i%200)
+			bundle.Fleet.Endpoints = append(bundle.Fleet.Endpoints, e)
+		}
+		for i := range vms {
+			vm := VM{Name: fmt.Sprint("entry-", i), Zone: "zone-a", Address: fmt.Sprintf("10.2.%d.%d:7400", i/200, i%200)}
+			bundle.Fleet.VMs = append(bundle.Fleet.VMs, vm)
+		}
+		snapshot, err := NewSnapshot(bundle)
+		assert.NilError(b, err)
+		b.ReportMetric(float64(liveHeap()-before)/(engines+vms), "B/entry")
+		record, err := publishOf(FleetSubject, 0, "operator", &bundle.Fleet).Encode()
+		assert.NilError(b, err)
+		b.ReportMetric(float64(len(record)), "B/fleet-record")
+		runtime.KeepAlive(snapshot)
+	}
+}
+
+func liveHeap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/localsite/site_test.go
+++ b/internal/localsite/site_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -19,7 +20,16 @@
 	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if encoded := os.Getenv(nodeSettingsVariable); encoded != "" {
+		if err := runNode(encoded); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
 
 // eventually bounds the wait for something that has to happen.
 const eventually = time.Minute
--- a/internal/timeline/ring_test.go
+++ b/internal/timeline/ring_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"runtime"
 	"strconv"
 	"sync"
 	"testing"
@@ -134,3 +136,24 @@
 		}
 	})
 }
+
+// BenchmarkMemory reports the bytes of one event in a full ring.
+func BenchmarkMemory(b *testing.B) {
+	const events = 1 << 14
+	for b.Loop() {
+		before := liveHeap()
+		ring := NewRing("vm-a", 1, events)
+		for i := range events {
+			ring.Record(FirstToken, fmt.Sprint("vm-a.1.", i), "decode-1")
+		}
+		b.ReportMetric(float64(liveHeap()-before)/events, "B/event")
+		runtime.KeepAlive(ring)
+	}
+}
+
+func liveHeap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
