--- a/internal/localsite/control_bench_test.go
+++ b/internal/localsite/control_bench_test.go
@@ -125,10 +125,10 @@
 	var endpoints []configuration.Endpoint
 	for i := range all {
 		e := all[i]
-		switch {
-		case e.Name == benchPlain:
+		switch e.Name {
+		case benchPlain:
 			endpoints = append(endpoints, e)
-		case e.Name == benchPrefill, e.Name == benchDecode:
+		case benchPrefill, benchDecode:
 			for n := range engines / 2 {
 				copied := e
 				copied.Name = fmt.Sprintf("%s-%d", e.Role, n)
--- a/internal/localsite/overhead_bench_test.go
+++ b/internal/localsite/overhead_bench_test.go
@@ -24,6 +24,7 @@
 
 const (
 	benchVM      = "entry-a"
+	benchOtherVM = "entry-a2"
 	benchPrefill = "prefill-a1"
 	benchDecode  = "decode-a1"
 	benchPlain   = "registration-a"
@@ -57,17 +58,18 @@
 	calls           uint64
 }
 
-func newOverheadBench(b *testing.B, tokens int) *overheadBench {
+func newOverheadBench(b *testing.B, vm string, tokens int) *overheadBench {
 	b.Helper()
 	bundle, err := BundleOf("quickstart.json", examples.Quickstart)
 	assert.NilError(b, err)
+	bundle.Fleet.VMs = append(bundle.Fleet.VMs, configuration.VM{Name: benchOtherVM, Zone: controlZone})
 	site, err := Start(b.Context(), Options{Bundle: bundle, Tune: fastEngines(tokens)})
 	assert.NilError(b, err)
 	b.Cleanup(func() { assert.NilError(b, site.Close(context.Background())) })
 	client := benchClient(b)
 	return &overheadBench{
 		site:    site,
-		routed:  caller.New(site.VMs[benchVM].CallerAddr(), examples.QuickstartKey, client),
+		routed:  caller.New(site.VMs[vm].CallerAddr(), examples.QuickstartKey, client),
 		raw:     client,
 		prefill: openai.New(site.Platform.Addr(benchPrefill), client),
 		decode:  openai.New(site.Platform.Addr(benchDecode), client),
@@ -140,18 +142,33 @@
 
 // BenchmarkFirstToken alternates direct and routed answers and reports the
 // latency of their first tokens. The added time is the difference of quantiles.
+// One of the two VMs owns the reservations; the other calls it for every answer,
+// as its bytes to peers show.
 func BenchmarkFirstToken(b *testing.B) {
-	o := newOverheadBench(b, 2)
-	request := summaryOf(benchPrompt)
-	compareLatencies(b,
-		func() time.Duration { return o.direct(b) },
-		func() time.Duration { return o.throughRouter(b, request).FirstToken },
-	)
+	for _, vm := range []string{benchVM, benchOtherVM} {
+		b.Run("vm="+vm, func(b *testing.B) {
+			o := newOverheadBench(b, vm, 2)
+			request := summaryOf(benchPrompt)
+			before := o.peerBytes(b, vm)
+			compareLatencies(b,
+				func() time.Duration { return o.direct(b) },
+				func() time.Duration { return o.throughRouter(b, request).FirstToken },
+			)
+			b.ReportMetric((o.peerBytes(b, vm)-before)/float64(b.N+compareWarmUp), "peerB/answer")
+		})
+	}
+}
+
+// peerBytes returns the bytes between a VM and its peers since its start.
+func (o *overheadBench) peerBytes(b *testing.B, vm string) float64 {
+	var usage nodeUsage
+	assert.NilError(b, json.Unmarshal([]byte(o.site.VMs[vm].Metrics().String()), &usage.Counters))
+	return usage.peerBytes()
 }
 
 // BenchmarkLookup alternates direct and routed lookups at a plain service.
 func BenchmarkLookup(b *testing.B) {
-	o := newOverheadBench(b, 2)
+	o := newOverheadBench(b, benchVM, 2)
 	request := lookup()
 	url := "http://" + o.site.Platform.Addr(benchPlain) + request.Path
 	buffer := make([]byte, 4096)
@@ -165,10 +182,12 @@
 	)
 }
 
+// compareWarmUp is the number of calls of each way before the measured ones.
+const compareWarmUp = 50
+
 // compareLatencies reports quantiles of two ways in microseconds.
 func compareLatencies(b *testing.B, direct, routed func() time.Duration) {
-	const warmUp = 50
-	for range warmUp {
+	for range compareWarmUp {
 		direct()
 		routed()
 	}
@@ -197,14 +216,14 @@
 func BenchmarkAnswer(b *testing.B) {
 	for _, tokens := range []int{20, 180} {
 		b.Run(fmt.Sprintf("direct/tokens=%d", tokens), func(b *testing.B) {
-			o := newOverheadBench(b, tokens)
+			o := newOverheadBench(b, benchVM, tokens)
 			b.ReportAllocs()
 			for b.Loop() {
 				o.direct(b)
 			}
 		})
 		b.Run(fmt.Sprintf("routed/tokens=%d", tokens), func(b *testing.B) {
-			o := newOverheadBench(b, tokens)
+			o := newOverheadBench(b, benchVM, tokens)
 			buffer := make([]byte, 64<<10)
 			b.ReportAllocs()
 			for b.Loop() {
@@ -217,7 +236,7 @@
 // BenchmarkLoadReport measures one load report of an engine with its bytes on
 // the wire.
 func BenchmarkLoadReport(b *testing.B) {
-	o := newOverheadBench(b, 2)
+	o := newOverheadBench(b, benchVM, 2)
 	transport, count := countingTransport()
 	b.Cleanup(transport.CloseIdleConnections)
 	client := openai.New(o.site.Platform.Addr(benchDecode), &http.Client{Transport: transport})
