Publish and document the counters of reservations, configuration, keys and the log's reader

Mount the groups reservation, scheduling, configuration, configuration_reappend, configuration_sync and log_tail, and the groups claim and answers once the registries of keys begin.

--- a/internal/claim/answers.go
+++ b/internal/claim/answers.go
@@ -98,7 +98,7 @@
 func (r *AnswerRegistry) Flush(ctx context.Context) error { return r.outbox.flush(ctx) }
 
 // Metrics returns the counters.
-func (r *AnswerRegistry) Metrics() expvar.Var { return r.counters.vars }
+func (r *AnswerRegistry) Metrics() *expvar.Map { return r.counters.vars }
 
 // AnswerDecision answers one attempt of a model-backed call with a key.
 type AnswerDecision struct {
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -106,7 +106,7 @@
 func (c *Claims) Flush(ctx context.Context) error { return c.outbox.flush(ctx) }
 
 // Metrics returns the counters.
-func (c *Claims) Metrics() expvar.Var { return c.counters.vars }
+func (c *Claims) Metrics() *expvar.Map { return c.counters.vars }
 
 // Claim decides one attempt of a call. Errors have the trait NotRun and are of
 // the types LogAway, NotSettled, KeyMalformed, KeyExpired, KeyFuture, Full and
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -9,6 +9,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/configuration/peersync"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
@@ -37,19 +38,24 @@
 }
 
 // newStore returns the configuration store, kept up to date from the log.
-func newStore(lifecycle fx.Lifecycle, log logservice.Service, events timeline.Recorder) *configuration.Store {
+func newStore(lifecycle fx.Lifecycle, log logservice.Service, events timeline.Recorder, registry *metrics.Registry) *configuration.Store {
 	store := configuration.NewStore(events)
-	background(lifecycle, func(ctx context.Context) { _ = store.Follow(ctx, log) })
+	tailer := logservice.NewTailer(log, logservice.TailerOptions{Stream: configuration.Stream})
+	registry.Mount("configuration", store.Vars())
+	registry.Mount("log_tail", tailer.Vars())
+	background(lifecycle, func(ctx context.Context) { _ = tailer.Run(ctx, store.ApplyBatch) })
 	return store
 }
 
-func runReappender(lifecycle fx.Lifecycle, store *configuration.Store, view membership.View, appender *logservice.Appender) {
+func runReappender(lifecycle fx.Lifecycle, store *configuration.Store, view membership.View, appender *logservice.Appender, registry *metrics.Registry) {
 	reappender := configuration.NewReappender(store, view, appender)
+	registry.Mount("configuration_reappend", reappender.Vars())
 	background(lifecycle, func(ctx context.Context) { _ = reappender.Run(ctx) })
 }
 
-func runSyncer(lifecycle fx.Lifecycle, store *configuration.Store, view membership.View, dialer peer.Dialer) {
+func runSyncer(lifecycle fx.Lifecycle, store *configuration.Store, view membership.View, dialer peer.Dialer, registry *metrics.Registry) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	syncer := peersync.NewSyncer(store, view, dialer, random)
+	registry.Mount("configuration_sync", syncer.Vars())
 	background(lifecycle, func(ctx context.Context) { _ = syncer.Run(ctx) })
 }
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -11,6 +11,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/claim"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
@@ -39,6 +40,8 @@
 	View   membership.View
 	Dialer peer.Dialer
 	Events timeline.Recorder
+	// Metrics get the counters once the registries begin.
+	Metrics *metrics.Registry
 }
 
 func newKeys(lifecycle fx.Lifecycle, store *configuration.Store, deps keyDependencies) *keys {
@@ -88,6 +91,8 @@
 		claims.Stop()
 		return
 	}
+	k.deps.Metrics.Mount("claim", claims.Metrics())
+	k.deps.Metrics.Mount("answers", answers.Metrics())
 	k.now.Store(&registries{claims: claims, answers: answers})
 }
 
--- a/internal/daemon/path.go
+++ b/internal/daemon/path.go
@@ -69,7 +69,7 @@
 	return c
 }
 
-func newReservation(lifecycle fx.Lifecycle, view membership.View, dialer peer.Dialer, store *configuration.Store, endpoints *endpoint.Registry, leases *lease.Manager) *reservation.Service {
+func newReservation(lifecycle fx.Lifecycle, view membership.View, dialer peer.Dialer, store *configuration.Store, endpoints *endpoint.Registry, leases *lease.Manager, registry *metrics.Registry) *reservation.Service {
 	service := reservation.New(reservation.Params{
 		View:   view,
 		Dialer: dialer,
@@ -79,6 +79,8 @@
 			return reservation.Condition{Leaving: leaving, Ejected: !leaving && !endpoints.Usable(name)}
 		},
 	})
+	registry.Mount("reservation", metrics.Fields(service.Counters()))
+	registry.Mount("scheduling", schedulingVars(service))
 	background(lifecycle, service.Run)
 	return service
 }
--- a/internal/metrics/catalog_requests.go
+++ b/internal/metrics/catalog_requests.go
@@ -60,8 +60,11 @@
 
 var schedulingGroup = Group{
 	Name: "scheduling",
-	Help: "Decisions about engines for model-backed requests, taken by this VM.",
+	Help: "Decisions about engines for model-backed requests, for the models whose reservations this VM owns now. The values of a model go when its ownership moves to another VM, so that they can fall; see `reservation.ownership_lost`.",
 	Values: []Definition{
+		{"models", Gauge, Models, "Models whose reservations this VM owns.", "Each model is owned by one VM of each zone; look for the owner before you compare."},
+		{"waiting", Gauge, Requests, "Requests that wait for engines.",
+			"Near the queue limits of the classes: callers are about to be refused; add decode engines."},
 		{"granted", Counter, Requests, "Requests that were granted engines.", none},
 		{"overlapped", Counter, Requests, "Grants whose prefill started before a decode slot was free.",
 			"Nothing by itself; a rise of wasted prefill with it means that slots become free later than predicted."},
--- a/internal/metrics/definition.go
+++ b/internal/metrics/definition.go
@@ -36,6 +36,8 @@
 	Events      Unit = "events"
 	Endpoints   Unit = "endpoints"
 	Slots       Unit = "slots"
+	Models      Unit = "models"
+	Generation  Unit = "changes"
 	Keys        Unit = "keys"
 	Incidents   Unit = "incidents"
 	VMs         Unit = "VMs"
