Answer repeats of a call whose reply was cut short

The outcome of such a call is recorded without an answer. A repeat passed the answer's status 0 on, which panicked and broke the caller's connection; it is now refused as answered, outcome ran. The new test failed on the former code.

--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -67,12 +67,13 @@
 }
 
 // deliverRecorded gives the recorded answer of an earlier attempt to the caller.
+// There is none if the reply was cut short or too large.
 func (g *Gateway) deliverRecorded(x *exchange, decision *claim.Decision) {
 	answer := decision.Answer
-	if answer.BodyDropped {
+	if answer.BodyDropped || answer.Status == 0 {
 		decision.Delivery.Delivered()
 		g.refuse(x, problem.New(problem.KeyAnswered, http.StatusConflict, problem.Ran,
-			"the call ran; its answer was too large to be kept"))
+			"the call ran; its answer was cut short or too large to be kept"))
 		return
 	}
 	if g.pass(x, &forward.Reply{Status: answer.Status, Header: answer.Header, Body: answer.Body}) {
