--- a/internal/membership/swim/calls.go
+++ b/internal/membership/swim/calls.go
@@ -87,7 +87,19 @@
 	return outcome{Answer: &answer}
 }
 
+// client returns the client of an address. Clients are kept, since making one
+// costs more than a call.
 func (s *Service) client(address string) membershipv1connect.MembershipServiceClient {
-	return membershipv1connect.NewMembershipServiceClient(s.params.Dialer.HTTPClient(),
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if client, ok := s.clients[address]; ok {
+		return client
+	}
+	if len(s.clients) >= maxMembers {
+		clear(s.clients)
+	}
+	client := membershipv1connect.NewMembershipServiceClient(s.params.Dialer.HTTPClient(),
 		s.params.Dialer.BaseURL(address), connect.WithReadMaxBytes(maxMessageBytes))
+	s.clients[address] = client
+	return client
 }
--- a/internal/membership/swim/server.go
+++ b/internal/membership/swim/server.go
@@ -29,8 +29,8 @@
 
 // Peer returns the service for the listener for peers.
 func (s *Service) Peer() peer.Handler {
-	path, handler := membershipv1connect.NewMembershipServiceHandler(&server{service: s},
-		connect.WithReadMaxBytes(maxMessageBytes))
+	options := append(peer.HandlerOptions(), connect.WithReadMaxBytes(maxMessageBytes))
+	path, handler := membershipv1connect.NewMembershipServiceHandler(&server{service: s}, options...)
 	return peer.Handler{Path: path, Handler: s.bounded(handler)}
 }
 
--- a/internal/membership/swim/service.go
+++ b/internal/membership/swim/service.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ospreyshed/ospreyshed/api/membership/v1/membershipv1connect"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
@@ -40,6 +41,7 @@
 
 	mu      sync.Mutex
 	machine *machine
+	clients map[string]membershipv1connect.MembershipServiceClient
 	// changes are those that subscribers have not been told yet.
 	changes []change
 	changed chan struct{}
@@ -57,7 +59,11 @@
 
 // New returns a service that takes part once Run runs and Peer is served.
 func New(params Params) *Service {
-	s := &Service{params: params, changed: make(chan struct{}, 1)}
+	s := &Service{
+		params:  params,
+		changed: make(chan struct{}, 1),
+		clients: make(map[string]membershipv1connect.MembershipServiceClient),
+	}
 	self := identity{VM: params.VM, Zone: params.Zone, Address: params.Address, Incarnation: params.Incarnation}
 	now := time.Now()
 	s.machine = newMachine(now, self, params.Random, &s.counters)
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -39,7 +39,7 @@
 	d.transport = &http.Transport{
 		DialContext:         d.dial,
 		Protocols:           protocols(options.Certificates != nil),
-		HTTP2:               http2Config(),
+		HTTP2:               dialerHTTP2Config(),
 		TLSHandshakeTimeout: handshakeTimeout,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -74,6 +74,13 @@
 	return vars
 }
 
+func dialerHTTP2Config() *http.HTTP2Config {
+	config := http2Config()
+	config.SendPingTimeout = pingAfter
+	config.PingTimeout = pingTimeout
+	return config
+}
+
 func (d *HTTPDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil || !d.options.allows(parsed) {
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -12,6 +12,9 @@
 const (
 	// MaxMessageBytes bounds one message between entry VMs.
 	MaxMessageBytes = 4 << 20
+	// minCompressBytes is the size from which on answers are compressed. Below
+	// it, compression costs far more processor time than the call.
+	minCompressBytes = 16 << 10
 	// maxRequestBytes bounds the body of one request, framing included.
 	maxRequestBytes = MaxMessageBytes + 64<<10
 	// maxHeaderBytes bounds the header of one request.
@@ -25,14 +28,18 @@
 	handshakeTimeout  = 2 * time.Second
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 10 * time.Second
-	// pingAfter is how long a connection may be silent before it is probed, and
-	// pingTimeout how long the probe may take.
-	pingAfter   = 5 * time.Second
+	// pingAfter is how long a connection may be silent before the dialer probes
+	// it, and pingTimeout how long the probe may take. A fleet keeps many silent
+	// connections, so that probes of their own account are rare.
+	pingAfter   = 15 * time.Second
 	pingTimeout = 3 * time.Second
 	// writeTimeout closes a connection whose peer accepts no bytes.
 	writeTimeout = 5 * time.Second
-	// idleTimeout is how long a connection without requests is kept.
-	idleTimeout = time.Minute
+	// idleTimeout is how long the dialer keeps a connection without requests: for
+	// longer than membership takes to probe all VMs of a large zone. The server
+	// keeps them for longer, so that none ends under a request.
+	idleTimeout       = 3 * time.Minute
+	serverIdleTimeout = idleTimeout + time.Minute
 )
 
 // Options are the settings of a Server and of a Dialer.
@@ -70,7 +77,10 @@
 
 // HandlerOptions returns the options that services for peers are made with.
 func HandlerOptions() []connect.HandlerOption {
-	return []connect.HandlerOption{connect.WithReadMaxBytes(MaxMessageBytes)}
+	return []connect.HandlerOption{
+		connect.WithReadMaxBytes(MaxMessageBytes),
+		connect.WithCompressMinBytes(minCompressBytes),
+	}
 }
 
 // ClientOptions returns the options that clients of peers are made with.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -50,7 +50,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       serverIdleTimeout,
 		ErrorLog:          log.New(errorCounter{&s.counters.ConnectionErrors}, "", 0),
 	}
 	return s, nil
@@ -75,8 +75,6 @@
 func http2Config() *http.HTTP2Config {
 	return &http.HTTP2Config{
 		MaxConcurrentStreams: maxStreams,
-		SendPingTimeout:      pingAfter,
-		PingTimeout:          pingTimeout,
 		WriteByteTimeout:     writeTimeout,
 	}
 }
