Let operators' tools reach the listener for peers

The listener spoke HTTP/2 only, and certificates of tools name no VM. HTTP/1.1 is served too, and certificates can be loaded without a name for a dialer that tools use. The package's tests pass under -race.

--- a/internal/peer/certificates.go
+++ b/internal/peer/certificates.go
@@ -51,7 +51,8 @@
 }
 
 // LoadCertificates reads the certificate files of a VM. The error is
-// BadCertificate if the files cannot be used or do not name the VM.
+// BadCertificate if the files cannot be used or do not name the VM. An empty
+// name, for operators' tools, takes any certificate.
 func LoadCertificates(vm string, files settings.PeerTLS, log logrus.FieldLogger) (*Certificates, error) {
 	c := &Certificates{vm: vm, files: files, log: log, seen: digestOf(files)}
 	loaded, err := c.load(1)
@@ -106,7 +107,7 @@
 	if err != nil {
 		return nil, BadCertificate.Wrap(err, "authorities")
 	}
-	if !slices.Contains(namesOf(certificate.Leaf), c.vm) {
+	if c.vm != "" && !slices.Contains(namesOf(certificate.Leaf), c.vm) {
 		return nil, BadCertificate.New("%s does not name the VM %q", c.files.Certificate, c.vm)
 	}
 	return &credentials{generation: generation, certificate: certificate, authorities: authorities}, nil
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -88,6 +88,21 @@
 	assert.Equal(t, status, http.StatusNotFound)
 }
 
+func TestToolsMaySpeakHTTP1(t *testing.T) {
+	authority := peertest.NewAuthority(t)
+	for _, options := range []Options{{}, {Certificates: load(t, "vm-a1", authority.Files(t, "vm-a1"))}} {
+		server := start(t, options, namesHandler)
+		tool := dialer(t, options)
+		tool.transport.Protocols = new(http.Protocols)
+		tool.transport.Protocols.SetHTTP1(true)
+		_, body, err := get(tool, server, "/names/", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Fields(body)[0], "HTTP/1.1")
+	}
+	_, err := LoadCertificates("", authority.Files(t, "operator"), logrus.New())
+	assert.NilError(t, err)
+}
+
 func TestOtherAddressesNeedCertificatesOrAnExplicitChoice(t *testing.T) {
 	const open = "10.0.0.1:7400"
 	_, err := NewServer(Options{Listen: open})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -44,7 +44,7 @@
 	s := &Server{options: options, served: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           s.authenticate(http.MaxBytesHandler(route(handlers), maxRequestBytes)),
-		Protocols:         protocols(options.Certificates != nil),
+		Protocols:         serverProtocols(options.Certificates != nil),
 		HTTP2:             http2Config(),
 		ConnContext:       withConnection,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -72,6 +72,13 @@
 	return p
 }
 
+// serverProtocols adds HTTP/1, which operators' tools speak.
+func serverProtocols(encrypted bool) *http.Protocols {
+	p := protocols(encrypted)
+	p.SetHTTP1(true)
+	return p
+}
+
 func http2Config() *http.HTTP2Config {
 	return &http.HTTP2Config{
 		MaxConcurrentStreams: maxStreams,
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -10,12 +10,12 @@
 func (c *Certificates) serverTLS() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
-		NextProtos: []string{"h2"},
+		NextProtos: []string{"h2", "http/1.1"},
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			inForce := c.inForce()
 			return &tls.Config{
 				MinVersion:             tls.VersionTLS13,
-				NextProtos:             []string{"h2"},
+				NextProtos:             []string{"h2", "http/1.1"},
 				Certificates:           []tls.Certificate{inForce.certificate},
 				ClientAuth:             tls.RequireAndVerifyClientCert,
 				ClientCAs:              inForce.authorities,
