--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -72,7 +72,7 @@
 	return p
 }
 
-// serverProtocols adds HTTP/1, which operators' tools speak.
+// serverProtocols adds HTTP/1.1 for operators' tools that read the counters.
 func serverProtocols(encrypted bool) *http.Protocols {
 	p := protocols(encrypted)
 	p.SetHTTP1(true)
