Bound the exchanges that are answered with differences

When a zone that was split within came together, all VMs of the larger side pulled all members from the few of the smaller side at once. Each VM now answers at most 4 exchanges a second with differences, after a burst of 16.

--- a/internal/membership/swim/fault_test.go
+++ b/internal/membership/swim/fault_test.go
@@ -186,3 +186,29 @@
 		}
 	}
 }
+
+// TestASplitZoneComesTogetherWithoutABurst cuts off a few VMs across all zones,
+// so that both sides take each other for gone and differ in every member.
+func TestASplitZoneComesTogetherWithoutABurst(t *testing.T) {
+	t.Parallel()
+	const bytesBound = 100_000
+	s := ready(t, 40, 4)
+	few := func(n *simNode) bool { return n.VM < "vm-005" }
+	s.lost = func(a, b *simNode) bool { return few(a) != few(b) }
+	s.run(time.Minute)
+	state, _ := s.state(s.nodes["vm-000"], "vm-004")
+	assert.Equal(t, state, membership.Alive)
+	state, _ = s.state(s.nodes["vm-000"], "vm-008")
+	assert.Equal(t, state, membership.Gone)
+	s.lost = func(_, _ *simNode) bool { return false }
+	for range 5 {
+		for _, n := range s.nodes {
+			n.bytes = 0
+		}
+		s.run(time.Second)
+		for vm, n := range s.nodes {
+			assert.Assert(t, n.bytes <= bytesBound, "%s: %d bytes in a second", vm, n.bytes)
+		}
+	}
+	assert.Equal(t, s.disagreement(), "")
+}
--- a/internal/membership/swim/link.go
+++ b/internal/membership/swim/link.go
@@ -33,9 +33,9 @@
 }
 
 // answerExchange adds the members of the groups that differ to an answer.
-func (m *machine) answerExchange(answer *message, theirs []uint64) {
+func (m *machine) answerExchange(now time.Time, answer *message, theirs []uint64) {
 	groups := m.digests.differing(theirs)
-	if len(groups) == 0 {
+	if len(groups) == 0 || !m.differences.AllowN(now, 1) {
 		return
 	}
 	answer.Buckets = append([]uint64(nil), m.digests[:]...)
--- a/internal/membership/swim/machine.go
+++ b/internal/membership/swim/machine.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 )
 
@@ -45,6 +47,9 @@
 	nextJoin  time.Time
 	lastHeard time.Time
 
+	// differences bounds the exchanges answered with differences.
+	differences *rate.Limiter
+
 	changes []change
 	// changed says that a record changed since the last takeChanges, zoneStates
 	// holds the states of zones at that time.
@@ -78,12 +83,14 @@
 		candidates: newCandidates(),
 		calls:      make(map[uint64]*pendingCall),
 		zoneStates: make(map[string]membership.State),
-		lastTick:   now,
-		nextProbe:  now.Add(randomDuration(random, probePeriod)),
-		nextLink:   now.Add(randomDuration(random, linkPeriod)),
-		nextSync:   now.Add(randomDuration(random, syncPeriod)),
-		nextJoin:   now,
-		lastHeard:  now,
+
+		differences: rate.NewLimiter(differencesPerSecond, differenceBurst),
+		lastTick:    now,
+		nextProbe:   now.Add(randomDuration(random, probePeriod)),
+		nextLink:    now.Add(randomDuration(random, linkPeriod)),
+		nextSync:    now.Add(randomDuration(random, syncPeriod)),
+		nextJoin:    now,
+		lastHeard:   now,
 	}
 	m.self = &record{since: now, update: update{
 		VM: self.VM, Zone: self.Zone, Address: self.Address,
--- a/internal/membership/swim/receive.go
+++ b/internal/membership/swim/receive.go
@@ -17,7 +17,7 @@
 	m.merge(now, request, sender.Zone)
 	answer := m.compose(request.From.VM)
 	if len(request.Buckets) > 0 {
-		m.answerExchange(&answer, request.Buckets)
+		m.answerExchange(now, &answer, request.Buckets)
 	}
 	return answer, nil
 }
--- a/internal/membership/swim/timing.go
+++ b/internal/membership/swim/timing.go
@@ -62,6 +62,11 @@
 	maxPiggyback = 8
 	// maxExchange is the number of members that an exchange carries.
 	maxExchange = 32
+	// differencesPerSecond and differenceBurst bound the exchanges that this VM
+	// answers with differences, so that a zone that comes together again makes no
+	// burst. Others are answered as if there were none.
+	differencesPerSecond = 4
+	differenceBurst      = 16
 	// maxUpdates is the largest number of updates that a message may hold.
 	maxUpdates = 64
 	// maxMembers bounds the members that are remembered.
