--- a/internal/localsite/overhead_bench_test.go
+++ b/internal/localsite/overhead_bench_test.go
@@ -233,6 +233,16 @@
 	}
 }
 
+// BenchmarkIdle reports what the deployment allocates beside answers in 100 ms,
+// which BenchmarkAnswer contains for the time that an answer takes.
+func BenchmarkIdle(b *testing.B) {
+	newOverheadBench(b, benchVM, 2)
+	b.ReportAllocs()
+	for b.Loop() {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // BenchmarkLoadReport measures one load report of an engine with its bytes on
 // the wire.
 func BenchmarkLoadReport(b *testing.B) {
