--- a/internal/membership/swim/machine_test.go
+++ b/internal/membership/swim/machine_test.go
@@ -205,3 +205,37 @@
 	}
 	return d
 }
+
+// TestAPauseMovesDeadlines has a suspect and another zone wait for the end of a
+// pause of this VM.
+func TestAPauseMovesDeadlines(t *testing.T) {
+	m, counters := newTestMachine()
+	m.apply(began, member("vm-a2", "zone-a", 5).with(membership.Suspect, 0), "zone-a")
+	m.apply(began, member("vm-b1", "zone-b", 5), "zone-b")
+	resumed := began.Add(time.Hour)
+	m.tick(resumed)
+	assert.Equal(t, counters.Pauses.Load(), int64(1))
+	assert.Equal(t, m.records["vm-a2"].State, membership.Suspect)
+	assert.Equal(t, m.effective(resumed, m.records["vm-b1"]), membership.Alive)
+	for passed := time.Duration(0); passed <= zoneGoneAfter(2); passed += tickPeriod {
+		m.tick(resumed.Add(passed))
+	}
+	assert.Equal(t, m.records["vm-a2"].State, membership.Gone)
+	assert.Equal(t, m.effective(resumed.Add(zoneGoneAfter(2)), m.records["vm-b1"]), membership.Gone)
+}
+
+// TestACallThatOutlastedItsTimeoutAccusesNobody fails a ping in time and long
+// after.
+func TestACallThatOutlastedItsTimeoutAccusesNobody(t *testing.T) {
+	for _, test := range []struct {
+		took time.Duration
+		want membership.State
+	}{{pingTimeout, membership.Suspect}, {time.Minute, membership.Alive}} {
+		m, _ := newTestMachine()
+		m.apply(began, member("vm-a2", "zone-a", 5), "zone-a")
+		pings := m.startProbe(began)
+		assert.Equal(t, len(pings), 1)
+		m.finished(began.Add(test.took), pings[0].ID, outcome{})
+		assert.Equal(t, m.records["vm-a2"].State, test.want, "%s", test.took)
+	}
+}
