Use one package for rendezvous hashing

The weights are unchanged, so VMs of both versions choose the same members and home zones. Reservation keeps its own order of words for the same reason and says so.

--- a/internal/claim/answer_ticket.go
+++ b/internal/claim/answer_ticket.go
@@ -6,6 +6,7 @@
 
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/rendezvous"
 )
 
 // AnswerTicket is one attempt's right to work on an answer. Safe for concurrent use.
@@ -102,7 +103,7 @@
 
 // slotOwner returns the VM of the zone that owns a slot, by rendezvous hashing.
 func slotOwner(zone string, number int, members []membership.Member) membership.Member {
-	return rendezvous(slotName(zone, number), members, func(m membership.Member) bool {
-		return m.Zone == zone && m.State == membership.Alive && !m.Draining
+	return rendezvous.First(slotName(zone, number), members, func(m membership.Member) bool {
+		return m.Zone == zone && m.Available()
 	})
 }
--- a/internal/claim/answers.go
+++ b/internal/claim/answers.go
@@ -11,6 +11,7 @@
 
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/rendezvous"
 )
 
 // AnswerPeers gives access to the answer services of other entry VMs.
@@ -191,18 +192,19 @@
 
 // homeZone returns the availability zone whose VMs alone decide about a key:
 // the one that the key names, or one chosen by rendezvous hashing. It never
-// depends on which VMs are alive, so that no two zones decide about one key.
+// depends on which VMs are alive, so that no two zones decide about one key. All
+// versions must agree on the weights.
 func homeZone(key ParsedKey, zones []string) (string, error) {
 	var best string
-	var bestHash uint64
+	var bestWeight uint64
 	for _, zone := range zones {
 		if key.Form == FormHomed && zone == key.Zone {
 			return zone, nil
 		}
-		hash := xxhash.Sum64String(key.text() + "\x00" + zone)
-		if best == "" || hash > bestHash {
+		weight := rendezvous.Weight(key.text(), zone)
+		if best == "" || weight > bestWeight {
 			best = zone
-			bestHash = hash
+			bestWeight = weight
 		}
 	}
 	if key.Form == FormHomed || best == "" {
--- a/internal/claim/submit.go
+++ b/internal/claim/submit.go
@@ -5,10 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/rendezvous"
 )
 
 // ownerShare is the part of a submission's time that the shard's owner gets
@@ -70,26 +69,7 @@
 // ownerOf returns the member that normally reads and batches a shard, by
 // rendezvous hashing. It matters for cost only.
 func ownerOf(shard int, members []membership.Member) membership.Member {
-	return rendezvous(streamOf(shard), members, func(m membership.Member) bool {
-		return m.State == membership.Alive && !m.Draining
-	})
-}
-
-// rendezvous returns the eligible member with the highest hash for a name.
-func rendezvous(name string, members []membership.Member, eligible func(membership.Member) bool) membership.Member {
-	var best membership.Member
-	var bestHash uint64
-	for _, member := range members {
-		if !eligible(member) {
-			continue
-		}
-		hash := xxhash.Sum64String(name + "\x00" + member.VM)
-		if best.VM == "" || hash > bestHash {
-			best = member
-			bestHash = hash
-		}
-	}
-	return best
+	return rendezvous.First(streamOf(shard), members, membership.Member.Available)
 }
 
 // detours remembers owners that failed a short time ago.
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -8,6 +8,7 @@
 
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/rendezvous"
 )
 
 // maintain takes over the slots that this VM should own, so that keys issued
@@ -75,8 +76,8 @@
 
 // slotStandby returns the VM that a slot is replicated to; zero if there is none.
 func slotStandby(self membership.Member, number int, members []membership.Member) membership.Member {
-	return rendezvous(slotName(self.Zone, number), members, func(m membership.Member) bool {
-		return m.VM != self.VM && m.Zone == self.Zone && m.State == membership.Alive && !m.Draining
+	return rendezvous.First(slotName(self.Zone, number), members, func(m membership.Member) bool {
+		return m.VM != self.VM && m.Zone == self.Zone && m.Available()
 	})
 }
 
--- a/internal/configuration/reappender.go
+++ b/internal/configuration/reappender.go
@@ -8,10 +8,9 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
+	"github.com/ospreyshed/ospreyshed/internal/rendezvous"
 )
 
 const (
@@ -123,7 +122,7 @@
 	retention := snapshot.Fleet().Times.LogRetention.D()
 	members := r.members.Members()
 	due := slices.DeleteFunc(versions, func(v appendedVersion) bool {
-		rank := rendezvousRank(v.Record.Subject, r.members.Self().VM, members)
+		rank := rendezvous.Rank(v.Record.Subject, r.members.Self().VM, members, membership.Member.Available)
 		return r.age(v, now, retention) < reappendAge(retention, rank)
 	})
 	slices.SortStableFunc(due, func(a, b appendedVersion) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
@@ -148,22 +147,3 @@
 func reappendAge(retention time.Duration, rank int) time.Duration {
 	return retention/reappendDivisor + time.Duration(min(rank, maxTakeovers))*retention/takeoverDivisor
 }
-
-// rendezvousRank returns how many members come before a VM in the order of a
-// subject. Members that finish their work are passed over.
-func rendezvousRank(subject, self string, members []membership.Member) int {
-	own := weight(subject, self)
-	rank := 0
-	for _, member := range members {
-		if member.VM == self || member.Draining || member.State != membership.Alive {
-			continue
-		}
-		other := weight(subject, member.VM)
-		if other > own || other == own && member.VM < self {
-			rank++
-		}
-	}
-	return rank
-}
-
-func weight(subject, vm string) uint64 { return xxhash.Sum64String(subject + "\x00" + vm) }
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -13,6 +13,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice/logtest"
+	"github.com/ospreyshed/ospreyshed/internal/rendezvous"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
 
@@ -203,7 +204,8 @@
 	inCharge := map[string]int{}
 	for i := range 100 {
 		subject := TeamSubject(fmt.Sprint(i))
-		first, second := rendezvousRank(subject, "vm-1", members), rendezvousRank(subject, "vm-2", members)
+		first := rendezvous.Rank(subject, "vm-1", members, membership.Member.Available)
+		second := rendezvous.Rank(subject, "vm-2", members, membership.Member.Available)
 		assert.Equal(t, first+second, 1)
 		inCharge[fmt.Sprint(first)]++
 	}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -29,6 +29,9 @@
 	Draining bool
 }
 
+// Available reports whether the VM is alive and takes new work.
+func (m Member) Available() bool { return m.State == Alive && !m.Draining }
+
 // View yields members. Snapshots are immutable and sorted by VM name; the VM
 // itself is among them.
 type View interface {
--- a/internal/reservation/routing.go
+++ b/internal/reservation/routing.go
@@ -206,6 +206,9 @@
 	return hash > bestHash
 }
 
+// rendezvousHash returns the weight of a VM for a model. It keeps its order of
+// words, unlike package rendezvous, so that VMs of different versions agree on
+// the owner: a model with two owners may overfill its engines for a time.
 func rendezvousHash(vm, model string) uint64 {
 	return xxhash.Sum64String(vm + "\x00" + model)
 }
