--- a/internal/cli/configuration.go
+++ b/internal/cli/configuration.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/configuration/peersync"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 )
 
@@ -56,13 +56,6 @@
 	return logservice.NewClient(o.Log, http.DefaultTransport)
 }
 
-// directDialer reaches VMs without authentication.
-type directDialer struct{}
-
-func (directDialer) HTTPClient() connect.HTTPClient { return http.DefaultClient }
-
-func (directDialer) BaseURL(address string) string { return "http://" + address }
-
 type showOptions struct {
 	base
 	logOptions
@@ -128,6 +121,7 @@
 type publishOptions struct {
 	base
 	logOptions
+	peerFlags
 	Wait      bool   `long:"wait" description:"wait until every VM given by --vm, or else every VM in the file, serves by the new versions"`
 	Publisher string `long:"publisher" description:"name shown to others (default: user and host)"`
 }
@@ -145,11 +139,15 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, o.Timeout)
 	defer cancel()
+	dialer, err := o.dialer()
+	if err != nil {
+		return err
+	}
 	bundle, err := readBundle(rest[0])
 	if err != nil {
 		return err
 	}
-	report, err := o.publish(ctx, bundle)
+	report, err := o.publish(ctx, bundle, dialer)
 	if err != nil && len(report.Results) == 0 {
 		return err
 	}
@@ -162,7 +160,7 @@
 	if !o.Wait {
 		return nil
 	}
-	return o.await(ctx, o.waiters(bundle), newPublished(report))
+	return o.await(ctx, dialer, o.waiters(bundle), newPublished(report))
 }
 
 func readBundle(path string) (configuration.Bundle, error) {
@@ -173,20 +171,20 @@
 	return configuration.ParseBundle(path, content)
 }
 
-func (o *publishOptions) publish(ctx context.Context, bundle configuration.Bundle) (configuration.Report, error) {
+func (o *publishOptions) publish(ctx context.Context, bundle configuration.Bundle, dialer peer.Dialer) (configuration.Report, error) {
 	appender, err := logservice.NewAppender(o.service(), logservice.AppenderOptions{})
 	if err != nil {
 		return configuration.Report{}, err
 	}
 	defer appender.Close()
 	publisher := configuration.NewPublisher(o.service(), appender, o.publisherName())
-	publisher.Seed(o.pullAll(ctx, bundle))
+	publisher.Seed(o.pullAll(ctx, bundle, dialer))
 	return publisher.Publish(ctx, bundle)
 }
 
 // pullAll returns the states of the VMs that the command is to talk to. A VM that
 // does not answer is passed over: the log alone suffices unless it lost records.
-func (o *publishOptions) pullAll(ctx context.Context, bundle configuration.Bundle) []configuration.Record {
+func (o *publishOptions) pullAll(ctx context.Context, bundle configuration.Bundle, dialer peer.Dialer) []configuration.Record {
 	if !o.Wait && len(o.VMs) == 0 {
 		return nil
 	}
@@ -198,7 +196,7 @@
 	for i, address := range addresses {
 		pulls.Go(func() {
 			// What was pulled before an error is valid as well.
-			states[i], _ = peersync.NewRemote(directDialer{}, address).Pull(ctx)
+			states[i], _ = peersync.NewRemote(dialer, address).Pull(ctx)
 		})
 	}
 	pulls.Wait()
--- a/internal/cli/configuration_wait.go
+++ b/internal/cli/configuration_wait.go
@@ -9,6 +9,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/configuration/peersync"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
 )
 
 // waitPeriod is the time between two questions to a VM.
@@ -44,13 +45,13 @@
 
 // await waits until all VMs serve by the published versions. The error names the
 // VMs that did not say so in time.
-func (o *publishOptions) await(ctx context.Context, addresses []string, p published) error {
+func (o *publishOptions) await(ctx context.Context, dialer peer.Dialer, addresses []string, p published) error {
 	lines := make([]string, len(addresses))
 	var asked sync.WaitGroup
 	start := time.Now()
 	for i, address := range addresses {
 		asked.Go(func() {
-			inForce, ok := awaitVM(ctx, peersync.NewRemote(directDialer{}, address), p)
+			inForce, ok := awaitVM(ctx, peersync.NewRemote(dialer, address), p)
 			if ok {
 				elapsed := time.Since(start).Round(time.Millisecond)
 				lines[i] = fmt.Sprintf("in force: %s in %s after %s", inForce.VM, inForce.Zone, elapsed)
--- a/internal/cli/dialer.go
+++ b/internal/cli/dialer.go
@@ -1,11 +1,10 @@
 package cli
 
 import (
-	"crypto/tls"
-	"net/http"
+	"io"
 	"time"
 
-	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"github.com/ospreyshed/ospreyshed/internal/peer"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
@@ -26,44 +25,16 @@
 func (f *peerFlags) dialer() (peer.Dialer, error) {
 	files := settings.PeerTLS{Certificate: f.Certificate, Key: f.Key, CA: f.CA}
 	if files == (settings.PeerTLS{}) {
-		return &peerDialer{scheme: "http", client: &http.Client{Timeout: peerTimeout}}, nil
+		return peer.NewDialer(peer.Options{Insecure: true, CallTimeout: peerTimeout}), nil
 	}
-	config, err := clientTLS(files)
-	if err != nil {
-		return nil, &usageError{err.Error()}
-	}
-	transport := &http.Transport{TLSClientConfig: config, ForceAttemptHTTP2: true}
-	client := &http.Client{Timeout: peerTimeout, Transport: transport}
-	return &peerDialer{scheme: "https", client: client}, nil
-}
-
-func clientTLS(files settings.PeerTLS) (*tls.Config, error) {
 	if files.Certificate == "" || files.Key == "" || files.CA == "" {
 		return nil, &usageError{"--certificate, --key and --ca are given together or not at all"}
 	}
-	certificate, err := files.Load()
-	if err != nil {
-		return nil, err
-	}
-	authorities, err := files.LoadCA()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	certificates, err := peer.LoadClientCertificates(files, log)
 	if err != nil {
-		return nil, err
+		return nil, &usageError{err.Error()}
 	}
-	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{certificate},
-		RootCAs:      authorities,
-	}, nil
-}
-
-// peerDialer implements peer.Dialer for a command.
-type peerDialer struct {
-	scheme string
-	client *http.Client
+	return peer.NewDialer(peer.Options{Certificates: certificates, CallTimeout: peerTimeout}), nil
 }
-
-// HTTPClient implements peer.Dialer.
-func (d *peerDialer) HTTPClient() connect.HTTPClient { return d.client }
-
-// BaseURL implements peer.Dialer.
-func (d *peerDialer) BaseURL(address string) string { return d.scheme + "://" + address }
--- a/internal/peer/certificates.go
+++ b/internal/peer/certificates.go
@@ -25,6 +25,7 @@
 // that new ones are in force without a restart. Files that cannot be used leave
 // the former ones in force. It is safe for concurrent use.
 type Certificates struct {
+	// vm is the name that the certificate must hold; empty for any.
 	vm    string
 	files settings.PeerTLS
 	log   logrus.FieldLogger
@@ -53,6 +54,19 @@
 // LoadCertificates reads the certificate files of a VM. The error is
 // BadCertificate if the files cannot be used or do not name the VM.
 func LoadCertificates(vm string, files settings.PeerTLS, log logrus.FieldLogger) (*Certificates, error) {
+	if vm == "" {
+		return nil, BadCertificate.New("the VM has no name")
+	}
+	return loadCertificates(vm, files, log)
+}
+
+// LoadClientCertificates reads the certificate files of a client that is no VM,
+// such as a command. The certificate may hold any name.
+func LoadClientCertificates(files settings.PeerTLS, log logrus.FieldLogger) (*Certificates, error) {
+	return loadCertificates("", files, log)
+}
+
+func loadCertificates(vm string, files settings.PeerTLS, log logrus.FieldLogger) (*Certificates, error) {
 	c := &Certificates{vm: vm, files: files, log: log, seen: digestOf(files)}
 	loaded, err := c.load(1)
 	if err != nil {
@@ -106,7 +120,7 @@
 	if err != nil {
 		return nil, BadCertificate.Wrap(err, "authorities")
 	}
-	if !slices.Contains(namesOf(certificate.Leaf), c.vm) {
+	if c.vm != "" && !slices.Contains(namesOf(certificate.Leaf), c.vm) {
 		return nil, BadCertificate.New("%s does not name the VM %q", c.files.Certificate, c.vm)
 	}
 	return &credentials{generation: generation, certificate: certificate, authorities: authorities}, nil
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -48,12 +48,12 @@
 		d.transport.TLSClientConfig = options.Certificates.clientTLS()
 		d.generation.Store(options.Certificates.inForce().generation)
 	}
-	d.client = &http.Client{Transport: roundTripper{d}, CheckRedirect: refuseRedirect}
+	d.client = &http.Client{Transport: roundTripper{d}, CheckRedirect: refuseRedirect, Timeout: options.CallTimeout}
 	return d
 }
 
-// HTTPClient implements Dialer. The client does not bound the time of a call;
-// callers bound it by their context.
+// HTTPClient implements Dialer. The client bounds the time of a call by the
+// options' CallTimeout alone; callers bound it further by their context.
 func (d *HTTPDialer) HTTPClient() connect.HTTPClient { return d.client }
 
 // BaseURL implements Dialer.
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -43,6 +43,9 @@
 	Certificates *Certificates
 	// Insecure allows other than loopback addresses without certificates.
 	Insecure bool
+	// CallTimeout bounds each call of a Dialer; 0 leaves that to the contexts of
+	// its callers.
+	CallTimeout time.Duration
 }
 
 // check reports findings about a listener; the error is a *finding.Error.
