Run the long tests of claims in parallel

The numbers of schedules and the seeds are unchanged. A lock keeps the flags of rapid apart until a check has read them.

--- a/internal/claim/answers_test.go
+++ b/internal/claim/answers_test.go
@@ -277,9 +277,9 @@
 // TestAnswersUnderFaults counts answers per key while calls between VMs are
 // lost, views lag and VMs die.
 func TestAnswersUnderFaults(t *testing.T) {
-	setRapid(t, "400")
+	t.Parallel()
 	answered, total := 0, 0
-	rapid.Check(t, func(rt *rapid.T) {
+	checkSchedules(t, "400", func(rt *rapid.T) {
 		seed := rapid.Int64().Draw(rt, "seed")
 		drop := rapid.IntRange(0, 15).Draw(rt, "drop")
 		counts := answerSchedule(t, seed, float64(drop)/100)
--- a/internal/claim/count_test.go
+++ b/internal/claim/count_test.go
@@ -22,6 +22,7 @@
 // TestExecutionsPerKey counts executions at the endpoint over many keyed calls
 // with repeats to other VMs, while the log, the network and the VMs fail.
 func TestExecutionsPerKey(t *testing.T) {
+	t.Parallel()
 	var r *run
 	synctest.Test(t, func(t *testing.T) {
 		r = newRun(t, countSeed, soundClaim)
--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -323,11 +323,22 @@
 	return ""
 }
 
-// setRapid fixes the number of schedules and their seed.
-func setRapid(t *testing.T, checks string) {
+// rapidFlags guards the flags of rapid, which parallel tests share. rapid.Check
+// has read the number of checks and the seed before the first call of a property.
+var rapidFlags sync.Mutex
+
+// checkSchedules checks a property for a number of schedules from the fixed seed.
+func checkSchedules(t *testing.T, checks string, property func(*rapid.T)) {
 	t.Helper()
+	rapidFlags.Lock()
+	var read sync.Once
+	defer read.Do(rapidFlags.Unlock)
 	assert.NilError(t, flag.Set("rapid.checks", checks))
 	assert.NilError(t, flag.Set("rapid.seed", scheduleSeed))
+	rapid.Check(t, func(rt *rapid.T) {
+		read.Do(rapidFlags.Unlock)
+		property(rt)
+	})
 }
 
 func drawSchedule(t *rapid.T) (int64, []action) {
@@ -336,8 +347,8 @@
 }
 
 func TestHistoriesAreLinearizable(t *testing.T) {
-	setRapid(t, schedules)
-	rapid.Check(t, func(rt *rapid.T) {
+	t.Parallel()
+	checkSchedules(t, schedules, func(rt *rapid.T) {
 		seed, actions := drawSchedule(rt)
 		if wrong := runSchedule(t, seed, actions, soundClaim).violation(); wrong != "" {
 			rt.Fatal(wrong)
@@ -383,9 +394,9 @@
 		"last writer": lastWriterClaim,
 	} {
 		t.Run(name, func(t *testing.T) {
-			setRapid(t, "60")
+			t.Parallel()
 			twice, rejected := 0, 0
-			rapid.Check(t, func(rt *rapid.T) {
+			checkSchedules(t, "60", func(rt *rapid.T) {
 				seed, actions := drawSchedule(rt)
 				r := runSchedule(t, seed, actions, claim)
 				if r.violation() == "executed twice" {
