Feed prefix cache events and delivered tokens to the scheduler; free slots early

Cause: the owner learnt prefixes from its own routing only and guessed how far decodes were. With all decode engines of a zone dead all attempts were spent within 16 ms.

Change: the VM that owns a model reads its prefill engines' cache events beside their load; holders report every 16th token; a reservation is released at once if the decode engine holds nothing; failed engines are tried again after a delay that doubles.

--- a/internal/completion/attempt.go
+++ b/internal/completion/attempt.go
@@ -21,6 +21,8 @@
 	stallFloor = 500 * time.Millisecond
 	// prefillFloor is the least limit of a prefill.
 	prefillFloor = 2 * time.Second
+	// deliveredEvery is the number of tokens between two reports of progress.
+	deliveredEvery = 16
 	// tokenStallFactor times the between-token target is the limit between tokens.
 	tokenStallFactor = 20
 )
@@ -204,6 +206,9 @@
 	a.text = append(a.text, token.Text...)
 	a.next++
 	a.delivered++
+	if a.delivered%deliveredEvery == 0 {
+		a.options.Reserver.Delivered(a.id, a.delivered)
+	}
 	return nil
 }
 
@@ -229,7 +234,8 @@
 	return watch.explain(err)
 }
 
-// finish cancels what engines may still hold and releases the reservation.
+// finish cancels what engines may still hold and releases the reservation, which
+// is of a decode slot: a prefill engine that does not answer must not keep it.
 func (a *attempt) finish(err error) {
 	if err != nil && a.delivered == 0 {
 		a.Counters.WastedPrefillTokens.Add(int64(a.promptTokens))
@@ -238,12 +244,13 @@
 		a.progress(scheduling.Progress{Kind: scheduling.Released, Tokens: a.delivered})
 		a.options.Events.Record(timeline.SlotReleased, a.request.ID, a.grant.Decode)
 	}
-	holders := a.holders()
-	if len(holders) == 0 {
+	if !a.decodeHolds {
 		release()
-		return
+		release = func() {}
+	}
+	if holders := a.holders(); len(holders) > 0 {
+		a.options.Canceller.Cancel(a.id, a.request.ID, holders, release)
 	}
-	a.options.Canceller.Cancel(a.id, a.request.ID, holders, release)
 }
 
 // holders names the engines that may hold something for this attempt.
--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -16,6 +16,8 @@
 const (
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 5
+	// retryDelay is doubled with each attempt.
+	retryDelay = 10 * time.Millisecond
 	// failedRetryAfter is told to callers whose request failed on engines.
 	failedRetryAfter = time.Second
 )
@@ -115,7 +117,7 @@
 	}
 	var refusal *scheduling.Refusal
 	if errors.As(err, &refusal) {
-		return r.judgeRefusal(refusal)
+		return r.judgeRefusal(ctx, refusal)
 	}
 	r.lastError = err
 	if r.mayRetry(err) {
@@ -126,14 +128,27 @@
 
 // judgeRefusal gives the request up unless only engines that failed it are left:
 // these may have recovered.
-func (r *run) judgeRefusal(refusal *scheduling.Refusal) error {
+func (r *run) judgeRefusal(ctx context.Context, refusal *scheduling.Refusal) error {
 	if refusal.Reason == scheduling.RefusedNoEngine && len(r.exclude) > 0 && r.mayRetry(r.lastError) {
 		r.exclude = nil
-		return nil
+		return r.pause(ctx)
 	}
 	return r.giveUp(*refusal, r.lastError)
 }
 
+// pause waits before failed engines are tried again; the delay doubles with each
+// attempt.
+func (r *run) pause(ctx context.Context) error {
+	timer := time.NewTimer(retryDelay << r.attempts)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return CallerGone.Wrap(ctx.Err(), "%s", r.request.ID)
+	case <-timer.C:
+		return nil
+	}
+}
+
 // mayRetry reports whether another attempt makes sense and is allowed.
 func (r *run) mayRetry(err error) bool {
 	if errorx.IsOfType(err, engine.BadRequest) || r.attempts >= maxAttempts {
--- a/internal/completion/runner.go
+++ b/internal/completion/runner.go
@@ -27,6 +27,8 @@
 	Reserve(ctx context.Context, demand scheduling.Demand) (scheduling.Grant, error)
 	// Progress reports a phase of a granted attempt.
 	Progress(p scheduling.Progress)
+	// Delivered reports how many tokens of an attempt were delivered.
+	Delivered(id engine.AttemptID, tokens int)
 }
 
 // Engines finds engine clients by endpoint name.
--- a/internal/daemon/loadpoller.go
+++ b/internal/daemon/loadpoller.go
@@ -19,7 +19,7 @@
 	loadTimeout      = time.Second
 )
 
-// loadPoller fetches the load reports of the engines whose reservations this VM
+// loadPoller fetches the load reports and prefix cache events of the engines whose reservations this VM
 // owns, so that an engine is asked by one VM of its zone.
 type loadPoller struct {
 	zone      string
@@ -27,10 +27,12 @@
 	pool      *openai.Pool
 	endpoints *endpoint.Registry
 	service   *reservation.Service
+	positions cachePositions
 }
 
 func runLoadPoller(lifecycle fx.Lifecycle, id Identity, store *configuration.Store, pool *openai.Pool, endpoints *endpoint.Registry, service *reservation.Service) {
 	p := &loadPoller{zone: id.Zone, store: store, pool: pool, endpoints: endpoints, service: service}
+	p.positions.next = make(map[string]uint64)
 	background(lifecycle, p.run)
 }
 
@@ -62,6 +64,9 @@
 				if e.ReportsLoad {
 					calls.Go(func() { p.ask(ctx, e.Name) })
 				}
+				if role == configuration.RolePrefill {
+					calls.Go(func() { p.readCache(ctx, e) })
+				}
 			}
 		}
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -93,7 +93,7 @@
 		}
 		dropConnection(w, r)
 	})
-	f := newForwarder(t, address, address)
+	f := newForwarder(t, address)
 	_, err := f.Do(context.Background(), callOf(configuration.NeverRepeat))
 	assert.NilError(t, err)
 	_, err = f.Do(context.Background(), callOf(configuration.NeverRepeat))
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -73,6 +73,9 @@
 // Progress implements completion.Reserver.
 func (b *baseline) Progress(scheduling.Progress) {}
 
+// Delivered implements completion.Reserver. Baselines do not predict ends.
+func (b *baseline) Delivered(engine.AttemptID, int) {}
+
 // model returns the state for a model, which the first demand makes.
 func (b *baseline) model(name string) (*baselineModel, error) {
 	if m, ok := b.models[name]; ok {
