--- a/internal/scheduling/coordinator_property_test.go
+++ b/internal/scheduling/coordinator_property_test.go
@@ -257,6 +257,7 @@
 }
 
 func TestLedgerEqualsTheTruth(t *testing.T) {
+	t.Parallel()
 	var seen Counters
 	defer func() {
 		assert.Check(t, seen.Overlapped > 0 && seen.Dropped > 0 && seen.Expired > 0, "the histories miss cases: %+v", seen)
--- a/internal/scheduling/policy_table_test.go
+++ b/internal/scheduling/policy_table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -106,7 +107,7 @@
 // simulate executes runs side by side.
 func simulate(runs []run) {
 	var group errgroup.Group
-	group.SetLimit(4)
+	group.SetLimit(runtime.GOMAXPROCS(0))
 	for i := range runs {
 		r := &runs[i]
 		group.Go(func() error {
@@ -126,6 +127,7 @@
 }
 
 func TestPolicyTable(t *testing.T) {
+	t.Parallel()
 	for _, sh := range []shape{dossiers, shortPrompts} {
 		t.Logf("%s: capacity %.1f requests/s", sh.name, sh.capacity())
 		var runs []run
@@ -161,6 +163,7 @@
 }
 
 func TestWeightsTradeGoodputForWaste(t *testing.T) {
+	t.Parallel()
 	var runs []run
 	for _, sh := range []shape{dossiers, shortPrompts} {
 		for _, load := range []float64{0.8, 1.0, 1.3, 2.0} {
@@ -184,6 +187,7 @@
 }
 
 func TestWrongFiguresAreCorrected(t *testing.T) {
+	t.Parallel()
 	slow := dossiers
 	slow.slowdown = 1.5
 	sim := runPool(PolicyReservation, slow, 2.0, tableLength, tableSeed)
