Keep a disputed take-over of an answer slot from hiding an owner; steady the tests

Cause: a VM that promised an epoch to one owner and then a later one to another forgot the first, whose epoch may have begun.

The limit of a stalled phase is an option, so that tests of other things do not depend on the machine's pace. The key window must leave 10 s below the log's retention, as claims require.

--- a/internal/claim/settings.go
+++ b/internal/claim/settings.go
@@ -14,7 +14,7 @@
 const MaxBodyBytes = 16 << 10
 
 // Margin bounds the delay between the log service's clock and its reading here.
-const Margin = 5 * time.Second
+const Margin = time.Duration(configuration.KeyMargin) / 2
 
 // openEvery is the period of the check for shards to read ahead.
 const openEvery = time.Second
--- a/internal/claim/slot.go
+++ b/internal/claim/slot.go
@@ -21,6 +21,9 @@
 	// promised is the highest epoch number that this VM has accepted, by whom.
 	promised   uint64
 	promisedTo string
+	// disputed says that a promise whose epoch may have begun was overtaken by
+	// one to another VM, so that the present promise hides a possible owner.
+	disputed bool
 	// epoch is the last one in which this VM was owner or standby; nil if none.
 	epoch   *claimv1.Epoch
 	entries map[string]*claimv1.AnswerEntry
@@ -53,6 +56,9 @@
 	if number < s.promised || number == s.promised && vm != s.promisedTo {
 		return false
 	}
+	if s.promised > s.epoch.GetNumber() && s.promisedTo != vm {
+		s.disputed = true
+	}
 	s.promised = number
 	s.promisedTo = vm
 	return true
@@ -75,9 +81,13 @@
 
 // witness returns what this VM holds and has promised, for a new owner.
 func (s *slot) witness(vm string) *claimv1.TakeOverResponse {
+	promisedTo := s.promisedTo
+	if s.disputed {
+		promisedTo = ""
+	}
 	return &claimv1.TakeOverResponse{
 		Promised:   s.promised,
-		PromisedTo: s.promisedTo,
+		PromisedTo: promisedTo,
 		Vm:         vm,
 		State:      s.state(),
 	}
@@ -100,6 +110,7 @@
 // replace sets the whole state at the beginning of an epoch.
 func (s *slot) replace(epoch *claimv1.Epoch, state *claimv1.SlotState) {
 	s.epoch = epoch
+	s.disputed = false
 	s.completeFrom = time.UnixMilli(state.GetCompleteFromMs())
 	s.entries = make(map[string]*claimv1.AnswerEntry, len(state.GetEntries()))
 	for _, entry := range state.GetEntries() {
--- a/internal/completion/attempt.go
+++ b/internal/completion/attempt.go
@@ -17,8 +17,8 @@
 const (
 	// stallFactor times the expected duration of a phase is its limit.
 	stallFactor = 4
-	// stallFloor is the least limit of a phase.
-	stallFloor = 500 * time.Millisecond
+	// defaultStallFloor is the least limit of a phase.
+	defaultStallFloor = 500 * time.Millisecond
 	// prefillFloor is the least limit of a prefill.
 	prefillFloor = 2 * time.Second
 	// deliveredEvery is the number of tokens between two reports of progress.
--- a/internal/completion/limits.go
+++ b/internal/completion/limits.go
@@ -23,20 +23,20 @@
 	snapshot := a.options.Configuration.Snapshot()
 	model, found := snapshot.Model(a.request.Class.Model)
 	if !found {
-		return stallFloor
+		return a.options.StallFloor
 	}
 	decode, found := snapshot.Endpoint(a.grant.Decode)
 	if !found || decode.LinkBytesPerSecond <= 0 {
-		return stallFloor
+		return a.options.StallFloor
 	}
 	bytes := float64(model.KVBytesPerToken) * float64(a.promptTokens)
 	seconds := bytes / float64(decode.LinkBytesPerSecond)
-	return stallFloor + stallFactor*time.Duration(seconds*float64(time.Second))
+	return a.options.StallFloor + stallFactor*time.Duration(seconds*float64(time.Second))
 }
 
 // tokenLimit bounds the time between two tokens.
 func (a *attempt) tokenLimit() time.Duration {
-	return max(stallFloor, tokenStallFactor*a.request.Class.Targets.BetweenTokens.D())
+	return max(a.options.StallFloor, tokenStallFactor*a.request.Class.Targets.BetweenTokens.D())
 }
 
 // watchdog ends a phase that makes no progress.
--- a/internal/completion/runner.go
+++ b/internal/completion/runner.go
@@ -9,6 +9,7 @@
 package completion
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -112,6 +113,9 @@
 	Endpoints     Endpoints
 	Configuration Configuration
 	Events        timeline.Recorder
+	// StallFloor is the least time without progress after which a transfer or a
+	// decode counts as stalled; 0 takes the default of 500 ms.
+	StallFloor time.Duration
 }
 
 const (
@@ -130,6 +134,7 @@
 
 // New returns a runner.
 func New(options Options) *Runner {
+	options.StallFloor = cmp.Or(options.StallFloor, defaultStallFloor)
 	return &Runner{options: options, budget: retry.NewBudget(retryRatio, retryBurst)}
 }
 
--- a/internal/configuration/model.go
+++ b/internal/configuration/model.go
@@ -168,6 +168,10 @@
 	OneWayDelay    Duration `json:"one_way_delay"`
 }
 
+// KeyMargin is what the log retention must exceed the key window and the clock
+// skew by, so that a claim outlives every acceptable use of its key.
+const KeyMargin = Duration(10 * time.Second)
+
 // Times are periods that the whole fleet agrees on.
 type Times struct {
 	// BalancerLag is how long the balancer may still send to a VM that is not ready.
--- a/internal/configuration/validate_fleet.go
+++ b/internal/configuration/validate_fleet.go
@@ -130,8 +130,8 @@
 	positive(c, path+".drain_limit", times.DrainLimit)
 	positive(c, path+".log_retention", times.LogRetention)
 	positive(c, path+".key_window", times.KeyWindow)
-	if times.KeyWindow+times.ClockSkew >= times.LogRetention {
-		c.Addf(path+".key_window", "%s and the clock skew of %s must stay below the log retention of %s",
-			times.KeyWindow, times.ClockSkew, times.LogRetention)
+	if times.KeyWindow+times.ClockSkew+KeyMargin >= times.LogRetention {
+		c.Addf(path+".key_window", "%s, the clock skew of %s and a margin of %s must stay below the log retention of %s",
+			times.KeyWindow, times.ClockSkew, KeyMargin, times.LogRetention)
 	}
 }
