--- a/internal/localsite/failure_test.go
+++ b/internal/localsite/failure_test.go
@@ -216,3 +216,16 @@
 	answer := do(t, clientOf(t, site.VMs[name].CallerAddr()), lookup())
 	assert.Assert(t, answer.OK())
 }
+
+func TestZoneWithoutItsPrefillEngineUsesTheOtherZone(t *testing.T) {
+	site := startQuickstart(t)
+	client := clientOf(t, site.VMs["entry-a"].CallerAddr())
+	assert.Assert(t, do(t, client, summaryOf("before")).OK())
+	// The engine takes connections and cuts them, so that cancels get no answer.
+	site.Platform.Engines["prefill-a1"].SetFaults(engine.Faults{Down: true})
+	for i := range 6 {
+		prompt := fmt.Sprint("without prefill-a1 ", i)
+		answer := do(t, client, summaryOf(prompt))
+		assert.Equal(t, answer.Text, answerTo(prompt), "request %d: %s", i, answer.Body)
+	}
+}
