--- /dev/null
+++ b/internal/completion/stream.go
@@ -0,0 +1,111 @@
+package completion
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// stream passes tokens to the caller, each exactly once and in order.
+func (a *attempt) stream(stream engine.Stream, watch *watchdog, started time.Time) error {
+	limit := a.tokenLimit()
+	watch.reset(limit)
+	for {
+		token, err := stream.Next()
+		a.countForeign(token.Foreign)
+		if err != nil {
+			return a.streamError(watch, err)
+		}
+		watch.reset(limit)
+		if token.FinishReason != "" {
+			return a.last(stream, token, started)
+		}
+		if err := a.pass(token, started); err != nil {
+			return err
+		}
+	}
+}
+
+// countForeign counts dropped events of other attempts.
+func (a *attempt) countForeign(events int) {
+	if events == 0 {
+		return
+	}
+	a.Counters.Crossed.Add(int64(events))
+	a.options.Events.Record(timeline.AnswerDropped, a.request.ID, a.grant.Decode)
+}
+
+// last passes on the final token once the terminal event has confirmed it.
+func (a *attempt) last(stream engine.Stream, token engine.Token, started time.Time) error {
+	token.Text = append([]byte(nil), token.Text...)
+	if _, err := stream.Next(); !errors.Is(err, io.EOF) {
+		return engine.CutShort.New("stream of %s ended without its terminal event", a.id)
+	}
+	a.decodeHolds = false
+	if err := a.pass(token, started); err != nil {
+		return err
+	}
+	a.result.CompletionTokens = a.next
+	return nil
+}
+
+// pass gives a token to the caller unless the caller has it already.
+func (a *attempt) pass(token engine.Token, started time.Time) error {
+	if token.Index < a.next {
+		a.Counters.DuplicateTokens.Add(1)
+		return nil
+	}
+	if token.Index > a.next {
+		return protocolError.New("token %d follows token %d", token.Index, a.next-1)
+	}
+	if a.delivered == 0 {
+		a.first(started)
+	}
+	err := a.sink.Token(token)
+	if errorx.IsOfType(err, Withheld) {
+		return err
+	}
+	if err != nil {
+		return CallerGone.Wrap(err, "%s", a.request.ID)
+	}
+	a.text = append(a.text, token.Text...)
+	a.next++
+	a.delivered++
+	if a.delivered%deliveredEvery == 0 {
+		a.options.Reserver.Delivered(a.id, a.delivered)
+	}
+	return nil
+}
+
+// first records the attempt's first token.
+func (a *attempt) first(started time.Time) {
+	if a.next > 0 {
+		a.Counters.Resumed.Add(1)
+		a.options.Events.Record(timeline.DecodeResumed, a.request.ID, a.grant.Decode)
+	} else {
+		a.options.Events.Record(timeline.FirstToken, a.request.ID, a.grant.Decode)
+	}
+	a.progress(scheduling.Progress{Kind: scheduling.FirstTokenSeen, Elapsed: time.Since(started)})
+}
+
+// streamError explains a stream that ended before its terminal event.
+func (a *attempt) streamError(watch *watchdog, err error) error {
+	if watch.fired() {
+		a.Counters.DecodeStalls.Add(1)
+	}
+	if errors.Is(err, io.EOF) {
+		return engine.CutShort.New("stream of %s ended without a finish reason", a.id)
+	}
+	return watch.explain(err)
+}
+
+// sinkEnded reports whether the caller's side, not the engine, ended a stream.
+func sinkEnded(err error) bool {
+	return errorx.IsOfType(err, CallerGone) || errorx.IsOfType(err, Withheld)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,8 +70,6 @@
 func New(conf *settings.Settings, log logrus.FieldLogger, options ...Option) *Daemon {
 	d := &Daemon{}
 	d.app = fx.New(
-		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(stopTimeout),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(conf, Identity{VM: conf.VM, Zone: conf.Zone, Incarnation: NewIncarnation()}),
 		fx.Provide(func() logrus.FieldLogger { return log }),
@@ -100,11 +98,17 @@
 	if err := d.app.Err(); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
 	return d.app.Start(ctx)
 }
 
 // Stop shuts the daemon down gracefully.
-func (d *Daemon) Stop(ctx context.Context) error { return d.app.Stop(ctx) }
+func (d *Daemon) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	return d.app.Stop(ctx)
+}
 
 // CallerAddr returns the address that callers reach, an IP number and port.
 func (d *Daemon) CallerAddr() string { return d.callers.addr() }
