--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -10,5 +10,6 @@
 		standinCommand,
 		demoCommand,
 		measureCommand,
+		statusCommand,
 	}
 }
--- a/internal/localsite/inforce_bench_test.go
+++ b/internal/localsite/inforce_bench_test.go
@@ -15,6 +15,8 @@
 const (
 	// inForcePoll is the resolution of the measurement.
 	inForcePoll = time.Millisecond
+	// shortRetention is the log's retention, just above its least value.
+	shortRetention = 12 * time.Second
 	// outageLength is the length of the log's outage before each publish.
 	outageLength = time.Second
 )
@@ -33,6 +35,9 @@
 	b.Run("one zone cut from the log", func(b *testing.B) {
 		inForce(b, func(_ *Site, taps *benchTaps) { taps.log["entry-b"].cut.Store(true) })
 	})
+	b.Run("retention passed", func(b *testing.B) {
+		inForce(b, func(*Site, *benchTaps) { time.Sleep(shortRetention + time.Second) })
+	})
 	b.Run("all VMs of one zone replaced", func(b *testing.B) {
 		inForce(b, func(s *Site, _ *benchTaps) {
 			if err := s.StopVM(context.Background(), "entry-b"); err != nil {
@@ -55,6 +60,9 @@
 		b.Fatal(err)
 	}
 	bundle.Fleet.Times.BalancerLag = 0
+	bundle.Fleet.Times.LogRetention = configuration.Duration(shortRetention)
+	bundle.Fleet.Times.KeyWindow = configuration.Duration(time.Second)
+	bundle.Fleet.Times.ClockSkew = 0
 	taps := &benchTaps{log: make(map[string]*tap)}
 	site, err := Start(context.Background(), Options{Bundle: bundle, Via: func(name, address string) string {
 		vm, found := strings.CutSuffix(name, "/log")
