--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -10,8 +10,6 @@
 // The kinds of event on a request's path.
 const (
 	RequestReceived  Kind = "request.received"
-	RequestAdmitted  Kind = "request.admitted"
-	RequestQueued    Kind = "request.queued"
 	RequestRefused   Kind = "request.refused"
 	RequestAnswered  Kind = "request.answered"
 	RequestFailed    Kind = "request.failed"
@@ -24,7 +22,6 @@
 	TransferStarted  Kind = "transfer.started"
 	TransferStalled  Kind = "transfer.stalled"
 	DecodeStarted    Kind = "decode.started"
-	DecodeFailed     Kind = "decode.failed"
 	DecodeResumed    Kind = "decode.resumed"
 	FirstToken       Kind = "decode.first-token"
 	CancelSent       Kind = "cancel.sent"
