--- a/internal/reservation/ownership.go
+++ b/internal/reservation/ownership.go
@@ -23,12 +23,13 @@
 		zone := s.self().Zone
 		members := func() []string { return zoneMembers(s.params.View, zone) }
 		o = newOwner(scheduling.Settings{Model: *figures}, newRebuild(time.Now(), members))
+		// Configured before others find it: without engines it would refuse them.
+		s.configure(model, o, 1)
 		s.owners[model] = o
 		s.counters.OwnershipGained.Add(1)
 	}
 	s.mu.Unlock()
 	if !ok {
-		s.configure(model, o, 1)
 		s.renewOwn(routeKey{s.self().Zone, model})
 	}
 	return o, nil
