--- a/internal/reservation/fallback.go
+++ b/internal/reservation/fallback.go
@@ -19,11 +19,11 @@
 	o, ok := s.shares[model]
 	if !ok {
 		o = newOwner(scheduling.Settings{Model: *figures}, nil)
+		s.configure(model, o, s.zoneSize())
 		s.shares[model] = o
 	}
 	s.mu.Unlock()
 	if !ok {
-		s.configure(model, o, s.zoneSize())
 		s.renewShares()
 	}
 	return o, nil
