--- a/cmd/ospreyshedd/main.go
+++ b/cmd/ospreyshedd/main.go
@@ -15,6 +15,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/daemon"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
 	"github.com/ospreyshed/ospreyshed/internal/version"
+	"github.com/ospreyshed/ospreyshed/platform"
 )
 
 // The exit codes of the daemon.
@@ -33,6 +34,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if file, ok := platform.SettingsFile(); ok && len(args) == 0 {
+		return servePlatform(file)
+	}
 	var opts options
 	parser := flags.NewNamedParser("ospreyshedd", flags.HelpFlag)
 	parser.ShortDescription = "Serves callers on an entry VM"
@@ -55,6 +59,14 @@
 	return serve(opts.Settings)
 }
 
+// servePlatform runs the daemon on the users' platform until SIGTERM.
+func servePlatform(settingsFile string) int {
+	if err := platform.Run(settingsFile); err != nil {
+		return fail(err)
+	}
+	return exitOK
+}
+
 // serve runs the daemon until SIGTERM or SIGINT.
 func serve(file string) int {
 	conf, err := settings.Load(file)
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,163 @@
+// Package fleet holds the endpoints that are there now, as their registrations
+// tell, together with the services that the configuration names. Requests read
+// an immutable View through one pointer.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/routing"
+)
+
+// Figures that predictions of an engine's times start from. They are corrected
+// by observation, so that they only have to be of the right order.
+const (
+	// prefillTokensPerSecond is an engine's rate of reading prompts.
+	prefillTokensPerSecond = 33_333
+	// tokenInterval is the time of a decode step of an engine with one request.
+	tokenInterval = 3300 * time.Microsecond
+	// tokenIntervalPerRequest is what each further request adds to a step.
+	tokenIntervalPerRequest = 100 * time.Microsecond
+	// zoneDelay is the one-way delay that a message to another zone is taken to need.
+	zoneDelay = 4 * time.Millisecond
+)
+
+// Instance is one start of an endpoint.
+type Instance struct {
+	// Endpoint has a Name that differs between two starts of the same endpoint.
+	configuration.Endpoint
+	// ID is the endpoint's own name, which a later start may have as well.
+	ID string
+	// Draining says that the endpoint has announced its end.
+	Draining bool
+}
+
+// EntryVM is another process of this kind that has announced itself.
+type EntryVM struct {
+	Name, Zone, Address string
+}
+
+// pool selects engines; an empty zone stands for all zones.
+type pool struct {
+	service string
+	role    configuration.Role
+	zone    string
+}
+
+// View is an immutable state of the fleet. It implements reservation.Fleet, in
+// which a model is named by the service that runs it.
+type View struct {
+	instances map[string]*Instance
+	engines   map[pool][]*configuration.Endpoint
+	plain     map[string][]*configuration.Endpoint
+	models    map[string]*configuration.Model
+	entryVMs  map[string][]string
+	link      configuration.Link
+}
+
+// NewView builds a view. The table may be nil while no configuration is known.
+func NewView(table *routing.Table, instances []Instance, entryVMs []EntryVM) *View {
+	v := &View{
+		instances: make(map[string]*Instance, len(instances)),
+		engines:   make(map[pool][]*configuration.Endpoint),
+		plain:     make(map[string][]*configuration.Endpoint),
+		models:    make(map[string]*configuration.Model),
+		entryVMs:  make(map[string][]string),
+		link:      configuration.Link{OneWayDelay: configuration.Duration(zoneDelay)},
+	}
+	for _, vm := range entryVMs {
+		v.entryVMs[vm.Zone] = append(v.entryVMs[vm.Zone], vm.Name)
+	}
+	if table == nil {
+		return v
+	}
+	for _, service := range table.Services() {
+		if service.Engines != nil {
+			v.models[service.Name] = modelOf(service)
+		}
+	}
+	sorted := slices.SortedFunc(slices.Values(instances), func(x, y Instance) int { return cmp.Compare(x.Name, y.Name) })
+	for i := range sorted {
+		v.add(&sorted[i], table.Service(sorted[i].Service))
+	}
+	return v
+}
+
+func modelOf(service *routing.Service) *configuration.Model {
+	return &configuration.Model{
+		Name:                    service.Name,
+		PrefillTokensPerSecond:  prefillTokensPerSecond,
+		TokenInterval:           configuration.Duration(tokenInterval),
+		TokenIntervalPerRequest: configuration.Duration(tokenIntervalPerRequest),
+		KVBytesPerToken:         service.Engines.TokenBytes,
+		KVRetention:             configuration.Duration(service.Engines.Retention),
+	}
+}
+
+func (v *View) add(instance *Instance, service *routing.Service) {
+	if service == nil {
+		return
+	}
+	v.instances[instance.Name] = instance
+	endpoint := &instance.Endpoint
+	if service.Engines == nil {
+		v.plain[service.Name] = append(v.plain[service.Name], endpoint)
+		return
+	}
+	complete(endpoint, service.Engines)
+	for _, zone := range []string{endpoint.Zone, ""} {
+		key := pool{service.Name, endpoint.Role, zone}
+		v.engines[key] = append(v.engines[key], endpoint)
+	}
+}
+
+// complete adds what the configuration says of all engines of a service.
+func complete(endpoint *configuration.Endpoint, engines *routing.Engines) {
+	endpoint.Kind = configuration.KindEngine
+	endpoint.Model = endpoint.Service
+	if endpoint.Slots == 0 {
+		endpoint.Slots = engines.Slots
+	}
+	endpoint.MemoryPieces = engines.MemoryTokens
+	endpoint.PieceTokens = 1
+	endpoint.LinkBytesPerSecond = engines.LinkBytesPerSecond
+}
+
+// Instance returns an instance by its name, nil if it is not there any more.
+func (v *View) Instance(name string) *Instance { return v.instances[name] }
+
+// Instances returns the number of instances.
+func (v *View) Instances() int { return len(v.instances) }
+
+// Plain returns the instances of a plain service.
+func (v *View) Plain(service string) []*configuration.Endpoint { return v.plain[service] }
+
+// Engines implements reservation.Fleet.
+func (v *View) Engines(model string, role configuration.Role, zone string) []*configuration.Endpoint {
+	return v.engines[pool{model, role, zone}]
+}
+
+// Model implements reservation.Fleet.
+func (v *View) Model(name string) (*configuration.Model, bool) {
+	model, ok := v.models[name]
+	return model, ok
+}
+
+// Models implements reservation.Fleet.
+func (v *View) Models() []string {
+	names := make([]string, 0, len(v.models))
+	for name := range v.models {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// EntryVMs implements reservation.Fleet.
+func (v *View) EntryVMs(zone string) []string { return v.entryVMs[zone] }
+
+// Link implements reservation.Fleet.
+func (v *View) Link(string, string) (*configuration.Link, bool) { return &v.link, true }
--- a/internal/membership/swim/service.go
+++ b/internal/membership/swim/service.go
@@ -144,6 +144,18 @@
 	})
 }
 
+// SetCandidates replaces the addresses at which other VMs may be found, by the
+// VMs' names. Unlike a configuration it does not say who may be a member.
+func (s *Service) SetCandidates(addresses map[string]string) {
+	s.do(func(_ time.Time, m *machine) []call {
+		m.candidates.configured = make(map[string]string, len(addresses))
+		for vm, address := range addresses {
+			m.candidates.configured[address] = vm
+		}
+		return nil
+	})
+}
+
 // Run takes part in the membership until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	defer s.running.Wait()
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 )
 
@@ -90,3 +91,18 @@
 	slices.Sort(all)
 	return all
 }
+
+// Text returns all numbers as lines of "group_name value", in the order of
+// their names.
+func (r *Registry) Text() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var lines []string
+	for name, values := range r.groups {
+		values.Do(func(value expvar.KeyValue) {
+			lines = append(lines, name+"_"+value.Key+" "+value.Value.String()+"\n")
+		})
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+
+	"go.uber.org/fx"
+
+	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/peer"
+	"github.com/ospreyshed/ospreyshed/internal/reservation"
+	"github.com/ospreyshed/ospreyshed/internal/retry"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+	"github.com/ospreyshed/ospreyshed/internal/timeline/timelinerpc"
+)
+
+// timelineEvents is the number of events kept for the time line. At about 150
+// bytes each they take half a megabyte.
+const timelineEvents = 2048
+
+// peersModule provides what entry VMs tell each other.
+var peersModule = fx.Module("peers",
+	fx.Provide(
+		metrics.NewRegistry,
+		newEvents,
+		newEndpoints,
+		newDialer,
+		newMembers,
+		newReservation,
+		newPeerServer,
+	),
+	fx.Invoke(func(*peer.Server) {}),
+)
+
+// newEvents returns the time line, whose events also appear in the log.
+func newEvents(options *Options, registry *metrics.Registry) (timeline.Recorder, *timeline.Ring) {
+	ring := timeline.NewRing(options.VM, options.Incarnation, timelineEvents)
+	registry.Mount("timeline", ring.Metrics())
+	return decisionlog.Recorder{Ring: ring, Log: options.Log}, ring
+}
+
+func newEndpoints(events timeline.Recorder, registry *metrics.Registry) *endpoint.Registry {
+	endpoints := endpoint.NewRegistry(events)
+	registry.Mount("endpoint", metrics.Fields(&endpoints.Counters))
+	return endpoints
+}
+
+// newDialer returns the transport between entry VMs. These VMs have no place to
+// keep keys, so that it is neither encrypted nor authenticated.
+func newDialer(options *Options, registry *metrics.Registry) *peer.HTTPDialer {
+	dialer := peer.NewDialer(peer.Options{Listen: options.PeerAddress, Insecure: true})
+	registry.Mount("peer_dialer", dialer.Vars())
+	return dialer
+}
+
+func newMembers(lifecycle fx.Lifecycle, options *Options, dialer *peer.HTTPDialer, events timeline.Recorder, registry *metrics.Registry) *swim.Service {
+	members := swim.New(swim.Params{
+		VM:          options.VM,
+		Zone:        options.Zone,
+		Address:     options.PeerAddress,
+		Incarnation: options.Incarnation,
+		Seeds:       slices.DeleteFunc(slices.Clone(options.Seeds), func(s string) bool { return s == options.PeerAddress }),
+		Dialer:      dialer,
+		Events:      events,
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	registry.Mount("membership", members.Vars())
+	background(lifecycle, members.Run)
+	return members
+}
+
+func newReservation(lifecycle fx.Lifecycle, options *Options, members *swim.Service, dialer *peer.HTTPDialer, endpoints *endpoint.Registry, registry *metrics.Registry) *reservation.Service {
+	service := reservation.New(reservation.Params{
+		View:   members,
+		Dialer: dialer,
+		Fleet:  func() reservation.Fleet { return options.Fleet.View() },
+		Conditions: func(name string) reservation.Condition {
+			return condition(options.Fleet.View(), endpoints, name)
+		},
+	})
+	members.OnGone(func(m membership.Member) { service.HolderGone(m.VM, m.Incarnation) })
+	registry.Mount("reservation", metrics.Fields(service.Counters()))
+	background(lifecycle, service.Run)
+	return service
+}
+
+// condition returns what is known of an engine beside its registration.
+func condition(view *fleet.View, endpoints *endpoint.Registry, name string) reservation.Condition {
+	instance := view.Instance(name)
+	leaving := instance == nil || instance.Draining || endpoints.Leaving(name)
+	return reservation.Condition{Leaving: leaving, Ejected: !leaving && !endpoints.Usable(name)}
+}
+
+func newPeerServer(lifecycle fx.Lifecycle, options *Options, members *swim.Service, reservations *reservation.Service, ring *timeline.Ring, registry *metrics.Registry) (*peer.Server, error) {
+	server, err := peer.NewServer(
+		peer.Options{Listen: options.PeerAddress, Insecure: true},
+		members.Peer(), reservations.Handler(), timelinerpc.NewHandler(ring),
+	)
+	if err != nil {
+		return nil, err
+	}
+	registry.Mount("peer_server", server.Vars())
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return server.Start() },
+		OnStop:  server.Shutdown,
+	})
+	return server, nil
+}
+
+// applyEntryVMs takes the entry VMs that have announced themselves.
+func applyEntryVMs(options *Options, members *swim.Service, budgets *retry.Shared, vms []fleet.EntryVM) {
+	options.Fleet.SetEntryVMs(vms)
+	budgets.Divide(len(vms))
+	addresses := make(map[string]string, len(vms))
+	for _, vm := range vms {
+		if vm.Name != options.VM {
+			addresses[vm.Name] = vm.Address
+		}
+	}
+	members.SetCandidates(addresses)
+}
--- /dev/null
+++ b/internal/node/relay.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/relay"
+	"github.com/ospreyshed/ospreyshed/internal/reservation"
+	"github.com/ospreyshed/ospreyshed/internal/retry"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
+)
+
+const (
+	// dialTimeout bounds a connection to an endpoint. Zones are a few milliseconds
+	// apart, so that a longer time tells of a partition or a full queue.
+	dialTimeout = 250 * time.Millisecond
+	// unackedTimeout ends a connection whose peer acknowledges nothing.
+	unackedTimeout = time.Second
+	// idleTimeout is how long a connection is kept if the endpoint names no time.
+	idleTimeout = 4 * time.Second
+	// maxIdleConnections bounds the kept connections to one endpoint.
+	maxIdleConnections = 16
+	// sweepPeriod is the time between two closings of connections kept too long.
+	sweepPeriod = time.Second
+)
+
+// relayModule provides what a request passes through.
+var relayModule = fx.Module("relay",
+	fx.Provide(newClient, newBudgets, newRelay, newIngress),
+	fx.Invoke(runBackground),
+)
+
+func newClient(lifecycle fx.Lifecycle, registry *metrics.Registry) *upstream.Client {
+	client := upstream.NewClient(upstream.Options{
+		DialTimeout:    dialTimeout,
+		UnackedTimeout: unackedTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxIdle:        maxIdleConnections,
+	})
+	registry.Mount("upstream", metrics.Fields(&client.Counters))
+	background(lifecycle, func(ctx context.Context) { sweep(ctx, client) })
+	return client
+}
+
+// sweep closes connections that were kept too long.
+func sweep(ctx context.Context, client *upstream.Client) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	defer client.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			client.Sweep(now)
+		}
+	}
+}
+
+func newBudgets(options *Options) *retry.Shared {
+	return retry.NewShared(options.RetryRatio, options.RetrySlack)
+}
+
+// relayParams are the collaborators of the relay.
+type relayParams struct {
+	fx.In
+	Options      *Options
+	Endpoints    *endpoint.Registry
+	Reservations *reservation.Service
+	Budgets      *retry.Shared
+	Client       *upstream.Client
+	Registry     *metrics.Registry
+}
+
+func newRelay(p relayParams) *relay.Relay {
+	r := relay.New(relay.Options{
+		VM:          p.Options.VM,
+		Incarnation: p.Options.Incarnation,
+		Zone:        p.Options.Zone,
+		Fleet:       p.Options.Fleet,
+		Endpoints:   p.Endpoints,
+		Reserver:    p.Reservations,
+		Budget:      p.Budgets,
+		Client:      p.Client,
+		Dialect:     p.Options.Dialect,
+		Log:         p.Options.Log,
+	})
+	p.Registry.Mount("relay", metrics.Fields(&r.Counters))
+	return r
+}
+
+func newIngress(options *Options, r *relay.Relay) Ingress { return options.Ingress(r) }
+
+// runBackground runs the adapter's background work.
+func runBackground(lifecycle fx.Lifecycle, options *Options, members *swim.Service, budgets *retry.Shared) {
+	events := Events{EntryVMs: func(vms []fleet.EntryVM) { applyEntryVMs(options, members, budgets, vms) }}
+	for _, work := range options.Background {
+		background(lifecycle, func(ctx context.Context) { work(ctx, events) })
+	}
+}
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+)
+
+const (
+	// readHeaderTimeout bounds the header of a request.
+	readHeaderTimeout = 5 * time.Second
+	// callerIdleTimeout is how long a caller's idle connection is kept. Callers
+	// close theirs earlier.
+	callerIdleTimeout = time.Minute
+	// balancerLag is how long callers are still sent here after readiness went
+	// off: two questions at a period of a second, and the way of a connection.
+	balancerLag = 2500 * time.Millisecond
+	// metricsPath is where the counters are served as text.
+	metricsPath = "/metrics"
+)
+
+// serversModule provides the listeners. That for callers is the last to start
+// and the first to stop.
+var serversModule = fx.Module("servers", fx.Invoke(runMetricsServer, runCallerServer))
+
+func runMetricsServer(lifecycle fx.Lifecycle, options *Options, registry *metrics.Registry) {
+	if options.MetricsAddress == "" {
+		return
+	}
+	router := mux.NewRouter()
+	router.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = fmt.Fprint(w, registry.Text())
+	}).Methods(http.MethodGet)
+	serve(lifecycle, options, "metrics", options.MetricsAddress, newServer(router))
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+}
+
+// serve runs a server from the start of the process to its stop.
+func serve(lifecycle fx.Lifecycle, options *Options, name, address string, server *http.Server) {
+	lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error { return listen(ctx, options, name, address, server) },
+		OnStop:  func(context.Context) error { return server.Close() },
+	})
+}
+
+// listen opens a listener and serves it in the background.
+func listen(ctx context.Context, options *Options, name, address string, server *http.Server) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listener for %s: %w", name, err)
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			options.Log.Change("listener failed", logrus.Fields{"listener": name, "error": err.Error()})
+		}
+	}()
+	return nil
+}
+
+// callerServer serves callers and the platform's questions for readiness.
+type callerServer struct {
+	options *Options
+	ingress Ingress
+	members *swim.Service
+	server  *http.Server
+}
+
+func runCallerServer(lifecycle fx.Lifecycle, options *Options, ingress Ingress, members *swim.Service) {
+	readiness := newServer(http.HandlerFunc(ingress.ServeReadiness))
+	serve(lifecycle, options, "readiness", options.ReadinessAddress, readiness)
+	s := &callerServer{options: options, ingress: ingress, members: members, server: newServer(ingress)}
+	lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			return listen(ctx, options, "callers", options.CallerAddress, s.server)
+		},
+		OnStop: s.stop,
+	})
+}
+
+// stop drains: requests in flight end before the process does.
+func (s *callerServer) stop(ctx context.Context) error {
+	started := time.Now()
+	s.options.Log.Change("draining", logrus.Fields{"grace_ms": s.options.Grace.Milliseconds()})
+	s.ingress.Drain()
+	s.members.SetDraining()
+	pause(ctx, balancerLag)
+	drain, cancel := context.WithDeadline(ctx, started.Add(s.options.Grace-stopMargin))
+	defer cancel()
+	err := s.server.Shutdown(drain)
+	if err != nil {
+		s.options.Log.Change("requests were cut off at the end of the grace", logrus.Fields{"error": err.Error()})
+		err = s.server.Close()
+	}
+	s.members.Leave(drain)
+	s.options.Log.Change("drained", logrus.Fields{"ms": time.Since(started).Milliseconds()})
+	return err
+}
+
+// pause waits for a time unless ctx ends first.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// background runs a function from the start of the process to its stop.
+func background(lifecycle fx.Lifecycle, run func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			running.Go(func() { run(ctx) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			running.Wait()
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/relay/events.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+)
+
+const (
+	// eventBufferBytes is the first size of the buffer for a stream's events.
+	eventBufferBytes = 2 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+)
+
+// eventReader cuts a text/event-stream into whole events. Bytes after the last
+// whole event are never handed out.
+type eventReader struct {
+	source io.Reader
+	buffer []byte
+	// lastID is the id of the last event that was handed out.
+	lastID string
+	// events counts the events that were handed out since the last call of taken.
+	events int
+}
+
+func newEventReader(source io.Reader) *eventReader {
+	return &eventReader{source: source, buffer: make([]byte, 0, eventBufferBytes)}
+}
+
+// next returns all whole events that are there, at least one. It returns io.EOF
+// at the end of a stream that ended after a whole event, and
+// io.ErrUnexpectedEOF if it ended within one. The bytes are valid until the
+// next call.
+func (e *eventReader) next() ([]byte, error) {
+	for {
+		if end := lastEventEnd(e.buffer); end > 0 {
+			whole := e.buffer[:end]
+			e.note(whole)
+			e.buffer = e.buffer[end:]
+			return whole, nil
+		}
+		if len(e.buffer) > maxEventBytes {
+			return nil, io.ErrShortBuffer
+		}
+		if err := e.fill(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// fill reads more bytes.
+func (e *eventReader) fill() error {
+	if cap(e.buffer)-len(e.buffer) < eventBufferBytes/4 {
+		grown := make([]byte, len(e.buffer), max(eventBufferBytes, 2*len(e.buffer)+eventBufferBytes))
+		copy(grown, e.buffer)
+		e.buffer = grown
+	}
+	n, err := e.source.Read(e.buffer[len(e.buffer):cap(e.buffer)])
+	e.buffer = e.buffer[:len(e.buffer)+n]
+	if n > 0 {
+		return nil
+	}
+	if err == io.EOF && len(e.buffer) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// lastEventEnd returns the end of the last whole event, 0 if there is none.
+func lastEventEnd(b []byte) int {
+	end := 0
+	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
+		if i := bytes.LastIndex(b, separator); i >= 0 {
+			end = max(end, i+len(separator))
+		}
+	}
+	return end
+}
+
+// note counts events and remembers the last id.
+func (e *eventReader) note(whole []byte) {
+	for line := range bytes.Lines(whole) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			e.events++
+			continue
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.lastID = string(bytes.TrimPrefix(id, []byte(" ")))
+		}
+	}
+}
+
+// taken returns the number of events that were handed out since the last call.
+func (e *eventReader) taken() int {
+	n := e.events
+	e.events = 0
+	return n
+}
--- /dev/null
+++ b/internal/relay/generation.go
@@ -0,0 +1,320 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
+)
+
+const (
+	// deliveryMargin is kept of a first event's objective for the way to the caller.
+	deliveryMargin = 20 * time.Millisecond
+	// prefillPatience bounds a prefill. A waiting prefill is of use only as long as
+	// the decode slot that is reserved for it.
+	prefillPatience = 1500 * time.Millisecond
+	// freeTimeout bounds the message that frees a KV cache nobody takes.
+	freeTimeout = 300 * time.Millisecond
+	// hintMargin is the part by which the memory reserved for an answer exceeds
+	// the caller's estimate, which is right at the median only.
+	hintMargin = 1.25
+	// hintFloorTokens is the least memory reserved for an answer.
+	hintFloorTokens = 64
+)
+
+var (
+	// errGiveUp ends a generation's attempts.
+	errGiveUp = errors.New("no further attempt")
+	// errAgain asks for another attempt.
+	errAgain = errors.New("try again")
+)
+
+// generation is a generation over its attempts.
+type generation struct {
+	*exchange
+	// begun says that the caller has the header of the stream.
+	begun bool
+	// lastEventID is the last event that the caller has.
+	lastEventID string
+	// delivered counts the tokens that the caller has.
+	delivered int
+}
+
+// serveGeneration serves a request that model engines answer.
+func (r *Relay) serveGeneration(ctx context.Context, x *exchange) {
+	g := &generation{exchange: x, lastEventID: x.request.Generation.LastEventID}
+	ctx, cancel := context.WithDeadline(ctx, x.answerBy)
+	defer cancel()
+	for r.mayRepeat(x) {
+		err := r.attempt(ctx, g)
+		if err == nil {
+			r.Counters.Answered.Add(1)
+			r.decide(x, "stream complete", logrus.Fields{"tokens": g.delivered})
+			return
+		}
+		if errors.Is(err, context.Canceled) || ctx.Err() != nil || errors.Is(err, errGiveUp) {
+			break
+		}
+	}
+	r.concludeGeneration(ctx, g)
+}
+
+// concludeGeneration gives the final answer after the last attempt.
+func (r *Relay) concludeGeneration(ctx context.Context, g *generation) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		r.callerGone(g.exchange)
+	case g.begun:
+		r.Counters.Broken.Add(1)
+		r.decide(g.exchange, "stream broken", logrus.Fields{"tokens": g.delivered})
+		g.caller.Abort()
+	default:
+		r.concludePlain(g.exchange)
+	}
+}
+
+// attempt reserves engines and runs the request on them once. It returns nil if
+// the answer is complete, errGiveUp if no other attempt may follow.
+func (r *Relay) attempt(ctx context.Context, g *generation) error {
+	demand := r.demand(g)
+	started := time.Now()
+	grant, err := r.options.Reserver.Reserve(ctx, demand)
+	if err != nil {
+		return r.notGranted(g, err)
+	}
+	defer func() {
+		r.options.Reserver.Progress(scheduling.Progress{ID: demand.ID, Kind: scheduling.Released, Tokens: g.delivered})
+	}()
+	r.decide(g.exchange, "engines granted", logrus.Fields{
+		"attempt": demand.ID.String(), "prefill": grant.Prefill, "decode": grant.Decode,
+		"queued_ms": time.Since(started).Milliseconds(), "predicted_first_ms": grant.FirstToken.Milliseconds(),
+	})
+	return r.run(ctx, g, demand.ID, grant)
+}
+
+// notGranted takes note of a refusal.
+func (r *Relay) notGranted(g *generation, err error) error {
+	var refusal *scheduling.Refusal
+	if !errors.As(err, &refusal) {
+		g.refusal = err.Error()
+		return errGiveUp
+	}
+	if g.begun || g.mayHaveRun {
+		return errGiveUp
+	}
+	g.refusal = string(refusal.Reason)
+	g.retryAfter = refusal.RetryAfter
+	return errGiveUp
+}
+
+// demand describes the next attempt to the scheduler.
+func (r *Relay) demand(g *generation) scheduling.Demand {
+	work := g.request.Generation
+	return scheduling.Demand{
+		ID:           r.attemptID(),
+		Zone:         r.options.Zone,
+		Class:        g.route.Name,
+		Model:        g.service.Name,
+		Priority:     -g.route.Priority,
+		Order:        configuration.OrderAny,
+		PromptTokens: work.PromptTokens + g.delivered,
+		OutputTokens: max(hintFloorTokens, reservedOutput(work)-g.delivered),
+		Targets:      r.targets(g),
+		Weights:      configuration.Weights{WastedPrefill: 1},
+		Waited:       time.Since(g.request.Arrived),
+		Exclude:      g.exclude,
+		Resumed:      g.begun,
+	}
+}
+
+// reservedOutput returns the length of answer that memory is reserved for.
+func reservedOutput(work *Generation) int {
+	if work.ExpectedOutputTokens <= 0 {
+		return work.MaxOutputTokens
+	}
+	return min(work.MaxOutputTokens, int(hintMargin*float64(work.ExpectedOutputTokens)))
+}
+
+// targets returns the targets that are still open.
+func (r *Relay) targets(g *generation) configuration.Targets {
+	if g.begun || g.route.Objective <= deliveryMargin {
+		return configuration.Targets{}
+	}
+	return configuration.Targets{FirstToken: configuration.Duration(g.route.Objective - deliveryMargin)}
+}
+
+func (r *Relay) attemptID() engine.AttemptID {
+	return engine.AttemptID{
+		VM:          r.options.VM,
+		Incarnation: r.options.Incarnation,
+		Request:     r.requests.Add(1),
+		Attempt:     1,
+	}
+}
+
+// run prefills on one engine and generates on another.
+func (r *Relay) run(ctx context.Context, g *generation, id engine.AttemptID, grant scheduling.Grant) error {
+	view := r.options.Fleet.View()
+	prefill, decode := view.Instance(grant.Prefill), view.Instance(grant.Decode)
+	if prefill == nil || decode == nil {
+		return r.exclude(g, grant.Prefill, grant.Decode)
+	}
+	source, err := r.prefill(ctx, g, id, &prefill.Endpoint)
+	if err != nil {
+		return err
+	}
+	taken, err := r.decode(ctx, g, id, &decode.Endpoint, source)
+	if !taken {
+		r.Counters.PrefillsLost.Add(1)
+		r.free(source)
+	}
+	return err
+}
+
+// exclude keeps later attempts off engines that are not there any more.
+func (r *Relay) exclude(g *generation, names ...string) error {
+	for _, name := range names {
+		if r.options.Fleet.View().Instance(name) == nil {
+			g.exchange.exclude = append(g.exchange.exclude, name)
+		}
+	}
+	g.refusal = "an engine is gone"
+	return errAgain
+}
+
+// prefill has the prompt read and returns where its KV cache is kept.
+func (r *Relay) prefill(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint) (*Source, error) {
+	defer r.options.Endpoints.Begin(to.Name)()
+	started := time.Now()
+	answer, verdict, err := r.call(ctx, g.exchange, to, &Call{Stage: Prefill, LastEventID: g.lastEventID}, min(prefillPatience, g.left()))
+	prompt, err := r.promptOf(answer, verdict, err)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	r.observe(g, to, err == nil)
+	if err != nil {
+		g.exchange.exclude = append(g.exchange.exclude, to.Name)
+		g.refusal = "the prompt could not be read"
+		r.decide(g.exchange, "prefill failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
+		return nil, r.again(g)
+	}
+	r.Counters.Prefills.Add(1)
+	r.options.Reserver.Progress(scheduling.Progress{
+		ID: id, Kind: scheduling.PrefillDone, Prefill: to.Name, Tokens: prompt.Tokens, Elapsed: time.Since(started),
+	})
+	return &Source{Address: to.Address, Handle: prompt.Handle}, nil
+}
+
+// promptOf returns the outcome of a prefill call.
+func (r *Relay) promptOf(answer *Answer, verdict Verdict, err error) (Prompt, error) {
+	if err != nil {
+		return Prompt{}, err
+	}
+	if verdict.NotRun || answer.Status != http.StatusOK {
+		return Prompt{}, upstream.InDoubt.New("the engine answered with status %d", answer.Status)
+	}
+	return r.options.Dialect.Prompt(answer.Body)
+}
+
+// again takes one repeat that is no send of the request itself.
+func (r *Relay) again(g *generation) error {
+	if !r.options.Budget.Spend(g.service.Name) {
+		r.Counters.RepeatsDenied.Add(1)
+		return errGiveUp
+	}
+	r.Counters.Repeated.Add(1)
+	return errAgain
+}
+
+// observe records how a call to an engine went. The time of a call depends on
+// the request, so that it says nothing of the engine.
+func (r *Relay) observe(g *generation, to *configuration.Endpoint, ok bool) {
+	group := endpointNames(r.options.Fleet.View().Engines(g.service.Name, to.Role, ""))
+	r.options.Endpoints.Observe(to.Name, group, ok, 0)
+}
+
+// free has an engine drop a KV cache that nobody takes.
+func (r *Relay) free(source *Source) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	response, err := r.options.Client.Do(ctx, source.Address, r.options.Dialect.Free(source.Handle))
+	if err != nil {
+		r.options.Log.Decide("KV cache not freed", logrus.Fields{"address": source.Address, "error": err.Error()})
+		return
+	}
+	response.Close()
+}
+
+// decode generates on an engine that takes over the KV cache. It reports whether
+// the engine may have taken it.
+func (r *Relay) decode(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint, source *Source) (bool, error) {
+	defer r.options.Endpoints.Begin(to.Name)()
+	started := time.Now()
+	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: Decode, Source: source, LastEventID: g.lastEventID})
+	if ctx.Err() != nil {
+		closeResponse(response)
+		return true, ctx.Err()
+	}
+	if err != nil {
+		return r.decodeError(g, to, err)
+	}
+	defer response.Close()
+	if verdict.NotRun {
+		r.observe(g, to, true)
+		g.refusal = "the engine did not take the request"
+		r.decide(g.exchange, "engine declined", logrus.Fields{"endpoint": to.Name, "status": response.Status})
+		return false, errAgain
+	}
+	g.mayHaveRun = true
+	if response.Status != http.StatusOK {
+		return true, r.failedDecode(g, to, response)
+	}
+	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started}
+	return true, stream.pass(ctx, response)
+}
+
+// decodeError takes note of an attempt without a response.
+func (r *Relay) decodeError(g *generation, to *configuration.Endpoint, err error) (bool, error) {
+	r.observe(g, to, false)
+	r.decide(g.exchange, "decode failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
+	g.exchange.exclude = append(g.exchange.exclude, to.Name)
+	if errorx.IsOfType(err, upstream.NotSent) {
+		g.sends--
+		g.refusal = "the engine is not reachable"
+		return false, r.again(g)
+	}
+	g.mayHaveRun = true
+	if g.route.RunsOnce() {
+		return true, errGiveUp
+	}
+	return true, errAgain
+}
+
+// failedDecode keeps an engine's own failure for the caller.
+func (r *Relay) failedDecode(g *generation, to *configuration.Endpoint, response *upstream.Response) error {
+	r.observe(g, to, false)
+	body, err := readWhole(response)
+	r.decide(g.exchange, "engine failed the request", logrus.Fields{"endpoint": to.Name, "status": response.Status})
+	if err == nil && !g.begun {
+		g.answer = &Answer{Status: response.Status, Header: response.Header, Body: body}
+	}
+	g.exchange.exclude = append(g.exchange.exclude, to.Name)
+	if g.route.RunsOnce() {
+		return errGiveUp
+	}
+	return errAgain
+}
+
+func closeResponse(response *upstream.Response) {
+	if response != nil {
+		response.Close()
+	}
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
+)
+
+// silenceLimit is how long a stream that may be resumed can be silent before it
+// goes on at another engine. Callers give up after two seconds.
+const silenceLimit = 1300 * time.Millisecond
+
+// stream passes the events of one engine to the caller.
+type stream struct {
+	relay      *Relay
+	generation *generation
+	id         engine.AttemptID
+	endpoint   *configuration.Endpoint
+	started    time.Time
+}
+
+// pass hands events on as they arrive. It returns nil after the last event of a
+// stream that ended as its framing says.
+func (s *stream) pass(ctx context.Context, response *upstream.Response) error {
+	g := s.generation
+	events := newEventReader(response)
+	events.lastID = g.lastEventID
+	silence := s.watchSilence(response)
+	defer silence.Stop()
+	for first := true; ; first = false {
+		whole, err := events.next()
+		if err != nil {
+			return s.ended(ctx, response, err)
+		}
+		silence.Reset(silenceLimit)
+		if !g.begun {
+			g.begun = true
+			g.caller.Begin(response.Status, response.Header)
+		}
+		if err := g.caller.Event(whole); err != nil {
+			return context.Canceled
+		}
+		s.count(events, first)
+	}
+}
+
+// watchSilence ends the response of a resumable stream that falls silent.
+func (s *stream) watchSilence(response *upstream.Response) *time.Timer {
+	timer := time.AfterFunc(silenceLimit, response.Abort)
+	if !s.generation.route.Resumable {
+		timer.Stop()
+	}
+	return timer
+}
+
+// count notes what the caller has.
+func (s *stream) count(events *eventReader, first bool) {
+	g := s.generation
+	g.lastEventID = events.lastID
+	g.delivered += events.taken() * g.service.Engines.TokensPerEvent
+	if first {
+		s.relay.options.Reserver.Progress(scheduling.Progress{
+			ID: s.id, Kind: scheduling.FirstTokenSeen, Decode: s.endpoint.Name, Elapsed: time.Since(s.started),
+		})
+	}
+	s.relay.options.Reserver.Delivered(s.id, g.delivered)
+}
+
+// ended decides what follows the end of an engine's stream.
+func (s *stream) ended(ctx context.Context, response *upstream.Response, err error) error {
+	r, g := s.relay, s.generation
+	if errors.Is(err, io.EOF) && g.begun {
+		r.observe(g, s.endpoint, true)
+		return nil
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	r.observe(g, s.endpoint, false)
+	r.decide(g.exchange, "stream cut", logrus.Fields{
+		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": g.lastEventID, "error": err.Error(),
+	})
+	response.Close()
+	g.exchange.exclude = append(g.exchange.exclude, s.endpoint.Name)
+	if g.route.RunsOnce() {
+		return errGiveUp
+	}
+	r.Counters.Resumed.Add(1)
+	return errAgain
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,23 +13,35 @@
 // fraction of a retry; each retry costs one. It is safe for concurrent use.
 type Budget struct {
 	earn    int64
-	ceiling int64
+	ceiling atomic.Int64
 	balance atomic.Int64
 }
 
 // NewBudget returns a budget of ratio retries per request with a reserve of
 // burst retries, full at first.
 func NewBudget(ratio float64, burst int) *Budget {
-	b := &Budget{earn: int64(ratio * milli), ceiling: int64(burst) * milli}
-	b.balance.Store(b.ceiling)
+	b := &Budget{earn: int64(ratio * milli)}
+	b.ceiling.Store(int64(burst) * milli)
+	b.balance.Store(int64(burst) * milli)
 	return b
 }
 
+// setReserve changes the reserve. What is there beyond it is lost.
+func (b *Budget) setReserve(burst int) {
+	ceiling := int64(burst) * milli
+	b.ceiling.Store(ceiling)
+	for old := b.balance.Load(); old > ceiling; old = b.balance.Load() {
+		if b.balance.CompareAndSwap(old, ceiling) {
+			return
+		}
+	}
+}
+
 // Earn credits one request.
 func (b *Budget) Earn() {
 	for {
 		old := b.balance.Load()
-		updated := min(old+b.earn, b.ceiling)
+		updated := min(old+b.earn, b.ceiling.Load())
 		if updated == old || b.balance.CompareAndSwap(old, updated) {
 			return
 		}
--- /dev/null
+++ b/internal/retry/shared.go
@@ -0,0 +1,58 @@
+package retry
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// ratioShare and slackShare are the parts of the permitted ratio and slack
+	// that are used. The rest covers requests and repeats that fall into
+	// different windows, and processes that start anew with a full reserve.
+	ratioShare = 0.7
+	slackShare = 0.5
+	// firstReserve is the reserve while the number of processes is not known.
+	firstReserve = 1
+)
+
+// Shared divides a permitted number of repeats among several processes. Each
+// service has a budget of its own. It is safe for concurrent use.
+type Shared struct {
+	ratio float64
+	slack float64
+
+	reserve atomic.Int64
+	budgets sync.Map // service -> *Budget
+}
+
+// NewShared returns budgets of which all processes together use no more than a
+// ratio of the requests and a slack.
+func NewShared(ratio, slack float64) *Shared {
+	s := &Shared{ratio: ratio * ratioShare, slack: slack * slackShare}
+	s.reserve.Store(firstReserve)
+	return s
+}
+
+// Divide sets the number of processes that share the slack.
+func (s *Shared) Divide(processes int) {
+	reserve := max(firstReserve, int64(s.slack/float64(max(1, processes))))
+	s.reserve.Store(reserve)
+	s.budgets.Range(func(_, budget any) bool {
+		budget.(*Budget).setReserve(int(reserve))
+		return true
+	})
+}
+
+// Earn credits one request of a service.
+func (s *Shared) Earn(service string) { s.of(service).Earn() }
+
+// Spend takes one repeat of a service and reports whether it is allowed.
+func (s *Shared) Spend(service string) bool { return s.of(service).Spend() }
+
+func (s *Shared) of(service string) *Budget {
+	if found, ok := s.budgets.Load(service); ok {
+		return found.(*Budget)
+	}
+	created, _ := s.budgets.LoadOrStore(service, NewBudget(s.ratio, int(s.reserve.Load())))
+	return created.(*Budget)
+}
--- /dev/null
+++ b/internal/routing/route.go
@@ -0,0 +1,87 @@
+// Package routing selects the route of a request by host and longest path
+// prefix. A Table is immutable, so that requests read it without a lock.
+package routing
+
+import "time"
+
+// Kind says how often the requests of a route may run.
+type Kind string
+
+// The kinds of route.
+const (
+	// Repeatable requests may run more than once.
+	Repeatable Kind = "repeatable"
+	// SingleRun requests may run at most once.
+	SingleRun Kind = "single-run"
+	// Streaming requests are answered by a stream of events. They run at most
+	// once unless the route is resumable.
+	Streaming Kind = "streaming"
+)
+
+// Destination is one service of a route and its share of the requests.
+type Destination struct {
+	Service string
+	// Weight is relative to the sum over the route's destinations.
+	Weight int
+}
+
+// Route holds what applies to all requests of one path prefix.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Resumable streams may continue on another endpoint after their last event.
+	Resumable    bool
+	Destinations []Destination
+	// MaxAttempts is the largest number of endpoints that may get one request.
+	MaxAttempts int
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to a stream's first event, within
+	// which the answer is on time.
+	Objective time.Duration
+	// GapObjective is the longest pause between events of a stream that is on time.
+	GapObjective time.Duration
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+}
+
+// RunsOnce reports whether a request of the route may run at most once.
+func (r *Route) RunsOnce() bool {
+	return r.Kind == SingleRun || r.Kind == Streaming && !r.Resumable
+}
+
+// Engines holds what the configuration says of a service's model engines.
+type Engines struct {
+	// Slots is the number of requests that an engine runs at a time.
+	Slots int
+	// MemoryTokens is the memory for KV cache, TokenBytes the size of a token's part.
+	MemoryTokens int
+	TokenBytes   int64
+	// TokensPerEvent is the number of tokens that one event of a stream carries.
+	TokensPerEvent int
+	// LinkBytesPerSecond is the rate of an engine's link for KV cache transfers.
+	LinkBytesPerSecond int64
+	// Retention is how long an engine keeps a prefill's KV cache for its transfer.
+	Retention time.Duration
+	// SwitchTime is how long an engine takes to change its role.
+	SwitchTime time.Duration
+}
+
+// Service is a group of endpoints that do the same work.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections to one endpoint, summed over all callers.
+	MaxConnections int
+	// Engines is nil for plain services.
+	Engines *Engines
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	BodyBytes int64
+	// IdleTimeout is how long an idle connection of a caller is kept.
+	IdleTimeout time.Duration
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table is one version of the configuration. It is immutable.
+type Table struct {
+	// Version rises with each change.
+	Version  uint64
+	Limits   Limits
+	byPrefix map[string]*Route
+	services map[string]*Service
+}
+
+// NewTable returns a table of routes and services.
+func NewTable(version uint64, limits Limits, routes []Route, services []Service) *Table {
+	t := &Table{
+		Version:  version,
+		Limits:   limits,
+		byPrefix: make(map[string]*Route, len(routes)),
+		services: make(map[string]*Service, len(services)),
+	}
+	for i := range routes {
+		route := &routes[i]
+		t.byPrefix[strings.ToLower(route.Host)+route.Prefix] = route
+	}
+	for i := range services {
+		t.services[services[i].Name] = &services[i]
+	}
+	return t
+}
+
+// Lookup returns the route of a host and path: the one whose prefix is the
+// longest that begins the path. It is nil if there is none.
+func (t *Table) Lookup(host, path string) *Route {
+	host = hostName(host)
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route, ok := t.byPrefix[host+path[:end+1]]; ok {
+			return route
+		}
+	}
+	return nil
+}
+
+// hostName returns the name of a Host header in lower case, without its port.
+func hostName(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// Service returns a service by name, nil if it does not exist.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services returns all services in the order of their names.
+func (t *Table) Services() []*Service {
+	all := make([]*Service, 0, len(t.services))
+	for _, service := range t.services {
+		all = append(all, service)
+	}
+	slices.SortFunc(all, func(x, y *Service) int { return cmp.Compare(x.Name, y.Name) })
+	return all
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int { return len(t.byPrefix) }
+
+// Choose returns the service for a request. Requests with the same id get the
+// same service.
+func (r *Route) Choose(requestID string) string {
+	switch len(r.Destinations) {
+	case 0:
+		return ""
+	case 1:
+		return r.Destinations[0].Service
+	}
+	total := 0
+	for _, d := range r.Destinations {
+		total += max(0, d.Weight)
+	}
+	if total == 0 {
+		return r.Destinations[0].Service
+	}
+	point := int(xxhash.Sum64String(requestID) % uint64(total))
+	for _, d := range r.Destinations {
+		if point < max(0, d.Weight) {
+			return d.Service
+		}
+		point -= max(0, d.Weight)
+	}
+	return r.Destinations[0].Service
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,229 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// maxHeaderBytes bounds the header of a response, which an endpoint that
+	// sends anything but HTTP would otherwise grow without end.
+	maxHeaderBytes = 64 << 10
+	// readBufferBytes is the size of a connection's read buffer; most events and
+	// answers fit.
+	readBufferBytes = 4 << 10
+	// inlineBodyBytes is the size up to which a body is written before the
+	// response is read. Socket buffers hold that much, so that the write does not
+	// wait for an endpoint that answers first and reads later.
+	inlineBodyBytes = 32 << 10
+	// keepAliveShare is the part of the idle time that an endpoint names for which
+	// a connection is kept, so that the endpoint does not close it under a request.
+	keepAliveShare = 0.75
+)
+
+// conn is one connection to an endpoint. One exchange runs on it at a time.
+type conn struct {
+	client  *Client
+	address string
+	socket  net.Conn
+	limited *io.LimitedReader
+	reader  *bufio.Reader
+	// idleSince and expires are set while the connection is kept.
+	idleSince, expires time.Time
+	closing            sync.Once
+}
+
+func newConn(client *Client, address string, socket net.Conn) *conn {
+	limited := &io.LimitedReader{R: socket, N: maxHeaderBytes}
+	return &conn{
+		client:  client,
+		address: address,
+		socket:  socket,
+		limited: limited,
+		reader:  bufio.NewReaderSize(limited, readBufferBytes),
+	}
+}
+
+func (k *conn) close() { k.closing.Do(func() { _ = k.socket.Close() }) }
+
+// silent reports whether the connection is open and holds no stray bytes.
+func (k *conn) silent() bool {
+	if k.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := k.socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	return err == nil && !unread(control)
+}
+
+// exchange sends the request and reads the response's header.
+func (k *conn) exchange(ctx context.Context, request *Request) (*Response, error) {
+	stop := context.AfterFunc(ctx, k.close)
+	written, err := k.send(request)
+	if err != nil {
+		stop()
+		k.close()
+		return nil, InDoubt.Wrap(err, "sending to %s", k.address)
+	}
+	head, err := k.readHead(request.Method)
+	if err != nil {
+		stop()
+		k.close()
+		return nil, InDoubt.Wrap(err, "response of %s", k.address)
+	}
+	return newResponse(k, head, written, stop), nil
+}
+
+// send writes the request. A large body is written beside the reading of the
+// response; the returned channel then yields its outcome.
+func (k *conn) send(request *Request) (<-chan error, error) {
+	var message bytes.Buffer
+	writeHead(&message, request, k.address)
+	if len(request.Body) <= inlineBodyBytes {
+		message.Write(request.Body)
+		_, err := k.socket.Write(message.Bytes())
+		return nil, err
+	}
+	if _, err := k.socket.Write(message.Bytes()); err != nil {
+		return nil, err
+	}
+	written := make(chan error, 1)
+	go func() {
+		_, err := k.socket.Write(request.Body)
+		written <- err
+	}()
+	return written, nil
+}
+
+// writeHead writes the request line and the header.
+func writeHead(message *bytes.Buffer, request *Request, address string) {
+	message.WriteString(request.Method)
+	message.WriteByte(' ')
+	message.WriteString(request.Target)
+	message.WriteString(" HTTP/1.1\r\nHost: ")
+	message.WriteString(cmp.Or(request.Host, address))
+	message.WriteString("\r\n")
+	_ = request.Header.Write(message)
+	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
+		message.WriteString("Content-Length: ")
+		message.WriteString(strconv.Itoa(len(request.Body)))
+		message.WriteString("\r\n")
+	}
+	message.WriteString("\r\n")
+}
+
+// readHead reads the final response's header and skips informational ones.
+func (k *conn) readHead(method string) (*http.Response, error) {
+	for {
+		k.limited.N = maxHeaderBytes
+		head, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
+			k.limited.N = math.MaxInt64
+			return head, nil
+		}
+	}
+}
+
+// Response is an endpoint's response. Read returns io.EOF only after a body that
+// is whole as far as its framing tells.
+type Response struct {
+	Status int
+	Header http.Header
+	// Framed says that the body's end is told from a cut by length or chunks.
+	Framed bool
+
+	conn    *conn
+	head    *http.Response
+	written <-chan error
+	stop    func() bool
+	ended   bool
+	closed  bool
+}
+
+func newResponse(k *conn, head *http.Response, written <-chan error, stop func() bool) *Response {
+	return &Response{
+		Status:  head.StatusCode,
+		Header:  head.Header,
+		Framed:  head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
+		conn:    k,
+		head:    head,
+		written: written,
+		stop:    stop,
+	}
+}
+
+// Read implements io.Reader.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.head.Body.Read(p)
+	if err == io.EOF {
+		r.ended = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept if the response was read to
+// its end and nothing else is on it.
+func (r *Response) Close() {
+	if r.closed {
+		return
+	}
+	r.closed = true
+	active := r.stop()
+	if !active || !r.ended || !r.reusable() {
+		r.conn.close()
+		return
+	}
+	r.conn.client.keep(r.conn, r.idleTimeout())
+}
+
+// Abort ends the exchange at once; a Read under way returns an error.
+func (r *Response) Abort() { r.conn.close() }
+
+// reusable reports whether the connection may carry another exchange.
+func (r *Response) reusable() bool {
+	if r.head.Close || !r.Framed || r.conn.reader.Buffered() > 0 {
+		return false
+	}
+	if r.written == nil {
+		return true
+	}
+	select {
+	case err := <-r.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// idleTimeout returns how long the endpoint keeps the connection.
+func (r *Response) idleTimeout() time.Duration {
+	timeout := r.conn.client.options.IdleTimeout
+	for part := range strings.SplitSeq(r.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			stated := time.Duration(seconds) * time.Second
+			timeout = min(timeout, time.Duration(float64(stated)*keepAliveShare))
+		}
+	}
+	return timeout
+}
--- /dev/null
+++ b/internal/upstream/errors.go
@@ -0,0 +1,12 @@
+package upstream
+
+import "github.com/joomcode/errorx"
+
+var (
+	namespace = errorx.NewNamespace("upstream")
+	// NotSent means that no byte of the request left this process.
+	NotSent = errorx.NewType(namespace, "not_sent")
+	// InDoubt means that the endpoint may have got the request and that no whole
+	// response to it came back.
+	InDoubt = errorx.NewType(namespace, "in_doubt")
+)
--- /dev/null
+++ b/internal/upstream/socket.go
@@ -0,0 +1,34 @@
+package upstream
+
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// setUnackedTimeout makes the kernel close a connection whose peer does not
+// acknowledge bytes, as happens behind a partition.
+func setUnackedTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// unread reports whether a read would return at once, with bytes or with the
+// end of the connection.
+func unread(raw syscall.RawConn) bool {
+	var peeked [1]byte
+	pending := true
+	err := raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		pending = err != unix.EAGAIN
+		return true
+	})
+	return err != nil || pending
+}
