Keep plain requests off endpoints that drain

Cause: the view offered draining instances of plain services to the picker; only engines were checked for leaving. Ruled out: a late read of the registration; the log shows it 190 ms after. Conclusion: the view of the fleet leaves draining plain instances out.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -103,6 +103,9 @@
 	}
 	v.instances[instance.Name] = instance
 	endpoint := &instance.Endpoint
+	if service.Engines == nil && instance.Draining {
+		return
+	}
 	if service.Engines == nil {
 		v.plain[service.Name] = append(v.plain[service.Name], endpoint)
 		return
@@ -132,7 +135,7 @@
 // Instances returns the number of instances.
 func (v *View) Instances() int { return len(v.instances) }
 
-// Plain returns the instances of a plain service.
+// Plain returns the instances of a plain service that take new requests.
 func (v *View) Plain(service string) []*configuration.Endpoint { return v.plain[service] }
 
 // Engines implements reservation.Fleet.
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -183,7 +183,7 @@
 func (r *Relay) exclude(g *generation, names ...string) error {
 	for _, name := range names {
 		if r.options.Fleet.View().Instance(name) == nil {
-			g.exchange.exclude = append(g.exchange.exclude, name)
+			g.exclude = append(g.exclude, name)
 		}
 	}
 	g.refusal = "an engine is gone"
@@ -201,7 +201,7 @@
 	}
 	r.observe(g, to, err == nil)
 	if err != nil {
-		g.exchange.exclude = append(g.exchange.exclude, to.Name)
+		g.exclude = append(g.exclude, to.Name)
 		g.refusal = "the prompt could not be read"
 		r.decide(g.exchange, "prefill failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
 		return nil, r.again(g)
@@ -285,7 +285,7 @@
 func (r *Relay) decodeError(g *generation, to *configuration.Endpoint, err error) (bool, error) {
 	r.observe(g, to, false)
 	r.decide(g.exchange, "decode failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
-	g.exchange.exclude = append(g.exchange.exclude, to.Name)
+	g.exclude = append(g.exclude, to.Name)
 	if errorx.IsOfType(err, upstream.NotSent) {
 		g.sends--
 		g.refusal = "the engine is not reachable"
@@ -306,7 +306,7 @@
 	if err == nil && !g.begun {
 		g.answer = &Answer{Status: response.Status, Header: response.Header, Body: body}
 	}
-	g.exchange.exclude = append(g.exchange.exclude, to.Name)
+	g.exclude = append(g.exclude, to.Name)
 	if g.route.RunsOnce() {
 		return errGiveUp
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -89,7 +89,7 @@
 		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": g.lastEventID, "error": err.Error(),
 	})
 	response.Close()
-	g.exchange.exclude = append(g.exchange.exclude, s.endpoint.Name)
+	g.exclude = append(g.exclude, s.endpoint.Name)
 	if g.route.RunsOnce() {
 		return errGiveUp
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -79,7 +79,7 @@
 		k.close()
 		return nil, InDoubt.Wrap(err, "sending to %s", k.address)
 	}
-	head, err := k.readHead(request.Method)
+	head, err := k.readHead(request.Method) //nolint:bodyclose // The connection is closed in its place.
 	if err != nil {
 		stop()
 		k.close()
