Serve late requests from what others leave; grant memory over time

Cause: requests that could not be on time were refused with an advice of some 50 ms, came back at once and were refused again; the wait for memory was predicted from free slots, of which memory leaves a third unused; memory was granted by the sum of what each answer holds in the end. Ruled out: too few engines in all: refusals fell while less than half of the slots were taken. Conclusion: a request that misses its objective waits in a line of its own, up to what its caller's patience allows, and is refused at once if that is not enough; decode engines read prompts themselves where no prefill engine is free.

--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -196,7 +196,9 @@
 	for _, name := range group {
 		s := r.get(name)
 		s.mu.Lock()
-		latencies = append(latencies, s.outlier.latency)
+		if s.outlier.samples > 0 {
+			latencies = append(latencies, s.outlier.latency)
+		}
 		if s.outlier.ejected {
 			ejected++
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -16,6 +16,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/peer"
 	"github.com/ospreyshed/ospreyshed/internal/reservation"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 	"github.com/ospreyshed/ospreyshed/internal/timeline/timelinerpc"
 )
@@ -79,7 +80,10 @@
 	service := reservation.New(reservation.Params{
 		View:   members,
 		Dialer: dialer,
-		Fleet:  func() reservation.Fleet { return options.Fleet.View() },
+		// Engines of this kind preempt where memory runs out, and read prompts in
+		// either role.
+		Scheduling: scheduling.Options{MemoryOverTime: true, SelfPrefill: true},
+		Fleet:      func() reservation.Fleet { return options.Fleet.View() },
 		Conditions: func(name string) reservation.Condition {
 			return condition(options.Fleet.View(), endpoints, name)
 		},
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -16,6 +16,18 @@
 )
 
 const (
+	// lateMargin is kept of the time that callers wait for a first event.
+	lateMargin = 300 * time.Millisecond
+	// latePriority is below all priorities of routes, so that late requests use
+	// only what those on time leave.
+	latePriority = -1000
+	// lateClassSuffix tells the late requests of a route from the others.
+	lateClassSuffix = "/late"
+	// leastBusyRetryAfter and mostBusyRetryAfter bound what is told to callers of a
+	// busy pool. Bursts last for seconds, and callers wait no longer than a third
+	// of their time.
+	leastBusyRetryAfter = time.Second
+	mostBusyRetryAfter  = 4 * time.Second
 	// deliveryMargin is kept of a first event's objective for the way to the caller.
 	deliveryMargin = 20 * time.Millisecond
 	// prefillPatience bounds a prefill. A waiting prefill is of use only as long as
@@ -44,13 +56,23 @@
 	begun bool
 	// lastEventID is the last event that the caller has.
 	lastEventID string
-	// delivered counts the tokens that the caller has.
-	delivered int
+	// delivered counts the tokens that the caller has, before those that it had
+	// when the present attempt began.
+	delivered, before int
+	// age is the time that earlier attempts of the caller took.
+	age time.Duration
+	// late says that the objective cannot be met any more.
+	late bool
 }
 
 // serveGeneration serves a request that model engines answer.
 func (r *Relay) serveGeneration(ctx context.Context, x *exchange) {
-	g := &generation{exchange: x, lastEventID: x.request.Generation.LastEventID}
+	g := &generation{
+		exchange:    x,
+		lastEventID: x.request.Generation.LastEventID,
+		age:         r.ages.of(x.route.Name, x.request.Patience),
+	}
+	g.late = g.age >= x.route.Objective-deliveryMargin
 	ctx, cancel := context.WithDeadline(ctx, x.answerBy)
 	defer cancel()
 	for r.mayRepeat(x) {
@@ -91,11 +113,12 @@
 		return r.notGranted(g, err)
 	}
 	defer func() {
-		r.options.Reserver.Progress(scheduling.Progress{ID: demand.ID, Kind: scheduling.Released, Tokens: g.delivered})
+		r.options.Reserver.Progress(scheduling.Progress{ID: demand.ID, Kind: scheduling.Released, Tokens: g.delivered - g.before})
 	}()
 	r.decide(g.exchange, "engines granted", logrus.Fields{
 		"attempt": demand.ID.String(), "prefill": grant.Prefill, "decode": grant.Decode,
 		"queued_ms": time.Since(started).Milliseconds(), "predicted_first_ms": grant.FirstToken.Milliseconds(),
+		"prompt_tokens": demand.PromptTokens, "output_tokens": demand.OutputTokens, "expected_tokens": g.request.Generation.ExpectedOutputTokens,
 	})
 	return r.run(ctx, g, demand.ID, grant)
 }
@@ -107,11 +130,15 @@
 		g.refusal = err.Error()
 		return errGiveUp
 	}
+	if refusal.Reason == scheduling.RefusedTarget && !g.late && !g.begun {
+		g.late = true
+		return errAgain
+	}
 	if g.begun || g.mayHaveRun {
 		return errGiveUp
 	}
 	g.refusal = string(refusal.Reason)
-	g.retryAfter = refusal.RetryAfter
+	g.retryAfter = min(max(refusal.RetryAfter, leastBusyRetryAfter), mostBusyRetryAfter)
 	return errGiveUp
 }
 
@@ -121,9 +148,9 @@
 	return scheduling.Demand{
 		ID:           r.attemptID(),
 		Zone:         r.options.Zone,
-		Class:        g.route.Name,
+		Class:        classOf(g),
 		Model:        g.service.Name,
-		Priority:     -g.route.Priority,
+		Priority:     priorityOf(g),
 		Order:        configuration.OrderAny,
 		PromptTokens: work.PromptTokens + g.delivered,
 		OutputTokens: max(hintFloorTokens, reservedOutput(work)-g.delivered),
@@ -143,12 +170,31 @@
 	return min(work.MaxOutputTokens, int(hintMargin*float64(work.ExpectedOutputTokens)))
 }
 
-// targets returns the targets that are still open.
+// targets returns the targets that are still open. A late request has to begin
+// before its caller gives up.
 func (r *Relay) targets(g *generation) configuration.Targets {
-	if g.begun || g.route.Objective <= deliveryMargin {
+	first := g.route.Objective - g.age - deliveryMargin
+	if g.late {
+		first = g.request.FirstEventPatience - lateMargin
+	}
+	if g.begun || first <= 0 {
 		return configuration.Targets{}
 	}
-	return configuration.Targets{FirstToken: configuration.Duration(g.route.Objective - deliveryMargin)}
+	return configuration.Targets{FirstToken: configuration.Duration(first)}
+}
+
+func classOf(g *generation) string {
+	if g.late {
+		return g.route.Name + lateClassSuffix
+	}
+	return g.route.Name
+}
+
+func priorityOf(g *generation) int {
+	if g.late {
+		return latePriority - g.route.Priority
+	}
+	return -g.route.Priority
 }
 
 func (r *Relay) attemptID() engine.AttemptID {
@@ -167,6 +213,11 @@
 	if prefill == nil || decode == nil {
 		return r.exclude(g, grant.Prefill, grant.Decode)
 	}
+	g.before = g.delivered
+	if prefill == decode {
+		_, err := r.decode(ctx, g, id, &decode.Endpoint, nil)
+		return err
+	}
 	source, err := r.prefill(ctx, g, id, &prefill.Endpoint)
 	if err != nil {
 		return err
@@ -258,7 +309,7 @@
 func (r *Relay) decode(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint, source *Source) (bool, error) {
 	defer r.options.Endpoints.Begin(to.Name)()
 	started := time.Now()
-	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: Decode, Source: source, LastEventID: g.lastEventID})
+	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID})
 	if ctx.Err() != nil {
 		closeResponse(response)
 		return true, ctx.Err()
@@ -281,6 +332,15 @@
 	return true, stream.pass(ctx, response)
 }
 
+// decodeStage returns what is asked of an engine that takes over a KV cache, or
+// that reads the prompt itself for want of a source.
+func decodeStage(source *Source) Stage {
+	if source == nil {
+		return Whole
+	}
+	return Decode
+}
+
 // decodeError takes note of an attempt without a response.
 func (r *Relay) decodeError(g *generation, to *configuration.Endpoint, err error) (bool, error) {
 	r.observe(g, to, false)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,10 +90,11 @@
 
 	options  Options
 	requests atomic.Uint64
+	ages     *ages
 }
 
 // New returns a relay.
-func New(options Options) *Relay { return &Relay{options: options} }
+func New(options Options) *Relay { return &Relay{options: options, ages: newAges()} }
 
 // Serve gives the caller one final answer. The end of ctx says that the caller
 // is gone.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -28,6 +28,9 @@
 	Arrived time.Time
 	// Patience is how long the caller waits, counted from Arrived; 0 if unknown.
 	Patience time.Duration
+	// FirstEventPatience is how long the caller of a stream waits for its first
+	// event, counted from Arrived; 0 if as long as for the whole.
+	FirstEventPatience time.Duration
 	// Generation is nil for requests that no model answers.
 	Generation *Generation
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -71,7 +71,7 @@
 			ID: s.id, Kind: scheduling.FirstTokenSeen, Decode: s.endpoint.Name, Elapsed: time.Since(s.started),
 		})
 	}
-	s.relay.options.Reserver.Delivered(s.id, g.delivered)
+	s.relay.options.Reserver.Delivered(s.id, g.delivered-g.before)
 }
 
 // ended decides what follows the end of an engine's stream.
--- a/internal/reservation/fallback.go
+++ b/internal/reservation/fallback.go
@@ -18,7 +18,7 @@
 	s.mu.Lock()
 	o, ok := s.shares[model]
 	if !ok {
-		o = newOwner(scheduling.Settings{Model: *figures}, nil)
+		o = newOwner(scheduling.Settings{Model: *figures, Options: s.params.Scheduling}, nil)
 		s.configure(model, o, s.zoneSize())
 		s.shares[model] = o
 	}
--- a/internal/reservation/ownership.go
+++ b/internal/reservation/ownership.go
@@ -22,7 +22,7 @@
 	if !ok {
 		zone := s.self().Zone
 		members := func() []string { return zoneMembers(s.params.View, zone) }
-		o = newOwner(scheduling.Settings{Model: *figures}, newRebuild(time.Now(), members))
+		o = newOwner(scheduling.Settings{Model: *figures, Options: s.params.Scheduling}, newRebuild(time.Now(), members))
 		// Configured before others find it: without engines it would refuse them.
 		s.configure(model, o, 1)
 		s.owners[model] = o
--- a/internal/reservation/service.go
+++ b/internal/reservation/service.go
@@ -38,6 +38,8 @@
 	Fleet func() Fleet
 	// Conditions may be nil.
 	Conditions Conditions
+	// Scheduling changes how engines are used.
+	Scheduling scheduling.Options
 }
 
 // Service is a Reserver that takes part in the ownership of its zone. It is
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -25,10 +25,10 @@
 
 // checkPool refuses what no engine of the pool could ever serve.
 func (c *Coordinator) checkPool(d *Demand) *Refusal {
-	if !anyUsable(c.pool.prefill, d.Exclude) || !anyUsable(c.pool.decode, d.Exclude) {
+	if !c.canPrefill(d) || !anyUsable(c.pool.decode, d.Exclude) {
 		return &Refusal{Reason: RefusedNoEngine, RetryAfter: c.retryAfter(d.ID, noEngineRetryAfter)}
 	}
-	if !fitsAny(c.pool.prefill, d.PromptTokens) || !fitsAny(c.pool.decode, d.PromptTokens+d.OutputTokens) {
+	if !fitsAny(c.prefillPool(), d.PromptTokens) || !fitsAny(c.pool.decode, d.PromptTokens+d.OutputTokens) {
 		return &Refusal{Reason: RefusedTooLarge}
 	}
 	return nil
@@ -124,7 +124,7 @@
 func (c *Coordinator) bestWork(d *Demand) time.Duration {
 	best := time.Duration(math.MaxInt64)
 	seen := c.prefixes.known(d.Blocks)
-	for _, a := range c.pool.prefill {
+	for _, a := range c.prefillPool() {
 		if !a.usable() {
 			continue
 		}
@@ -132,7 +132,7 @@
 		if seen {
 			cached = c.cachedTokens(a, d)
 		}
-		best = min(best, c.predict.prefill(a, d.PromptTokens-cached))
+		best = min(best, c.prefillTimeOn(a, d.PromptTokens-cached))
 	}
 	return best
 }
@@ -140,7 +140,7 @@
 // bestTransfer returns the transfer time over the pool's fastest links, if idle.
 func (c *Coordinator) bestTransfer(tokens int) time.Duration {
 	return max(
-		c.predict.transfer(fastestLink(c.pool.prefill), tokens, 1),
+		c.predict.transfer(fastestLink(c.prefillPool()), tokens, 1),
 		c.predict.transfer(fastestLink(c.pool.decode), tokens, 1),
 	)
 }
@@ -211,7 +211,7 @@
 
 // waitBehind returns the predicted time until a backlog has started.
 func (c *Coordinator) waitBehind(now time.Time, b backlog) time.Duration {
-	return max(c.prefillWait(now, b.work), c.slotWait(b.count))
+	return max(c.prefillWait(now, b.work), c.slotWait(now, b.count))
 }
 
 // prefillWait returns the time until a prefill engine is free behind a backlog.
@@ -219,7 +219,7 @@
 	engines := 0
 	least := time.Duration(math.MaxInt64)
 	var sum time.Duration
-	for _, a := range c.pool.prefill {
+	for _, a := range c.prefillPool() {
 		if !a.usable() {
 			continue
 		}
@@ -228,6 +228,9 @@
 		least = min(least, left)
 		sum += left
 	}
+	if engines == 0 {
+		return 0
+	}
 	if work == 0 {
 		return least
 	}
@@ -236,11 +239,11 @@
 
 // slotWait returns the time until a decode slot is free behind a number of
 // demands. Slots become free at the rate of slots over the time each is held.
-func (c *Coordinator) slotWait(count int) time.Duration {
+func (c *Coordinator) slotWait(now time.Time, count int) time.Duration {
 	free := 0
 	for _, a := range c.pool.decode {
 		if a.usable() {
-			free += a.freeSlots()
+			free += c.freePlaces(now, a)
 		}
 	}
 	if count < free {
--- /dev/null
+++ b/internal/scheduling/memory.go
@@ -0,0 +1,85 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// memoryReserve is the part of an engine's memory that is not granted while
+	// grants follow the expected growth, so that answers that outgrow their
+	// estimates together do not preempt each other.
+	memoryReserve = 0.04
+	// outlivedShare is the part of what an answer has so far by which it is
+	// expected to grow on, once it is as long as estimated.
+	outlivedShare = 0.3
+)
+
+// growth is what an attempt holds on a decode engine and how far it will grow.
+type growth struct {
+	// tokens are held now, left are still to come.
+	tokens, left int
+}
+
+// growthOf estimates the growth of a held attempt. Engines generate for all
+// their requests at the same rate, so that the tokens delivered since the last
+// heartbeat follow from the time.
+func (c *Coordinator) growthOf(now time.Time, h *holding) growth {
+	got := h.delivered
+	if h.phase == PhaseDecode && !h.deliveredAt.IsZero() {
+		if interval := c.predict.tokenInterval(h.decode, h.decode.slotsHeld); interval > 0 {
+			got += int(now.Sub(h.deliveredAt) / interval)
+		}
+	}
+	left := max(h.outputTokens-got, int(outlivedShare*float64(got)), 1)
+	return growth{tokens: h.promptTokens + got, left: left}
+}
+
+// peakTokens returns the most that attempts will hold together. Each holds its
+// memory until it ends, so that the sum is largest just before one of them does.
+func peakTokens(all []growth) int {
+	slices.SortFunc(all, func(x, y growth) int { return cmp.Compare(y.left, x.left) })
+	peak, sum := 0, 0
+	for i, g := range all {
+		sum += g.tokens
+		peak = max(peak, sum+(i+1)*g.left)
+	}
+	return peak
+}
+
+// memoryAllows reports whether a decode engine's memory holds one more attempt.
+func (c *Coordinator) memoryAllows(now time.Time, a *account, promptTokens, outputTokens int) bool {
+	if !c.settings.Options.MemoryOverTime || a.Pieces == 0 {
+		return a.memoryFits(a.piecesFor(promptTokens + outputTokens))
+	}
+	return c.peakOf(now, a, growth{promptTokens, outputTokens}) <= grantableTokens(a)
+}
+
+// peakOf returns the most that an engine's attempts will hold with further ones.
+func (c *Coordinator) peakOf(now time.Time, a *account, further ...growth) int {
+	all := further
+	for _, h := range a.held {
+		all = append(all, c.growthOf(now, h))
+	}
+	return peakTokens(all)
+}
+
+// grantableTokens returns the memory of an engine that grants may use.
+func grantableTokens(a *account) int {
+	return int(float64(a.Pieces*a.PieceTokens) * (1 - memoryReserve))
+}
+
+// freePlaces returns how many typical attempts a decode engine could take now,
+// bounded by its slots and by its memory.
+func (c *Coordinator) freePlaces(now time.Time, a *account) int {
+	free := a.freeSlots()
+	if !c.settings.Options.MemoryOverTime || a.Pieces == 0 || free <= 0 || len(a.held) == 0 {
+		return free
+	}
+	typical := c.peakOf(now, a) / len(a.held)
+	if typical == 0 {
+		return free
+	}
+	return min(free, max(0, grantableTokens(a)-c.peakOf(now, a))/typical)
+}
--- a/internal/scheduling/placement.go
+++ b/internal/scheduling/placement.go
@@ -24,9 +24,9 @@
 func (c *Coordinator) place(now time.Time, w *waiter) (placement, bool) {
 	p, ok := c.choosePrefill(now, &w.demand)
 	if !ok {
-		return placement{}, false
+		return c.placeSelf(now, w)
 	}
-	if c.chooseDecode(&w.demand, &p) {
+	if c.chooseDecode(now, &w.demand, &p) {
 		return p, c.inTime(w, &p)
 	}
 	if !overlapAllowed(w.demand.Weights) {
@@ -113,10 +113,10 @@
 
 // chooseDecode chooses an engine with a free slot and memory: the one with the
 // fastest transfer, then the one with the fewest requests.
-func (c *Coordinator) chooseDecode(d *Demand, p *placement) bool {
+func (c *Coordinator) chooseDecode(now time.Time, d *Demand, p *placement) bool {
 	var bestTime time.Duration
 	for _, a := range c.pool.decode {
-		if !c.slotFree(a, d) {
+		if !c.slotFree(now, a, d) {
 			continue
 		}
 		t, ok := c.transferTime(p, a, d.PromptTokens)
@@ -133,7 +133,7 @@
 
 // slotFree reports whether a decode engine has a slot and memory for the demand
 // and whether all between-token targets on it hold with one more request.
-func (c *Coordinator) slotFree(a *account, d *Demand) bool {
+func (c *Coordinator) slotFree(now time.Time, a *account, d *Demand) bool {
 	if !a.usable() || a.promised > 0 || a.freeSlots() <= 0 || slices.Contains(d.Exclude, a.Name) {
 		return false
 	}
@@ -141,7 +141,7 @@
 	if a.slotsHeld+a.foreign+1 > c.predict.occupancyLimit(a, strictest) {
 		return false
 	}
-	return a.memoryFits(a.piecesFor(d.PromptTokens + d.OutputTokens))
+	return c.memoryAllows(now, a, d.PromptTokens, d.OutputTokens)
 }
 
 // transferTime returns the duration of the KV transfer between the placement's
--- /dev/null
+++ b/internal/scheduling/self_prefill.go
@@ -0,0 +1,80 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+const (
+	// selfPrefillSlowdown is how much slower a decode engine reads a prompt than a
+	// prefill engine, since it generates for other requests meanwhile.
+	selfPrefillSlowdown = 2
+	// selfPrefillAfter is how long a demand waits for a prefill engine before a
+	// decode engine may read its prompt. That costs the pool more than a short wait.
+	selfPrefillAfter = 150 * time.Millisecond
+	// selfPrefillLimit bounds the time in which a decode engine reads a prompt
+	// while it generates for others: they pause for about as long in sum.
+	selfPrefillLimit = 200 * time.Millisecond
+)
+
+// placeSelf chooses a decode engine that reads the prompt itself: if there is no
+// prefill engine, or if those are busy for too long.
+func (c *Coordinator) placeSelf(now time.Time, w *waiter) (placement, bool) {
+	if !c.settings.Options.SelfPrefill {
+		return placement{}, false
+	}
+	d := &w.demand
+	if anyUsable(c.pool.prefill, d.Exclude) && now.Sub(w.arrival) < selfPrefillAfter {
+		return placement{}, false
+	}
+	var best placement
+	for _, a := range c.pool.decode {
+		if len(a.running) > 0 || !c.slotFree(now, a, d) || !c.selfPrefillBearable(a, d) {
+			continue
+		}
+		if best.decode != nil && best.decode.slotsHeld <= a.slotsHeld {
+			continue
+		}
+		work := c.selfPrefillTime(a, d.PromptTokens)
+		best = placement{prefill: a, decode: a, work: work, prefillEnd: now.Add(work), transferEnd: now.Add(work)}
+	}
+	return best, best.decode != nil && c.inTime(w, &best)
+}
+
+// selfPrefillBearable reports whether the other requests of an engine bear the
+// pause in which it reads the prompt.
+func (c *Coordinator) selfPrefillBearable(a *account, d *Demand) bool {
+	return a.slotsHeld == 0 || c.selfPrefillTime(a, d.PromptTokens) <= selfPrefillLimit
+}
+
+func (c *Coordinator) selfPrefillTime(a *account, tokens int) time.Duration {
+	return selfPrefillSlowdown * c.predict.prefill(a, tokens)
+}
+
+// canPrefill reports whether any engine could read the demand's prompt.
+func (c *Coordinator) canPrefill(d *Demand) bool {
+	if anyUsable(c.pool.prefill, d.Exclude) {
+		return true
+	}
+	return c.settings.Options.SelfPrefill && anyUsable(c.pool.decode, d.Exclude)
+}
+
+// prefillPool returns the engines that read prompts: the decode engines where
+// there is no other.
+func (c *Coordinator) prefillPool() []*account {
+	usable := func(a *account) bool { return a.usable() }
+	if c.settings.Options.SelfPrefill && !slices.ContainsFunc(c.pool.prefill, usable) {
+		return c.pool.decode
+	}
+	return c.pool.prefill
+}
+
+// prefillTimeOn returns the time to read uncached tokens on an engine of either role.
+func (c *Coordinator) prefillTimeOn(a *account, uncached int) time.Duration {
+	if a.Role == configuration.RoleDecode {
+		return c.selfPrefillTime(a, uncached)
+	}
+	return c.predict.prefill(a, uncached)
+}
--- a/internal/scheduling/settings.go
+++ b/internal/scheduling/settings.go
@@ -10,10 +10,24 @@
 type Settings struct {
 	// Model gives the figures that predictions start from.
 	Model configuration.Model
+	// Options change how engines are used.
+	Options Options
 	// Seed makes random choices repeatable; only baselines make any.
 	Seed uint64
 }
 
+// Options change how a Coordinator uses its engines. The zero value suits any
+// engine.
+type Options struct {
+	// MemoryOverTime grants memory by what attempts will hold together at any
+	// time, instead of by the sum of what each holds in the end. An engine that
+	// runs out of memory must preempt rather than fail.
+	MemoryOverTime bool
+	// SelfPrefill lets decode engines read a prompt themselves. A grant whose
+	// engines are the same asks for that.
+	SelfPrefill bool
+}
+
 const (
 	// GrantLease is how long a grant lives without a renewal.
 	GrantLease = time.Second
