Give engines their roles; tell a prefill's latency from its rate

Cause: six of eighteen engines read prompts though a third of them could have generated; a prefill takes 84 ms beside its 33 tokens a ms, in which the engine can read other prompts, and the prediction took it for work; engines that failed one holder were granted to the next.

--- a/internal/configuration/model.go
+++ b/internal/configuration/model.go
@@ -147,6 +147,12 @@
 	Name string `json:"name"`
 	// PrefillTokensPerSecond is one prefill engine's rate.
 	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	// PrefillLatency is the part of a prefill's time in which its engine can read
+	// other prompts.
+	PrefillLatency Duration `json:"prefill_latency,omitempty"`
+	// FirstEventTokens is the number of tokens that the first event of an answer
+	// waits for; 0 counts as 1.
+	FirstEventTokens int `json:"first_event_tokens,omitempty"`
 	// TokenInterval is the time between tokens on an empty decode engine.
 	TokenInterval Duration `json:"token_interval"`
 	// TokenIntervalPerRequest is added to TokenInterval for each further
--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -18,6 +18,7 @@
 	Expired, HolderGone, Adopted uint64
 	Released                     uint64
 	CacheGaps, CacheMisses       uint64
+	Rested                       uint64
 }
 
 // add adds the counters of one model.
@@ -39,6 +40,7 @@
 	t.Released += c.Released
 	t.CacheGaps += c.CacheGaps
 	t.CacheMisses += c.CacheMisses
+	t.Rested += c.Rested
 }
 
 // schedulingVars publishes the counters of the models that a VM owns.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -17,6 +17,9 @@
 const (
 	// prefillTokensPerSecond is an engine's rate of reading prompts.
 	prefillTokensPerSecond = 33_333
+	// prefillLatency is the part of a prefill's time that does not depend on the
+	// prompt's length.
+	prefillLatency = 80 * time.Millisecond
 	// tokenInterval is the time of a decode step of an engine with one request.
 	tokenInterval = 3300 * time.Microsecond
 	// tokenIntervalPerRequest is what each further request adds to a step.
@@ -90,6 +93,8 @@
 	return &configuration.Model{
 		Name:                    service.Name,
 		PrefillTokensPerSecond:  prefillTokensPerSecond,
+		PrefillLatency:          configuration.Duration(prefillLatency),
+		FirstEventTokens:        service.Engines.TokensPerEvent,
 		TokenInterval:           configuration.Duration(tokenInterval),
 		TokenIntervalPerRequest: configuration.Duration(tokenIntervalPerRequest),
 		KVBytesPerToken:         service.Engines.TokenBytes,
@@ -143,6 +148,17 @@
 	return v.engines[pool{model, role, zone}]
 }
 
+// AllEngines returns the engines of all models that do not leave.
+func (v *View) AllEngines() []*configuration.Endpoint {
+	var all []*configuration.Endpoint
+	for _, instance := range v.instances {
+		if instance.Kind == configuration.KindEngine && !instance.Draining {
+			all = append(all, &instance.Endpoint)
+		}
+	}
+	return all
+}
+
 // Model implements reservation.Fleet.
 func (v *View) Model(name string) (*configuration.Model, bool) {
 	model, ok := v.models[name]
--- a/internal/metrics/catalog_requests.go
+++ b/internal/metrics/catalog_requests.go
@@ -87,6 +87,8 @@
 			"A steady rise costs prefix hits; check the engines' event buffers."},
 		{"cache_misses", Counter, Requests, "Prefills that found less of their prefix cached than predicted.",
 			"A steady rise: prefix caches are too small for the prompts."},
+		{"rested", Counter, Endpoints, "Engines that got no grants for a time after they failed a holder.",
+			"Look for the engines at which calls fail."},
 	},
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,8 @@
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
+	"github.com/ospreyshed/ospreyshed/internal/roles"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
 // Options are the settings of a Node.
@@ -39,6 +41,13 @@
 	Log     *decisionlog.Log
 	// Ingress makes the adapter's handler of callers.
 	Ingress func(*relay.Relay) Ingress
+	// Journal and Orders let this process change the roles of engines.
+	Journal roles.Journal
+	Orders  func(*upstream.Client) roles.Orders
+	// TurnLimit is the time within which two VMs may not both give orders.
+	TurnLimit time.Duration
+	// Clock also counts the time in which the machine stood still.
+	Clock func() time.Time
 	// Background runs from the start to the stop of the process.
 	Background []func(ctx context.Context, events Events)
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -6,13 +6,16 @@
 
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 	"github.com/ospreyshed/ospreyshed/internal/reservation"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
+	"github.com/ospreyshed/ospreyshed/internal/roles"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
@@ -33,7 +36,7 @@
 // relayModule provides what a request passes through.
 var relayModule = fx.Module("relay",
 	fx.Provide(newClient, newBudgets, newRelay, newIngress),
-	fx.Invoke(runBackground),
+	fx.Invoke(runBackground, runBalancer),
 )
 
 func newClient(lifecycle fx.Lifecycle, registry *metrics.Registry) *upstream.Client {
@@ -97,6 +100,32 @@
 
 func newIngress(options *Options, r *relay.Relay) Ingress { return options.Ingress(r) }
 
+// runBalancer keeps the roles of engines in balance.
+func runBalancer(lifecycle fx.Lifecycle, options *Options, client *upstream.Client, members *swim.Service) {
+	balancer := roles.New(roles.Options{
+		VM:        options.VM,
+		Journal:   options.Journal,
+		Orders:    options.Orders(client),
+		TurnLimit: options.TurnLimit,
+		Engines:   func() []*configuration.Endpoint { return options.Fleet.View().AllEngines() },
+		Rank:      func() int { return rank(members, options.VM) },
+		Clock:     options.Clock,
+		Log:       options.Log,
+	})
+	background(lifecycle, balancer.Run)
+}
+
+// rank returns the place of a VM among those that take new work, by name.
+func rank(view membership.View, vm string) int {
+	before := 0
+	for _, m := range view.Members() {
+		if m.Available() && m.VM < vm {
+			before++
+		}
+	}
+	return before
+}
+
 // runBackground runs the adapter's background work.
 func runBackground(lifecycle fx.Lifecycle, options *Options, members *swim.Service, budgets *retry.Shared) {
 	events := Events{EntryVMs: func(vms []fleet.EntryVM) { applyEntryVMs(options, members, budgets, vms) }}
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -47,6 +47,8 @@
 	errGiveUp = errors.New("no further attempt")
 	// errAgain asks for another attempt.
 	errAgain = errors.New("try again")
+	// errDeclined says that an engine did not take a request.
+	errDeclined = errors.New("declined")
 )
 
 // generation is a generation over its attempts.
@@ -61,6 +63,10 @@
 	delivered, before int
 	// age is the time that earlier attempts of the caller took.
 	age time.Duration
+	// firstEvent is when the caller got the first event, lastEvent the last one, and
+	// longestPause the longest time between two.
+	firstEvent, lastEvent time.Time
+	longestPause          time.Duration
 	// late says that the objective cannot be met any more.
 	late bool
 }
@@ -79,7 +85,10 @@
 		err := r.attempt(ctx, g)
 		if err == nil {
 			r.Counters.Answered.Add(1)
-			r.decide(x, "stream complete", logrus.Fields{"tokens": g.delivered})
+			r.decide(x, "stream complete", logrus.Fields{
+				"tokens": g.delivered, "late": g.late, "first_event_ms": g.firstEvent.Sub(x.request.Arrived).Milliseconds(),
+				"longest_pause_ms": g.longestPause.Milliseconds(),
+			})
 			return
 		}
 		if errors.Is(err, context.Canceled) || ctx.Err() != nil || errors.Is(err, errGiveUp) {
@@ -216,16 +225,32 @@
 	g.before = g.delivered
 	if prefill == decode {
 		_, err := r.decode(ctx, g, id, &decode.Endpoint, nil)
-		return err
+		return orAgain(err)
 	}
 	source, err := r.prefill(ctx, g, id, &prefill.Endpoint)
 	if err != nil {
 		return err
 	}
 	taken, err := r.decode(ctx, g, id, &decode.Endpoint, source)
-	if !taken {
-		r.Counters.PrefillsLost.Add(1)
-		r.free(source)
+	if taken {
+		return err
+	}
+	r.Counters.PrefillsLost.Add(1)
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillFailed, Prefill: prefill.Name})
+	r.free(source)
+	if !errors.Is(err, errDeclined) || !r.budgeted(g) {
+		return orAgain(err)
+	}
+	// The KV cache was gone. The engine still keeps the slot and reads the prompt.
+	g.sends--
+	_, err = r.decode(ctx, g, id, &decode.Endpoint, nil)
+	return orAgain(err)
+}
+
+// orAgain makes another attempt follow an engine that declined.
+func orAgain(err error) error {
+	if errors.Is(err, errDeclined) {
+		return errAgain
 	}
 	return err
 }
@@ -254,10 +279,14 @@
 	if err != nil {
 		g.exclude = append(g.exclude, to.Name)
 		g.refusal = "the prompt could not be read"
+		r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillFailed, Prefill: to.Name})
 		r.decide(g.exchange, "prefill failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
 		return nil, r.again(g)
 	}
 	r.Counters.Prefills.Add(1)
+	r.decide(g.exchange, "prompt read", logrus.Fields{
+		"endpoint": to.Name, "tokens": prompt.Tokens, "ms": time.Since(started).Milliseconds(),
+	})
 	r.options.Reserver.Progress(scheduling.Progress{
 		ID: id, Kind: scheduling.PrefillDone, Prefill: to.Name, Tokens: prompt.Tokens, Elapsed: time.Since(started),
 	})
@@ -277,12 +306,20 @@
 
 // again takes one repeat that is no send of the request itself.
 func (r *Relay) again(g *generation) error {
+	if !r.budgeted(g) {
+		return errGiveUp
+	}
+	return errAgain
+}
+
+// budgeted takes one repeat from the budget and reports whether it is allowed.
+func (r *Relay) budgeted(g *generation) bool {
 	if !r.options.Budget.Spend(g.service.Name) {
 		r.Counters.RepeatsDenied.Add(1)
-		return errGiveUp
+		return false
 	}
 	r.Counters.Repeated.Add(1)
-	return errAgain
+	return true
 }
 
 // observe records how a call to an engine went. The time of a call depends on
@@ -315,14 +352,14 @@
 		return true, ctx.Err()
 	}
 	if err != nil {
-		return r.decodeError(g, to, err)
+		return r.decodeError(g, id, to, err)
 	}
 	defer response.Close()
 	if verdict.NotRun {
 		r.observe(g, to, true)
 		g.refusal = "the engine did not take the request"
 		r.decide(g.exchange, "engine declined", logrus.Fields{"endpoint": to.Name, "status": response.Status})
-		return false, errAgain
+		return false, errDeclined
 	}
 	g.mayHaveRun = true
 	if response.Status != http.StatusOK {
@@ -342,8 +379,9 @@
 }
 
 // decodeError takes note of an attempt without a response.
-func (r *Relay) decodeError(g *generation, to *configuration.Endpoint, err error) (bool, error) {
+func (r *Relay) decodeError(g *generation, id engine.AttemptID, to *configuration.Endpoint, err error) (bool, error) {
 	r.observe(g, to, false)
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.DecodeFailed, Decode: to.Name})
 	r.decide(g.exchange, "decode failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
 	g.exclude = append(g.exclude, to.Name)
 	if errorx.IsOfType(err, upstream.NotSent) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,6 +65,7 @@
 func (s *stream) count(events *eventReader, first bool) {
 	g := s.generation
 	g.lastEventID = events.lastID
+	g.noteEvent(time.Now())
 	g.delivered += events.taken() * g.service.Engines.TokensPerEvent
 	if first {
 		s.relay.options.Reserver.Progress(scheduling.Progress{
@@ -74,6 +75,16 @@
 	s.relay.options.Reserver.Delivered(s.id, g.delivered-g.before)
 }
 
+// noteEvent records the times of events.
+func (g *generation) noteEvent(now time.Time) {
+	if g.firstEvent.IsZero() {
+		g.firstEvent = now
+	} else {
+		g.longestPause = max(g.longestPause, now.Sub(g.lastEvent))
+	}
+	g.lastEvent = now
+}
+
 // ended decides what follows the end of an engine's stream.
 func (s *stream) ended(ctx context.Context, response *upstream.Response, err error) error {
 	r, g := s.relay, s.generation
--- /dev/null
+++ b/internal/roles/balancer.go
@@ -0,0 +1,188 @@
+package roles
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+)
+
+const (
+	// period is the time between two looks at the engines.
+	period = 500 * time.Millisecond
+	// orderWindow is how long after its entry an order may still be given.
+	orderWindow = 1500 * time.Millisecond
+	// windowMargin covers the way of an order to its engine.
+	windowMargin = 700 * time.Millisecond
+	// rankDelay is how much longer each further process waits before it takes up
+	// an order that is due, so that they do not all try at once.
+	rankDelay = 500 * time.Millisecond
+	// maxRank bounds the wait.
+	maxRank = 6
+)
+
+// Entry is one order in the journal.
+type Entry struct {
+	// Holder is the process that gives the order.
+	Holder string
+	// Engine, Model and Zone name the engine.
+	Engine, Model, Zone string
+	Role                configuration.Role
+}
+
+// Reading is what a journal holds beyond what was read before.
+type Reading struct {
+	Entries []Entry
+	// Moved says that the journal has grown, even by entries that are unreadable.
+	Moved bool
+}
+
+// Journal keeps orders on the platform.
+type Journal interface {
+	// Read returns what is new.
+	Read(ctx context.Context) (Reading, error)
+	// Append adds an entry unless there is one that was not read. It returns the
+	// fence of the order, which rises with each entry; 0 if it was not added.
+	Append(ctx context.Context, entry Entry) (uint64, error)
+}
+
+// Orders gives orders to engines.
+type Orders interface {
+	// SetRole has an engine change its role. It is done only if the engine has
+	// accepted no other order meanwhile.
+	SetRole(ctx context.Context, engine *configuration.Endpoint, role configuration.Role, fence uint64) error
+}
+
+// Options are the collaborators of a Balancer.
+type Options struct {
+	// VM names this process.
+	VM      string
+	Journal Journal
+	Orders  Orders
+	// TurnLimit is the time within which two processes may not both give orders.
+	TurnLimit time.Duration
+	// Engines returns the engines that do not leave.
+	Engines func() []*configuration.Endpoint
+	// Rank is this process's place among those that could give orders.
+	Rank func() int
+	// Clock also counts the time in which the machine stood still.
+	Clock func() time.Time
+	Log   *decisionlog.Log
+}
+
+// Balancer gives the orders that keep the engines in balance.
+type Balancer struct {
+	options Options
+	planner *planner
+	// due is since when an order has been due.
+	due time.Time
+	// own says that the last entry of the journal is of this process.
+	own bool
+	// moved is when the journal was last seen to grow by another process.
+	moved time.Time
+}
+
+// New returns a balancer that starts with Run.
+func New(options Options) *Balancer {
+	return &Balancer{options: options, planner: newPlanner()}
+}
+
+// Run gives orders until ctx ends.
+func (b *Balancer) Run(ctx context.Context) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		b.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// step gives the orders that are due, if it is this process's turn.
+func (b *Balancer) step(ctx context.Context) {
+	now := b.options.Clock()
+	if len(b.planner.plan(now, b.options.Engines())) == 0 {
+		b.due = time.Time{}
+		return
+	}
+	if b.due.IsZero() {
+		b.due = now
+	}
+	if now.Sub(b.due) < time.Duration(min(b.options.Rank(), maxRank))*rankDelay {
+		return
+	}
+	if !b.catchUp(ctx) || !b.mayOrder() {
+		return
+	}
+	for _, change := range b.planner.plan(b.options.Clock(), b.options.Engines()) {
+		if !b.order(ctx, change) {
+			return
+		}
+	}
+}
+
+// catchUp reads the journal. It is false if that is not possible.
+func (b *Balancer) catchUp(ctx context.Context) bool {
+	reading, err := b.options.Journal.Read(ctx)
+	if err != nil {
+		b.options.Log.Change("journal of orders not read", logrus.Fields{"error": err.Error()})
+		return false
+	}
+	now := b.options.Clock()
+	if reading.Moved {
+		b.own = false
+		b.moved = now
+	}
+	for i := range reading.Entries {
+		b.planner.note(now, &reading.Entries[i])
+	}
+	return true
+}
+
+// mayOrder reports whether no order of another process can still be under way.
+func (b *Balancer) mayOrder() bool {
+	if b.own || b.moved.IsZero() {
+		return true
+	}
+	return b.options.Clock().Sub(b.moved) > b.options.TurnLimit+orderWindow+windowMargin
+}
+
+// order enters an order and gives it. It is false if another process is faster.
+func (b *Balancer) order(ctx context.Context, change Change) bool {
+	began := b.options.Clock()
+	entry := Entry{
+		Holder: b.options.VM,
+		Engine: change.Engine.Name,
+		Model:  change.Engine.Model,
+		Zone:   change.Engine.Zone,
+		Role:   change.To,
+	}
+	fence, err := b.options.Journal.Append(ctx, entry)
+	if err != nil || fence == 0 {
+		b.logOrder(entry, fence, "order not entered", err)
+		return false
+	}
+	b.own = true
+	b.planner.note(b.options.Clock(), &entry)
+	if b.options.Clock().Sub(began) > orderWindow {
+		b.logOrder(entry, fence, "order entered too late to be given", nil)
+		return false
+	}
+	err = b.options.Orders.SetRole(ctx, change.Engine, change.To, fence)
+	b.logOrder(entry, fence, "role ordered", err)
+	return true
+}
+
+func (b *Balancer) logOrder(entry Entry, fence uint64, outcome string, err error) {
+	fields := logrus.Fields{"endpoint": entry.Engine, "role": entry.Role, "fence": fence}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	b.options.Log.Change(outcome, fields)
+}
--- /dev/null
+++ b/internal/roles/plan.go
@@ -0,0 +1,150 @@
+// Package roles decides which engines read prompts and which generate, and has
+// those that should change do so.
+//
+// Every order is entered in a journal on the platform before it is given. The
+// journal takes an entry only if its writer knows all former ones, which makes
+// one process at a time the holder of the duty; it needs no other election.
+package roles
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+const (
+	// prefillShare is the part of a zone's engines that read prompts. A prompt of
+	// 3,000 tokens takes an engine some 90 ms, an answer of 800 tokens among ten
+	// others some 340 ms; decode engines read what exceeds the share.
+	prefillShare = 0.17
+	// leastForPrefill is the number of engines from which on one reads prompts.
+	leastForPrefill = 3
+	// settleTime is how long a zone must have had too many or too few engines of a
+	// role before one is ordered to change, so that a restart causes no order.
+	settleTime = time.Second
+	// orderPause is the time between two orders to engines of one zone. An engine
+	// that changes serves nobody for some seconds.
+	orderPause = 700 * time.Millisecond
+	// orderLife is how long an order is expected to take effect.
+	orderLife = 15 * time.Second
+)
+
+// Change is an order to one engine.
+type Change struct {
+	Engine *configuration.Endpoint
+	To     configuration.Role
+}
+
+// group is the engines of one model in one zone.
+type group struct {
+	model, zone string
+}
+
+// asked is an order that has not shown yet.
+type asked struct {
+	role  configuration.Role
+	until time.Time
+}
+
+// planner keeps how long each group has been out of balance. It has no clock;
+// its methods take the time.
+type planner struct {
+	since   map[group]time.Time
+	ordered map[group]time.Time
+	asked   map[string]asked
+}
+
+func newPlanner() *planner {
+	return &planner{
+		since:   make(map[group]time.Time),
+		ordered: make(map[group]time.Time),
+		asked:   make(map[string]asked),
+	}
+}
+
+// plan returns the orders that are due. Engines that leave are not among the
+// given ones.
+func (p *planner) plan(now time.Time, engines []*configuration.Endpoint) []Change {
+	groups := make(map[group][]*configuration.Endpoint)
+	for _, e := range engines {
+		key := group{e.Model, e.Zone}
+		groups[key] = append(groups[key], e)
+	}
+	var changes []Change
+	for _, key := range sortedGroups(groups) {
+		if change, due := p.planGroup(now, key, groups[key]); due {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// planGroup returns the next order to an engine of a group.
+func (p *planner) planGroup(now time.Time, key group, engines []*configuration.Endpoint) (Change, bool) {
+	byRole := map[configuration.Role][]*configuration.Endpoint{}
+	for _, e := range engines {
+		role := p.roleOf(now, e)
+		byRole[role] = append(byRole[role], e)
+	}
+	excess := len(byRole[configuration.RolePrefill]) - wantedPrefill(len(engines))
+	if excess == 0 {
+		delete(p.since, key)
+		return Change{}, false
+	}
+	if p.since[key].IsZero() {
+		p.since[key] = now
+	}
+	if now.Sub(p.since[key]) < settleTime || now.Sub(p.ordered[key]) < orderPause {
+		return Change{}, false
+	}
+	from, to := configuration.RolePrefill, configuration.RoleDecode
+	if excess < 0 {
+		from, to = to, from
+	}
+	if len(byRole[from]) == 0 {
+		return Change{}, false
+	}
+	chosen := slices.MinFunc(byRole[from], func(x, y *configuration.Endpoint) int { return cmp.Compare(x.Name, y.Name) })
+	return Change{Engine: chosen, To: to}, true
+}
+
+// note takes an order that was given, by this process or another.
+func (p *planner) note(now time.Time, entry *Entry) {
+	p.asked[entry.Engine] = asked{entry.Role, now.Add(orderLife)}
+	p.ordered[group{entry.Model, entry.Zone}] = now
+}
+
+// roleOf returns the role of an engine, or the one that it was ordered to take.
+func (p *planner) roleOf(now time.Time, e *configuration.Endpoint) configuration.Role {
+	order, ok := p.asked[e.Name]
+	switch {
+	case !ok:
+		return e.Role
+	case !now.Before(order.until):
+		delete(p.asked, e.Name)
+		return e.Role
+	}
+	return order.role
+}
+
+// wantedPrefill returns how many of a group's engines should read prompts.
+func wantedPrefill(engines int) int {
+	if engines < leastForPrefill {
+		return 0
+	}
+	return max(1, int(math.Round(prefillShare*float64(engines))))
+}
+
+func sortedGroups(groups map[group][]*configuration.Endpoint) []group {
+	keys := make([]group, 0, len(groups))
+	for key := range groups {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(x, y group) int {
+		return cmp.Or(cmp.Compare(x.model, y.model), cmp.Compare(x.zone, y.zone))
+	})
+	return keys
+}
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -28,6 +28,8 @@
 	Expired, HolderGone, Adopted uint64
 	Released                     uint64
 	CacheGaps, CacheMisses       uint64
+	// Rested counts engines that got no grants for a time after a failure.
+	Rested uint64
 }
 
 // Coordinator owns the engines of one model in one availability zone: the
@@ -200,6 +202,7 @@
 
 // tidy expires leases and drops hopeless demands.
 func (c *Coordinator) tidy(now time.Time) {
+	c.updateRests(now)
 	c.counters.Expired += uint64(c.ledger.expire(now))
 	for _, w := range c.queue.overdue(now) {
 		c.counters.Dropped++
@@ -240,7 +243,7 @@
 func (c *Coordinator) grant(now time.Time, w *waiter, p *placement) {
 	d := &w.demand
 	c.queue.remove(w)
-	first := p.transferEnd.Add(c.predict.tokenInterval(p.decode, p.decode.slotsHeld+1)).Sub(now)
+	first := p.transferEnd.Add(c.predict.firstEvent(p.decode, p.decode.slotsHeld+1)).Sub(now)
 	h := &holding{
 		id:           d.ID,
 		key:          classKey{d.Team, d.Class},
@@ -261,6 +264,7 @@
 		transferEnd:  p.transferEnd,
 		renewed:      now,
 	}
+	h.foundIdle = p.prefill.prefillBacklog(now) == 0
 	p.prefill.lastPrefill = now
 	c.ledger.add(h)
 	c.prefixes.store(p.prefill.Name, d.Blocks)
--- a/internal/scheduling/engines.go
+++ b/internal/scheduling/engines.go
@@ -158,6 +158,8 @@
 	// cacheInDoubt says that an eviction may have been missed.
 	cacheInDoubt bool
 
+	rest rest
+
 	prefillRatio ewma
 	linkRatio    ewma
 	decodeRatio  ewma
@@ -197,7 +199,9 @@
 }
 
 // usable reports whether the engine takes new work.
-func (a *account) usable() bool { return a.EngineState.usable() && !a.reportedLeaving }
+func (a *account) usable() bool {
+	return a.EngineState.usable() && !a.reportedLeaving && !a.rest.resting
+}
 
 // forgetReleases drops releases older than the lag of load reports.
 func (a *account) forgetReleases(now time.Time) {
--- a/internal/scheduling/ledger.go
+++ b/internal/scheduling/ledger.go
@@ -56,7 +56,7 @@
 	between    time.Duration
 	// work is the predicted duration of the prefill alone.
 	work time.Duration
-	// foundIdle says that no other prefill was in flight on the engine.
+	// foundIdle says that no other prefill took the engine's time at the grant.
 	foundIdle   bool
 	granted     time.Time
 	prefillEnd  time.Time
@@ -85,7 +85,6 @@
 	l.holdings[h.id] = h
 	l.noteExpiry(h.renewed.Add(GrantLease))
 	if h.phase == PhasePrefill {
-		h.foundIdle = len(h.prefill.running) == 0
 		h.prefill.running = append(h.prefill.running, h)
 	}
 	if h.phase != PhaseDecode {
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -36,6 +36,10 @@
 		c.firstTokenSeen(now, h, p)
 	case Released:
 		c.release(now, h, p)
+	case PrefillFailed:
+		c.engineFailed(now, p.Prefill)
+	case DecodeFailed:
+		c.engineFailed(now, p.Decode)
 	}
 	c.dispatch(now)
 }
@@ -47,20 +51,24 @@
 	}
 	h.phase = PhaseTransfer
 	c.ledger.endPrefill(h)
-	transfer := h.transferEnd.Sub(h.prefillEnd)
+	h.prefill.engineWorked()
+	latency := c.predict.prefillLatency()
+	transfer := h.transferEnd.Sub(h.prefillEnd) - latency
 	h.prefillEnd = now
 	h.transferEnd = now.Add(transfer)
-	c.shiftRunning(now, h.prefill)
+	c.shiftRunning(now.Add(-latency), h.prefill)
 	c.correctCache(h, p)
 	tokens := p.Tokens
 	if tokens == 0 {
 		tokens = h.promptTokens
 	}
 	base := seconds(float64(tokens-p.Cached) / c.predict.model.PrefillTokensPerSecond)
-	elapsed := p.Elapsed
-	// Behind another prefill the duration holds the wait as well, which ended
-	// when that one was reported.
-	if !h.foundIdle {
+	elapsed := p.Elapsed - latency
+	if h.foundIdle {
+		c.predict.prefills.observe(tokens-p.Cached, p.Elapsed)
+	} else {
+		// Behind another prefill the duration holds the wait as well, which ended
+		// when that one was reported.
 		elapsed = min(elapsed, now.Sub(h.prefill.lastDone))
 	}
 	h.prefill.lastDone = now
@@ -68,9 +76,9 @@
 }
 
 // shiftRunning moves the predicted ends of the prefills in flight after the
-// first of them ended.
-func (c *Coordinator) shiftRunning(now time.Time, a *account) {
-	end := now
+// first of them had freed the engine at a time.
+func (c *Coordinator) shiftRunning(free time.Time, a *account) {
+	end := free
 	for _, h := range a.running {
 		end = end.Add(h.work)
 		transfer := h.transferEnd.Sub(h.prefillEnd)
@@ -102,13 +110,14 @@
 		return
 	}
 	predicted := h.transferEnd.Sub(h.prefillEnd)
-	step := c.predict.tokenInterval(h.decode, h.decode.slotsHeld)
+	step := c.predict.firstEvent(h.decode, h.decode.slotsHeld)
 	if h.phase == PhaseTransfer && !h.promised && predicted > 0 {
 		h.decode.linkRatio.observe(p.Elapsed, predicted+step)
 	}
 	c.ledger.endPrefill(h)
 	c.ledger.endTransfer(h)
 	h.phase = PhaseDecode
+	h.decode.engineWorked()
 	h.decodeStart = now
 	h.delivered = 1
 	h.deliveredAt = now
--- a/internal/scheduling/overlap.go
+++ b/internal/scheduling/overlap.go
@@ -49,7 +49,7 @@
 	if p.decode == nil {
 		return false
 	}
-	p.transferEnd = p.prefillEnd.Add(bestTransfer)
+	p.transferEnd = p.prefillEnd.Add(c.predict.prefillLatency() + bestTransfer)
 	p.promised = true
 	return true
 }
--- a/internal/scheduling/placement.go
+++ b/internal/scheduling/placement.go
@@ -12,7 +12,8 @@
 	// cached is the part of the prompt that the prefill engine probably caches.
 	cached int
 	// work is the duration of the prefill alone.
-	work        time.Duration
+	work time.Duration
+	// prefillEnd is when the prefill engine can read the next prompt.
 	prefillEnd  time.Time
 	transferEnd time.Time
 	// promised says that the decode slot is predicted to be free in time but
@@ -44,7 +45,7 @@
 	if target == 0 {
 		return true
 	}
-	first := p.transferEnd.Add(c.predict.tokenInterval(p.decode, p.decode.slotsHeld+1))
+	first := p.transferEnd.Add(c.predict.firstEvent(p.decode, p.decode.slotsHeld+1))
 	return !first.After(w.arrival.Add(target - safety(target)))
 }
 
@@ -80,16 +81,27 @@
 	if a.Pieces > 0 && a.keptPieces+a.piecesFor(d.PromptTokens) > a.Pieces {
 		return false
 	}
-	switch len(a.running) {
-	case 0:
+	if len(a.running) == 0 {
 		return true
-	case prefillsInFlight:
-		return false
 	}
 	// A prefill that is late says that the engine is slower than predicted,
 	// so that its end is unknown.
 	left := a.running[len(a.running)-1].prefillEnd.Sub(now)
-	return left <= prefillLead && left > -prefillLead
+	late := left < -prefillLead-c.predict.prefillLatency()
+	return left <= prefillLead && !late && c.prefillsComputing(now, a) < prefillsInFlight
+}
+
+// prefillsComputing returns the number of prefills that take the engine's time:
+// all in flight but those of which only the latency is left.
+func (c *Coordinator) prefillsComputing(now time.Time, a *account) int {
+	n := 0
+	for _, h := range a.running {
+		computed := !now.Before(h.prefillEnd)
+		if !computed || !now.Before(h.prefillEnd.Add(c.predict.prefillLatency())) {
+			n++
+		}
+	}
+	return n
 }
 
 // prefillBacklog returns the predicted time until the engine's prefills in
@@ -127,7 +139,7 @@
 			p.decode, bestTime = a, t
 		}
 	}
-	p.transferEnd = p.prefillEnd.Add(bestTime)
+	p.transferEnd = p.prefillEnd.Add(c.predict.prefillLatency() + bestTime)
 	return p.decode != nil
 }
 
--- a/internal/scheduling/predictor.go
+++ b/internal/scheduling/predictor.go
@@ -44,6 +44,8 @@
 type predictor struct {
 	model   configuration.Model
 	outputs map[classKey]*outputLengths
+	// prefills tells the latency of prefills from their rate.
+	prefills prefillFit
 }
 
 func newPredictor(model configuration.Model) *predictor {
@@ -59,6 +61,20 @@
 	return seconds(s)
 }
 
+// prefillLatency returns the part of a prefill's time in which its engine can
+// read other prompts.
+func (p *predictor) prefillLatency() time.Duration {
+	if p.model.PrefillLatency <= 0 {
+		return 0
+	}
+	return p.prefills.latency(p.model.PrefillLatency.D())
+}
+
+// firstEvent returns the time from the end of the transfer to the first event.
+func (p *predictor) firstEvent(a *account, occupancy int) time.Duration {
+	return time.Duration(max(1, p.model.FirstEventTokens)) * p.tokenInterval(a, occupancy)
+}
+
 // transfer returns the time to move a prompt's KV cache over a link that is
 // shared by a number of transfers.
 func (p *predictor) transfer(rate int64, tokens, sharers int) time.Duration {
--- /dev/null
+++ b/internal/scheduling/prefill_fit.go
@@ -0,0 +1,51 @@
+package scheduling
+
+import "time"
+
+const (
+	// fitDecay is the weight that older samples keep with each new one.
+	fitDecay = 0.97
+	// fitSamples is the weight of samples from which on the fit is used.
+	fitSamples = 8
+	// maxPrefillLatency bounds the fitted latency, so that a stalled engine does
+	// not hide the capacity of the others.
+	maxPrefillLatency = 500 * time.Millisecond
+	// leastTokenSpread is the variance of prompt lengths, relative to the square of
+	// their mean, below which a latency cannot be told from a rate.
+	leastTokenSpread = 0.01
+)
+
+// prefillFit splits the time of a prefill into a latency, in which the engine can
+// read other prompts, and a time per token, in which it cannot. It is a decaying
+// least squares fit of times over lengths.
+type prefillFit struct {
+	weight, tokens, time, tokensSquared, tokensTime float64
+}
+
+// observe adds the time of a prefill that found its engine idle.
+func (f *prefillFit) observe(tokens int, elapsed time.Duration) {
+	if tokens <= 0 || elapsed <= 0 {
+		return
+	}
+	x, y := float64(tokens), elapsed.Seconds()
+	f.weight = fitDecay*f.weight + 1
+	f.tokens = fitDecay*f.tokens + x
+	f.time = fitDecay*f.time + y
+	f.tokensSquared = fitDecay*f.tokensSquared + x*x
+	f.tokensTime = fitDecay*f.tokensTime + x*y
+}
+
+// latency returns the fitted latency, or a default while there are too few or
+// too similar samples.
+func (f *prefillFit) latency(byDefault time.Duration) time.Duration {
+	if f.weight < fitSamples {
+		return byDefault
+	}
+	meanTokens, meanTime := f.tokens/f.weight, f.time/f.weight
+	variance := f.tokensSquared/f.weight - meanTokens*meanTokens
+	if variance < leastTokenSpread*meanTokens*meanTokens {
+		return byDefault
+	}
+	slope := (f.tokensTime/f.weight - meanTokens*meanTime) / variance
+	return min(max(0, seconds(meanTime-slope*meanTokens)), maxPrefillLatency)
+}
--- /dev/null
+++ b/internal/scheduling/rest.go
@@ -0,0 +1,58 @@
+package scheduling
+
+import "time"
+
+const (
+	// firstRest and maxRest bound how long an engine that failed a holder gets no
+	// new grant; the time doubles with each failure in a row. The first is about
+	// two prefills, so that a single lost answer costs the pool little.
+	firstRest = 400 * time.Millisecond
+	maxRest   = 5 * time.Second
+	// maxRestingShare bounds the part of a role's engines that rest at a time.
+	maxRestingShare = 0.5
+)
+
+// rest keeps an engine from new grants after failures that holders report.
+type rest struct {
+	failures int
+	until    time.Time
+	// resting is whether the time has not passed, as of the last tidy.
+	resting bool
+}
+
+// engineFailed lets an engine rest, longer with each failure in a row. Failures
+// of calls that were under way before the rest began count once.
+func (c *Coordinator) engineFailed(now time.Time, name string) {
+	a, ok := c.pool.byName[name]
+	if !ok || now.Before(a.rest.until) {
+		return
+	}
+	a.rest.failures++
+	a.rest.until = now.Add(min(firstRest<<min(a.rest.failures-1, 10), maxRest))
+	c.counters.Rested++
+	c.updateRests(now)
+}
+
+// engineWorked ends the effect of former failures.
+func (a *account) engineWorked() { a.rest = rest{} }
+
+// updateRests decides which engines rest now: of each role, no more than the
+// others can make up for. Where a role has one engine, it may rest if the other
+// role can take over.
+func (c *Coordinator) updateRests(now time.Time) {
+	c.restRole(now, c.pool.prefill, c.settings.Options.SelfPrefill)
+	c.restRole(now, c.pool.decode, false)
+}
+
+func (c *Coordinator) restRole(now time.Time, engines []*account, all bool) {
+	limit := int(maxRestingShare * float64(len(engines)))
+	if all {
+		limit = len(engines)
+	}
+	for _, a := range engines {
+		a.rest.resting = limit > 0 && now.Before(a.rest.until)
+		if a.rest.resting {
+			limit--
+		}
+	}
+}
--- a/internal/scheduling/self_prefill.go
+++ b/internal/scheduling/self_prefill.go
@@ -13,7 +13,7 @@
 	selfPrefillSlowdown = 2
 	// selfPrefillAfter is how long a demand waits for a prefill engine before a
 	// decode engine may read its prompt. That costs the pool more than a short wait.
-	selfPrefillAfter = 150 * time.Millisecond
+	selfPrefillAfter = 300 * time.Millisecond
 	// selfPrefillLimit bounds the time in which a decode engine reads a prompt
 	// while it generates for others: they pause for about as long in sum.
 	selfPrefillLimit = 200 * time.Millisecond
@@ -38,7 +38,8 @@
 			continue
 		}
 		work := c.selfPrefillTime(a, d.PromptTokens)
-		best = placement{prefill: a, decode: a, work: work, prefillEnd: now.Add(work), transferEnd: now.Add(work)}
+		end := now.Add(work)
+		best = placement{prefill: a, decode: a, work: work, prefillEnd: end, transferEnd: end.Add(c.predict.prefillLatency())}
 	}
 	return best, best.decode != nil && c.inTime(w, &best)
 }
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -115,6 +115,9 @@
 	PrefillDone ProgressKind = "prefill-done"
 	// FirstTokenSeen means that transfer and first decode step are done.
 	FirstTokenSeen ProgressKind = "first-token"
+	// PrefillFailed and DecodeFailed mean that an engine failed the holder.
+	PrefillFailed ProgressKind = "prefill-failed"
+	DecodeFailed  ProgressKind = "decode-failed"
 	// Released means that the attempt holds nothing any more.
 	Released ProgressKind = "released"
 )
