--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -11,6 +11,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
@@ -18,11 +19,10 @@
 const (
 	// lateMargin is kept of the time that callers wait for a first event.
 	lateMargin = 300 * time.Millisecond
-	// latePriority is below all priorities of routes, so that late requests use
-	// only what those on time leave.
-	latePriority = -1000
-	// lateClassSuffix tells the late requests of a route from the others.
-	lateClassSuffix = "/late"
+	// lateClassSuffix and returnedClassSuffix tell the late requests of a route, and
+	// those of callers that were refused before, from the others.
+	lateClassSuffix     = "/late"
+	returnedClassSuffix = "/returned"
 	// leastBusyRetryAfter and mostBusyRetryAfter bound what is told to callers of a
 	// busy pool. Bursts last for seconds, and callers wait no longer than a third
 	// of their time.
@@ -193,17 +193,24 @@
 }
 
 func classOf(g *generation) string {
-	if g.late {
-		return g.route.Name + lateClassSuffix
+	switch {
+	case !g.late:
+		return g.route.Name
+	case g.age > 0:
+		return g.route.Name + returnedClassSuffix
 	}
-	return g.route.Name
+	return g.route.Name + lateClassSuffix
 }
 
 func priorityOf(g *generation) int {
-	if g.late {
-		return latePriority - g.route.Priority
+	switch {
+	case !g.late:
+		return -g.route.Priority
+	case g.age > 0:
+		// A caller that was refused before comes first.
+		return scheduling.BackgroundPriority
 	}
-	return -g.route.Priority
+	return scheduling.BackgroundPriority - 1
 }
 
 func (r *Relay) attemptID() engine.AttemptID {
@@ -219,13 +226,12 @@
 func (r *Relay) run(ctx context.Context, g *generation, id engine.AttemptID, grant scheduling.Grant) error {
 	view := r.options.Fleet.View()
 	prefill, decode := view.Instance(grant.Prefill), view.Instance(grant.Decode)
-	if prefill == nil || decode == nil {
-		return r.exclude(g, grant.Prefill, grant.Decode)
+	if !takesWork(prefill) || !takesWork(decode) {
+		return r.refuseGrant(g, id, grant)
 	}
 	g.before = g.delivered
 	if prefill == decode {
-		_, err := r.decode(ctx, g, id, &decode.Endpoint, nil)
-		return orAgain(err)
+		return r.decodeWhole(ctx, g, id, &decode.Endpoint)
 	}
 	source, err := r.prefill(ctx, g, id, &prefill.Endpoint)
 	if err != nil {
@@ -243,8 +249,19 @@
 	}
 	// The KV cache was gone. The engine still keeps the slot and reads the prompt.
 	g.sends--
-	_, err = r.decode(ctx, g, id, &decode.Endpoint, nil)
-	return orAgain(err)
+	return r.decodeWhole(ctx, g, id, &decode.Endpoint)
+}
+
+// decodeWhole has a decode engine read the prompt itself. An engine that declines
+// that has no room or leaves, whatever the ledger says.
+func (r *Relay) decodeWhole(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint) error {
+	_, err := r.decode(ctx, g, id, to, nil)
+	if !errors.Is(err, errDeclined) {
+		return err
+	}
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.DecodeFailed, Decode: to.Name})
+	g.exclude = append(g.exclude, to.Name)
+	return errAgain
 }
 
 // orAgain makes another attempt follow an engine that declined.
@@ -255,14 +272,26 @@
 	return err
 }
 
-// exclude keeps later attempts off engines that are not there any more.
-func (r *Relay) exclude(g *generation, names ...string) error {
-	for _, name := range names {
-		if r.options.Fleet.View().Instance(name) == nil {
-			g.exclude = append(g.exclude, name)
-		}
+// takesWork reports whether an engine is there and does not leave, as far as
+// this process knows.
+func takesWork(instance *fleet.Instance) bool { return instance != nil && !instance.Draining }
+
+// refuseGrant keeps further attempts off engines that this process knows to
+// leave. The owner of the grant may not have heard of it.
+func (r *Relay) refuseGrant(g *generation, id engine.AttemptID, grant scheduling.Grant) error {
+	leaving := scheduling.Progress{ID: id, Kind: scheduling.EngineLeaving}
+	view := r.options.Fleet.View()
+	if !takesWork(view.Instance(grant.Prefill)) {
+		leaving.Prefill = grant.Prefill
+		g.exclude = append(g.exclude, grant.Prefill)
 	}
-	g.refusal = "an engine is gone"
+	if !takesWork(view.Instance(grant.Decode)) {
+		leaving.Decode = grant.Decode
+		g.exclude = append(g.exclude, grant.Decode)
+	}
+	r.options.Reserver.Progress(leaving)
+	g.refusal = "an engine leaves"
+	r.decide(g.exchange, "grant not used", logrus.Fields{"prefill": leaving.Prefill, "decode": leaving.Decode})
 	return errAgain
 }
 
@@ -271,6 +300,9 @@
 	defer r.options.Endpoints.Begin(to.Name)()
 	started := time.Now()
 	answer, verdict, err := r.call(ctx, g.exchange, to, &Call{Stage: Prefill, LastEventID: g.lastEventID}, min(prefillPatience, g.left()))
+	if verdict.OtherInstance {
+		return nil, r.addressReused(g, id, to)
+	}
 	prompt, err := r.promptOf(answer, verdict, err)
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -355,6 +387,10 @@
 		return r.decodeError(g, id, to, err)
 	}
 	defer response.Close()
+	if verdict.OtherInstance {
+		g.sends--
+		return false, r.addressReused(g, id, to)
+	}
 	if verdict.NotRun {
 		r.observe(g, to, true)
 		g.refusal = "the engine did not take the request"
@@ -369,6 +405,16 @@
 	return true, stream.pass(ctx, response)
 }
 
+// addressReused takes note of an engine whose address another one has.
+func (r *Relay) addressReused(g *generation, id engine.AttemptID, to *configuration.Endpoint) error {
+	g.refusal = "an engine is gone"
+	g.exclude = append(g.exclude, to.Name)
+	r.options.Endpoints.MarkLeaving(to.Name)
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.EngineLeaving, Prefill: to.Name, Decode: to.Name})
+	r.decide(g.exchange, "endpoint replaced", logrus.Fields{"endpoint": to.Name})
+	return r.again(g)
+}
+
 // decodeStage returns what is asked of an engine that takes over a KV cache, or
 // that reads the prompt itself for want of a source.
 func decodeStage(source *Source) Stage {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -75,6 +75,10 @@
 	if err != nil {
 		return r.plainError(x, to, err)
 	}
+	if verdict.OtherInstance {
+		x.sends--
+		r.options.Endpoints.MarkLeaving(to.Name)
+	}
 	if verdict.NotRun {
 		x.refusal = "the endpoint did not run the request"
 		r.decide(x, "endpoint declined", logrus.Fields{"endpoint": to.Name, "status": answer.Status})
--- a/internal/reservation/owner.go
+++ b/internal/reservation/owner.go
@@ -116,7 +116,7 @@
 func (o *owner) headroom() float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.coordinator.Headroom()
+	return o.coordinator.Headroom(time.Now())
 }
 
 func (o *owner) tick() {
--- a/internal/reservation/spill.go
+++ b/internal/reservation/spill.go
@@ -17,9 +17,12 @@
 	spillHeadroom = 0.1
 	// spillRest is how long a zone that refused is not asked again; the time
 	// doubles up to spillRestMax with each refusal, so that two full zones do
-	// not pass their load to and fro.
-	spillRest    = time.Second
-	spillRestMax = 30 * time.Second
+	// not pass their load to and fro. Bursts last for seconds, and a refusal
+	// costs the way there and back.
+	spillRest    = 200 * time.Millisecond
+	spillRestMax = 2 * time.Second
+	// maxSpills bounds the zones that are asked for one demand.
+	maxSpills = 2
 	// spillTimeout bounds a call to another zone beside the link's delay.
 	spillTimeout = 250 * time.Millisecond
 	// promptBytesPerToken estimates the length of a prompt on the wire.
@@ -63,8 +66,20 @@
 	p.rests[key] = absence{length: p.rests[key].length / 2}
 }
 
-// spill asks the owner of one other zone, the nearest that is not resting.
+// spill asks the owners of other zones, the nearest first.
 func (s *Service) spill(ctx context.Context, d scheduling.Demand) (scheduling.Grant, bool) {
+	for range maxSpills {
+		started := time.Now()
+		if grant, ok := s.spillOnce(ctx, d); ok {
+			return grant, true
+		}
+		d.Waited += time.Since(started)
+	}
+	return scheduling.Grant{}, false
+}
+
+// spillOnce asks the owner of the nearest zone that is not resting.
+func (s *Service) spillOnce(ctx context.Context, d scheduling.Demand) (scheduling.Grant, bool) {
 	key, link, ok := s.spillTarget(d.Model)
 	if !ok {
 		return scheduling.Grant{}, false
--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -22,9 +22,17 @@
 	prefillShare = 0.17
 	// leastForPrefill is the number of engines from which on one reads prompts.
 	leastForPrefill = 3
-	// settleTime is how long a zone must have had too many or too few engines of a
-	// role before one is ordered to change, so that a restart causes no order.
+	// settleTime is how long a zone must have been far out of balance before an
+	// engine is ordered to change, so that a restart causes no order. driftTime is
+	// that for a zone that is little out of balance: an engine that changes serves
+	// nobody for some seconds, which is worth it only for a lasting state.
 	settleTime = time.Second
+	driftTime  = 8 * time.Second
+	// farFactor is the ratio of engines to wanted ones that is far out of balance.
+	farFactor = 1.5
+	// registrationPeriod is how long a zone's number of engines must be unchanged.
+	// Engines register one after the other when a site starts.
+	registrationPeriod = 1300 * time.Millisecond
 	// orderPause is the time between two orders to engines of one zone. An engine
 	// that changes serves nobody for some seconds.
 	orderPause = 700 * time.Millisecond
@@ -52,7 +60,10 @@
 // planner keeps how long each group has been out of balance. It has no clock;
 // its methods take the time.
 type planner struct {
-	since   map[group]time.Time
+	since map[group]time.Time
+	// sizes are the numbers of engines, and grown when they last changed.
+	sizes   map[group]int
+	grown   map[group]time.Time
 	ordered map[group]time.Time
 	asked   map[string]asked
 }
@@ -60,6 +71,8 @@
 func newPlanner() *planner {
 	return &planner{
 		since:   make(map[group]time.Time),
+		sizes:   make(map[group]int),
+		grown:   make(map[group]time.Time),
 		ordered: make(map[group]time.Time),
 		asked:   make(map[string]asked),
 	}
@@ -89,7 +102,12 @@
 		role := p.roleOf(now, e)
 		byRole[role] = append(byRole[role], e)
 	}
-	excess := len(byRole[configuration.RolePrefill]) - wantedPrefill(len(engines))
+	have, want := len(byRole[configuration.RolePrefill]), wantedPrefill(len(engines))
+	excess := have - want
+	if p.sizes[key] != len(engines) {
+		p.sizes[key] = len(engines)
+		p.grown[key] = now
+	}
 	if excess == 0 {
 		delete(p.since, key)
 		return Change{}, false
@@ -97,7 +115,10 @@
 	if p.since[key].IsZero() {
 		p.since[key] = now
 	}
-	if now.Sub(p.since[key]) < settleTime || now.Sub(p.ordered[key]) < orderPause {
+	if now.Sub(p.grown[key]) < registrationPeriod {
+		return Change{}, false
+	}
+	if now.Sub(p.since[key]) < patience(have, want) || now.Sub(p.ordered[key]) < orderPause {
 		return Change{}, false
 	}
 	from, to := configuration.RolePrefill, configuration.RoleDecode
@@ -111,6 +132,15 @@
 	return Change{Engine: chosen, To: to}, true
 }
 
+// patience returns how long an imbalance is borne.
+func patience(have, want int) time.Duration {
+	more, less := float64(max(have, want)), float64(min(have, want))
+	if more >= farFactor*less {
+		return settleTime
+	}
+	return driftTime
+}
+
 // note takes an order that was given, by this process or another.
 func (p *planner) note(now time.Time, entry *Entry) {
 	p.asked[entry.Engine] = asked{entry.Role, now.Add(orderLife)}
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -69,20 +69,21 @@
 // Waiting returns the number of waiting demands.
 func (c *Coordinator) Waiting() int { return c.queue.len() }
 
-// Headroom returns the free part of all usable decode slots, 0 while any demand
-// waits.
-func (c *Coordinator) Headroom() float64 {
-	slots, free := 0, 0
+// Headroom returns the free part of all places on usable decode engines, 0 while
+// any demand waits.
+func (c *Coordinator) Headroom(now time.Time) float64 {
+	places, free := 0, 0
 	for _, a := range c.pool.decode {
 		if a.usable() {
-			slots += a.slotLimit()
-			free += max(0, a.freeSlots())
+			open := max(0, c.freePlaces(now, a))
+			places += open + a.slotsHeld + a.promised
+			free += open
 		}
 	}
-	if slots == 0 || c.closed || c.queue.len() > 0 {
+	if places == 0 || c.closed || c.queue.len() > 0 {
 		return 0
 	}
-	return float64(free) / float64(slots)
+	return float64(free) / float64(places)
 }
 
 // Close holds back all grants until Open; demands wait meanwhile. A new owner
@@ -221,20 +222,27 @@
 
 // dispatchOne grants the first demand in order that can start. A demand that
 // was passed over for too long keeps the others waiting, so that smaller or
-// less demanding ones cannot starve it.
+// less demanding ones cannot starve it. Background demands pass none over, since
+// what they take would be missing to those that wait for more of it.
 func (c *Coordinator) dispatchOne(now time.Time) bool {
+	blocked := false
 	for _, l := range c.queue.inOrder(now) {
-		w := l.waiters[0]
-		if p, ok := c.place(now, w); ok {
-			c.grant(now, w, &p)
-			return true
-		}
-		if w.blockedSince.IsZero() {
-			w.blockedSince = now
-		}
-		if now.Sub(w.blockedSince) > bypassLimit {
+		if blocked && l.priority() <= BackgroundPriority {
 			return false
 		}
+		for _, w := range l.candidates() {
+			if p, ok := c.place(now, w); ok {
+				c.grant(now, w, &p)
+				return true
+			}
+			if w.blockedSince.IsZero() {
+				w.blockedSince = now
+			}
+			if now.Sub(w.blockedSince) > bypassLimit {
+				return false
+			}
+			blocked = true
+		}
 	}
 	return false
 }
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -40,6 +40,9 @@
 		c.engineFailed(now, p.Prefill)
 	case DecodeFailed:
 		c.engineFailed(now, p.Decode)
+	case EngineLeaving:
+		c.engineLeaves(p.Prefill)
+		c.engineLeaves(p.Decode)
 	}
 	c.dispatch(now)
 }
--- a/internal/scheduling/prefill_fit_test.go
+++ b/internal/scheduling/prefill_fit_test.go
@@ -14,8 +14,8 @@
 	for _, tokens := range []int{800, 3000, 6500, 1200, 2500, 5000, 900, 4000, 3300, 2100, 1700, 2900} {
 		fit.observe(tokens, latency+time.Duration(tokens)*perToken)
 	}
-	error := fit.latency(0) - latency
-	assert.Assert(t, error.Abs() < time.Millisecond, "%v", fit.latency(0))
+	off := fit.latency(0) - latency
+	assert.Assert(t, off.Abs() < time.Millisecond, "%v", fit.latency(0))
 }
 
 func TestFitOfEqualPromptsKeepsTheDefault(t *testing.T) {
--- a/internal/scheduling/queue.go
+++ b/internal/scheduling/queue.go
@@ -202,6 +202,15 @@
 	}
 }
 
+// candidates returns the waiters that may be granted next: the first ones where
+// the class's order permits any, else the first.
+func (l *line) candidates() []*waiter {
+	if l.waiters[0].demand.Order != configuration.OrderAny {
+		return l.waiters[:1]
+	}
+	return l.waiters[:min(len(l.waiters), maxCandidates)]
+}
+
 // priority returns the priority of the line's first demand.
 func (l *line) priority() int { return l.waiters[0].demand.Priority }
 
--- a/internal/scheduling/rest.go
+++ b/internal/scheduling/rest.go
@@ -33,6 +33,14 @@
 	c.updateRests(now)
 }
 
+// engineLeaves excludes an engine for good. A holder may know of it before an
+// owner that the platform's list does not reach.
+func (c *Coordinator) engineLeaves(name string) {
+	if a, ok := c.pool.byName[name]; ok {
+		a.reportedLeaving = true
+	}
+}
+
 // engineWorked ends the effect of former failures.
 func (a *account) engineWorked() { a.rest = rest{} }
 
--- a/internal/scheduling/self_prefill.go
+++ b/internal/scheduling/self_prefill.go
@@ -26,7 +26,7 @@
 		return placement{}, false
 	}
 	d := &w.demand
-	if anyUsable(c.pool.prefill, d.Exclude) && now.Sub(w.arrival) < selfPrefillAfter {
+	if anyUsable(c.pool.prefill, d.Exclude) && now.Sub(w.arrival) < selfPrefillAfter && !c.prefillCongested(now) {
 		return placement{}, false
 	}
 	var best placement
@@ -44,6 +44,16 @@
 	return best, best.decode != nil && c.inTime(w, &best)
 }
 
+// prefillCongested reports whether the prefill engines need longer for what waits
+// already than a demand should wait for them.
+func (c *Coordinator) prefillCongested(now time.Time) bool {
+	var waiting time.Duration
+	for _, l := range c.queue.lines {
+		waiting += l.work
+	}
+	return waiting > 0 && c.prefillWait(now, waiting) > selfPrefillAfter
+}
+
 // selfPrefillBearable reports whether the other requests of an engine bear the
 // pause in which it reads the prompt.
 func (c *Coordinator) selfPrefillBearable(a *account, d *Demand) bool {
--- a/internal/scheduling/settings.go
+++ b/internal/scheduling/settings.go
@@ -29,6 +29,11 @@
 }
 
 const (
+	// BackgroundPriority is the highest priority of demands that use only what
+	// others leave.
+	BackgroundPriority = -1000
+	// maxCandidates bounds the waiting demands of a line that are tried at a time.
+	maxCandidates = 8
 	// GrantLease is how long a grant lives without a renewal.
 	GrantLease = time.Second
 	// TokensPerBlock is the length of a prefix block.
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -118,6 +118,8 @@
 	// PrefillFailed and DecodeFailed mean that an engine failed the holder.
 	PrefillFailed ProgressKind = "prefill-failed"
 	DecodeFailed  ProgressKind = "decode-failed"
+	// EngineLeaving means that the holder knows an engine to leave.
+	EngineLeaving ProgressKind = "engine-leaving"
 	// Released means that the attempt holds nothing any more.
 	Released ProgressKind = "released"
 )
