--- /dev/null
+++ b/internal/relay/fixture_test.go
@@ -0,0 +1,318 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/routing"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// The headers of the dialect of these tests.
+const (
+	idHeader       = "Test-Id"
+	stageHeader    = "Test-Stage"
+	sourceHeader   = "Test-Source"
+	lastHeader     = "Test-Last-Event"
+	declinedHeader = "Test-Declined"
+)
+
+// testDialect implements Dialect.
+type testDialect struct{}
+
+func (testDialect) Header(request *Request, call *Call) http.Header {
+	header := http.Header{}
+	header.Set(idHeader, request.ID)
+	header.Set(stageHeader, strconv.Itoa(int(call.Stage)))
+	if call.Source != nil {
+		header.Set(sourceHeader, call.Source.Handle)
+	}
+	header.Set(lastHeader, call.LastEventID)
+	return header
+}
+
+func (testDialect) Judge(request *Request, response *upstream.Response) Verdict {
+	return Verdict{
+		Foreign:       response.Header.Get(idHeader) != request.ID,
+		NotRun:        response.Header.Get(declinedHeader) != "",
+		OtherInstance: response.Status == http.StatusMisdirectedRequest,
+	}
+}
+
+func (testDialect) Prompt(body []byte) (Prompt, error) {
+	if len(body) == 0 {
+		return Prompt{}, errors.New("no handle")
+	}
+	return Prompt{Handle: string(body), Tokens: 100}, nil
+}
+
+func (testDialect) Free(handle string) *upstream.Request {
+	return &upstream.Request{Method: http.MethodDelete, Target: "/free/" + handle, Header: http.Header{}}
+}
+
+// fakeReserver grants the given engines in turn and records what it is told.
+type fakeReserver struct {
+	mu       sync.Mutex
+	answers  []func(d scheduling.Demand) (scheduling.Grant, error)
+	demands  []scheduling.Demand
+	progress []scheduling.Progress
+}
+
+// grant returns an answer that assigns two engines.
+func grant(prefill, decode string) func(scheduling.Demand) (scheduling.Grant, error) {
+	return func(d scheduling.Demand) (scheduling.Grant, error) {
+		return scheduling.Grant{ID: d.ID, Prefill: prefill, Decode: decode}, nil
+	}
+}
+
+// refusal returns an answer that refuses.
+func refusal(reason scheduling.RefusalReason) func(scheduling.Demand) (scheduling.Grant, error) {
+	return func(scheduling.Demand) (scheduling.Grant, error) {
+		return scheduling.Grant{}, &scheduling.Refusal{Reason: reason, RetryAfter: time.Millisecond}
+	}
+}
+
+func (f *fakeReserver) Reserve(_ context.Context, d scheduling.Demand) (scheduling.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	answer := f.answers[min(len(f.demands), len(f.answers)-1)]
+	f.demands = append(f.demands, d)
+	return answer(d)
+}
+
+func (f *fakeReserver) Progress(p scheduling.Progress) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.progress = append(f.progress, p)
+}
+
+func (f *fakeReserver) Delivered(engine.AttemptID, int) {}
+
+// kinds returns the kinds of progress in order.
+func (f *fakeReserver) kinds() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var kinds []string
+	for _, p := range f.progress {
+		kinds = append(kinds, string(p.Kind))
+	}
+	return strings.Join(kinds, " ")
+}
+
+// budget allows a number of repeats.
+type budget struct {
+	mu   sync.Mutex
+	left int
+}
+
+func (*budget) Earn(string) {}
+
+func (b *budget) Spend(string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left--
+	return b.left >= 0
+}
+
+// recorder implements Caller.
+type recorder struct {
+	outcome    string
+	status     int
+	body       string
+	retryAfter time.Duration
+	gone       bool
+}
+
+func (c *recorder) Deliver(a *Answer) {
+	c.outcome, c.status, c.body = "answer", a.Status, string(a.Body)
+}
+func (c *recorder) Begin(status int, _ http.Header) { c.outcome, c.status = "stream", status }
+func (c *recorder) Event(events []byte) error {
+	if c.gone {
+		return errors.New("the caller is gone")
+	}
+	c.body += string(events)
+	return nil
+}
+func (c *recorder) Abort() { c.outcome = "aborted" }
+func (c *recorder) Refuse(r Refusal) {
+	c.outcome, c.retryAfter = "refused: "+r.Reason, r.RetryAfter
+}
+func (c *recorder) Fail(f Failure) { c.outcome = "failed: " + f.Reason }
+
+// site is a relay with endpoints on loopback.
+type site struct {
+	t         *testing.T
+	relay     *Relay
+	fleet     *fleet.Store
+	endpoints *endpoint.Registry
+	reserver  *fakeReserver
+	instances []fleet.Instance
+	mu        sync.Mutex
+	// calls are the calls that endpoints got: name, stage, source and last event.
+	calls []string
+}
+
+func newSite(t *testing.T, answers ...func(scheduling.Demand) (scheduling.Grant, error)) *site {
+	t.Helper()
+	client := upstream.NewClient(upstream.Options{
+		DialTimeout: time.Minute, UnackedTimeout: time.Minute, IdleTimeout: time.Minute, MaxIdle: 4,
+	})
+	t.Cleanup(client.Close)
+	log := decisionlog.Discard()
+	t.Cleanup(log.Close)
+	s := &site{
+		t:         t,
+		fleet:     fleet.NewStore(),
+		endpoints: endpoint.NewRegistry(timeline.Discard),
+		reserver:  &fakeReserver{answers: answers},
+	}
+	s.fleet.SetTable(routing.NewTable(1, routing.Limits{}, nil, []routing.Service{
+		{Name: "desk"},
+		{Name: "pool", Engines: &routing.Engines{Slots: 8, MemoryTokens: 30_000, TokensPerEvent: 1}},
+	}))
+	s.relay = New(Options{
+		VM: "vm", Incarnation: 1, Zone: "a", Fleet: s.fleet, Endpoints: s.endpoints, Reserver: s.reserver,
+		Budget: &budget{left: 10}, Client: client, Dialect: testDialect{}, Log: log,
+	})
+	return s
+}
+
+// endpoint adds an endpoint that a function serves.
+func (s *site) endpoint(name, service string, role configuration.Role, serve func(w http.ResponseWriter, r *http.Request)) {
+	s.t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		call := name + ":" + r.Header.Get(stageHeader)
+		for _, part := range []string{r.Header.Get(sourceHeader), r.Header.Get(lastHeader)} {
+			if part != "" {
+				call += "/" + part
+			}
+		}
+		s.calls = append(s.calls, call)
+		s.mu.Unlock()
+		w.Header().Set(idHeader, r.Header.Get(idHeader))
+		serve(w, r)
+	}))
+	s.t.Cleanup(server.Close)
+	s.add(name, service, role, server.Listener.Addr().String())
+}
+
+// add adds an endpoint at an address.
+func (s *site) add(name, service string, role configuration.Role, address string) {
+	s.instances = append(s.instances, fleet.Instance{ID: name, Endpoint: configuration.Endpoint{
+		Name: name, Zone: "a", Address: address, Service: service, Role: role, Slots: 8,
+	}})
+	s.fleet.SetInstances(s.instances)
+}
+
+// drain marks an endpoint as leaving.
+func (s *site) drain(name string) {
+	for i := range s.instances {
+		if s.instances[i].Name == name {
+			s.instances[i].Draining = true
+		}
+	}
+	s.fleet.SetInstances(s.instances)
+}
+
+// made returns the calls that endpoints got.
+func (s *site) made() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.calls, " ")
+}
+
+// count returns the number of calls that endpoints got.
+func (s *site) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
+// serve serves one request and returns what its caller got.
+func (s *site) serve(route routing.Route, generation *Generation) *recorder {
+	s.t.Helper()
+	caller := &recorder{}
+	s.serveTo(s.t.Context(), caller, route, generation)
+	return caller
+}
+
+func (s *site) serveTo(ctx context.Context, caller *recorder, route routing.Route, generation *Generation) {
+	service := "desk"
+	if generation != nil {
+		service = "pool"
+	}
+	request := &Request{
+		ID: "r1", Method: http.MethodPost, Target: "/x/1", Host: "a.example", Header: http.Header{},
+		Arrived: time.Now(), Patience: time.Minute, FirstEventPatience: time.Minute, Generation: generation,
+	}
+	s.relay.Serve(ctx, request, &route, s.fleet.Table().Service(service), caller)
+}
+
+// unreachable returns an address on which nothing listens.
+func unreachable(t *testing.T) string {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+// reset ends the connection without an answer.
+func reset(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// answers returns a function that answers with a status and a body.
+func answers(status int, body string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+// declines refuses without running the request.
+func declines(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(declinedHeader, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// events streams numbered events after the last one that the caller has.
+func events(first, last int) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if after, err := strconv.Atoi(r.Header.Get(lastHeader)); err == nil {
+			first = after + 1
+		}
+		for n := first; n <= last; n++ {
+			_, _ = w.Write([]byte("id: " + strconv.Itoa(n) + "\ndata: t\n\n"))
+		}
+	}
+}
+
+// eventText is what a caller gets of events.
+func eventText(first, last int) string {
+	text := ""
+	for n := first; n <= last; n++ {
+		text += "id: " + strconv.Itoa(n) + "\ndata: t\n\n"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/relay/generation_test.go
@@ -0,0 +1,191 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/routing"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+var (
+	dossier = routing.Route{
+		Name: "dossier", Kind: routing.Streaming, MaxAttempts: 1, Timeout: time.Minute, Objective: 10 * time.Second,
+	}
+	check = routing.Route{
+		Name: "check", Kind: routing.Streaming, Resumable: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 10 * time.Second,
+	}
+	work = &Generation{PromptTokens: 100, MaxOutputTokens: 50, ExpectedOutputTokens: 20}
+)
+
+// engines adds two engines of each role.
+func (s *site) engines(prefill, decode func(http.ResponseWriter, *http.Request)) {
+	s.endpoint("p1", "pool", configuration.RolePrefill, prefill)
+	s.endpoint("p2", "pool", configuration.RolePrefill, answers(http.StatusOK, "h2"))
+	s.endpoint("e1", "pool", configuration.RoleDecode, decode)
+	s.endpoint("e2", "pool", configuration.RoleDecode, events(1, 3))
+}
+
+func TestPromptIsReadOnOneEngineAndAnsweredByAnother(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), events(1, 3))
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.outcome, "stream")
+	assert.Equal(t, caller.body, eventText(1, 3))
+	assert.Equal(t, s.made(), "p1:1 e1:2/h1")
+	assert.Equal(t, s.reserver.kinds(), "prefill-done first-token released")
+}
+
+func TestEngineOfBothRolesReadsThePromptItself(t *testing.T) {
+	s := newSite(t, grant("e1", "e1"))
+	s.engines(reset, events(1, 2))
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.body, eventText(1, 2))
+	assert.Equal(t, s.made(), "e1:0")
+}
+
+func TestFailedPrefillMovesToOtherEngines(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"), grant("p2", "e1"))
+	s.engines(answers(http.StatusServiceUnavailable, ""), events(1, 2))
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.body, eventText(1, 2))
+	assert.DeepEqual(t, s.reserver.demands[1].Exclude, []string{"p1"})
+	assert.Assert(t, strings.HasPrefix(s.reserver.kinds(), "prefill-failed released"), s.reserver.kinds())
+}
+
+func TestEngineReadsThePromptIfTheCacheIsGone(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(sourceHeader) != "" {
+			declines(w, r)
+			return
+		}
+		events(1, 2)(w, r)
+	})
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.body, eventText(1, 2))
+	assert.Equal(t, s.made(), "p1:1 e1:2/h1 p1: e1:0")
+}
+
+func TestEngineThatDeclinesAllIsReported(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), declines)
+	caller := s.serve(dossier, work)
+	assert.Assert(t, strings.HasPrefix(caller.outcome, "refused"), caller.outcome)
+	assert.Equal(t, s.reserver.kinds(), "prefill-done prefill-failed decode-failed released")
+}
+
+func TestReplacedEngineIsReportedAsLeaving(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.engines(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}, events(1, 2))
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.body, eventText(1, 3))
+	assert.Assert(t, strings.HasPrefix(s.reserver.kinds(), "engine-leaving released"), s.reserver.kinds())
+	assert.Assert(t, s.endpoints.Leaving("p1"))
+}
+
+func TestGrantOfALeavingEngineIsNotUsed(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.engines(answers(http.StatusOK, "h1"), events(1, 2))
+	s.drain("p1")
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.body, eventText(1, 3))
+	assert.Equal(t, s.made(), "p2:1 e2:2/h2")
+	assert.DeepEqual(t, s.reserver.demands[1].Exclude, []string{"p1"})
+}
+
+// cutAfter streams events up to one, then a part of the next, and breaks off.
+func cutAfter(last int) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		events(1, last)(w, r)
+		_, _ = w.Write([]byte("id: 9\nda"))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestCutStreamGoesOnWithoutLossOrRepeat(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.engines(answers(http.StatusOK, "h1"), cutAfter(2))
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.outcome, "stream")
+	assert.Equal(t, caller.body, eventText(1, 3))
+	assert.Assert(t, strings.HasSuffix(s.made(), "p2:1/2 e2:2/h2/2"), s.made())
+	resumed := s.reserver.demands[1]
+	assert.Assert(t, resumed.Resumed)
+	assert.Equal(t, resumed.PromptTokens, work.PromptTokens+2)
+	assert.Equal(t, resumed.Targets.FirstToken, configuration.Duration(0))
+}
+
+func TestCutStreamThatMayNotRunAgainIsAborted(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), cutAfter(2))
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.outcome, "aborted")
+	assert.Equal(t, caller.body, eventText(1, 2))
+	assert.Equal(t, len(s.reserver.demands), 1)
+}
+
+func TestLostDecodeIsNeitherRepeatedNorRefused(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), reset)
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.outcome, "failed: no endpoint answered")
+	assert.Equal(t, len(s.reserver.demands), 1)
+}
+
+func TestRequestThatMissesItsObjectiveWaitsInTheLateLine(t *testing.T) {
+	s := newSite(t, refusal(scheduling.RefusedTarget), grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), events(1, 2))
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.body, eventText(1, 2))
+	late := s.reserver.demands[1]
+	assert.Assert(t, late.Priority <= scheduling.BackgroundPriority)
+	assert.Assert(t, late.Targets.FirstToken > s.reserver.demands[0].Targets.FirstToken)
+}
+
+func TestHopelessRequestIsRefusedWithATimeToComeBack(t *testing.T) {
+	s := newSite(t, refusal(scheduling.RefusedTarget))
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.outcome, "refused: target-unreachable")
+	assert.Assert(t, caller.retryAfter >= leastBusyRetryAfter)
+	assert.Equal(t, len(s.reserver.demands), 2)
+}
+
+func TestCallerThatWasRefusedBeforeComesFirstAmongTheLate(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), events(1, 1))
+	s.serve(dossier, work)
+	request := &Request{
+		ID: "r2", Method: http.MethodPost, Target: "/x/1", Header: http.Header{}, Arrived: time.Now(),
+		Patience: time.Minute - 12*time.Second, FirstEventPatience: time.Minute, Generation: work,
+	}
+	s.relay.Serve(t.Context(), request, &dossier, s.fleet.Table().Service("pool"), &recorder{})
+	assert.Equal(t, s.reserver.demands[0].Priority, 0)
+	assert.Equal(t, s.reserver.demands[1].Priority, scheduling.BackgroundPriority)
+}
+
+func TestEngineIsLeftWhenTheCallerGoes(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"))
+	left := make(chan struct{})
+	s.engines(answers(http.StatusOK, "h1"), func(w http.ResponseWriter, r *http.Request) {
+		events(1, 1)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		close(left)
+	})
+	caller := &recorder{gone: true}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s.serveTo(ctx, caller, dossier, work)
+	<-left
+	assert.Equal(t, caller.outcome, "aborted")
+}
--- /dev/null
+++ b/internal/relay/plain_test.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/routing"
+)
+
+var (
+	booking = routing.Route{Name: "booking", Kind: routing.SingleRun, MaxAttempts: 1, Timeout: time.Minute, Objective: time.Second}
+	lookup  = routing.Route{Name: "lookup", Kind: routing.Repeatable, MaxAttempts: 2, Timeout: time.Minute, Objective: time.Second}
+)
+
+func TestLostAnswerOfASingleRunIsNeitherRepeatedNorRefused(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("d1", "desk", "", reset)
+	s.endpoint("d2", "desk", "", reset)
+	caller := s.serve(booking, nil)
+	assert.Equal(t, caller.outcome, "failed: no endpoint answered")
+	assert.Equal(t, s.count(), 1)
+}
+
+func TestSingleRunThatIsDeclinedIsRefused(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("d1", "desk", "", declines)
+	caller := s.serve(booking, nil)
+	assert.Equal(t, caller.outcome, "refused: the endpoint did not run the request")
+	assert.Assert(t, caller.retryAfter > 0)
+}
+
+func TestUnreachableEndpointIsNoAttempt(t *testing.T) {
+	s := newSite(t)
+	s.add("d1", "desk", "", unreachable(t))
+	s.endpoint("d2", "desk", "", answers(http.StatusOK, "done"))
+	for range 4 {
+		caller := s.serve(booking, nil)
+		assert.Equal(t, caller.outcome, "answer")
+		assert.Equal(t, caller.body, "done")
+	}
+}
+
+func TestRepeatableRequestIsTriedOnAnotherEndpoint(t *testing.T) {
+	for name, bad := range map[string]func(http.ResponseWriter, *http.Request){
+		"reset": reset, "declined": declines, "failed": answers(http.StatusInternalServerError, "no"),
+	} {
+		s := newSite(t)
+		var tried atomic.Bool
+		serve := func(w http.ResponseWriter, r *http.Request) {
+			if tried.CompareAndSwap(false, true) {
+				bad(w, r)
+				return
+			}
+			answers(http.StatusOK, "found")(w, r)
+		}
+		s.endpoint("d1", "desk", "", serve)
+		s.endpoint("d2", "desk", "", serve)
+		caller := s.serve(lookup, nil)
+		assert.Equal(t, caller.body, "found", name)
+		assert.Equal(t, s.count(), 2, name)
+	}
+}
+
+func TestEndpointsOwnFailureIsDeliveredIfNothingBetterComes(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("d1", "desk", "", answers(http.StatusInternalServerError, "d1"))
+	caller := s.serve(lookup, nil)
+	assert.Equal(t, caller.outcome, "answer")
+	assert.Equal(t, caller.status, http.StatusInternalServerError)
+}
+
+func TestBudgetBoundsRepeats(t *testing.T) {
+	s := newSite(t)
+	s.relay.options.Budget = &budget{}
+	s.endpoint("d1", "desk", "", reset)
+	s.endpoint("d2", "desk", "", reset)
+	caller := s.serve(lookup, nil)
+	assert.Equal(t, caller.outcome, "failed: no endpoint answered")
+	assert.Equal(t, s.count(), 1)
+	assert.Equal(t, s.relay.Counters.RepeatsDenied.Load(), int64(1))
+}
+
+func TestAnswerToAnotherRequestIsNotDelivered(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("d1", "desk", "", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(idHeader, "another")
+		_, _ = w.Write([]byte("theirs"))
+	})
+	caller := s.serve(booking, nil)
+	assert.Equal(t, caller.outcome, "failed: no endpoint answered")
+	assert.Equal(t, s.relay.Counters.Foreign.Load(), int64(1))
+}
+
+func TestReplacedEndpointIsLeftOut(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("d1", "desk", "", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(declinedHeader, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	caller := s.serve(booking, nil)
+	assert.Equal(t, caller.outcome, "refused: the endpoint did not run the request")
+	assert.Assert(t, s.endpoints.Leaving("d1"))
+}
+
+func TestNoEndpointIsRefusedAtOnce(t *testing.T) {
+	s := newSite(t)
+	caller := s.serve(booking, nil)
+	assert.Equal(t, caller.outcome, "refused: no endpoint is reachable")
+}
--- /dev/null
+++ b/internal/scheduling/overload_test.go
@@ -0,0 +1,208 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// memoryPool has one prefill engine and decode engines whose memory is full
+// before their slots are.
+func memoryPool(decodes int) []EngineState {
+	states := []EngineState{{Name: "p", Role: configuration.RolePrefill, Pieces: 30_000, PieceTokens: 1}}
+	for i := range decodes {
+		states = append(states, EngineState{
+			Name: "d" + string(rune('0'+i)), Role: configuration.RoleDecode, Slots: 12, Pieces: 10_000, PieceTokens: 1,
+		})
+	}
+	return states
+}
+
+func newMemoryCoordinator(decodes int, options Options) *Coordinator {
+	model := smallModel()
+	model.TokenIntervalPerRequest = 0
+	c := NewCoordinator(Settings{Model: model, Options: options})
+	c.SetEngines(start, memoryPool(decodes))
+	return c
+}
+
+func sized(n uint64, prompt, output int) Demand {
+	d := testDemand(n)
+	d.PromptTokens, d.OutputTokens = prompt, output
+	d.Order = configuration.OrderAny
+	return d
+}
+
+func TestPeakIsTheLargestSumBeforeAnyEnds(t *testing.T) {
+	cases := []struct {
+		name string
+		all  []growth
+		want int
+	}{
+		{"none", nil, 0},
+		{"one", []growth{{1000, 500}}, 1500},
+		{"same end", []growth{{1000, 500}, {1000, 500}}, 3000},
+		{"short ends before long has grown", []growth{{1000, 100}, {1000, 1000}}, 2200},
+		{"long outgrows both", []growth{{100, 100}, {1000, 3000}}, 4000},
+	}
+	for _, c := range cases {
+		assert.Equal(t, peakTokens(c.all), c.want, c.name)
+	}
+}
+
+// Pattern: answers of different progress share an engine. By the sum of what
+// each holds in the end, memory would be idle until the first one ends.
+func TestMemoryIsGrantedByWhatIsHeldAtOneTime(t *testing.T) {
+	grants := func(options Options) int {
+		c := newMemoryCoordinator(1, options)
+		var held []Held
+		for n := range uint64(8) {
+			now := start.Add(time.Duration(n) * GrantLease / 2)
+			for i := range held {
+				held[i].Delivered += 150
+			}
+			c.Renew(now, "vm", 1, held)
+			o := c.Submit(now, sized(n, 900, 1000))
+			if o.Grant == nil {
+				break
+			}
+			decode(c, now, o.ID)
+			held = append(held, Held{ID: o.ID, Phase: PhaseDecode})
+		}
+		return len(held)
+	}
+	assert.Equal(t, grants(Options{}), 5)
+	assert.Equal(t, grants(Options{MemoryOverTime: true}), 6)
+}
+
+// Pattern: sustained overload by prompts of different sizes. Requests that are
+// late anyway must not take the memory that one on time waits for.
+func TestLateRequestsPassNoneThatWaitsForMemory(t *testing.T) {
+	c := newMemoryCoordinator(1, Options{MemoryOverTime: true})
+	for n := range uint64(2) {
+		o := c.Submit(start, sized(n, 3000, 1000))
+		assert.Assert(t, o.Grant != nil)
+		decode(c, start, o.ID)
+	}
+	assert.Assert(t, c.Submit(start, sized(10, 4000, 1000)).Waiting())
+	late := sized(11, 300, 100)
+	late.Class, late.Priority = "late", BackgroundPriority
+	assert.Assert(t, c.Submit(start, late).Waiting(), "it fits, but the one on time comes first")
+	small := sized(12, 300, 100)
+	assert.Assert(t, c.Submit(start, small).Grant != nil, "one on time may use what the larger cannot")
+}
+
+// Pattern: the only prefill engine of a zone is lost.
+func TestDecodeEnginesReadPromptsWithoutAPrefillEngine(t *testing.T) {
+	for _, self := range []bool{false, true} {
+		c := newMemoryCoordinator(2, Options{MemoryOverTime: true, SelfPrefill: self})
+		c.SetEngines(start, memoryPool(2)[1:])
+		o := c.Submit(start, sized(1, 1000, 100))
+		if !self {
+			assert.Equal(t, o.Refusal.Reason, RefusedNoEngine)
+			continue
+		}
+		assert.Equal(t, o.Grant.Prefill, o.Grant.Decode)
+		second := c.Submit(start, sized(2, 1000, 100))
+		assert.Assert(t, second.Grant.Decode != o.Grant.Decode, "an engine reads one prompt at a time")
+	}
+}
+
+// Pattern: a burst of prompts. Waiting a little for the prefill engine costs the
+// pool less than reading prompts on decode engines.
+func TestDecodeEnginesReadPromptsAfterAWait(t *testing.T) {
+	c := newMemoryCoordinator(3, Options{MemoryOverTime: true, SelfPrefill: true})
+	for n := range uint64(2) {
+		c.Submit(start, sized(n, 1000, 100))
+	}
+	waiting := sized(7, 1000, 100)
+	assert.Assert(t, c.Submit(start, waiting).Waiting())
+	outcomes := c.Tick(start.Add(selfPrefillAfter))
+	var own *Grant
+	for _, o := range outcomes {
+		if o.ID == waiting.ID {
+			own = o.Grant
+		}
+	}
+	assert.Assert(t, own != nil)
+	assert.Equal(t, own.Prefill, own.Decode)
+}
+
+// Pattern: an engine declines at once and so looks idle.
+func TestEngineThatFailsHoldersRests(t *testing.T) {
+	c := newMemoryCoordinator(2, Options{MemoryOverTime: true})
+	first := c.Submit(start, sized(1, 1000, 100)).Grant
+	c.Progress(start, Progress{ID: first.ID, Kind: DecodeFailed, Decode: first.Decode})
+	c.Cancel(start, first.ID)
+	for n := uint64(2); n < 6; n++ {
+		g := c.Submit(start, sized(n, 1000, 100)).Grant
+		assert.Assert(t, g != nil && g.Decode != first.Decode)
+		decode(c, start, g.ID)
+	}
+	after := c.Submit(start.Add(firstRest), sized(9, 1000, 100)).Grant
+	assert.Equal(t, after.Decode, first.Decode, "it is tried again")
+	assert.Equal(t, c.Counters().Rested, uint64(1))
+}
+
+func TestRestDoublesAndNeverTakesTheLastEngines(t *testing.T) {
+	c := newMemoryCoordinator(2, Options{})
+	now := start
+	for range 3 {
+		c.engineFailed(now, "d0")
+		now = c.pool.byName["d0"].rest.until
+	}
+	assert.Equal(t, now.Sub(start), 7*firstRest)
+	c.engineFailed(now, "d0")
+	c.engineFailed(now, "d1")
+	c.tidy(now)
+	assert.Assert(t, anyUsable(c.pool.decode, nil))
+}
+
+func TestEngineThatAHolderKnowsToLeaveGetsNoGrant(t *testing.T) {
+	c := newMemoryCoordinator(2, Options{})
+	first := c.Submit(start, sized(1, 1000, 100)).Grant
+	c.Progress(start, Progress{ID: first.ID, Kind: EngineLeaving, Decode: first.Decode})
+	for n := uint64(2); n < 5; n++ {
+		g := c.Submit(start.Add(time.Hour), sized(n, 1000, 100)).Grant
+		if g != nil {
+			assert.Assert(t, g.Decode != first.Decode)
+		}
+	}
+}
+
+// Pattern: slots are free but memory is not. The predicted wait must say so.
+func TestWaitIsPredictedFromMemory(t *testing.T) {
+	c := newMemoryCoordinator(1, Options{MemoryOverTime: true})
+	for n := range uint64(2) {
+		o := c.Submit(start, sized(n, 3500, 1000))
+		assert.Assert(t, o.Grant != nil)
+		decode(c, start, o.ID)
+	}
+	assert.Equal(t, c.freePlaces(start, c.pool.byName["d0"]), 0)
+	assert.Equal(t, c.Headroom(start), 0.0)
+	c.slotTime.mean = 20 * time.Second
+	target := sized(9, 3500, 1000)
+	target.Targets.FirstToken = configuration.Duration(5 * time.Second)
+	o := c.Submit(start, target)
+	assert.Assert(t, o.Refusal != nil && o.Refusal.Reason == RefusedTarget, "%+v", o)
+}
+
+// Pattern: prefills have a latency in which their engine can read on.
+func TestEngineReadsOnDuringTheLatency(t *testing.T) {
+	c := newMemoryCoordinator(3, Options{})
+	c.settings.Model.PrefillLatency = configuration.Duration(80 * time.Millisecond)
+	c.SetModel(c.settings.Model)
+	first := c.Submit(start, sized(1, 1000, 100)).Grant
+	assert.Assert(t, first != nil)
+	// The prompt takes the engine 100 ms and its answer 80 ms more.
+	second := sized(2, 1000, 100)
+	assert.Assert(t, c.Submit(start, second).Waiting())
+	var granted bool
+	for _, o := range c.Tick(start.Add(100 * time.Millisecond)) {
+		granted = granted || o.ID == second.ID && o.Grant != nil
+	}
+	assert.Assert(t, granted)
+}
--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,234 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script answers the requests of one connection. It returns to close it.
+type script func(t *testing.T, requests *bufio.Reader, conn net.Conn)
+
+// serve accepts connections and plays one script on each, the last one again
+// for all further ones. It returns the address and the count of connections.
+func serve(t *testing.T, scripts ...script) (string, *int) {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	accepted := new(int)
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+	})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			play := scripts[min(*accepted, len(scripts)-1)]
+			*accepted++
+			play(t, bufio.NewReader(conn), conn)
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String(), accepted
+}
+
+// take reads one request with its body.
+func take(requests *bufio.Reader) bool {
+	request, err := http.ReadRequest(requests)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return err == nil
+}
+
+// reply sends bytes and waits for the other end to close.
+func reply(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// always answers every request of a connection alike.
+func always(answer string) script {
+	return func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
+		for take(requests) {
+			reply(conn, answer)
+		}
+	}
+}
+
+func newTestClient(t *testing.T) *Client {
+	t.Helper()
+	client := NewClient(Options{DialTimeout: time.Minute, UnackedTimeout: time.Minute, IdleTimeout: time.Minute, MaxIdle: 4})
+	t.Cleanup(client.Close)
+	return client
+}
+
+func get(ctx context.Context, client *Client, address string) (string, error) {
+	response, err := client.Do(ctx, address, &Request{Method: http.MethodGet, Target: "/", Header: http.Header{}})
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	body, err := io.ReadAll(response)
+	return string(body), err
+}
+
+func TestConnectionIsKeptAfterAWholeAnswer(t *testing.T) {
+	address, _ := serve(t, always(okAnswer))
+	client := newTestClient(t)
+	for range 3 {
+		body, err := get(t.Context(), client, address)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+	}
+	assert.Equal(t, client.Counters.Dialed.Load(), int64(1))
+	assert.Equal(t, client.Counters.Reused.Load(), int64(2))
+}
+
+func TestStrayBytesAreNoAnswerToTheNextRequest(t *testing.T) {
+	stray := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+	address, _ := serve(t, always(okAnswer+stray), always(okAnswer))
+	client := newTestClient(t)
+	for range 2 {
+		body, err := get(t.Context(), client, address)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+	}
+	assert.Equal(t, client.Counters.Dialed.Load(), int64(2))
+}
+
+func TestBytesThatComeLateEndTheConnection(t *testing.T) {
+	sent := make(chan struct{})
+	late := func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
+		take(requests)
+		reply(conn, okAnswer)
+		reply(conn, "HTTP/1.1 200 OK\r\n")
+		close(sent)
+		_, _ = requests.ReadByte()
+	}
+	address, _ := serve(t, late, always(okAnswer))
+	client := newTestClient(t)
+	_, err := get(t.Context(), client, address)
+	assert.NilError(t, err)
+	<-sent
+	body, err := get(t.Context(), client, address)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, client.Counters.Dialed.Load(), int64(2))
+}
+
+func TestOutcomeOfFailures(t *testing.T) {
+	silent := func(_ *testing.T, requests *bufio.Reader, _ net.Conn) { take(requests) }
+	address, _ := serve(t, silent)
+	client := newTestClient(t)
+	_, err := get(t.Context(), client, address)
+	assert.Assert(t, errorx.IsOfType(err, InDoubt), "%v", err)
+
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	_, err = get(t.Context(), client, listener.Addr().String())
+	assert.Assert(t, errorx.IsOfType(err, NotSent), "%v", err)
+}
+
+func TestCutBodyIsAnError(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		cut := func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
+			take(requests)
+			reply(conn, answer)
+		}
+		address, _ := serve(t, cut)
+		_, err := get(t.Context(), newTestClient(t), address)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF, name)
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	unframed := func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
+		take(requests)
+		reply(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+	}
+	address, _ := serve(t, unframed)
+	client := newTestClient(t)
+	response, err := client.Do(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Header: http.Header{}})
+	assert.NilError(t, err)
+	assert.Assert(t, !response.Framed)
+	body, err := io.ReadAll(response)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "whole")
+	response.Close()
+	assert.Equal(t, len(client.idle), 0)
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	arrived, closed := make(chan struct{}), make(chan struct{})
+	hang := func(_ *testing.T, requests *bufio.Reader, _ net.Conn) {
+		take(requests)
+		close(arrived)
+		_, _ = requests.ReadByte()
+		close(closed)
+	}
+	address, _ := serve(t, hang)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := get(ctx, newTestClient(t), address)
+	assert.Assert(t, errorx.IsOfType(err, InDoubt), "%v", err)
+	<-closed
+}
+
+func TestConnectionWithAnUnreadBodyIsNotUsedAgain(t *testing.T) {
+	early := func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
+		if _, err := http.ReadRequest(requests); err != nil {
+			return
+		}
+		reply(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno")
+		_, _ = io.Copy(io.Discard, requests)
+	}
+	address, _ := serve(t, early, always(okAnswer))
+	client := newTestClient(t)
+	response, err := client.Do(t.Context(), address, &Request{
+		Method: http.MethodPost, Target: "/", Header: http.Header{}, Body: make([]byte, 32<<20),
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, response.Status, http.StatusBadRequest)
+	_, err = io.ReadAll(response)
+	assert.NilError(t, err)
+	response.Close()
+	body, err := get(t.Context(), client, address)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, client.Counters.Dialed.Load(), int64(2))
+}
+
+func TestIdleTimeIsBoundedByRequestAndEndpoint(t *testing.T) {
+	address, _ := serve(t, always("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=8\r\n\r\nok"))
+	client := newTestClient(t)
+	_, err := get(t.Context(), client, address)
+	assert.NilError(t, err)
+	kept := client.idle[address][0]
+	assert.Equal(t, kept.expires.Sub(kept.idleSince), 6*time.Second)
+
+	kept.idleSince = kept.idleSince.Add(-time.Second)
+	assert.Assert(t, client.take(address, 500*time.Millisecond) == nil, "idle for too long for this request")
+}
