Let other zones take what a zone could serve only late

Ruled out: one ledger for all zones: a cut zone would wait for its owner. Conclusion: a request first asks for a start soon, in its own zone and then in others, before it waits up to its objective.

--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -296,9 +296,10 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// events streams numbered events after the last one that the caller has.
-func events(first, last int) func(http.ResponseWriter, *http.Request) {
+// events streams numbered events, from 1 or after the last one that the caller has.
+func events(last int) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
+		first := 1
 		if after, err := strconv.Atoi(r.Header.Get(lastHeader)); err == nil {
 			first = after + 1
 		}
@@ -309,9 +310,9 @@
 }
 
 // eventText is what a caller gets of events.
-func eventText(first, last int) string {
+func eventText(last int) string {
 	text := ""
-	for n := first; n <= last; n++ {
+	for n := 1; n <= last; n++ {
 		text += "id: " + strconv.Itoa(n) + "\ndata: t\n\n"
 	}
 	return text
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -17,6 +17,10 @@
 )
 
 const (
+	// promptShare is the part of the time to the first event that a request asks for
+	// at first. A zone that would need longer lets others have it, if they can
+	// start at once; only then does the request wait in its own zone.
+	promptShare = 0.6
 	// lateMargin is kept of the time that callers wait for a first event.
 	lateMargin = 300 * time.Millisecond
 	// lateClassSuffix and returnedClassSuffix tell the late requests of a route, and
@@ -67,6 +71,9 @@
 	// longestPause the longest time between two.
 	firstEvent, lastEvent time.Time
 	longestPause          time.Duration
+	// relaxed says that the first of two targets was refused: the whole objective
+	// may be used up in waiting.
+	relaxed bool
 	// late says that the objective cannot be met any more.
 	late bool
 }
@@ -140,7 +147,8 @@
 		return errGiveUp
 	}
 	if refusal.Reason == scheduling.RefusedTarget && !g.late && !g.begun {
-		g.late = true
+		g.late = g.relaxed
+		g.relaxed = true
 		return errAgain
 	}
 	if g.begun || g.mayHaveRun {
@@ -183,8 +191,11 @@
 // before its caller gives up.
 func (r *Relay) targets(g *generation) configuration.Targets {
 	first := g.route.Objective - g.age - deliveryMargin
-	if g.late {
+	switch {
+	case g.late:
 		first = g.request.FirstEventPatience - lateMargin
+	case !g.relaxed:
+		first = time.Duration(promptShare * float64(first))
 	}
 	if g.begun || first <= 0 {
 		return configuration.Targets{}
--- a/internal/relay/generation_test.go
+++ b/internal/relay/generation_test.go
@@ -29,32 +29,32 @@
 	s.endpoint("p1", "pool", configuration.RolePrefill, prefill)
 	s.endpoint("p2", "pool", configuration.RolePrefill, answers(http.StatusOK, "h2"))
 	s.endpoint("e1", "pool", configuration.RoleDecode, decode)
-	s.endpoint("e2", "pool", configuration.RoleDecode, events(1, 3))
+	s.endpoint("e2", "pool", configuration.RoleDecode, events(3))
 }
 
 func TestPromptIsReadOnOneEngineAndAnsweredByAnother(t *testing.T) {
 	s := newSite(t, grant("p1", "e1"))
-	s.engines(answers(http.StatusOK, "h1"), events(1, 3))
+	s.engines(answers(http.StatusOK, "h1"), events(3))
 	caller := s.serve(dossier, work)
 	assert.Equal(t, caller.outcome, "stream")
-	assert.Equal(t, caller.body, eventText(1, 3))
+	assert.Equal(t, caller.body, eventText(3))
 	assert.Equal(t, s.made(), "p1:1 e1:2/h1")
 	assert.Equal(t, s.reserver.kinds(), "prefill-done first-token released")
 }
 
 func TestEngineOfBothRolesReadsThePromptItself(t *testing.T) {
 	s := newSite(t, grant("e1", "e1"))
-	s.engines(reset, events(1, 2))
+	s.engines(reset, events(2))
 	caller := s.serve(dossier, work)
-	assert.Equal(t, caller.body, eventText(1, 2))
+	assert.Equal(t, caller.body, eventText(2))
 	assert.Equal(t, s.made(), "e1:0")
 }
 
 func TestFailedPrefillMovesToOtherEngines(t *testing.T) {
 	s := newSite(t, grant("p1", "e1"), grant("p2", "e1"))
-	s.engines(answers(http.StatusServiceUnavailable, ""), events(1, 2))
+	s.engines(answers(http.StatusServiceUnavailable, ""), events(2))
 	caller := s.serve(dossier, work)
-	assert.Equal(t, caller.body, eventText(1, 2))
+	assert.Equal(t, caller.body, eventText(2))
 	assert.DeepEqual(t, s.reserver.demands[1].Exclude, []string{"p1"})
 	assert.Assert(t, strings.HasPrefix(s.reserver.kinds(), "prefill-failed released"), s.reserver.kinds())
 }
@@ -66,10 +66,10 @@
 			declines(w, r)
 			return
 		}
-		events(1, 2)(w, r)
+		events(2)(w, r)
 	})
 	caller := s.serve(dossier, work)
-	assert.Equal(t, caller.body, eventText(1, 2))
+	assert.Equal(t, caller.body, eventText(2))
 	assert.Equal(t, s.made(), "p1:1 e1:2/h1 p1: e1:0")
 }
 
@@ -85,19 +85,19 @@
 	s := newSite(t, grant("p1", "e1"), grant("p2", "e2"))
 	s.engines(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
-	}, events(1, 2))
+	}, events(2))
 	caller := s.serve(dossier, work)
-	assert.Equal(t, caller.body, eventText(1, 3))
+	assert.Equal(t, caller.body, eventText(3))
 	assert.Assert(t, strings.HasPrefix(s.reserver.kinds(), "engine-leaving released"), s.reserver.kinds())
 	assert.Assert(t, s.endpoints.Leaving("p1"))
 }
 
 func TestGrantOfALeavingEngineIsNotUsed(t *testing.T) {
 	s := newSite(t, grant("p1", "e1"), grant("p2", "e2"))
-	s.engines(answers(http.StatusOK, "h1"), events(1, 2))
+	s.engines(answers(http.StatusOK, "h1"), events(2))
 	s.drain("p1")
 	caller := s.serve(dossier, work)
-	assert.Equal(t, caller.body, eventText(1, 3))
+	assert.Equal(t, caller.body, eventText(3))
 	assert.Equal(t, s.made(), "p2:1 e2:2/h2")
 	assert.DeepEqual(t, s.reserver.demands[1].Exclude, []string{"p1"})
 }
@@ -105,7 +105,7 @@
 // cutAfter streams events up to one, then a part of the next, and breaks off.
 func cutAfter(last int) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
-		events(1, last)(w, r)
+		events(last)(w, r)
 		_, _ = w.Write([]byte("id: 9\nda"))
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -117,7 +117,7 @@
 	s.engines(answers(http.StatusOK, "h1"), cutAfter(2))
 	caller := s.serve(check, work)
 	assert.Equal(t, caller.outcome, "stream")
-	assert.Equal(t, caller.body, eventText(1, 3))
+	assert.Equal(t, caller.body, eventText(3))
 	assert.Assert(t, strings.HasSuffix(s.made(), "p2:1/2 e2:2/h2/2"), s.made())
 	resumed := s.reserver.demands[1]
 	assert.Assert(t, resumed.Resumed)
@@ -130,7 +130,7 @@
 	s.engines(answers(http.StatusOK, "h1"), cutAfter(2))
 	caller := s.serve(dossier, work)
 	assert.Equal(t, caller.outcome, "aborted")
-	assert.Equal(t, caller.body, eventText(1, 2))
+	assert.Equal(t, caller.body, eventText(2))
 	assert.Equal(t, len(s.reserver.demands), 1)
 }
 
@@ -143,13 +143,16 @@
 }
 
 func TestRequestThatMissesItsObjectiveWaitsInTheLateLine(t *testing.T) {
-	s := newSite(t, refusal(scheduling.RefusedTarget), grant("p1", "e1"))
-	s.engines(answers(http.StatusOK, "h1"), events(1, 2))
+	s := newSite(t, refusal(scheduling.RefusedTarget), refusal(scheduling.RefusedTarget), grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), events(2))
 	caller := s.serve(dossier, work)
-	assert.Equal(t, caller.body, eventText(1, 2))
-	late := s.reserver.demands[1]
+	assert.Equal(t, caller.body, eventText(2))
+	prompt, relaxed, late := s.reserver.demands[0], s.reserver.demands[1], s.reserver.demands[2]
+	assert.Assert(t, prompt.Targets.FirstToken < relaxed.Targets.FirstToken)
+	assert.Assert(t, relaxed.Targets.FirstToken < configuration.Duration(dossier.Objective))
+	assert.Equal(t, relaxed.Priority, 0)
 	assert.Assert(t, late.Priority <= scheduling.BackgroundPriority)
-	assert.Assert(t, late.Targets.FirstToken > s.reserver.demands[0].Targets.FirstToken)
+	assert.Assert(t, late.Targets.FirstToken > relaxed.Targets.FirstToken)
 }
 
 func TestHopelessRequestIsRefusedWithATimeToComeBack(t *testing.T) {
@@ -157,12 +160,12 @@
 	caller := s.serve(dossier, work)
 	assert.Equal(t, caller.outcome, "refused: target-unreachable")
 	assert.Assert(t, caller.retryAfter >= leastBusyRetryAfter)
-	assert.Equal(t, len(s.reserver.demands), 2)
+	assert.Equal(t, len(s.reserver.demands), 3)
 }
 
 func TestCallerThatWasRefusedBeforeComesFirstAmongTheLate(t *testing.T) {
 	s := newSite(t, grant("p1", "e1"))
-	s.engines(answers(http.StatusOK, "h1"), events(1, 1))
+	s.engines(answers(http.StatusOK, "h1"), events(1))
 	s.serve(dossier, work)
 	request := &Request{
 		ID: "r2", Method: http.MethodPost, Target: "/x/1", Header: http.Header{}, Arrived: time.Now(),
@@ -177,7 +180,7 @@
 	s := newSite(t, grant("p1", "e1"))
 	left := make(chan struct{})
 	s.engines(answers(http.StatusOK, "h1"), func(w http.ResponseWriter, r *http.Request) {
-		events(1, 1)(w, r)
+		events(1)(w, r)
 		_ = http.NewResponseController(w).Flush()
 		<-r.Context().Done()
 		close(left)
--- a/internal/reservation/fleet_test.go
+++ b/internal/reservation/fleet_test.go
@@ -251,7 +251,7 @@
 			n.cut[other] = cut
 			n.mu.Unlock()
 			time.Sleep(5 * time.Second)
-			assert.Equal(t, o.headroom() == 1.0, cut, "cut off: %t", cut)
+			assert.Equal(t, o.headroom(0) == 1.0, cut, "cut off: %t", cut)
 		}
 	})
 }
@@ -267,7 +267,7 @@
 		assert.Equal(t, n.loseAnswers, 0)
 		o, err := n.services[owner].own("m")
 		assert.NilError(t, err)
-		assert.Equal(t, o.headroom(), 0.5)
+		assert.Equal(t, o.headroom(0), 0.5)
 	})
 }
 
@@ -340,7 +340,7 @@
 		time.Sleep(3 * scheduling.GrantLease)
 		o, err := n.services["b-1"].own("m")
 		assert.NilError(t, err)
-		assert.Equal(t, o.headroom(), 0.5, "the spilled grant was not renewed")
+		assert.Equal(t, o.headroom(0), 0.5, "the spilled grant was not renewed")
 
 		_, err = s.Reserve(t.Context(), demand("a-1", 2))
 		assert.NilError(t, err)
--- a/internal/reservation/owner.go
+++ b/internal/reservation/owner.go
@@ -113,10 +113,10 @@
 }
 
 // headroom returns the free part of the slots.
-func (o *owner) headroom() float64 {
+func (o *owner) headroom(priority int) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.coordinator.Headroom(time.Now())
+	return o.coordinator.Headroom(time.Now(), priority)
 }
 
 func (o *owner) tick() {
--- a/internal/reservation/server.go
+++ b/internal/reservation/server.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return decision(scheduling.Grant{}, err)
 	}
-	if request.Msg.GetSpilled() && o.headroom() < spillHeadroom {
+	if request.Msg.GetSpilled() && o.headroom(d.Priority) < spillHeadroom {
 		return decision(scheduling.Grant{}, &scheduling.Refusal{Reason: scheduling.RefusedTarget})
 	}
 	return decision(o.reserve(ctx, d))
--- a/internal/reservation/spill.go
+++ b/internal/reservation/spill.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,15 +15,15 @@
 const (
 	// spillHeadroom is the free part of a zone's slots from which on it takes
 	// demands of other zones.
-	spillHeadroom = 0.1
+	spillHeadroom = 0.05
 	// spillRest is how long a zone that refused is not asked again; the time
 	// doubles up to spillRestMax with each refusal, so that two full zones do
 	// not pass their load to and fro. Bursts last for seconds, and a refusal
 	// costs the way there and back.
-	spillRest    = 200 * time.Millisecond
-	spillRestMax = 2 * time.Second
+	spillRest    = 100 * time.Millisecond
+	spillRestMax = 400 * time.Millisecond
 	// maxSpills bounds the zones that are asked for one demand.
-	maxSpills = 2
+	maxSpills = 3
 	// spillTimeout bounds a call to another zone beside the link's delay.
 	spillTimeout = 250 * time.Millisecond
 	// promptBytesPerToken estimates the length of a prompt on the wire.
@@ -113,6 +114,8 @@
 	type target struct {
 		key  routeKey
 		link *configuration.Link
+		// turn orders zones of the same distance by chance, so that not all spill to one.
+		turn uint64
 	}
 	var targets []target
 	seen := map[string]bool{s.self().Zone: true}
@@ -124,14 +127,14 @@
 		key := routeKey{m.Zone, model}
 		link, ok := s.params.Fleet().Link(s.self().Zone, m.Zone)
 		if ok && s.spills.open(key) {
-			targets = append(targets, target{key, link})
+			targets = append(targets, target{key, link, rand.Uint64()})
 		}
 	}
 	if len(targets) == 0 {
 		return routeKey{}, nil, false
 	}
 	nearest := slices.MinFunc(targets, func(x, y target) int {
-		return cmp.Or(cmp.Compare(x.link.OneWayDelay, y.link.OneWayDelay), cmp.Compare(x.key.zone, y.key.zone))
+		return cmp.Or(cmp.Compare(x.link.OneWayDelay, y.link.OneWayDelay), cmp.Compare(x.turn, y.turn))
 	})
 	return nearest.key, nearest.link, true
 }
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -68,7 +68,11 @@
 	if d.Resumed {
 		return nil
 	}
-	usable := seconds(slack.Seconds() * admissionShare)
+	share := admissionShare
+	if d.Priority <= BackgroundPriority {
+		share = backgroundShare
+	}
+	usable := seconds(slack.Seconds() * share)
 	if wait := c.predictWait(now, w); wait > usable {
 		return &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(d.ID, wait-usable)}
 	}
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -70,8 +70,8 @@
 func (c *Coordinator) Waiting() int { return c.queue.len() }
 
 // Headroom returns the free part of all places on usable decode engines, 0 while
-// any demand waits.
-func (c *Coordinator) Headroom(now time.Time) float64 {
+// any demand waits that comes before one of a priority.
+func (c *Coordinator) Headroom(now time.Time, priority int) float64 {
 	places, free := 0, 0
 	for _, a := range c.pool.decode {
 		if a.usable() {
@@ -80,7 +80,7 @@
 			free += open
 		}
 	}
-	if places == 0 || c.closed || c.queue.len() > 0 {
+	if places == 0 || c.closed || c.queue.waitsBefore(priority) {
 		return 0
 	}
 	return float64(free) / float64(places)
--- a/internal/scheduling/coordinator_test.go
+++ b/internal/scheduling/coordinator_test.go
@@ -217,7 +217,7 @@
 	assert.Assert(t, c.Submit(start, testDemand(1)).Waiting())
 	c.HolderGone(start, "vm", 1)
 	assert.Equal(t, c.Waiting(), 0)
-	assert.Equal(t, c.Headroom(start), 1.0)
+	assert.Equal(t, c.Headroom(start, 0), 1.0)
 }
 
 func TestBetweenTokenTargetBoundsOccupancy(t *testing.T) {
@@ -270,7 +270,7 @@
 	fill(t, c, start, 1, 1)
 	c.Progress(start, Progress{ID: testDemand(1).ID, Kind: Released, Tokens: 100})
 	c.Renew(start, "vm", 1, []Held{{ID: testDemand(1).ID, Prefill: "p1", Decode: "d1"}})
-	assert.Equal(t, c.Headroom(start), 1.0)
+	assert.Equal(t, c.Headroom(start, 0), 1.0)
 }
 
 func TestSmallDemandsPassALargeOneOnlyForAWhile(t *testing.T) {
--- a/internal/scheduling/queue.go
+++ b/internal/scheduling/queue.go
@@ -202,6 +202,17 @@
 	}
 }
 
+// waitsBefore reports whether any demand waits that is served before one of a
+// priority: all but background demands, which others come before.
+func (q *queue) waitsBefore(priority int) bool {
+	for _, l := range q.lines {
+		if l.priority() > BackgroundPriority || priority <= BackgroundPriority {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the waiters that may be granted next: the first ones where
 // the class's order permits any, else the first.
 func (l *line) candidates() []*waiter {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -20,12 +20,11 @@
 type script func(t *testing.T, requests *bufio.Reader, conn net.Conn)
 
 // serve accepts connections and plays one script on each, the last one again
-// for all further ones. It returns the address and the count of connections.
-func serve(t *testing.T, scripts ...script) (string, *int) {
+// for all further ones. It returns the address.
+func serve(t *testing.T, scripts ...script) string {
 	t.Helper()
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	accepted := new(int)
 	done := make(chan struct{})
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -33,18 +32,17 @@
 	})
 	go func() {
 		defer close(done)
-		for {
+		for accepted := 0; ; accepted++ {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			play := scripts[min(*accepted, len(scripts)-1)]
-			*accepted++
+			play := scripts[min(accepted, len(scripts)-1)]
 			play(t, bufio.NewReader(conn), conn)
 			_ = conn.Close()
 		}
 	}()
-	return listener.Addr().String(), accepted
+	return listener.Addr().String()
 }
 
 // take reads one request with its body.
@@ -89,7 +87,7 @@
 }
 
 func TestConnectionIsKeptAfterAWholeAnswer(t *testing.T) {
-	address, _ := serve(t, always(okAnswer))
+	address := serve(t, always(okAnswer))
 	client := newTestClient(t)
 	for range 3 {
 		body, err := get(t.Context(), client, address)
@@ -102,7 +100,7 @@
 
 func TestStrayBytesAreNoAnswerToTheNextRequest(t *testing.T) {
 	stray := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
-	address, _ := serve(t, always(okAnswer+stray), always(okAnswer))
+	address := serve(t, always(okAnswer+stray), always(okAnswer))
 	client := newTestClient(t)
 	for range 2 {
 		body, err := get(t.Context(), client, address)
@@ -121,7 +119,7 @@
 		close(sent)
 		_, _ = requests.ReadByte()
 	}
-	address, _ := serve(t, late, always(okAnswer))
+	address := serve(t, late, always(okAnswer))
 	client := newTestClient(t)
 	_, err := get(t.Context(), client, address)
 	assert.NilError(t, err)
@@ -134,7 +132,7 @@
 
 func TestOutcomeOfFailures(t *testing.T) {
 	silent := func(_ *testing.T, requests *bufio.Reader, _ net.Conn) { take(requests) }
-	address, _ := serve(t, silent)
+	address := serve(t, silent)
 	client := newTestClient(t)
 	_, err := get(t.Context(), client, address)
 	assert.Assert(t, errorx.IsOfType(err, InDoubt), "%v", err)
@@ -155,7 +153,7 @@
 			take(requests)
 			reply(conn, answer)
 		}
-		address, _ := serve(t, cut)
+		address := serve(t, cut)
 		_, err := get(t.Context(), newTestClient(t), address)
 		assert.ErrorIs(t, err, io.ErrUnexpectedEOF, name)
 	}
@@ -166,7 +164,7 @@
 		take(requests)
 		reply(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
 	}
-	address, _ := serve(t, unframed)
+	address := serve(t, unframed)
 	client := newTestClient(t)
 	response, err := client.Do(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Header: http.Header{}})
 	assert.NilError(t, err)
@@ -186,7 +184,7 @@
 		_, _ = requests.ReadByte()
 		close(closed)
 	}
-	address, _ := serve(t, hang)
+	address := serve(t, hang)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		<-arrived
@@ -205,7 +203,7 @@
 		reply(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno")
 		_, _ = io.Copy(io.Discard, requests)
 	}
-	address, _ := serve(t, early, always(okAnswer))
+	address := serve(t, early, always(okAnswer))
 	client := newTestClient(t)
 	response, err := client.Do(t.Context(), address, &Request{
 		Method: http.MethodPost, Target: "/", Header: http.Header{}, Body: make([]byte, 32<<20),
@@ -222,7 +220,7 @@
 }
 
 func TestIdleTimeIsBoundedByRequestAndEndpoint(t *testing.T) {
-	address, _ := serve(t, always("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=8\r\n\r\nok"))
+	address := serve(t, always("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=8\r\n\r\nok"))
 	client := newTestClient(t)
 	_, err := get(t.Context(), client, address)
 	assert.NilError(t, err)
