Probe connections to the store, so that a cut shows

Ruled out: the follower's pauses, which start anew with each failure. Before: store found away only with the end of the wait.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -120,7 +120,7 @@
 // applyEntryVMs takes the entry VMs that have announced themselves.
 func applyEntryVMs(options *Options, members *swim.Service, budgets *retry.Shared, vms []fleet.EntryVM) {
 	options.Fleet.SetEntryVMs(vms)
-	budgets.Divide(len(vms))
+	budgets.Divide(max(len(vms), len(members.Members())))
 	addresses := make(map[string]string, len(vms))
 	for _, vm := range vms {
 		if vm.Name != options.VM {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -23,6 +23,10 @@
 	DialTimeout time.Duration
 	// UnackedTimeout closes a connection whose peer does not acknowledge bytes.
 	UnackedTimeout time.Duration
+	// ProbePeriod is the period of probes on connections that carry nothing, by
+	// which a connection that was cut without notice is found within three periods;
+	// 0 for no probes.
+	ProbePeriod time.Duration
 	// IdleTimeout is how long a connection is kept where the endpoint names no time.
 	IdleTimeout time.Duration
 	// MaxIdle bounds the kept connections to one address.
@@ -96,7 +100,9 @@
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{
-		Timeout: c.options.DialTimeout,
+		Timeout:         c.options.DialTimeout,
+		KeepAlive:       -1,
+		KeepAliveConfig: probes(c.options.ProbePeriod),
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return setUnackedTimeout(raw, c.options.UnackedTimeout)
 		},
@@ -110,6 +116,13 @@
 	return newConn(c, address, socket), nil
 }
 
+// unansweredProbes is the number of probes without an answer that ends a connection.
+const unansweredProbes = 2
+
+func probes(period time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: period > 0, Idle: period, Interval: period, Count: unansweredProbes}
+}
+
 // take removes the connection that was used last from the kept ones.
 func (c *Client) take(address string, maxIdle time.Duration) *conn {
 	c.mu.Lock()
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -230,3 +232,28 @@
 	kept.idleSince = kept.idleSince.Add(-time.Second)
 	assert.Assert(t, client.take(address, 500*time.Millisecond) == nil, "idle for too long for this request")
 }
+
+// A read that waits for an answer shows nothing of a connection that was cut
+// without notice; only probes of this end do.
+func TestSilentConnectionsAreProbed(t *testing.T) {
+	address := serve(t, always(okAnswer))
+	for period, want := range map[time.Duration]int{0: 0, 2 * time.Second: 2} {
+		client := NewClient(Options{DialTimeout: time.Minute, UnackedTimeout: time.Minute, ProbePeriod: period})
+		connection, err := client.dial(t.Context(), address)
+		assert.NilError(t, err)
+		raw, err := connection.socket.(syscall.Conn).SyscallConn()
+		assert.NilError(t, err)
+		assert.NilError(t, raw.Control(func(fd uintptr) {
+			enabled, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+			assert.NilError(t, err)
+			assert.Equal(t, enabled, min(want, 1))
+			if want == 0 {
+				return
+			}
+			interval, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPINTVL)
+			assert.NilError(t, err)
+			assert.Equal(t, interval, want)
+		}))
+		connection.close()
+	}
+}
