--- a/internal/daemon/path.go
+++ b/internal/daemon/path.go
@@ -80,7 +80,7 @@
 		},
 	})
 	registry.Mount("reservation", metrics.Fields(service.Counters()))
-	registry.Mount("scheduling", schedulingVars(service))
+	registry.Mount("scheduling", service.SchedulingVars())
 	background(lifecycle, service.Run)
 	return service
 }
--- /dev/null
+++ b/internal/metrics/latency.go
@@ -0,0 +1,83 @@
+package metrics
+
+import (
+	"expvar"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// longestLatency is the longest time that is told from longer ones.
+	longestLatency = time.Minute
+	// latencyDigits is the number of significant digits that are kept.
+	latencyDigits = 2
+)
+
+// latencyBounds are the upper bounds of the published buckets in milliseconds.
+var latencyBounds = []int64{5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000, 30000}
+
+// latencyQuantiles are the published quantiles in percent.
+var latencyQuantiles = []float64{50, 90, 99}
+
+// Latency is a histogram of durations. It is safe for concurrent use.
+type Latency struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+// NewLatency returns an empty histogram.
+func NewLatency() *Latency {
+	return &Latency{histogram: hdrhistogram.New(1, longestLatency.Milliseconds(), latencyDigits)}
+}
+
+// Observe adds a duration. Longer ones than a minute count as a minute.
+func (l *Latency) Observe(d time.Duration) {
+	ms := min(max(d, time.Millisecond), longestLatency).Milliseconds()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// The value is within the histogram's range, outside which alone this fails.
+	_ = l.histogram.RecordValue(ms)
+}
+
+// Vars publishes the number of durations, how many are up to each bound, and
+// quantiles, all in milliseconds.
+func (l *Latency) Vars() *expvar.Map {
+	values := new(expvar.Map)
+	values.Set("count", expvar.Func(func() any { return l.count() }))
+	for _, bound := range latencyBounds {
+		values.Set("le_"+strconv.FormatInt(bound, 10)+"_ms", expvar.Func(func() any { return l.upTo(bound) }))
+	}
+	for _, quantile := range latencyQuantiles {
+		name := "p" + strconv.FormatFloat(quantile, 'f', -1, 64) + "_ms"
+		values.Set(name, expvar.Func(func() any { return l.quantile(quantile) }))
+	}
+	return values
+}
+
+func (l *Latency) count() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.histogram.TotalCount()
+}
+
+// upTo returns the number of durations up to a bound.
+func (l *Latency) upTo(ms int64) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total := int64(0)
+	for _, bar := range l.histogram.Distribution() {
+		if bar.To <= ms {
+			total += bar.Count
+		}
+	}
+	return total
+}
+
+func (l *Latency) quantile(percent float64) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.histogram.ValueAtQuantile(percent)
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -90,6 +90,7 @@
 	})
 	members.OnGone(func(m membership.Member) { service.HolderGone(m.VM, m.Incarnation) })
 	registry.Mount("reservation", metrics.Fields(service.Counters()))
+	registry.Mount("scheduling", service.SchedulingVars())
 	background(lifecycle, service.Run)
 	return service
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -95,6 +95,9 @@
 		Log:         p.Options.Log,
 	})
 	p.Registry.Mount("relay", metrics.Fields(&r.Counters))
+	p.Registry.Mount("relay_plain_answers", r.PlainAnswers.Vars())
+	p.Registry.Mount("relay_first_events", r.FirstEvents.Vars())
+	p.Registry.Mount("relay_queues", r.Queues.Vars())
 	return r
 }
 
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -131,6 +131,7 @@
 	defer func() {
 		r.options.Reserver.Progress(scheduling.Progress{ID: demand.ID, Kind: scheduling.Released, Tokens: g.delivered - g.before})
 	}()
+	r.Queues.Observe(time.Since(started))
 	r.decide(g.exchange, "engines granted", logrus.Fields{
 		"attempt": demand.ID.String(), "prefill": grant.Prefill, "decode": grant.Decode,
 		"queued_ms": time.Since(started).Milliseconds(), "predicted_first_ms": grant.FirstToken.Milliseconds(),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
@@ -87,6 +88,10 @@
 type Relay struct {
 	// Counters are read by the metrics.
 	Counters Counters
+	// PlainAnswers and FirstEvents are the times from the arrival of a request to
+	// its answer and to its stream's first event, Queues those that generations
+	// waited for engines.
+	PlainAnswers, FirstEvents, Queues *metrics.Latency
 
 	options  Options
 	requests atomic.Uint64
@@ -94,7 +99,15 @@
 }
 
 // New returns a relay.
-func New(options Options) *Relay { return &Relay{options: options, ages: newAges()} }
+func New(options Options) *Relay {
+	return &Relay{
+		PlainAnswers: metrics.NewLatency(),
+		FirstEvents:  metrics.NewLatency(),
+		Queues:       metrics.NewLatency(),
+		options:      options,
+		ages:         newAges(),
+	}
+}
 
 // Serve gives the caller one final answer. The end of ctx says that the caller
 // is gone.
@@ -146,6 +159,7 @@
 // deliver ends a request with an endpoint's answer.
 func (r *Relay) deliver(x *exchange, answer *Answer) {
 	r.Counters.Answered.Add(1)
+	r.PlainAnswers.Observe(time.Since(x.request.Arrived))
 	r.decide(x, "request answered", logrus.Fields{"status": answer.Status, "bytes": len(answer.Body)})
 	x.caller.Deliver(answer)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -66,6 +66,9 @@
 	g := s.generation
 	g.lastEventID = events.lastID
 	g.noteEvent(time.Now())
+	if first && g.before == 0 {
+		s.relay.FirstEvents.Observe(g.firstEvent.Sub(g.request.Arrived))
+	}
 	g.delivered += events.taken() * g.service.Engines.TokensPerEvent
 	if first {
 		s.relay.options.Reserver.Progress(scheduling.Progress{
--- a/internal/daemon/counters.go
+++ b/internal/reservation/scheduling_vars.go
@@ -1,10 +1,9 @@
-package daemon
+package reservation
 
 import (
 	"expvar"
 
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
-	"github.com/ospreyshed/ospreyshed/internal/reservation"
 )
 
 // schedulingTotals are the counters of the models that this VM owns now, added
@@ -22,7 +21,7 @@
 }
 
 // add adds the counters of one model.
-func (t *schedulingTotals) add(status reservation.ModelStatus) {
+func (t *schedulingTotals) add(status ModelStatus) {
 	t.Models++
 	t.Waiting += status.Waiting
 	c := &status.Counters
@@ -43,11 +42,11 @@
 	t.Rested += c.Rested
 }
 
-// schedulingVars publishes the counters of the models that a VM owns.
-func schedulingVars(service *reservation.Service) *expvar.Map {
+// SchedulingVars publishes the counters of the models that this VM owns.
+func (s *Service) SchedulingVars() *expvar.Map {
 	return metrics.Snapshot(func() schedulingTotals {
 		var totals schedulingTotals
-		for _, status := range service.Status() {
+		for _, status := range s.Status() {
 			totals.add(status)
 		}
 		return totals
