--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -51,7 +51,7 @@
 	return header
 }
 
-func (testDialect) Judge(request *Request, response *upstream.Response) Verdict {
+func (testDialect) Judge(request *Request, _ *Call, response *upstream.Response) Verdict {
 	return Verdict{
 		Foreign:       response.Header.Get(idHeader) != request.ID,
 		NotRun:        response.Header.Get(declinedHeader) != "",
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, Verdict{}, err
 	}
-	verdict := r.options.Dialect.Judge(x.request, response)
+	verdict := r.options.Dialect.Judge(x.request, call, response)
 	if verdict.Foreign {
 		r.Counters.Foreign.Add(1)
 		response.Close()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -145,7 +145,7 @@
 	// Header returns the header of a call.
 	Header(request *Request, call *Call) http.Header
 	// Judge reads a response's header.
-	Judge(request *Request, response *upstream.Response) Verdict
+	Judge(request *Request, call *Call, response *upstream.Response) Verdict
 	// Prompt decodes the body of a prefill's answer.
 	Prompt(body []byte) (Prompt, error)
 	// Free returns the message that frees a kept KV cache.
