--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -16,8 +17,13 @@
 	mu        sync.Mutex
 	instances []Instance
 	entryVMs  []EntryVM
+	// departed are the names of instances that were there, oldest first.
+	departed []string
 }
 
+// maxDepartedNames bounds the names of former instances that are remembered.
+const maxDepartedNames = 512
+
 // NewStore returns a store without a configuration.
 func NewStore() *Store {
 	s := &Store{}
@@ -48,10 +54,29 @@
 func (s *Store) SetInstances(instances []Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteDepartures(instances)
 	s.instances = instances
 	s.publish()
 }
 
+// noteDepartures remembers the instances that are not among the present ones any
+// more, and forgets those that are back; the lock is held.
+func (s *Store) noteDepartures(present []Instance) {
+	names := make(map[string]bool, len(present))
+	for i := range present {
+		names[present[i].Name] = true
+	}
+	for i := range s.instances {
+		if name := s.instances[i].Name; !names[name] {
+			s.departed = append(s.departed, name)
+		}
+	}
+	s.departed = slices.DeleteFunc(s.departed, func(name string) bool { return names[name] })
+	if excess := len(s.departed) - maxDepartedNames; excess > 0 {
+		s.departed = slices.Delete(s.departed, 0, excess)
+	}
+}
+
 // SetEntryVMs replaces the processes of this kind.
 func (s *Store) SetEntryVMs(vms []EntryVM) {
 	s.mu.Lock()
@@ -62,5 +87,9 @@
 
 // publish makes a new view; the lock is held.
 func (s *Store) publish() {
-	s.view.Store(NewView(s.table.Load(), s.instances, s.entryVMs))
+	view := NewView(s.table.Load(), s.instances, s.entryVMs)
+	for _, name := range s.departed {
+		view.departed[name] = true
+	}
+	s.view.Store(view)
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -54,6 +54,7 @@
 // which a model is named by the service that runs it.
 type View struct {
 	instances map[string]*Instance
+	departed  map[string]bool
 	engines   map[pool][]*configuration.Endpoint
 	plain     map[string][]*configuration.Endpoint
 	models    map[string]*configuration.Model
@@ -65,6 +66,7 @@
 func NewView(table *routing.Table, instances []Instance, entryVMs []EntryVM) *View {
 	v := &View{
 		instances: make(map[string]*Instance, len(instances)),
+		departed:  make(map[string]bool),
 		engines:   make(map[pool][]*configuration.Endpoint),
 		plain:     make(map[string][]*configuration.Endpoint),
 		models:    make(map[string]*configuration.Model),
@@ -137,6 +139,10 @@
 // Instance returns an instance by its name, nil if it is not there any more.
 func (v *View) Instance(name string) *Instance { return v.instances[name] }
 
+// Departed reports whether an instance was there and is not any more. One that
+// is neither there nor departed has not been heard of yet.
+func (v *View) Departed(name string) bool { return v.departed[name] }
+
 // Instances returns the number of instances.
 func (v *View) Instances() int { return len(v.instances) }
 
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -44,6 +44,17 @@
 	assert.DeepEqual(t, view.Models(), []string{"pool"})
 }
 
+func TestDepartedInstanceIsToldFromOneNotHeardOf(t *testing.T) {
+	store := NewStore()
+	store.SetTable(table(1))
+	store.SetInstances([]Instance{instance("d1", "desk", "")})
+	store.SetInstances(nil)
+	assert.Assert(t, store.View().Departed("d1"))
+	assert.Assert(t, !store.View().Departed("d2"))
+	store.SetInstances([]Instance{instance("d1", "desk", "")})
+	assert.Assert(t, !store.View().Departed("d1"), "it is back")
+}
+
 func TestConfigurationNeverReverts(t *testing.T) {
 	store := NewStore()
 	assert.Assert(t, store.SetTable(table(5)))
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -43,7 +43,17 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, _ = fmt.Fprint(w, registry.Text())
 	}).Methods(http.MethodGet)
-	serve(lifecycle, options, "metrics", options.MetricsAddress, newServer(router))
+	server := newServer(router)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			// Callers are served without metrics rather than not at all.
+			if err := listen(ctx, options, "metrics", options.MetricsAddress, server); err != nil {
+				options.Log.Change("metrics are not served", logrus.Fields{"error": err.Error()})
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error { return server.Close() },
+	})
 }
 
 func newServer(handler http.Handler) *http.Server {
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -289,21 +289,23 @@
 func takesWork(instance *fleet.Instance) bool { return instance != nil && !instance.Draining }
 
 // refuseGrant keeps further attempts off engines that this process knows to
-// leave. The owner of the grant may not have heard of it.
+// leave, or has not heard of yet. The owner of the grant knows another state of
+// the fleet, and is told of those that leave.
 func (r *Relay) refuseGrant(g *generation, id engine.AttemptID, grant scheduling.Grant) error {
-	leaving := scheduling.Progress{ID: id, Kind: scheduling.EngineLeaving}
 	view := r.options.Fleet.View()
-	if !takesWork(view.Instance(grant.Prefill)) {
-		leaving.Prefill = grant.Prefill
-		g.exclude = append(g.exclude, grant.Prefill)
-	}
-	if !takesWork(view.Instance(grant.Decode)) {
-		leaving.Decode = grant.Decode
-		g.exclude = append(g.exclude, grant.Decode)
+	for _, name := range []string{grant.Prefill, grant.Decode} {
+		instance := view.Instance(name)
+		if takesWork(instance) {
+			continue
+		}
+		g.exclude = append(g.exclude, name)
+		leaves := instance != nil || view.Departed(name)
+		if leaves {
+			r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.EngineLeaving, Prefill: name, Decode: name})
+		}
+		r.decide(g.exchange, "grant not used", logrus.Fields{"endpoint": name, "leaves": leaves})
 	}
-	r.options.Reserver.Progress(leaving)
 	g.refusal = "an engine leaves"
-	r.decide(g.exchange, "grant not used", logrus.Fields{"prefill": leaving.Prefill, "decode": leaving.Decode})
 	return errAgain
 }
 
--- a/internal/relay/generation_test.go
+++ b/internal/relay/generation_test.go
@@ -92,6 +92,14 @@
 	assert.Assert(t, s.endpoints.Leaving("p1"))
 }
 
+func TestEngineNotHeardOfYetIsNotReportedAsLeaving(t *testing.T) {
+	s := newSite(t, grant("new", "e1"), grant("p2", "e2"))
+	s.engines(answers(http.StatusOK, "h1"), events(2))
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.body, eventText(3))
+	assert.Assert(t, !strings.Contains(s.reserver.kinds(), string(scheduling.EngineLeaving)), s.reserver.kinds())
+}
+
 func TestGrantOfALeavingEngineIsNotUsed(t *testing.T) {
 	s := newSite(t, grant("p1", "e1"), grant("p2", "e2"))
 	s.engines(answers(http.StatusOK, "h1"), events(2))
--- a/internal/roles/balancer.go
+++ b/internal/roles/balancer.go
@@ -19,9 +19,9 @@
 	windowMargin = 700 * time.Millisecond
 	// rankDelay is how much longer each further process waits before it takes up
 	// an order that is due, so that they do not all try at once.
-	rankDelay = 500 * time.Millisecond
+	rankDelay = time.Second
 	// maxRank bounds the wait.
-	maxRank = 6
+	maxRank = 10
 )
 
 // Entry is one order in the journal.
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -41,8 +41,9 @@
 	case DecodeFailed:
 		c.engineFailed(now, p.Decode)
 	case EngineLeaving:
-		c.engineLeaves(p.Prefill)
-		c.engineLeaves(p.Decode)
+		c.engineLeaves(now, p.Prefill)
+		c.engineLeaves(now, p.Decode)
+		c.updateRests(now)
 	}
 	c.dispatch(now)
 }
--- a/internal/scheduling/rest.go
+++ b/internal/scheduling/rest.go
@@ -8,6 +8,9 @@
 	// two prefills, so that a single lost answer costs the pool little.
 	firstRest = 400 * time.Millisecond
 	maxRest   = 5 * time.Second
+	// leavingTime is how long a holder's word that an engine leaves counts. The
+	// platform's list tells all owners in touch within seconds.
+	leavingTime = 10 * time.Second
 	// maxRestingShare bounds the part of a role's engines that rest at a time.
 	maxRestingShare = 0.5
 )
@@ -16,7 +19,9 @@
 type rest struct {
 	failures int
 	until    time.Time
-	// resting is whether the time has not passed, as of the last tidy.
+	// leavingUntil is until when a holder's word counts that the engine leaves.
+	leavingUntil time.Time
+	// resting is whether one of the times has not passed, as of the last tidy.
 	resting bool
 }
 
@@ -33,16 +38,17 @@
 	c.updateRests(now)
 }
 
-// engineLeaves excludes an engine for good. A holder may know of it before an
-// owner that the platform's list does not reach.
-func (c *Coordinator) engineLeaves(name string) {
+// engineLeaves excludes an engine for a time. A holder may know of it before an
+// owner that the platform's list does not reach; if it was wrong, the engine is
+// back afterwards.
+func (c *Coordinator) engineLeaves(now time.Time, name string) {
 	if a, ok := c.pool.byName[name]; ok {
-		a.reportedLeaving = true
+		a.rest.leavingUntil = now.Add(leavingTime)
 	}
 }
 
 // engineWorked ends the effect of former failures.
-func (a *account) engineWorked() { a.rest = rest{} }
+func (a *account) engineWorked() { a.rest = rest{leavingUntil: a.rest.leavingUntil} }
 
 // updateRests decides which engines rest now: of each role, no more than the
 // others can make up for. Where a role has one engine, it may rest if the other
@@ -58,9 +64,11 @@
 		limit = len(engines)
 	}
 	for _, a := range engines {
-		a.rest.resting = limit > 0 && now.Before(a.rest.until)
-		if a.rest.resting {
+		leaving := now.Before(a.rest.leavingUntil)
+		failing := limit > 0 && now.Before(a.rest.until)
+		if failing {
 			limit--
 		}
+		a.rest.resting = leaving || failing
 	}
 }
