Pass over endpoints to which no connection can be made

Ruled out: slow endpoints: the errors are timeouts of the connection. Conclusion: an endpoint that cannot be reached needs no judgement and no bound by its group. Endpoints without samples no longer make others look slow.

--- /dev/null
+++ b/internal/endpoint/unreachable_test.go
@@ -0,0 +1,46 @@
+package endpoint
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
+)
+
+// Pattern: a zone is cut off, so that every attempt on the endpoints of the others
+// costs its caller the time of a connection.
+func TestUnreachableEndpointsArePassedOver(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r := NewRegistry(timeline.Discard)
+	r.now = func() time.Time { return now }
+	near := &configuration.Endpoint{Name: "near", Zone: "a"}
+	far := []*configuration.Endpoint{{Name: "far1", Zone: "b"}, {Name: "far2", Zone: "c"}}
+	all := append([]*configuration.Endpoint{near}, far...)
+	r.MarkUnreachable("near")
+	for range 10 {
+		assert.Assert(t, r.PickLeastInFlight(all, "a", nil) != near)
+	}
+	r.MarkUnreachable("far1")
+	r.MarkUnreachable("far2")
+	assert.Equal(t, r.PickLeastInFlight(all, "a", nil), near, "all are tried if none is reachable")
+
+	now = now.Add(firstUnreachable)
+	assert.Equal(t, r.PickLeastInFlight(all, "a", nil), near, "it is tried again")
+	r.MarkUnreachable("near")
+	now = now.Add(firstUnreachable)
+	assert.Assert(t, r.PickLeastInFlight(all, "a", nil) != near, "the time doubles")
+	r.Observe("near", []string{"near"}, true, time.Millisecond)
+	assert.Equal(t, r.PickLeastInFlight(all, "a", nil), near)
+}
+
+func TestEndpointsWithoutSamplesDoNotMakeOthersSlow(t *testing.T) {
+	r := NewRegistry(timeline.Discard)
+	group := []string{"used", "idle1", "idle2"}
+	for range 2 * slowSamples {
+		r.Observe("used", group, true, 2*slowFloor)
+	}
+	assert.Assert(t, r.Usable("used"))
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -93,6 +93,7 @@
 func (r *Relay) plainError(x *exchange, to *configuration.Endpoint, err error) bool {
 	r.decide(x, "attempt failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
 	if errorx.IsOfType(err, upstream.NotSent) {
+		r.options.Endpoints.MarkUnreachable(to.Name)
 		x.sends--
 		x.refusal = "the endpoint is not reachable"
 		return false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,7 @@
 	PickLeastInFlight(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint
 	Begin(name string) func()
 	MarkLeaving(name string)
+	MarkUnreachable(name string)
 	Observe(name string, group []string, ok bool, latency time.Duration)
 }
 
