--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -325,7 +326,7 @@
 	if err != nil {
 		g.exclude = append(g.exclude, to.Name)
 		g.refusal = "the prompt could not be read"
-		r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillFailed, Prefill: to.Name})
+		r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: failureKind(err, scheduling.PrefillFailed, scheduling.PrefillLost), Prefill: to.Name})
 		r.decide(g.exchange, "prefill failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
 		return nil, r.again(g)
 	}
@@ -345,7 +346,7 @@
 		return Prompt{}, err
 	}
 	if verdict.NotRun || answer.Status != http.StatusOK {
-		return Prompt{}, upstream.InDoubt.New("the engine answered with status %d", answer.Status)
+		return Prompt{}, fmt.Errorf("the engine answered with status %d", answer.Status)
 	}
 	return r.options.Dialect.Prompt(answer.Body)
 }
@@ -438,10 +439,18 @@
 	return Decode
 }
 
+// failureKind tells a call that the engine did not take from a lost answer.
+func failureKind(err error, failed, lost scheduling.ProgressKind) scheduling.ProgressKind {
+	if errorx.IsOfType(err, upstream.InDoubt) {
+		return lost
+	}
+	return failed
+}
+
 // decodeError takes note of an attempt without a response.
 func (r *Relay) decodeError(g *generation, id engine.AttemptID, to *configuration.Endpoint, err error) (bool, error) {
 	r.observe(g, to, false)
-	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.DecodeFailed, Decode: to.Name})
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: failureKind(err, scheduling.DecodeFailed, scheduling.DecodeLost), Decode: to.Name})
 	r.decide(g.exchange, "decode failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
 	g.exclude = append(g.exclude, to.Name)
 	if errorx.IsOfType(err, upstream.NotSent) {
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -40,6 +40,10 @@
 		c.engineFailed(now, p.Prefill)
 	case DecodeFailed:
 		c.engineFailed(now, p.Decode)
+	case PrefillLost:
+		c.answerLost(now, p.Prefill)
+	case DecodeLost:
+		c.answerLost(now, p.Decode)
 	case EngineLeaving:
 		c.engineLeaves(now, p.Prefill)
 		c.engineLeaves(now, p.Decode)
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -210,3 +210,21 @@
 	}
 	assert.Assert(t, granted)
 }
+
+// Pattern: some answers of many engines are lost on their way.
+func TestSingleLostAnswersLetNoEngineRest(t *testing.T) {
+	c := newMemoryCoordinator(2, Options{})
+	for range lostBeforeRest - 1 {
+		c.answerLost(start, "d0")
+	}
+	c.tidy(start)
+	assert.Assert(t, c.pool.byName["d0"].usable())
+	c.pool.byName["d0"].engineWorked()
+	c.answerLost(start, "d0")
+	assert.Assert(t, c.pool.byName["d0"].usable(), "an answer in between ends the row")
+	for range lostBeforeRest {
+		c.answerLost(start, "d0")
+	}
+	c.tidy(start)
+	assert.Assert(t, !c.pool.byName["d0"].usable())
+}
--- a/internal/scheduling/rest.go
+++ b/internal/scheduling/rest.go
@@ -8,6 +8,8 @@
 	// two prefills, so that a single lost answer costs the pool little.
 	firstRest = 400 * time.Millisecond
 	maxRest   = 5 * time.Second
+	// lostBeforeRest is the number of answers lost in a row that let an engine rest.
+	lostBeforeRest = 3
 	// leavingTime is how long a holder's word that an engine leaves counts. The
 	// platform's list tells all owners in touch within seconds.
 	leavingTime = 10 * time.Second
@@ -18,7 +20,9 @@
 // rest keeps an engine from new grants after failures that holders report.
 type rest struct {
 	failures int
-	until    time.Time
+	// lost counts answers that were lost in a row.
+	lost  int
+	until time.Time
 	// leavingUntil is until when a holder's word counts that the engine leaves.
 	leavingUntil time.Time
 	// resting is whether one of the times has not passed, as of the last tidy.
@@ -38,6 +42,18 @@
 	c.updateRests(now)
 }
 
+// answerLost lets an engine rest only if its answers are lost in a row. A single
+// one may be lost on its way.
+func (c *Coordinator) answerLost(now time.Time, name string) {
+	a, ok := c.pool.byName[name]
+	if !ok {
+		return
+	}
+	if a.rest.lost++; a.rest.lost >= lostBeforeRest {
+		c.engineFailed(now, name)
+	}
+}
+
 // engineLeaves excludes an engine for a time. A holder may know of it before an
 // owner that the platform's list does not reach; if it was wrong, the engine is
 // back afterwards.
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -115,9 +115,12 @@
 	PrefillDone ProgressKind = "prefill-done"
 	// FirstTokenSeen means that transfer and first decode step are done.
 	FirstTokenSeen ProgressKind = "first-token"
-	// PrefillFailed and DecodeFailed mean that an engine failed the holder.
+	// PrefillFailed and DecodeFailed mean that an engine took no call of the holder.
 	PrefillFailed ProgressKind = "prefill-failed"
 	DecodeFailed  ProgressKind = "decode-failed"
+	// PrefillLost and DecodeLost mean that an engine's answer was lost.
+	PrefillLost ProgressKind = "prefill-lost"
+	DecodeLost  ProgressKind = "decode-lost"
 	// EngineLeaving means that the holder knows an engine to leave.
 	EngineLeaving ProgressKind = "engine-leaving"
 	// Released means that the attempt holds nothing any more.
