Bound connections to plain endpoints by each process's share

Cause: an endpoint resets connections beyond its limit over all callers; a booking on one of them is left in doubt. Ruled out: the endpoint's own queue, which declines truthfully. Before: no bound. After: the limit divided by the entry VMs; what exceeds it is refused at once.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -184,5 +184,14 @@
 // EntryVMs implements reservation.Fleet.
 func (v *View) EntryVMs(zone string) []string { return v.entryVMs[zone] }
 
+// VMCount returns the number of entry VMs that have announced themselves, at least 1.
+func (v *View) VMCount() int {
+	count := 0
+	for _, names := range v.entryVMs {
+		count += len(names)
+	}
+	return max(1, count)
+}
+
 // Link implements reservation.Fleet.
 func (v *View) Link(string, string) (*configuration.Link, bool) { return &v.link, true }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
@@ -23,6 +25,9 @@
 	// firstTryShare is the part of the time left after which a request that may
 	// run again is tried on another endpoint, if its objective has passed too.
 	firstTryShare = 0.5
+	// leastConnections is the least number of connections to one endpoint that a
+	// process may have, however many processes share the endpoint's limit.
+	leastConnections = 2
 	// unreachableRetryAfter is told to callers that found no endpoint.
 	unreachableRetryAfter = 300 * time.Millisecond
 )
@@ -30,7 +35,7 @@
 // servePlain serves a request that one endpoint answers as a whole.
 func (r *Relay) servePlain(ctx context.Context, x *exchange) {
 	for r.mayRepeat(x) {
-		candidates := r.options.Fleet.View().Plain(x.service.Name)
+		candidates := r.withConnections(x.service)
 		chosen := r.options.Endpoints.PickLeastInFlight(candidates, r.options.Zone, x.exclude)
 		if chosen == nil {
 			break
@@ -48,6 +53,21 @@
 	r.concludePlain(x)
 }
 
+// withConnections returns the endpoints of a plain service that this process may
+// open a further connection to. An endpoint resets connections beyond its limit,
+// which leaves requests on them in doubt.
+func (r *Relay) withConnections(service *routing.Service) []*configuration.Endpoint {
+	view := r.options.Fleet.View()
+	all := view.Plain(service.Name)
+	if service.MaxConnections <= 0 {
+		return all
+	}
+	limit := max(leastConnections, service.MaxConnections/view.VMCount())
+	return slices.DeleteFunc(slices.Clone(all), func(e *configuration.Endpoint) bool {
+		return r.options.Endpoints.InFlight(e.Name) >= limit
+	})
+}
+
 // concludePlain gives the final answer after the last attempt.
 func (r *Relay) concludePlain(x *exchange) {
 	switch {
--- a/internal/relay/plain_test.go
+++ b/internal/relay/plain_test.go
@@ -106,6 +106,19 @@
 	assert.Assert(t, s.endpoints.Leaving("d1"))
 }
 
+// Pattern: a burst beyond what endpoints take connections for. One more is reset
+// and leaves its request in doubt; a refusal does not.
+func TestRequestsBeyondTheConnectionsAreRefusedAtOnce(t *testing.T) {
+	s := newSite(t)
+	s.fleet.SetTable(routing.NewTable(2, routing.Limits{}, nil, []routing.Service{{Name: "desk", MaxConnections: 2}}))
+	s.endpoint("d1", "desk", "", answers(http.StatusOK, "done"))
+	ends := []func(){s.endpoints.Begin("d1"), s.endpoints.Begin("d1")}
+	assert.Equal(t, s.serve(booking, nil).outcome, "refused: no endpoint is reachable")
+	assert.Equal(t, s.count(), 0)
+	ends[0]()
+	assert.Equal(t, s.serve(booking, nil).body, "done")
+}
+
 func TestNoEndpointIsRefusedAtOnce(t *testing.T) {
 	s := newSite(t)
 	caller := s.serve(booking, nil)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 type Endpoints interface {
 	PickLeastInFlight(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint
 	Begin(name string) func()
+	InFlight(name string) int
 	MarkLeaving(name string)
 	MarkUnreachable(name string)
 	Observe(name string, group []string, ok bool, latency time.Duration)
