Keep decodes off engines that announced their end during the prefill

Ruled out: late reads of registrations (0.8 s); plain requests, which pick anew. Before: sent. After: freed and granted elsewhere; the test failed first.

--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -250,6 +250,12 @@
 	if err != nil {
 		return err
 	}
+	// The engine may have announced its end while the prompt was read.
+	if !takesWork(r.options.Fleet.View().Instance(grant.Decode)) {
+		r.Counters.PrefillsLost.Add(1)
+		r.free(source)
+		return r.refuseGrant(g, id, grant)
+	}
 	taken, err := r.decode(ctx, g, id, &decode.Endpoint, source)
 	if taken {
 		return err
--- a/internal/relay/generation_test.go
+++ b/internal/relay/generation_test.go
@@ -92,6 +92,17 @@
 	assert.Assert(t, s.endpoints.Leaving("p1"))
 }
 
+func TestEngineThatAnnouncesItsEndDuringThePrefillGetsNoRequest(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.engines(func(w http.ResponseWriter, r *http.Request) {
+		s.drain("e1")
+		answers(http.StatusOK, "h1")(w, r)
+	}, events(2))
+	caller := s.serve(dossier, work)
+	assert.Equal(t, caller.body, eventText(3))
+	assert.Assert(t, !strings.Contains(s.made(), "e1:"), s.made())
+}
+
 func TestEngineNotHeardOfYetIsNotReportedAsLeaving(t *testing.T) {
 	s := newSite(t, grant("new", "e1"), grant("p2", "e2"))
 	s.engines(answers(http.StatusOK, "h1"), events(2))
