Call a decode that was silent until the timeout possibly run

Ruled out: plain requests, which ask whether anything was sent. Conclusion: only a call of which nothing left this process did not run.

--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -402,6 +402,7 @@
 	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID})
 	if ctx.Err() != nil {
 		closeResponse(response)
+		g.mayHaveRun = g.mayHaveRun || !errorx.IsOfType(err, upstream.NotSent)
 		return true, ctx.Err()
 	}
 	if err != nil {
--- a/internal/relay/generation_test.go
+++ b/internal/relay/generation_test.go
@@ -161,6 +161,15 @@
 	assert.Equal(t, len(s.reserver.demands), 1)
 }
 
+func TestSilentDecodeIsNotCalledNotRun(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	short := dossier
+	short.Timeout = 200 * time.Millisecond
+	caller := s.serve(short, work)
+	assert.Equal(t, caller.outcome, "failed: no endpoint answered")
+}
+
 func TestRequestThatMissesItsObjectiveWaitsInTheLateLine(t *testing.T) {
 	s := newSite(t, refusal(scheduling.RefusedTarget), refusal(scheduling.RefusedTarget), grant("p1", "e1"))
 	s.engines(answers(http.StatusOK, "h1"), events(2))
