--- a/internal/roles/balancer.go
+++ b/internal/roles/balancer.go
@@ -21,7 +21,10 @@
 	// an order that is due, so that they do not all try at once.
 	rankDelay = time.Second
 	// maxRank bounds the wait.
-	maxRank = 10
+	maxRank = 30
+	// readPause is the time between two reads of the journal by a process whose
+	// turn it is not. Each read has a price.
+	readPause = 3 * time.Second
 )
 
 // Entry is one order in the journal.
@@ -79,6 +82,8 @@
 	planner *planner
 	// due is since when an order has been due.
 	due time.Time
+	// nextRead is when the journal may be read again.
+	nextRead time.Time
 	// own says that the last entry of the journal is of this process.
 	own bool
 	// moved is when the journal was last seen to grow by another process.
@@ -117,7 +122,11 @@
 	if now.Sub(b.due) < time.Duration(min(b.options.Rank(), maxRank))*rankDelay {
 		return
 	}
-	if !b.catchUp(ctx) || !b.mayOrder() {
+	if now.Before(b.nextRead) || !b.catchUp(ctx) {
+		return
+	}
+	if !b.mayOrder() {
+		b.nextRead = now.Add(readPause)
 		return
 	}
 	for _, change := range b.planner.plan(b.options.Clock(), b.options.Engines()) {
