--- a/internal/decisionlog/log.go
+++ b/internal/decisionlog/log.go
@@ -4,6 +4,7 @@
 package decisionlog
 
 import (
+	"expvar"
 	"io"
 	"sync/atomic"
 	"time"
@@ -68,15 +69,20 @@
 	l.logger.WithFields(fields).Warn(outcome)
 }
 
-// Logger returns a logger that writes to the same output.
-func (l *Log) Logger() logrus.FieldLogger { return l.logger }
-
 // Dropped returns the number of lines that were dropped.
 func (l *Log) Dropped() int64 { return l.dropped.Load() }
 
 // Written returns the number of lines that were written.
 func (l *Log) Written() int64 { return l.written.Load() }
 
+// Vars publishes the counts of lines.
+func (l *Log) Vars() *expvar.Map {
+	values := new(expvar.Map)
+	values.Set("written", expvar.Func(func() any { return l.Written() }))
+	values.Set("dropped", expvar.Func(func() any { return l.Dropped() }))
+	return values
+}
+
 // Close writes the lines that wait.
 func (l *Log) Close() {
 	close(l.stop)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -143,9 +143,6 @@
 // is neither there nor departed has not been heard of yet.
 func (v *View) Departed(name string) bool { return v.departed[name] }
 
-// Instances returns the number of instances.
-func (v *View) Instances() int { return len(v.instances) }
-
 // Plain returns the instances of a plain service that take new requests.
 func (v *View) Plain(service string) []*configuration.Endpoint { return v.plain[service] }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -43,6 +43,7 @@
 func newEvents(options *Options, registry *metrics.Registry) (timeline.Recorder, *timeline.Ring) {
 	ring := timeline.NewRing(options.VM, options.Incarnation, timelineEvents)
 	registry.Mount("timeline", ring.Metrics())
+	registry.Mount("log", options.Log.Vars())
 	return decisionlog.Recorder{Ring: ring, Log: options.Log}, ring
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -187,9 +187,6 @@
 		response.Close()
 		return nil, verdict, upstream.InDoubt.New("%s answered another request", to.Name)
 	}
-	if verdict.Leaving {
-		r.options.Endpoints.MarkLeaving(to.Name)
-	}
 	return response, verdict, nil
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -42,18 +42,10 @@
 	MaxOutputTokens int
 	// ExpectedOutputTokens is the caller's estimate; 0 if there is none.
 	ExpectedOutputTokens int
-	// Prefix lists the parts of the prompt in order. Requests share leading parts.
-	Prefix []PromptPart
 	// LastEventID is set if the caller continues a stream that broke off.
 	LastEventID string
 }
 
-// PromptPart is a part of a prompt that several requests may have in common.
-type PromptPart struct {
-	ID     uint64
-	Tokens int
-}
-
 // Refusal is a final answer of the router's own to a request that has not run
 // and never will.
 type Refusal struct {
@@ -130,8 +122,6 @@
 	NotRun bool
 	// OtherInstance says that another endpoint has the address.
 	OtherInstance bool
-	// Leaving says that the endpoint takes no further connections.
-	Leaving bool
 }
 
 // Prompt is the outcome of a prefill.
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -66,8 +66,6 @@
 	LinkBytesPerSecond int64
 	// Retention is how long an engine keeps a prefill's KV cache for its transfer.
 	Retention time.Duration
-	// SwitchTime is how long an engine takes to change its role.
-	SwitchTime time.Duration
 }
 
 // Service is a group of endpoints that do the same work.
@@ -82,6 +80,4 @@
 // Limits bound what callers may send.
 type Limits struct {
 	BodyBytes int64
-	// IdleTimeout is how long an idle connection of a caller is kept.
-	IdleTimeout time.Duration
 }
