Split the generation's steps by file; spend no repeats on refusals

Cause: each refusal for want of time after a failed attempt took a repeat from the budget, so that one resend cost up to three. Before: a test with one repeat left ended without an answer. After: it is served. Conclusion: only a further send is a repeat.

--- /dev/null
+++ b/internal/relay/decode.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
+)
+
+// decode generates on an engine that takes over the KV cache. It reports whether
+// the engine may have taken it.
+func (r *Relay) decode(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint, source *Source) (bool, error) {
+	defer r.options.Endpoints.Begin(to.Name)()
+	started := time.Now()
+	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID})
+	if ctx.Err() != nil {
+		closeResponse(response)
+		g.mayHaveRun = g.mayHaveRun || !errorx.IsOfType(err, upstream.NotSent)
+		return true, ctx.Err()
+	}
+	if err != nil {
+		return r.decodeError(g, id, to, err)
+	}
+	defer response.Close()
+	if verdict.OtherInstance {
+		g.sends--
+		return false, r.addressReused(g, id, to)
+	}
+	if verdict.NotRun {
+		r.observe(g, to, true)
+		g.refusal = "the engine did not take the request"
+		r.decide(g.exchange, "engine declined", logrus.Fields{"endpoint": to.Name, "status": response.Status})
+		return false, errDeclined
+	}
+	g.mayHaveRun = true
+	if response.Status != http.StatusOK {
+		return true, r.failedDecode(g, to, response)
+	}
+	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started}
+	return true, stream.pass(ctx, response)
+}
+
+// addressReused takes note of an engine whose address another one has.
+func (r *Relay) addressReused(g *generation, id engine.AttemptID, to *configuration.Endpoint) error {
+	g.refusal = "an engine is gone"
+	g.exclude = append(g.exclude, to.Name)
+	r.options.Endpoints.MarkLeaving(to.Name)
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.EngineLeaving, Prefill: to.Name, Decode: to.Name})
+	r.decide(g.exchange, "endpoint replaced", logrus.Fields{"endpoint": to.Name})
+	return r.again(g)
+}
+
+// decodeStage returns what is asked of an engine that takes over a KV cache, or
+// that reads the prompt itself for want of a source.
+func decodeStage(source *Source) Stage {
+	if source == nil {
+		return Whole
+	}
+	return Decode
+}
+
+// failureKind tells a call that the engine did not take from a lost answer.
+func failureKind(err error, failed, lost scheduling.ProgressKind) scheduling.ProgressKind {
+	if errorx.IsOfType(err, upstream.InDoubt) {
+		return lost
+	}
+	return failed
+}
+
+// decodeError takes note of an attempt without a response.
+func (r *Relay) decodeError(g *generation, id engine.AttemptID, to *configuration.Endpoint, err error) (bool, error) {
+	r.observe(g, to, false)
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: failureKind(err, scheduling.DecodeFailed, scheduling.DecodeLost), Decode: to.Name})
+	r.decide(g.exchange, "decode failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
+	g.exclude = append(g.exclude, to.Name)
+	if errorx.IsOfType(err, upstream.NotSent) {
+		g.sends--
+		g.refusal = "the engine is not reachable"
+		return false, r.again(g)
+	}
+	g.mayHaveRun = true
+	if g.route.RunsOnce() {
+		return true, errGiveUp
+	}
+	return true, errAgain
+}
+
+// failedDecode keeps an engine's own failure for the caller.
+func (r *Relay) failedDecode(g *generation, to *configuration.Endpoint, response *upstream.Response) error {
+	r.observe(g, to, false)
+	body, err := readWhole(response)
+	r.decide(g.exchange, "engine failed the request", logrus.Fields{"endpoint": to.Name, "status": response.Status})
+	if err == nil && !g.begun {
+		g.answer = &Answer{Status: response.Status, Header: response.Header, Body: body}
+	}
+	g.exclude = append(g.exclude, to.Name)
+	if g.route.RunsOnce() {
+		return errGiveUp
+	}
+	return errAgain
+}
+
+func closeResponse(response *upstream.Response) {
+	if response != nil {
+		response.Close()
+	}
+}
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -85,11 +85,9 @@
 	}
 }
 
-// refusal returns an answer that refuses.
-func refusal(reason scheduling.RefusalReason) func(scheduling.Demand) (scheduling.Grant, error) {
-	return func(scheduling.Demand) (scheduling.Grant, error) {
-		return scheduling.Grant{}, &scheduling.Refusal{Reason: reason, RetryAfter: time.Millisecond}
-	}
+// tooLate refuses because the target cannot be met.
+func tooLate(scheduling.Demand) (scheduling.Grant, error) {
+	return scheduling.Grant{}, &scheduling.Refusal{Reason: scheduling.RefusedTarget, RetryAfter: time.Millisecond}
 }
 
 func (f *fakeReserver) Reserve(_ context.Context, d scheduling.Demand) (scheduling.Grant, error) {
--- a/internal/relay/generation_test.go
+++ b/internal/relay/generation_test.go
@@ -171,7 +171,7 @@
 }
 
 func TestRequestThatMissesItsObjectiveWaitsInTheLateLine(t *testing.T) {
-	s := newSite(t, refusal(scheduling.RefusedTarget), refusal(scheduling.RefusedTarget), grant("p1", "e1"))
+	s := newSite(t, tooLate, tooLate, grant("p1", "e1"))
 	s.engines(answers(http.StatusOK, "h1"), events(2))
 	caller := s.serve(dossier, work)
 	assert.Equal(t, caller.body, eventText(2))
@@ -183,8 +183,16 @@
 	assert.Assert(t, late.Targets.FirstToken > relaxed.Targets.FirstToken)
 }
 
+func TestRefusalsForWantOfTimeAreNoRepeats(t *testing.T) {
+	s := newSite(t, grant("p1", "e1"), tooLate, tooLate, grant("p2", "e2"))
+	s.relay.options.Budget = &budget{left: 1}
+	s.engines(answers(http.StatusOK, "h1"), reset)
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.body, eventText(3))
+}
+
 func TestHopelessRequestIsRefusedWithATimeToComeBack(t *testing.T) {
-	s := newSite(t, refusal(scheduling.RefusedTarget))
+	s := newSite(t, tooLate)
 	caller := s.serve(dossier, work)
 	assert.Equal(t, caller.outcome, "refused: target-unreachable")
 	assert.Assert(t, caller.retryAfter >= leastBusyRetryAfter)
--- /dev/null
+++ b/internal/relay/prefill.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+const (
+	// prefillPatience bounds a prefill. A waiting prefill is of use only as long as
+	// the decode slot that is reserved for it.
+	prefillPatience = 1500 * time.Millisecond
+	// freeTimeout bounds the message that frees a KV cache nobody takes.
+	freeTimeout = 300 * time.Millisecond
+)
+
+// prefill has the prompt read and returns where its KV cache is kept.
+func (r *Relay) prefill(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint) (*Source, error) {
+	defer r.options.Endpoints.Begin(to.Name)()
+	started := time.Now()
+	answer, verdict, err := r.call(ctx, g.exchange, to, &Call{Stage: Prefill, LastEventID: g.lastEventID}, min(prefillPatience, g.left()))
+	if verdict.OtherInstance {
+		return nil, r.addressReused(g, id, to)
+	}
+	prompt, err := r.promptOf(answer, verdict, err)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	r.observe(g, to, err == nil)
+	if err != nil {
+		g.exclude = append(g.exclude, to.Name)
+		g.refusal = "the prompt could not be read"
+		r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: failureKind(err, scheduling.PrefillFailed, scheduling.PrefillLost), Prefill: to.Name})
+		r.decide(g.exchange, "prefill failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
+		return nil, r.again(g)
+	}
+	r.Counters.Prefills.Add(1)
+	r.decide(g.exchange, "prompt read", logrus.Fields{
+		"endpoint": to.Name, "tokens": prompt.Tokens, "ms": time.Since(started).Milliseconds(),
+	})
+	r.options.Reserver.Progress(scheduling.Progress{
+		ID: id, Kind: scheduling.PrefillDone, Prefill: to.Name, Tokens: prompt.Tokens, Elapsed: time.Since(started),
+	})
+	return &Source{Address: to.Address, Handle: prompt.Handle}, nil
+}
+
+// promptOf returns the outcome of a prefill call.
+func (r *Relay) promptOf(answer *Answer, verdict Verdict, err error) (Prompt, error) {
+	if err != nil {
+		return Prompt{}, err
+	}
+	if verdict.NotRun || answer.Status != http.StatusOK {
+		return Prompt{}, fmt.Errorf("the engine answered with status %d", answer.Status)
+	}
+	return r.options.Dialect.Prompt(answer.Body)
+}
+
+// free has an engine drop a KV cache that nobody takes.
+func (r *Relay) free(source *Source) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	response, err := r.options.Client.Do(ctx, source.Address, r.options.Dialect.Free(source.Handle))
+	if err != nil {
+		r.options.Log.Decide("KV cache not freed", logrus.Fields{"address": source.Address, "error": err.Error()})
+		return
+	}
+	response.Close()
+}
