Keep one copy of work beside an application

Cause: the wiring of both kinds of deployment had its own copies of running work in the background and of waiting. Conclusion: package background holds both; no behaviour changes.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/configuration/peersync"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
@@ -43,19 +44,19 @@
 	tailer := logservice.NewTailer(log, logservice.TailerOptions{Stream: configuration.Stream})
 	registry.Mount("configuration", store.Vars())
 	registry.Mount("log_tail", tailer.Vars())
-	background(lifecycle, func(ctx context.Context) { _ = tailer.Run(ctx, store.ApplyBatch) })
+	background.Run(lifecycle, func(ctx context.Context) { _ = tailer.Run(ctx, store.ApplyBatch) })
 	return store
 }
 
 func runReappender(lifecycle fx.Lifecycle, store *configuration.Store, view membership.View, appender *logservice.Appender, registry *metrics.Registry) {
 	reappender := configuration.NewReappender(store, view, appender)
 	registry.Mount("configuration_reappend", reappender.Vars())
-	background(lifecycle, func(ctx context.Context) { _ = reappender.Run(ctx) })
+	background.Run(lifecycle, func(ctx context.Context) { _ = reappender.Run(ctx) })
 }
 
 func runSyncer(lifecycle fx.Lifecycle, store *configuration.Store, view membership.View, dialer peer.Dialer, registry *metrics.Registry) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	syncer := peersync.NewSyncer(store, view, dialer, random)
 	registry.Mount("configuration_sync", syncer.Vars())
-	background(lifecycle, func(ctx context.Context) { _ = syncer.Run(ctx) })
+	background.Run(lifecycle, func(ctx context.Context) { _ = syncer.Run(ctx) })
 }
--- a/internal/daemon/loadpoller.go
+++ b/internal/daemon/loadpoller.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/engine/openai"
@@ -33,7 +34,7 @@
 func runLoadPoller(lifecycle fx.Lifecycle, id Identity, store *configuration.Store, pool *openai.Pool, endpoints *endpoint.Registry, service *reservation.Service) {
 	p := &loadPoller{zone: id.Zone, store: store, pool: pool, endpoints: endpoints, service: service}
 	p.positions.next = make(map[string]uint64)
-	background(lifecycle, p.run)
+	background.Run(lifecycle, p.run)
 }
 
 func (p *loadPoller) run(ctx context.Context) {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine/openai"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
@@ -79,8 +80,8 @@
 
 // runMembers takes part in the membership and follows the configuration.
 func runMembers(lifecycle fx.Lifecycle, service *swim.Service, store *configuration.Store) {
-	background(lifecycle, service.Run)
-	background(lifecycle, func(ctx context.Context) {
+	background.Run(lifecycle, service.Run)
+	background.Run(lifecycle, func(ctx context.Context) {
 		for {
 			changed := store.Changed()
 			if snapshot := store.Snapshot(); snapshot != nil {
@@ -117,5 +118,5 @@
 	})
 	p.Metrics.Mount("orphan", service.Vars())
 	p.Members.OnGone(service.MemberGone)
-	background(p.Lifecycle, service.Run)
+	background.Run(p.Lifecycle, service.Run)
 }
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine/openai"
 	"github.com/ospreyshed/ospreyshed/internal/lease"
@@ -40,7 +41,7 @@
 		Events:   p.Events,
 	}, lease.DefaultTerms())
 	p.Metrics.Mount("lease", metrics.Fields(&leases.Counters))
-	background(p.Lifecycle, func(ctx context.Context) { _ = leases.Run(ctx) })
+	background.Run(p.Lifecycle, func(ctx context.Context) { _ = leases.Run(ctx) })
 	return leases
 }
 
@@ -66,7 +67,7 @@
 		Events:        p.Events,
 	})
 	p.Metrics.Mount("order", metrics.Fields(&reconciler.Counters))
-	background(p.Lifecycle, func(ctx context.Context) { _ = reconciler.Run(ctx) })
+	background.Run(p.Lifecycle, func(ctx context.Context) { _ = reconciler.Run(ctx) })
 }
 
 // orderedEngine returns an engine whose adapter takes orders.
--- a/internal/daemon/path.go
+++ b/internal/daemon/path.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/canceller"
 	"github.com/ospreyshed/ospreyshed/internal/completion"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
@@ -81,7 +82,7 @@
 	})
 	registry.Mount("reservation", metrics.Fields(service.Counters()))
 	registry.Mount("scheduling", service.SchedulingVars())
-	background(lifecycle, service.Run)
+	background.Run(lifecycle, service.Run)
 	return service
 }
 
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
@@ -86,6 +87,6 @@
 func newVMList(lifecycle fx.Lifecycle, conf *settings.Settings, transport platformTransport, registry *metrics.Registry, in vmListSubscribers) *vmlist.Poller {
 	poller := vmlist.NewPoller(vmlist.NewClient(conf.Platform.VMList, transport), in.Subscribers...)
 	registry.Mount("vm_list", metrics.Fields(&poller.Counters))
-	background(lifecycle, poller.Run)
+	background.Run(lifecycle, poller.Run)
 	return poller
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"golang.org/x/net/netutil"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/gateway"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
@@ -129,7 +130,7 @@
 	lag, limit := s.periods()
 	s.gateway.Drain()
 	s.members.SetDraining()
-	pause(ctx, lag)
+	background.Pause(ctx, lag)
 	drain, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := s.server.Shutdown(drain)
@@ -155,12 +156,3 @@
 	times := snapshot.Fleet().Times
 	return times.BalancerLag.D(), times.DrainLimit.D()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
@@ -73,7 +74,7 @@
 		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	registry.Mount("membership", members.Vars())
-	background(lifecycle, members.Run)
+	background.Run(lifecycle, members.Run)
 	return members
 }
 
@@ -92,7 +93,7 @@
 	members.OnGone(func(m membership.Member) { service.HolderGone(m.VM, m.Incarnation) })
 	registry.Mount("reservation", metrics.Fields(service.Counters()))
 	registry.Mount("scheduling", service.SchedulingVars())
-	background(lifecycle, service.Run)
+	background.Run(lifecycle, service.Run)
 	return service
 }
 
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
@@ -47,7 +48,7 @@
 		MaxIdle:        maxIdleConnections,
 	})
 	registry.Mount("upstream", metrics.Fields(&client.Counters))
-	background(lifecycle, func(ctx context.Context) { sweep(ctx, client) })
+	background.Run(lifecycle, func(ctx context.Context) { sweep(ctx, client) })
 	return client
 }
 
@@ -115,7 +116,7 @@
 		Clock:     options.Clock,
 		Log:       options.Log,
 	})
-	background(lifecycle, balancer.Run)
+	background.Run(lifecycle, balancer.Run)
 }
 
 // rank returns the place of a VM among those that take new work, by name.
@@ -133,6 +134,6 @@
 func runBackground(lifecycle fx.Lifecycle, options *Options, members *swim.Service, budgets *retry.Shared) {
 	events := Events{EntryVMs: func(vms []fleet.EntryVM) { applyEntryVMs(options, members, budgets, vms) }}
 	for _, work := range options.Background {
-		background(lifecycle, func(ctx context.Context) { work(ctx, events) })
+		background.Run(lifecycle, func(ctx context.Context) { work(ctx, events) })
 	}
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 )
@@ -108,7 +108,7 @@
 	s.options.Log.Change("draining", logrus.Fields{"grace_ms": s.options.Grace.Milliseconds()})
 	s.ingress.Drain()
 	s.members.SetDraining()
-	pause(ctx, balancerLag)
+	background.Pause(ctx, balancerLag)
 	drain, cancel := context.WithDeadline(ctx, started.Add(s.options.Grace-stopMargin))
 	defer cancel()
 	err := s.server.Shutdown(drain)
@@ -120,30 +120,3 @@
 	s.options.Log.Change("drained", logrus.Fields{"ms": time.Since(started).Milliseconds()})
 	return err
 }
-
-// pause waits for a time unless ctx ends first.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// background runs a function from the start of the process to its stop.
-func background(lifecycle fx.Lifecycle, run func(ctx context.Context)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			running.Go(func() { run(ctx) })
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			running.Wait()
-			return nil
-		},
-	})
-}
