Take repeats from the budget in one place

Cause: the re-read of the change found the same three lines (spend, count as denied, count as repeated) in mayRepeat and in budgeted, the same decision after an engine that may have run a request in decodeError and failedDecode, and two cases of concludePlain that differ by a default reason only. Ruled out: stream.ended, which counts the resumption in between, and plainError, which reports whether to stop rather than an error. Before and after: behaviour is the same; the tests are unchanged. Conclusion: spendRepeat serves every repeat, afterRun every such failure, and an exchange begins with the reason for an empty pool.

--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -86,10 +86,7 @@
 		return false, r.again(g)
 	}
 	g.mayHaveRun = true
-	if g.route.RunsOnce() {
-		return true, errGiveUp
-	}
-	return true, errAgain
+	return true, g.afterRun()
 }
 
 // failedDecode keeps an engine's own failure for the caller.
@@ -101,10 +98,7 @@
 		g.answer = &Answer{Status: response.Status, Header: response.Header, Body: body}
 	}
 	g.exclude = append(g.exclude, to.Name)
-	if g.route.RunsOnce() {
-		return errGiveUp
-	}
-	return errAgain
+	return g.afterRun()
 }
 
 func closeResponse(response *upstream.Response) {
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -37,8 +37,8 @@
 	begun bool
 	// lastEventID is the last event that the caller has.
 	lastEventID string
-	// delivered counts the tokens that the caller has, before those that it had
-	// when the present attempt began.
+	// delivered is the number of tokens that the caller has, before the number that
+	// it had when the present attempt began.
 	delivered, before int
 	// age is the time that earlier attempts of the caller took.
 	age time.Duration
@@ -178,7 +178,7 @@
 	r.Counters.PrefillsLost.Add(1)
 	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillFailed, Prefill: prefill.Name})
 	r.free(source)
-	if !errors.Is(err, errDeclined) || !r.budgeted(g) {
+	if !errors.Is(err, errDeclined) || !r.spendRepeat(g.exchange) {
 		return orAgain(err)
 	}
 	// The KV cache was gone. The engine still keeps the slot and reads the prompt.
@@ -233,20 +233,19 @@
 
 // again takes one repeat that is no send of the request itself.
 func (r *Relay) again(g *generation) error {
-	if !r.budgeted(g) {
+	if !r.spendRepeat(g.exchange) {
 		return errGiveUp
 	}
 	return errAgain
 }
 
-// budgeted takes one repeat from the budget and reports whether it is allowed.
-func (r *Relay) budgeted(g *generation) bool {
-	if !r.options.Budget.Spend(g.service.Name) {
-		r.Counters.RepeatsDenied.Add(1)
-		return false
+// afterRun returns what follows a failure of an engine that may have run the
+// request.
+func (g *generation) afterRun() error {
+	if g.route.RunsOnce() {
+		return errGiveUp
 	}
-	r.Counters.Repeated.Add(1)
-	return true
+	return errAgain
 }
 
 // observe records how a call to an engine went. The time of a call depends on
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -75,10 +75,8 @@
 		r.deliver(x, x.answer)
 	case x.mayHaveRun:
 		r.fail(x, Failure{Reason: "no endpoint answered", Timeout: x.left() <= 0})
-	case x.refusal != "":
-		r.refuse(x, Refusal{Reason: x.refusal, RetryAfter: x.retryAfter})
 	default:
-		r.refuse(x, Refusal{Reason: "no endpoint is reachable", RetryAfter: x.retryAfter})
+		r.refuse(x, Refusal{Reason: x.refusal, RetryAfter: x.retryAfter})
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -122,6 +122,7 @@
 		service:    service,
 		caller:     caller,
 		answerBy:   answerBy(request, route),
+		refusal:    "no endpoint is reachable",
 		retryAfter: unreachableRetryAfter,
 	}
 	if service.Engines != nil && request.Generation != nil {
@@ -191,9 +192,11 @@
 	if x.sends >= max(1, x.route.MaxAttempts) || x.left() <= 0 {
 		return false
 	}
-	if x.sends == 0 {
-		return true
-	}
+	return x.sends == 0 || r.spendRepeat(x)
+}
+
+// spendRepeat takes one repeat from the budget and reports whether it is allowed.
+func (r *Relay) spendRepeat(x *exchange) bool {
 	if !r.options.Budget.Spend(x.service.Name) {
 		r.Counters.RepeatsDenied.Add(1)
 		return false
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -158,7 +158,8 @@
 	mayHaveRun bool
 	// answer is an endpoint's own failure, delivered if nothing better comes.
 	answer *Answer
-	// refusal is the reason why the last endpoint did not run the request.
+	// refusal is the reason why the request did not run: that of the last endpoint
+	// tried, if there was one.
 	refusal string
 	// retryAfter is told to the caller of a request that did not run.
 	retryAfter time.Duration
