Let one absence serve all that is passed over after failures

Cause: the re-read of the change found the doubling time of package reservation's absence written again, by shifts, for resting engines and for unreachable endpoints; the ejection of outliers had a third form of it. Ruled out: the tailer and the circuit of the log service, whose pauses are no times until which something is passed over. Before and after: the lengths are the same, from the first up to the longest; the tests keep their assertions, and one reads the end of a rest by a method.

--- a/internal/endpoint/outlier.go
+++ b/internal/endpoint/outlier.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/absence"
 )
 
 const (
@@ -32,11 +34,10 @@
 // state machine: time is an argument.
 type outlier struct {
 	consecutive int
-	ejections   int
 	samples     int
 	latency     time.Duration
-	until       time.Time
 	ejected     bool
+	ejection    absence.Absence
 	restored    time.Time
 }
 
@@ -68,16 +69,14 @@
 
 // eject takes the endpoint out for a period that doubles with each ejection.
 func (o *outlier) eject(now time.Time) {
-	period := min(baseEjection<<min(o.ejections, 10), maxEjection)
-	o.ejections++
 	o.ejected = true
-	o.until = now.Add(period)
+	o.ejection.Extend(now, absence.Bounds{First: baseEjection, Longest: maxEjection})
 }
 
 // restore lets the endpoint back once its ejection has passed and reports
 // whether it did.
 func (o *outlier) restore(now time.Time) bool {
-	if !o.ejected || now.Before(o.until) {
+	if !o.ejected || !o.ejection.Over(now) {
 		return false
 	}
 	o.ejected = false
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ospreyshed/ospreyshed/internal/absence"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
@@ -29,7 +30,7 @@
 
 	mu          sync.Mutex
 	outlier     outlier
-	unreachable unreachable
+	unreachable absence.Absence
 	saidLeaving time.Time
 	listed      bool
 	listedAs    vmlist.State
@@ -165,7 +166,7 @@
 	s.mu.Lock()
 	s.outlier.observe(ok, latency)
 	if ok {
-		s.unreachable = unreachable{}
+		s.unreachable = absence.Absence{}
 	}
 	suspicious := !s.outlier.ejected && (s.outlier.failing() || s.outlier.latency >= slowFloor)
 	s.mu.Unlock()
@@ -215,27 +216,6 @@
 	return latencies[(len(latencies)-1)/2], ejected
 }
 
-// MarkUnreachable records that no connection to an endpoint could be made. It is
-// passed over for a time that doubles with each failure in a row. Unlike an
-// ejection, this needs no judgement and has no bound by the group: a call that
-// cannot be sent costs its caller the whole time of the attempt.
-func (r *Registry) MarkUnreachable(name string) {
-	s := r.get(name)
-	now := r.now()
-	s.mu.Lock()
-	s.unreachable.fail(now)
-	s.mu.Unlock()
-}
-
-// reachable reports whether connections to an endpoint may be tried.
-func (r *Registry) reachable(name string) bool {
-	s := r.get(name)
-	now := r.now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !now.Before(s.unreachable.until)
-}
-
 // PickLeastInFlight chooses among usable endpoints by the power of two choices
 // on this VM's calls in flight, relative to each endpoint's share. Endpoints of
 // the zone are preferred. It returns nil if none is usable.
@@ -265,16 +245,6 @@
 	return usable[first]
 }
 
-// preferReachable leaves out endpoints that could not be reached lately, unless
-// there are no others.
-func (r *Registry) preferReachable(endpoints []*configuration.Endpoint) []*configuration.Endpoint {
-	reachable := slices.DeleteFunc(slices.Clone(endpoints), func(e *configuration.Endpoint) bool { return !r.reachable(e.Name) })
-	if len(reachable) == 0 {
-		return endpoints
-	}
-	return reachable
-}
-
 // relativeLoad is the load in flight plus the new call over the endpoint's share.
 func (r *Registry) relativeLoad(name string) float64 {
 	return float64(r.InFlight(name)+1) / max(minShare, r.share(name))
--- a/internal/endpoint/unreachable.go
+++ b/internal/endpoint/unreachable.go
@@ -1,6 +1,12 @@
 package endpoint
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/absence"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
 
 const (
 	// firstUnreachable and maxUnreachable bound how long an endpoint is passed over
@@ -10,19 +16,33 @@
 	maxUnreachable   = 4 * time.Second
 )
 
-// unreachable is the time for which an endpoint is passed over. The zero value
-// stands for a reachable one.
-type unreachable struct {
-	failures int
-	until    time.Time
+// MarkUnreachable records that no connection to an endpoint could be made. It is
+// passed over for a time that doubles with each failure in a row. Unlike an
+// ejection, this needs no judgement and has no bound by the group: a call that
+// cannot be sent costs its caller the whole time of the attempt.
+func (r *Registry) MarkUnreachable(name string) {
+	s := r.get(name)
+	now := r.now()
+	s.mu.Lock()
+	s.unreachable.Fail(now, absence.Bounds{First: firstUnreachable, Longest: maxUnreachable})
+	s.mu.Unlock()
+}
+
+// reachable reports whether connections to an endpoint may be tried.
+func (r *Registry) reachable(name string) bool {
+	s := r.get(name)
+	now := r.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unreachable.Over(now)
 }
 
-// fail takes a connection that could not be made. Those that were under way
-// before the time began count once.
-func (u *unreachable) fail(now time.Time) {
-	if now.Before(u.until) {
-		return
+// preferReachable leaves out endpoints that could not be reached lately, unless
+// there are no others.
+func (r *Registry) preferReachable(endpoints []*configuration.Endpoint) []*configuration.Endpoint {
+	reachable := slices.DeleteFunc(slices.Clone(endpoints), func(e *configuration.Endpoint) bool { return !r.reachable(e.Name) })
+	if len(reachable) == 0 {
+		return endpoints
 	}
-	u.failures++
-	u.until = now.Add(min(firstUnreachable<<min(u.failures-1, 10), maxUnreachable))
+	return reachable
 }
--- a/internal/reservation/routing.go
+++ b/internal/reservation/routing.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ospreyshed/ospreyshed/internal/absence"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 )
 
@@ -52,20 +53,14 @@
 
 	mu          sync.Mutex
 	routes      map[routeKey]*route
-	unreachable map[string]absence
-}
-
-// absence is the time until which a VM is passed over.
-type absence struct {
-	until  time.Time
-	length time.Duration
+	unreachable map[string]absence.Absence
 }
 
 func newRouter(view membership.View) *router {
 	return &router{
 		view:        view,
 		routes:      make(map[routeKey]*route),
-		unreachable: make(map[string]absence),
+		unreachable: make(map[string]absence.Absence),
 	}
 }
 
@@ -130,13 +125,9 @@
 			current.broken = make(chan struct{})
 		}
 	}
-	now := time.Now()
 	last := r.unreachable[vm]
-	if now.Before(last.until) {
-		return
-	}
-	length := min(max(2*last.length, unreachableFirst), unreachableMax)
-	r.unreachable[vm] = absence{until: now.Add(length), length: length}
+	last.Fail(time.Now(), absence.Bounds{First: unreachableFirst, Longest: unreachableMax})
+	r.unreachable[vm] = last
 }
 
 // markReachable ends the effect of former failures.
@@ -188,14 +179,14 @@
 
 // silent reports whether a VM did not answer lately; the lock is held.
 func (r *router) silent(vm string) bool {
-	return time.Now().Before(r.unreachable[vm].until)
+	return !r.unreachable[vm].Over(time.Now())
 }
 
 // failedLately reports whether a VM did not answer within the longest absence;
 // the lock is held.
 func (r *router) failedLately(vm string) bool {
 	last, failed := r.unreachable[vm]
-	return failed && time.Since(last.until) < unreachableMax
+	return failed && time.Since(last.Until()) < unreachableMax
 }
 
 // preferred reports whether m comes before best.
--- a/internal/reservation/spill.go
+++ b/internal/reservation/spill.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ospreyshed/ospreyshed/internal/absence"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
@@ -38,33 +39,36 @@
 // spillPolicy remembers which zones refused.
 type spillPolicy struct {
 	mu    sync.Mutex
-	rests map[routeKey]absence
+	rests map[routeKey]absence.Absence
 }
 
 func newSpillPolicy() *spillPolicy {
-	return &spillPolicy{rests: make(map[routeKey]absence)}
+	return &spillPolicy{rests: make(map[routeKey]absence.Absence)}
 }
 
 // open reports whether a zone may be asked.
 func (p *spillPolicy) open(key routeKey) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !time.Now().Before(p.rests[key].until)
+	return p.rests[key].Over(time.Now())
 }
 
 // refused lets a zone rest, longer each time.
 func (p *spillPolicy) refused(key routeKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	length := min(max(2*p.rests[key].length, spillRest), spillRestMax)
-	p.rests[key] = absence{until: time.Now().Add(length), length: length}
+	last := p.rests[key]
+	last.Extend(time.Now(), absence.Bounds{First: spillRest, Longest: spillRestMax})
+	p.rests[key] = last
 }
 
 // granted halves the next rest.
 func (p *spillPolicy) granted(key routeKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rests[key] = absence{length: p.rests[key].length / 2}
+	last := p.rests[key]
+	last.EndHalved()
+	p.rests[key] = last
 }
 
 // spill asks the owners of other zones, the nearest first.
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -152,7 +152,7 @@
 	now := start
 	for range 3 {
 		c.engineFailed(now, "d0")
-		now = c.pool.byName["d0"].rest.until
+		now = c.pool.byName["d0"].rest.failed.Until()
 	}
 	assert.Equal(t, now.Sub(start), 7*firstRest)
 	c.engineFailed(now, "d0")
--- a/internal/scheduling/rest.go
+++ b/internal/scheduling/rest.go
@@ -1,6 +1,10 @@
 package scheduling
 
-import "time"
+import (
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/absence"
+)
 
 const (
 	// firstRest and maxRest bound how long an engine that failed a holder gets no
@@ -19,10 +23,10 @@
 
 // rest keeps an engine from new grants after failures that holders report.
 type rest struct {
-	failures int
+	// failed is the rest after failures.
+	failed absence.Absence
 	// lost counts answers that were lost in a row.
-	lost  int
-	until time.Time
+	lost int
 	// leavingUntil is until when a holder's word counts that the engine leaves.
 	leavingUntil time.Time
 	// resting is whether one of the times has not passed, as of the last tidy.
@@ -33,11 +37,9 @@
 // of calls that were under way before the rest began count once.
 func (c *Coordinator) engineFailed(now time.Time, name string) {
 	a, ok := c.pool.byName[name]
-	if !ok || now.Before(a.rest.until) {
+	if !ok || !a.rest.failed.Fail(now, absence.Bounds{First: firstRest, Longest: maxRest}) {
 		return
 	}
-	a.rest.failures++
-	a.rest.until = now.Add(min(firstRest<<min(a.rest.failures-1, 10), maxRest))
 	c.counters.Rested++
 	c.updateRests(now)
 }
@@ -81,7 +83,7 @@
 	}
 	for _, a := range engines {
 		leaving := now.Before(a.rest.leavingUntil)
-		failing := limit > 0 && now.Before(a.rest.until)
+		failing := limit > 0 && !a.rest.failed.Over(now)
 		if failing {
 			limit--
 		}
