Compute an engine's peak memory once per look

Cause: the re-read of the change found that freePlaces sorts and sums the growth of an engine's attempts twice for the same answer, on the path of every admission, and that the steps up to the first event stood in two places. Ruled out: keeping the peak between looks; it moves with the time. Before and after: the same values; the tests are unchanged. Conclusion: one computation per engine and look; the predictor alone knows the steps up to a first event.

--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -108,7 +108,7 @@
 // meets the targets; zero if no target bounds it.
 func (c *Coordinator) latestStart(w *waiter) time.Time {
 	d := &w.demand
-	service := w.work + c.predict.prefillLatency() + c.bestTransfer(d.PromptTokens) + c.bestFirstEvent()
+	service := w.work + c.predict.prefillLatency() + c.bestTransfer(d.PromptTokens) + c.predict.bestFirstEvent()
 	var latest time.Time
 	if t := d.Targets.FirstToken.D(); t > 0 {
 		latest = w.arrival.Add(t - safety(t) - service)
@@ -124,11 +124,6 @@
 	return latest
 }
 
-// bestFirstEvent returns the time to the first event on an idle engine.
-func (c *Coordinator) bestFirstEvent() time.Duration {
-	return time.Duration(max(1, c.predict.model.FirstEventTokens)) * c.predict.model.TokenInterval.D()
-}
-
 // bestWork returns the prefill time on the best engine, if idle.
 func (c *Coordinator) bestWork(d *Demand) time.Duration {
 	best := time.Duration(math.MaxInt64)
--- a/internal/scheduling/memory.go
+++ b/internal/scheduling/memory.go
@@ -77,9 +77,10 @@
 	if !c.settings.Options.MemoryOverTime || a.Pieces == 0 || free <= 0 || len(a.held) == 0 {
 		return free
 	}
-	typical := c.peakOf(now, a) / len(a.held)
+	peak := c.peakOf(now, a)
+	typical := peak / len(a.held)
 	if typical == 0 {
 		return free
 	}
-	return min(free, max(0, grantableTokens(a)-c.peakOf(now, a))/typical)
+	return min(free, max(0, grantableTokens(a)-peak)/typical)
 }
--- a/internal/scheduling/predictor.go
+++ b/internal/scheduling/predictor.go
@@ -72,7 +72,17 @@
 
 // firstEvent returns the time from the end of the transfer to the first event.
 func (p *predictor) firstEvent(a *account, occupancy int) time.Duration {
-	return time.Duration(max(1, p.model.FirstEventTokens)) * p.tokenInterval(a, occupancy)
+	return p.firstEventSteps() * p.tokenInterval(a, occupancy)
+}
+
+// bestFirstEvent returns the time to the first event on an idle engine.
+func (p *predictor) bestFirstEvent() time.Duration {
+	return p.firstEventSteps() * p.model.TokenInterval.D()
+}
+
+// firstEventSteps returns the number of decode steps up to the first event.
+func (p *predictor) firstEventSteps() time.Duration {
+	return time.Duration(max(1, p.model.FirstEventTokens))
 }
 
 // transfer returns the time to move a prompt's KV cache over a link that is
