Tell end-to-end headers apart in one place

Cause: the re-read of the change found package forward's list of hop-by-hop headers, and its walk over those that Connection names, written again for the requests that the adapter passes on. Ruled out: the headers of answers in the same adapter. They are kept by a shorter list, and the shared one would drop more; that is no clean-up. Before and after: the same headers go on.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/httpheader"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
@@ -236,7 +237,7 @@
 	if len(body) > maxReplyBytes {
 		return nil, CutShort.New("reply of %s is longer than %d bytes", name, maxReplyBytes)
 	}
-	return &Reply{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
+	return &Reply{Status: resp.StatusCode, Header: httpheader.EndToEnd(resp.Header), Body: body}, nil
 }
 
 // checkable reports whether the end of the reply can be told from a cut.
@@ -261,7 +262,7 @@
 		// Without GetBody net/http cannot send the body a second time.
 		req.GetBody = nil
 	}
-	req.Header = endToEnd(call.Header)
+	req.Header = httpheader.EndToEnd(call.Header)
 	req.Header.Del("Authorization")
 	req.Header.Set(requestIDHeader, call.RequestID)
 	req.Header.Del(keyHeader)
