List the scheduler's counters once

Cause: the re-read of the change found that a new counter has to be entered in two structs and a sum, because the totals over models repeat the fields of scheduling.Counters. Before and after: the same names and values are published.

--- a/internal/metrics/fields.go
+++ b/internal/metrics/fields.go
@@ -29,15 +29,17 @@
 	return values
 }
 
-// Snapshot publishes the integer fields of a struct by their names in snake
-// case. The function read returns the current struct and is safe for concurrent
+// Snapshot publishes the integer fields of a struct, with those of embedded ones,
+// by their names in snake case. The function read returns the current struct and is safe for concurrent
 // use.
 func Snapshot[T any](read func() T) *expvar.Map {
 	values := new(expvar.Map)
-	t := reflect.TypeFor[T]()
-	for i := range t.NumField() {
-		values.Set(snakeCase(t.Field(i).Name), expvar.Func(func() any {
-			return reflect.ValueOf(read()).Field(i).Interface()
+	for _, field := range reflect.VisibleFields(reflect.TypeFor[T]()) {
+		if field.Anonymous {
+			continue
+		}
+		values.Set(snakeCase(field.Name), expvar.Func(func() any {
+			return reflect.ValueOf(read()).FieldByIndex(field.Index).Interface()
 		}))
 	}
 	return values
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -90,3 +90,19 @@
 	assert.Equal(t, response.Body.String(),
 		`{"canceller": {"abandoned": 0, "confirmed": 0, "in_flight": 2, "sent": 0}, "scheduling": {"granted": 3}}`)
 }
+
+// Embedded are counters that a struct of totals embeds.
+type Embedded struct{ RefusedFull uint64 }
+
+func TestSnapshotPublishesEmbeddedFields(t *testing.T) {
+	values := Snapshot(func() struct {
+		Waiting int
+		Embedded
+	} {
+		return struct {
+			Waiting int
+			Embedded
+		}{Waiting: 2, Embedded: Embedded{RefusedFull: 3}}
+	})
+	assert.Equal(t, values.String(), `{"refused_full": 3, "waiting": 2}`)
+}
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -32,6 +32,25 @@
 	Rested uint64
 }
 
+// Add adds the counts of another coordinator.
+func (c *Counters) Add(other *Counters) {
+	c.Granted += other.Granted
+	c.Overlapped += other.Overlapped
+	c.RefusedTarget += other.RefusedTarget
+	c.RefusedFull += other.RefusedFull
+	c.RefusedEngine += other.RefusedEngine
+	c.RefusedLarge += other.RefusedLarge
+	c.Dropped += other.Dropped
+	c.Withdrawn += other.Withdrawn
+	c.Expired += other.Expired
+	c.HolderGone += other.HolderGone
+	c.Adopted += other.Adopted
+	c.Released += other.Released
+	c.CacheGaps += other.CacheGaps
+	c.CacheMisses += other.CacheMisses
+	c.Rested += other.Rested
+}
+
 // Coordinator owns the engines of one model in one availability zone: the
 // ledger of decode slots and memory, the queue and the predictions. It has no
 // clock and no goroutine; every method takes the time. It is not safe for
