--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -31,6 +31,23 @@
 	assert.Assert(t, errorx.HasTrait(err, NotRun))
 }
 
+// A key's time is judged by the log service's clock, which is older than the
+// answer that tells it by the time that the answer was on its way.
+func TestKeyIsNotInTheFutureOfASlowAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := testSettings()
+		settings.ClockSkew = 0
+		c := newCluster(1, settings)
+		c.log.answerDelay = 100 * time.Millisecond
+		a := c.start(t, "vm-1", "a")
+		for n := range 20 {
+			must(t, a, newKey(n), Run)
+			time.Sleep(time.Second)
+		}
+		c.stop()
+	})
+}
+
 func TestOnlyTheFirstClaimRuns(t *testing.T) {
 	bubble(t, func(t *testing.T, _ *cluster, a, b, d *vm) {
 		for n := range 40 {
--- a/internal/claim/fakelog_test.go
+++ b/internal/claim/fakelog_test.go
@@ -24,9 +24,11 @@
 
 // fakeLog is an in-memory log service on the bubble's clock.
 type fakeLog struct {
-	latency   time.Duration
-	retention time.Duration
-	lateBy    time.Duration
+	latency time.Duration
+	// answerDelay is the time that the answer of a read is on its way.
+	answerDelay time.Duration
+	retention   time.Duration
+	lateBy      time.Duration
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -146,6 +148,13 @@
 
 func (l *fakeLog) Read(ctx context.Context, name string, from uint64, limit int, _ time.Duration) (logservice.Page, error) {
 	pause(ctx, l.latency)
+	page, err := l.page(name, from, limit)
+	pause(ctx, l.answerDelay)
+	return page, err
+}
+
+// page returns the records of a stream as of now.
+func (l *fakeLog) page(name string, from uint64, limit int) (logservice.Page, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.away || l.random.Float64() < l.faults.unreadable {
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -79,9 +79,10 @@
 	// synced is false until the stream was read to its end, and again while an
 	// append is in doubt.
 	synced bool
-	// clock is the log service's clock at readAt.
-	clock  time.Time
-	readAt time.Time
+	// clock is the log service's clock as the last answer told it, and askedAt
+	// when that read was sent.
+	clock   time.Time
+	askedAt time.Time
 }
 
 func newShard(stream string, log logservice.Service, settings *Settings, counters *counters) *shard {
--- a/internal/claim/shard_serve.go
+++ b/internal/claim/shard_serve.go
@@ -44,12 +44,13 @@
 // catchUp reads the stream up to its end and reports whether it succeeded.
 func (s *shard) catchUp(ctx context.Context) bool {
 	for {
+		asked := time.Now()
 		page, err := s.read(ctx)
 		if err != nil || page.NextOffset < s.next {
 			s.counters.readFailed()
 			return false
 		}
-		if !s.applyPage(page) {
+		if !s.applyPage(asked, page) {
 			return false
 		}
 		if s.next >= page.NextOffset {
@@ -64,11 +65,11 @@
 	return s.log.Read(ctx, s.stream, s.next, pageLimit, 0)
 }
 
-// applyPage applies the records of a page and reports whether they continue
-// what was read before.
-func (s *shard) applyPage(page logservice.Page) bool {
+// applyPage applies the records of a page that was asked for at the given time
+// and reports whether they continue what was read before.
+func (s *shard) applyPage(asked time.Time, page logservice.Page) bool {
 	s.clock = page.Time
-	s.readAt = time.Now()
+	s.askedAt = asked
 	expired := page.Time.Add(-s.settings.LogRetention)
 	if page.FirstOffset > s.next {
 		s.next = page.FirstOffset
@@ -106,7 +107,7 @@
 
 // refresh reads the stream if the clock or an unfinished key's state is stale.
 func (s *shard) refresh(ctx context.Context) {
-	age := time.Since(s.readAt)
+	age := time.Since(s.askedAt)
 	if age > clockFor || age > freshFor && s.asksUnfinished() {
 		s.catchUp(ctx)
 	}
@@ -181,8 +182,10 @@
 	return true
 }
 
-// now returns the log service's clock, extrapolated from the last read.
-func (s *shard) now() time.Time { return s.clock.Add(time.Since(s.readAt)) }
+// now returns the latest that the log service's clock can show, extrapolated from
+// the last read. It may be ahead by the time that the read took, which Margin
+// covers; were it behind, a key made a moment ago would be in the future.
+func (s *shard) now() time.Time { return s.clock.Add(time.Since(s.askedAt)) }
 
 // take removes the next batch from the queue.
 func (s *shard) take() []*pending {
