--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/completion"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
 )
@@ -54,6 +55,7 @@
 	callers *callerServer
 	peers   *peerServer
 	store   *configuration.Store
+	members *swim.Service
 	metrics *metrics.Registry
 }
 
@@ -80,7 +82,7 @@
 		pathModule,
 		serverModule,
 		optionsOf(options),
-		fx.Populate(&d.callers, &d.peers, &d.store, &d.metrics),
+		fx.Populate(&d.callers, &d.peers, &d.store, &d.members, &d.metrics),
 	)
 	return d
 }
@@ -116,8 +118,9 @@
 // PeerAddr returns the address that peers reach, an IP number and port.
 func (d *Daemon) PeerAddr() string { return d.peers.addr() }
 
-// Ready reports whether the daemon has a configuration to serve by.
-func (d *Daemon) Ready() bool { return d.store.Snapshot() != nil }
+// Ready reports whether the daemon has a configuration to serve by and is known to
+// the other entry VMs.
+func (d *Daemon) Ready() bool { return d.store.Snapshot() != nil && d.members.Joined() }
 
 // Metrics returns the daemon's counters.
 func (d *Daemon) Metrics() *metrics.Registry { return d.metrics }
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -78,8 +78,9 @@
 	return net.JoinHostPort(address.Addr().String(), port)
 }
 
-// runMembers takes part in the membership and follows the configuration.
-func runMembers(lifecycle fx.Lifecycle, service *swim.Service, store *configuration.Store) {
+// runMembers takes part in the membership and follows the configuration. It starts
+// after the listener for peers, so that whoever this VM calls can call back.
+func runMembers(lifecycle fx.Lifecycle, service *swim.Service, store *configuration.Store, _ *peerServer) {
 	background.Run(lifecycle, service.Run)
 	background.Run(lifecycle, func(ctx context.Context) {
 		for {
--- a/internal/daemon/path.go
+++ b/internal/daemon/path.go
@@ -16,6 +16,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/gateway"
 	"github.com/ospreyshed/ospreyshed/internal/lease"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
+	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
 	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
@@ -148,6 +149,7 @@
 	Forwarder *forward.Forwarder
 	Keys      *keys
 	Store     *configuration.Store
+	Members   *swim.Service
 	Events    timeline.Recorder
 	Metrics   *metrics.Registry
 }
@@ -161,6 +163,7 @@
 		Claims:        p.Keys,
 		Answers:       p.Keys,
 		Configuration: p.Store,
+		Joined:        p.Members.Joined,
 		Events:        p.Events,
 		BodyBytes:     p.Settings.Limits.BodyBytes,
 		WriteTimeout:  p.Settings.Limits.WriteTimeout.D(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,7 +65,9 @@
 	Claims        Claims
 	Answers       Answers
 	Configuration Configuration
-	Events        timeline.Recorder
+	// Joined reports whether other entry VMs know this one. Readiness waits for it.
+	Joined func() bool
+	Events timeline.Recorder
 	// BodyBytes bounds a request body.
 	BodyBytes int64
 	// WriteTimeout bounds each write to a caller that does not read.
@@ -132,7 +134,7 @@
 	switch {
 	case g.draining.Load():
 		problem.Write(w, problem.New(problem.Draining, http.StatusServiceUnavailable, problem.NotRun, ""))
-	case g.options.Configuration.Snapshot() == nil:
+	case g.options.Configuration.Snapshot() == nil, !g.options.Joined():
 		problem.Write(w, notReady())
 	default:
 		_, _ = w.Write([]byte("ready\n"))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,6 +34,8 @@
 	forwardErr  error
 	claimErr    error
 	decision    claim.Decision
+	// apart makes this VM unknown to others.
+	apart bool
 }
 
 func (f *fakes) Snapshot() *configuration.Snapshot { return f.snapshot }
@@ -97,6 +99,7 @@
 	assert.NilError(t, err)
 	return New(Options{
 		VM: "vm-1", Incarnation: 7, Completer: f, Forwarder: f, Claims: f, Answers: f, Configuration: f,
+		Joined: func() bool { return !f.apart },
 		Events: timeline.Discard, BodyBytes: 400, WriteTimeout: time.Second,
 	})
 }
@@ -209,6 +212,9 @@
 	f := &fakes{}
 	g := newGateway(t, f)
 	assert.Equal(t, call(g, "GET", "/readyz", "", nil).Code, http.StatusOK)
+	f.apart = true
+	assert.Equal(t, call(g, "GET", "/readyz", "", nil).Code, http.StatusServiceUnavailable)
+	f.apart = false
 	g.Drain()
 	assert.Equal(t, call(g, "GET", "/readyz", "", nil).Code, http.StatusServiceUnavailable)
 	assert.Equal(t, call(g, "GET", "/roster/1", "", nil).Code, http.StatusOK, "the balancer may lag")
--- a/internal/membership/swim/candidate.go
+++ b/internal/membership/swim/candidate.go
@@ -12,10 +12,60 @@
 	// values are names, empty if unknown.
 	seeds, configured, hinted map[string]string
 	turn                      int
+	// calling are the addresses that were called to join, called those of finished
+	// exchanges, whatever their outcome.
+	calling, called map[string]bool
 }
 
 func newCandidates() candidates {
-	return candidates{seeds: make(map[string]string)}
+	return candidates{
+		seeds:   make(map[string]string),
+		calling: make(map[string]bool),
+		called:  make(map[string]bool),
+	}
+}
+
+// hasJoined reports whether every entry VM of the configuration that can be
+// reached knows this one: each candidate is a member or was called in vain. Work of
+// a VM that no other knows would not be cancelled after its end.
+func (m *machine) hasJoined(now time.Time) bool {
+	if m.joined || m.configuredAt.IsZero() {
+		return m.joined
+	}
+	m.joined = now.Sub(m.configuredAt) >= joinLimit || len(m.uncalled()) == 0
+	return m.joined
+}
+
+// finished notes an exchange whose outcome is known.
+func (c *candidates) finished(done *call) {
+	if done.Kind == callExchange && c.calling[done.Address] {
+		c.called[done.Address] = true
+	}
+}
+
+// uncalled returns the candidates that have not been called yet.
+func (m *machine) uncalled() map[string]string {
+	open := m.openCandidates()
+	for address := range open {
+		if m.candidates.called[address] {
+			delete(open, address)
+		}
+	}
+	return open
+}
+
+// startFirstJoin calls a candidate that has not been called yet.
+func (m *machine) startFirstJoin(now time.Time) []call {
+	open := m.uncalled()
+	for _, address := range sortedKeys(open) {
+		if m.candidates.calling[address] {
+			continue
+		}
+		m.candidates.calling[address] = true
+		m.counters.Joins.Add(1)
+		return []call{m.exchange(now, address, open[address], 0)}
+	}
+	return nil
 }
 
 // startJoin calls the next candidate that is no member.
@@ -77,6 +127,9 @@
 // configure takes the entry VMs of the configuration in force. Members that it
 // does not name are gone.
 func (m *machine) configure(now time.Time, vms []configuredVM) {
+	if m.configuredAt.IsZero() {
+		m.configuredAt = now
+	}
 	m.listed = make(map[string]string, len(vms))
 	m.candidates.configured = make(map[string]string, len(vms))
 	for _, vm := range vms {
--- a/internal/membership/swim/machine.go
+++ b/internal/membership/swim/machine.go
@@ -47,6 +47,10 @@
 	nextJoin  time.Time
 	lastHeard time.Time
 
+	// configuredAt is the time of the first configuration.
+	configuredAt time.Time
+	joined       bool
+
 	// differences bounds the exchanges answered with differences.
 	differences *rate.Limiter
 
@@ -126,6 +130,9 @@
 	if due(now, &m.nextSync, syncPeriod) {
 		calls = append(calls, m.startSync(now)...)
 	}
+	if !m.hasJoined(now) {
+		calls = append(calls, m.startFirstJoin(now)...)
+	}
 	if due(now, &m.nextJoin, joinPeriod) {
 		calls = append(calls, m.startJoin(now)...)
 	}
--- a/internal/membership/swim/receive.go
+++ b/internal/membership/swim/receive.go
@@ -162,6 +162,7 @@
 		return nil
 	}
 	delete(m.calls, id)
+	m.candidates.finished(&done.call)
 	answered := result.Answer != nil && m.takeAnswer(now, done, result.Answer)
 	if done.probe != nil {
 		reached := answered && (done.Kind == callPing || result.Reached)
--- a/internal/membership/swim/service.go
+++ b/internal/membership/swim/service.go
@@ -37,6 +37,7 @@
 	params   Params
 	counters Counters
 	view     atomic.Pointer[view]
+	joined   atomic.Bool
 	running  sync.WaitGroup
 
 	mu      sync.Mutex
@@ -80,6 +81,10 @@
 // Members implements membership.View.
 func (s *Service) Members() []membership.Member { return s.view.Load().members }
 
+// Joined reports whether the other entry VMs of the configuration know this one, as
+// far as they can be reached. It is false before the first configuration.
+func (s *Service) Joined() bool { return s.joined.Load() }
+
 // Vars returns the counters of the service.
 func (s *Service) Vars() *expvar.Map {
 	vars := metrics.Fields(&s.counters)
@@ -190,6 +195,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	calls := step(now, s.machine)
+	s.joined.Store(s.machine.hasJoined(now))
 	s.publish(now)
 	return calls
 }
--- a/internal/membership/swim/service_test.go
+++ b/internal/membership/swim/service_test.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
@@ -124,3 +125,58 @@
 	registry.Mount("membership", newWire().join("vm-a1", "10.0.0.1:1", 1, nil).Vars())
 	assert.Equal(t, len(registry.Undocumented())+len(registry.Unpublished()), 0)
 }
+
+// twoVMs returns a configuration with two entry VMs of one availability zone.
+func twoVMs(t *testing.T) *configuration.Snapshot {
+	bundle := configuration.Bundle{Format: configuration.Format}
+	bundle.Fleet.Zones = []configuration.Zone{{Name: "zone-a"}}
+	bundle.Fleet.Times = configuration.Times{
+		DrainLimit:   configuration.Duration(time.Minute),
+		LogRetention: configuration.Duration(time.Hour),
+		KeyWindow:    configuration.Duration(time.Minute),
+	}
+	bundle.Fleet.VMs = []configuration.VM{
+		{Name: "vm-1", Zone: "zone-a", Address: "10.0.0.1:1"},
+		{Name: "vm-2", Zone: "zone-a", Address: "10.0.0.2:1"},
+	}
+	snapshot, err := configuration.NewSnapshot(bundle)
+	assert.NilError(t, err)
+	return snapshot
+}
+
+// A VM that accepts requests before others know it could end without anybody
+// cancelling its engine work.
+func TestVMHasJoinedOnceOthersKnowIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		ring := timeline.NewRing("vm", 1, 100)
+		first := w.join("vm-1", "10.0.0.1:1", 1, ring)
+		second := w.join("vm-2", "10.0.0.2:1", 2, ring)
+		// The first listens late, so that the second reaches it only after the seeds' period.
+		w.set("10.0.0.1:1", nil)
+		defer runService(t, second)()
+		time.Sleep(tickPeriod)
+		w.set("10.0.0.1:1", first.Peer().Handler)
+		defer runService(t, first)()
+		for _, s := range []*Service{first, second} {
+			assert.Assert(t, !s.Joined(), "joined without a configuration")
+			s.ApplyConfiguration(twoVMs(t))
+		}
+		for !first.Joined() || !second.Joined() {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, len(first.Members()), 2)
+		assert.Equal(t, len(second.Members()), 2)
+	})
+}
+
+func TestVMThatReachesNobodyHasJoinedInTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		alone := w.join("vm-1", "10.0.0.1:1", 1, timeline.NewRing("vm", 1, 100))
+		defer runService(t, alone)()
+		alone.ApplyConfiguration(twoVMs(t))
+		time.Sleep(joinLimit + 2*tickPeriod)
+		assert.Assert(t, alone.Joined())
+	})
+}
--- a/internal/membership/swim/timing.go
+++ b/internal/membership/swim/timing.go
@@ -20,6 +20,8 @@
 	syncPeriod = 5 * time.Second
 	// joinPeriod is the time between two calls to addresses without a member.
 	joinPeriod = time.Second
+	// joinLimit bounds the time that a VM takes to call all others once.
+	joinLimit = 3 * time.Second
 	// tickPeriod is the time between two calls of machine.tick.
 	tickPeriod = 100 * time.Millisecond
 	// pauseThreshold is the time between two ticks from which on the process
--- a/internal/membership/swim/transport_test.go
+++ b/internal/membership/swim/transport_test.go
@@ -130,6 +130,19 @@
 	}, poll.WithTimeout(30*time.Second), poll.WithDelay(20*time.Millisecond))
 }
 
+// awaitGone waits until subscribers were told of a member that is gone, which Run
+// does after the view has changed.
+func awaitGone(t testing.TB, p *process) []membership.Member {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(p.goneMembers()) == 0 {
+			return poll.Continue("%s was told of nobody", p.Self().VM)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(20*time.Millisecond))
+	return p.goneMembers()
+}
+
 func eachTransport(t *testing.T, test func(t *testing.T, authority *peertest.Authority)) {
 	t.Run("without certificates", func(t *testing.T) {
 		t.Parallel()
@@ -154,7 +167,7 @@
 		waitFor(t, a1, "vm-a1:alive vm-b1:alive")
 		waitFor(t, b1, "vm-a1:alive vm-b1:alive")
 		for _, p := range []*process{a1, b1} {
-			gone := p.goneMembers()
+			gone := awaitGone(t, p)
 			assert.Equal(t, len(gone), 1)
 			assert.Equal(t, gone[0].VM, "vm-a2")
 			assert.Equal(t, gone[0].Incarnation, died.Incarnation)
