--- /dev/null
+++ b/internal/endpoint/load.go
@@ -0,0 +1,79 @@
+package endpoint
+
+import (
+	"math"
+	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+const (
+	// loadMemory is the time constant over which load reports are averaged. Requests
+	// to plain services take some tens of milliseconds, so that it spans several.
+	loadMemory = 300 * time.Millisecond
+	// loadDecay is the time constant with which a report loses its weight. An endpoint
+	// that was overloaded is tried again without a report of its own.
+	loadDecay = 3 * time.Second
+	// farMargin is by how much an endpoint of the own zone must be fuller than one of
+	// another before requests leave the zone: the way there takes time and costs bytes.
+	farMargin = 0.5
+	// farRoomy and farFull are how full an endpoint of another zone may be to take all
+	// that it is given, and from which on it takes nothing. Where all zones are
+	// overloaded, sharing the load would only make everyone late.
+	farRoomy = 0.75
+	farFull  = 1.25
+)
+
+// reported is the load that an endpoint told of itself, averaged over its reports.
+type reported struct {
+	requests float64
+	at       time.Time
+}
+
+// observe takes a report.
+func (l *reported) observe(now time.Time, requests int) {
+	weight := 1.0
+	if !l.at.IsZero() {
+		weight = 1 - math.Exp(-float64(now.Sub(l.at))/float64(loadMemory))
+	}
+	l.requests += weight * (float64(requests) - l.requests)
+	l.at = now
+}
+
+// estimate returns the number of requests that the endpoint has now.
+func (l *reported) estimate(now time.Time) float64 {
+	if l.at.IsZero() {
+		return 0
+	}
+	return l.requests * math.Exp(-float64(now.Sub(l.at))/float64(loadDecay))
+}
+
+// ObserveLoad takes the number of requests, running and waiting, that an endpoint
+// says it has.
+func (r *Registry) ObserveLoad(name string, requests int) {
+	s := r.get(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load.observe(r.now(), requests)
+}
+
+// fullness returns an endpoint's requests, as known here and including one more, as
+// a part of its slots, over its share of the load. Without slots it counts requests.
+func (r *Registry) fullness(e *configuration.Endpoint) float64 {
+	s := r.get(e.Name)
+	s.mu.Lock()
+	told := s.load.estimate(r.now())
+	s.mu.Unlock()
+	requests := max(told, float64(s.inFlight.Load())) + 1
+	return requests / float64(max(1, e.Slots)) / max(minShare, r.share(e.Name))
+}
+
+// farShare returns the part of requests that go to another zone, given how full the
+// endpoints are that are picked in each. It grows with the difference, so that VMs
+// with reports of the same age do not all move at once.
+func farShare(near, far float64) float64 {
+	return part(near-far-farMargin) * part((farFull-far)/(farFull-farRoomy))
+}
+
+// part bounds a number to what a part of a whole can be.
+func part(x float64) float64 { return min(1, max(0, x)) }
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -7,7 +7,6 @@
 package endpoint
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,6 +29,7 @@
 
 	mu          sync.Mutex
 	outlier     outlier
+	load        reported
 	unreachable absence.Absence
 	saidLeaving time.Time
 	listed      bool
@@ -52,12 +52,14 @@
 
 	events timeline.Recorder
 	now    func() time.Time
+	// random returns a number from 0 to below 1; it is safe for concurrent use.
+	random func() float64
 	status sync.Map // endpoint name -> *Status
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(events timeline.Recorder) *Registry {
-	return &Registry{events: events, now: time.Now}
+	return &Registry{events: events, now: time.Now, random: rand.Float64}
 }
 
 func (r *Registry) get(name string) *Status {
@@ -216,10 +218,11 @@
 	return latencies[(len(latencies)-1)/2], ejected
 }
 
-// PickLeastInFlight chooses among usable endpoints by the power of two choices
-// on this VM's calls in flight, relative to each endpoint's share. Endpoints of
-// the zone are preferred. It returns nil if none is usable.
-func (r *Registry) PickLeastInFlight(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint {
+// PickLeastLoaded chooses among usable endpoints by the power of two choices on how
+// full they are, as far as this VM's calls in flight and the endpoints' own reports
+// tell. Endpoints of the zone are preferred unless they are much fuller than others.
+// It returns nil if none is usable.
+func (r *Registry) PickLeastLoaded(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint {
 	usable := make([]*configuration.Endpoint, 0, len(candidates))
 	for _, e := range candidates {
 		if !slices.Contains(exclude, e.Name) && r.Usable(e.Name) {
@@ -227,25 +230,46 @@
 		}
 	}
 	usable = r.preferReachable(usable)
-	near := slices.DeleteFunc(slices.Clone(usable), func(e *configuration.Endpoint) bool { return e.Zone != zone })
-	if len(near) > 0 {
-		usable = near
+	var near, far []*configuration.Endpoint
+	for _, e := range usable {
+		if e.Zone == zone {
+			near = append(near, e)
+		} else {
+			far = append(far, e)
+		}
+	}
+	return r.nearOrFar(r.emptierOfTwo(near), r.emptierOfTwo(far))
+}
+
+// nearOrFar chooses between an endpoint of the own zone and one of another; either
+// may be nil. Requests leave the zone only for an endpoint with known slots.
+func (r *Registry) nearOrFar(near, far *configuration.Endpoint) *configuration.Endpoint {
+	switch {
+	case near == nil:
+		return far
+	case far == nil || near.Slots == 0 || far.Slots == 0:
+		return near
+	case r.random() < farShare(r.fullness(near), r.fullness(far)):
+		return far
 	}
+	return near
+}
+
+// emptierOfTwo returns the emptier one of two random endpoints, nil if there is none.
+func (r *Registry) emptierOfTwo(usable []*configuration.Endpoint) *configuration.Endpoint {
 	switch len(usable) {
 	case 0:
 		return nil
 	case 1:
 		return usable[0]
 	}
-	first := rand.IntN(len(usable))
-	second := (first + 1 + rand.IntN(len(usable)-1)) % len(usable)
-	if cmp.Less(r.relativeLoad(usable[second].Name), r.relativeLoad(usable[first].Name)) {
+	first := r.randomIndex(len(usable))
+	second := (first + 1 + r.randomIndex(len(usable)-1)) % len(usable)
+	if r.fullness(usable[second]) < r.fullness(usable[first]) {
 		return usable[second]
 	}
 	return usable[first]
 }
 
-// relativeLoad is the load in flight plus the new call over the endpoint's share.
-func (r *Registry) relativeLoad(name string) float64 {
-	return float64(r.InFlight(name)+1) / max(minShare, r.share(name))
-}
+// randomIndex returns a random number below n.
+func (r *Registry) randomIndex(n int) int { return int(r.random() * float64(n)) }
--- a/internal/endpoint/registry_test.go
+++ b/internal/endpoint/registry_test.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,6 +78,33 @@
 	assert.Assert(t, r.Usable("b") && r.Usable("c"))
 }
 
+func TestFarShareFollowsTheDifference(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		near, far, want float64
+	}{
+		{"equally full", 0.6, 0.6, 0},
+		{"within the margin", 1, 0.5, 0},
+		{"fuller", 1.2, 0.5, 0.2},
+		{"overloaded", 3, 0.5, 1},
+		{"the other is filling up", 3, 1, 0.5},
+		{"all are overloaded", 3, 1.25, 0},
+	} {
+		assert.Assert(t, math.Abs(farShare(test.near, test.far)-test.want) < 1e-9, "%s: %f", test.name, farShare(test.near, test.far))
+	}
+}
+
+func TestReportsOfLoadFade(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry(timeline.Discard)
+	r.now = func() time.Time { return now }
+	e := &configuration.Endpoint{Name: "e", Slots: 6}
+	r.ObserveLoad("e", 11)
+	assert.Equal(t, r.fullness(e), 2.0)
+	now = now.Add(10 * loadDecay)
+	assert.Assert(t, r.fullness(e) < 0.2, "%f", r.fullness(e))
+}
+
 func TestPickPrefersOwnZoneAndLeastInFlight(t *testing.T) {
 	r := NewRegistry(timeline.Discard)
 	near1 := &configuration.Endpoint{Name: "n1", Zone: "z1"}
@@ -84,6 +112,6 @@
 	far := &configuration.Endpoint{Name: "f", Zone: "z2"}
 	candidates := []*configuration.Endpoint{near1, near2, far}
 	defer r.Begin("n1")()
-	assert.Equal(t, r.PickLeastInFlight(candidates, "z1", nil), near2)
-	assert.Equal(t, r.PickLeastInFlight(candidates, "z1", []string{"n1", "n2"}), far)
+	assert.Equal(t, r.PickLeastLoaded(candidates, "z1", nil), near2)
+	assert.Equal(t, r.PickLeastLoaded(candidates, "z1", []string{"n1", "n2"}), far)
 }
--- a/internal/endpoint/unreachable_test.go
+++ b/internal/endpoint/unreachable_test.go
@@ -21,19 +21,19 @@
 	all := append([]*configuration.Endpoint{near}, far...)
 	r.MarkUnreachable("near")
 	for range 10 {
-		assert.Assert(t, r.PickLeastInFlight(all, "a", nil) != near)
+		assert.Assert(t, r.PickLeastLoaded(all, "a", nil) != near)
 	}
 	r.MarkUnreachable("far1")
 	r.MarkUnreachable("far2")
-	assert.Equal(t, r.PickLeastInFlight(all, "a", nil), near, "all are tried if none is reachable")
+	assert.Equal(t, r.PickLeastLoaded(all, "a", nil), near, "all are tried if none is reachable")
 
 	now = now.Add(firstUnreachable)
-	assert.Equal(t, r.PickLeastInFlight(all, "a", nil), near, "it is tried again")
+	assert.Equal(t, r.PickLeastLoaded(all, "a", nil), near, "it is tried again")
 	r.MarkUnreachable("near")
 	now = now.Add(firstUnreachable)
-	assert.Assert(t, r.PickLeastInFlight(all, "a", nil) != near, "the time doubles")
+	assert.Assert(t, r.PickLeastLoaded(all, "a", nil) != near, "the time doubles")
 	r.Observe("near", []string{"near"}, true, time.Millisecond)
-	assert.Equal(t, r.PickLeastInFlight(all, "a", nil), near)
+	assert.Equal(t, r.PickLeastLoaded(all, "a", nil), near)
 }
 
 func TestEndpointsWithoutSamplesDoNotMakeOthersSlow(t *testing.T) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -47,7 +47,7 @@
 
 // Endpoints picks endpoints and learns how calls to them went.
 type Endpoints interface {
-	PickLeastInFlight(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint
+	PickLeastLoaded(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint
 	Begin(name string) func()
 	MarkLeaving(name string)
 	Observe(name string, group []string, ok bool, latency time.Duration)
@@ -133,7 +133,7 @@
 	var tried []string
 	var last error
 	for range maxEndpoints {
-		chosen := f.endpoints.PickLeastInFlight(candidates, f.zone, tried)
+		chosen := f.endpoints.PickLeastLoaded(candidates, f.zone, tried)
 		if chosen == nil {
 			break
 		}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -36,7 +36,7 @@
 func (r *Relay) servePlain(ctx context.Context, x *exchange) {
 	for r.mayRepeat(x) {
 		candidates := r.withConnections(x.service)
-		chosen := r.options.Endpoints.PickLeastInFlight(candidates, r.options.Zone, x.exclude)
+		chosen := r.options.Endpoints.PickLeastLoaded(candidates, r.options.Zone, x.exclude)
 		if chosen == nil {
 			break
 		}
@@ -86,6 +86,9 @@
 	defer r.options.Endpoints.Begin(to.Name)()
 	started := time.Now()
 	answer, verdict, err := r.call(ctx, x, to, &Call{Stage: Whole}, r.tryTime(x))
+	if verdict.Load != nil {
+		r.options.Endpoints.ObserveLoad(to.Name, verdict.Load.Running+verdict.Load.Waiting)
+	}
 	ok := err == nil && (answer.Status < http.StatusInternalServerError || verdict.NotRun)
 	if ctx.Err() == nil {
 		r.options.Endpoints.Observe(to.Name, endpointNames(group), ok, time.Since(started))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,11 +22,12 @@
 
 // Endpoints picks endpoints and learns how calls to them went.
 type Endpoints interface {
-	PickLeastInFlight(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint
+	PickLeastLoaded(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint
 	Begin(name string) func()
 	InFlight(name string) int
 	MarkLeaving(name string)
 	MarkUnreachable(name string)
+	ObserveLoad(name string, requests int)
 	Observe(name string, group []string, ok bool, latency time.Duration)
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -122,6 +122,13 @@
 	NotRun bool
 	// OtherInstance says that another endpoint has the address.
 	OtherInstance bool
+	// Load is what the endpoint says of its load; nil if it says nothing.
+	Load *Load
+}
+
+// Load is the number of requests that an endpoint runs and keeps waiting.
+type Load struct {
+	Running, Waiting int
 }
 
 // Prompt is the outcome of a prefill.
