--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -115,11 +117,32 @@
 	registry.Mount("peer_server", server.Vars())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return server.Start() },
-		OnStop:  server.Shutdown,
+		OnStop:  func(ctx context.Context) error { return stopPeers(ctx, server) },
 	})
 	return server, nil
 }
 
+// peerStopLimit bounds the end of the listener for peers. Those have been told by
+// then that this VM leaves; HTTP/2 alone would wait a second for their connections.
+const peerStopLimit = 100 * time.Millisecond
+
+// shutdowner ends a server; the end of the context cuts off what is in flight.
+type shutdowner interface {
+	Shutdown(ctx context.Context) error
+}
+
+// stopPeers ends the listener for peers. Calls that are cut off are no error, since
+// their callers ask the next owner.
+func stopPeers(ctx context.Context, server shutdowner) error {
+	limited, cancel := context.WithTimeout(ctx, peerStopLimit)
+	defer cancel()
+	err := server.Shutdown(limited)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 // applyEntryVMs takes the entry VMs that have announced themselves.
 func applyEntryVMs(options *Options, members *swim.Service, budgets *retry.Shared, vms []fleet.EntryVM) {
 	options.Fleet.SetEntryVMs(vms)
--- /dev/null
+++ b/internal/node/peers_test.go
@@ -0,0 +1,27 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// busyPeers is a server whose connections stay busy.
+type busyPeers struct{}
+
+func (busyPeers) Shutdown(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// A stop has to end within the grace, most of which requests in flight may take.
+func TestPeersDoNotHoldUpTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		assert.NilError(t, stopPeers(t.Context(), busyPeers{}))
+		assert.Assert(t, time.Since(began) < stopMargin)
+	})
+}
