--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/ospreyshed/ospreyshed/internal/absence"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 )
 
@@ -24,6 +25,42 @@
 	farFull  = 1.25
 )
 
+const (
+	// failureWeight is the weight of a new outcome in the failure rate, and
+	// failureDecay the time constant with which the rate fades, so that an endpoint
+	// that is passed over is tried again.
+	failureWeight = 0.2
+	failureDecay  = 5 * time.Second
+	// failureCost is how full an endpoint that fails all requests counts beside its
+	// load. Some failures are the requests' own and occur everywhere.
+	failureCost = 4
+)
+
+// failures is the part of recent calls to an endpoint that failed or were declined.
+type failures struct {
+	rate float64
+	at   time.Time
+}
+
+// observe takes the outcome of a call.
+func (f *failures) observe(now time.Time, ok bool) {
+	outcome := 1.0
+	if ok {
+		outcome = 0
+	}
+	f.rate = f.now(now)
+	f.rate += failureWeight * (outcome - f.rate)
+	f.at = now
+}
+
+// now returns the failure rate.
+func (f *failures) now(now time.Time) float64 {
+	if f.at.IsZero() {
+		return 0
+	}
+	return f.rate * math.Exp(-float64(now.Sub(f.at))/float64(failureDecay))
+}
+
 // reported is the load that an endpoint told of itself, averaged over its reports.
 type reported struct {
 	requests float64
@@ -57,6 +94,25 @@
 	s.load.observe(r.now(), requests)
 }
 
+// ObserveDecline records that an endpoint did not run a request. That is no reason
+// to eject it, but one to prefer others.
+func (r *Registry) ObserveDecline(name string) {
+	s := r.get(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures.observe(r.now(), false)
+	s.unreachable = absence.Absence{}
+}
+
+// cost compares endpoints: their fullness, and what a failure costs.
+func (r *Registry) cost(e *configuration.Endpoint) float64 {
+	s := r.get(e.Name)
+	s.mu.Lock()
+	failing := s.failures.now(r.now())
+	s.mu.Unlock()
+	return r.fullness(e) + failureCost*failing
+}
+
 // fullness returns an endpoint's requests, as known here and including one more, as
 // a part of its slots, over its share of the load. Without slots it counts requests.
 func (r *Registry) fullness(e *configuration.Endpoint) float64 {
@@ -68,8 +124,8 @@
 	return requests / float64(max(1, e.Slots)) / max(minShare, r.share(e.Name))
 }
 
-// farShare returns the part of requests that go to another zone, given how full the
-// endpoints are that are picked in each. It grows with the difference, so that VMs
+// farShare returns the part of requests that go to another zone, given the cost of
+// the endpoints that are picked in each. It grows with the difference, so that VMs
 // with reports of the same age do not all move at once.
 func farShare(near, far float64) float64 {
 	return part(near-far-farMargin) * part((farFull-far)/(farFull-farRoomy))
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -30,6 +30,7 @@
 	mu          sync.Mutex
 	outlier     outlier
 	load        reported
+	failures    failures
 	unreachable absence.Absence
 	saidLeaving time.Time
 	listed      bool
@@ -167,6 +168,7 @@
 	s := r.get(name)
 	s.mu.Lock()
 	s.outlier.observe(ok, latency)
+	s.failures.observe(r.now(), ok)
 	if ok {
 		s.unreachable = absence.Absence{}
 	}
@@ -220,7 +222,8 @@
 
 // PickLeastLoaded chooses among usable endpoints by the power of two choices on how
 // full they are, as far as this VM's calls in flight and the endpoints' own reports
-// tell. Endpoints of the zone are preferred unless they are much fuller than others.
+// tell, and on how often they fail. Endpoints of the zone are preferred unless those
+// of others are much better.
 // It returns nil if none is usable.
 func (r *Registry) PickLeastLoaded(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint {
 	usable := make([]*configuration.Endpoint, 0, len(candidates))
@@ -238,7 +241,7 @@
 			far = append(far, e)
 		}
 	}
-	return r.nearOrFar(r.emptierOfTwo(near), r.emptierOfTwo(far))
+	return r.nearOrFar(r.betterOfTwo(near), r.betterOfTwo(far))
 }
 
 // nearOrFar chooses between an endpoint of the own zone and one of another; either
@@ -249,14 +252,14 @@
 		return far
 	case far == nil || near.Slots == 0 || far.Slots == 0:
 		return near
-	case r.random() < farShare(r.fullness(near), r.fullness(far)):
+	case r.random() < farShare(r.cost(near), r.cost(far)):
 		return far
 	}
 	return near
 }
 
-// emptierOfTwo returns the emptier one of two random endpoints, nil if there is none.
-func (r *Registry) emptierOfTwo(usable []*configuration.Endpoint) *configuration.Endpoint {
+// betterOfTwo returns the cheaper one of two random endpoints, nil if there is none.
+func (r *Registry) betterOfTwo(usable []*configuration.Endpoint) *configuration.Endpoint {
 	switch len(usable) {
 	case 0:
 		return nil
@@ -265,7 +268,7 @@
 	}
 	first := r.randomIndex(len(usable))
 	second := (first + 1 + r.randomIndex(len(usable)-1)) % len(usable)
-	if r.fullness(usable[second]) < r.fullness(usable[first]) {
+	if r.cost(usable[second]) < r.cost(usable[first]) {
 		return usable[second]
 	}
 	return usable[first]
--- a/internal/endpoint/spill_sim_test.go
+++ b/internal/endpoint/spill_sim_test.go
@@ -31,6 +31,10 @@
 	endpoint *configuration.Endpoint
 	running  int
 	waiting  []*simRequest
+	// failing is the part of the requests that it fails.
+	failing float64
+	// shedding is the part that it declines though it is not full.
+	shedding float64
 }
 
 type simRequest struct {
@@ -78,8 +82,8 @@
 	number  int
 	servers map[string]*simServer
 	all     []*configuration.Endpoint
-	// onTime, late and declined count requests, far those that left their zone.
-	onTime, late, declined, far int
+	// onTime, late, declined and failed count requests, far those that left their zone.
+	onTime, late, declined, failed, far int
 }
 
 func newSimulation(seed uint64, zones []simZone) *simulation {
@@ -145,14 +149,16 @@
 }
 
 func (s *simulation) arrive(to *simServer, r *simRequest) {
+	full := to.running >= simSlots && len(to.waiting) >= simQueue
 	switch {
+	case full || s.random.Float64() < to.shedding:
+		s.declined++
+		s.after(s.wayOf(r), func() { r.vm.ObserveDecline(to.endpoint.Name) })
+		s.answer(to, r)
 	case to.running < simSlots:
 		s.work(to, r)
-	case len(to.waiting) < simQueue:
-		to.waiting = append(to.waiting, r)
 	default:
-		s.declined++
-		s.answer(to, r)
+		to.waiting = append(to.waiting, r)
 	}
 }
 
@@ -161,11 +167,16 @@
 	work := float64(simWork) * math.Exp(0.5*s.random.NormFloat64()-0.125)
 	s.after(time.Duration(work), func() {
 		on.running--
-		if s.now.Sub(r.arrived)+s.wayOf(r) <= simObjective {
+		failed := s.random.Float64() < on.failing
+		switch {
+		case failed:
+			s.failed++
+		case s.now.Sub(r.arrived)+s.wayOf(r) <= simObjective:
 			s.onTime++
-		} else {
+		default:
 			s.late++
 		}
+		s.after(s.wayOf(r), func() { r.vm.Observe(on.endpoint.Name, s.names(), !failed, simWork) })
 		s.answer(on, r)
 		if len(on.waiting) > 0 {
 			next := on.waiting[0]
@@ -175,6 +186,15 @@
 	})
 }
 
+// names returns the endpoints, all of which do the same work.
+func (s *simulation) names() []string {
+	names := make([]string, len(s.all))
+	for i, e := range s.all {
+		names[i] = e.Name
+	}
+	return names
+}
+
 func (s *simulation) answer(from *simServer, r *simRequest) {
 	load := from.running + len(from.waiting)
 	s.after(s.wayOf(r), func() {
@@ -214,3 +234,38 @@
 		})
 	}
 }
+
+// Pattern: one of three endpoints fails half of its requests, the others a few that
+// fail everywhere. Calls that may not be repeated are lost with it.
+func TestRequestsAvoidAnEndpointThatFails(t *testing.T) {
+	zone := simZone{servers: 1, vms: 2, perSecond: 20}
+	for seed := range uint64(5) {
+		s := newSimulation(seed, []simZone{zone, zone, zone})
+		for _, server := range s.servers {
+			server.failing = 0.04
+		}
+		s.servers["0-0"].failing = 0.5
+		s.run()
+		all := float64(s.onTime + s.late + s.declined + s.failed)
+		failed, onTime := float64(s.failed)/all, float64(s.onTime)/all
+		t.Logf("seed %d: failed %.3f, on time %.3f, left the zone %.3f", seed, failed, onTime, float64(s.far)/all)
+		const unaware = (0.5 + 0.04 + 0.04) / 3
+		assert.Assert(t, failed <= unaware/2, "failed %.3f", failed)
+		assert.Assert(t, onTime >= 1-unaware/2, "on time %.3f", onTime)
+	}
+}
+
+// Pattern: one of three endpoints declines most requests while it has free slots.
+func TestRequestsAvoidAnEndpointThatDeclines(t *testing.T) {
+	zone := simZone{servers: 1, vms: 2, perSecond: 20}
+	for seed := range uint64(5) {
+		s := newSimulation(seed, []simZone{zone, zone, zone})
+		s.servers["0-0"].shedding = 0.8
+		s.run()
+		all := float64(s.onTime + s.late + s.declined + s.failed)
+		declined := float64(s.declined) / all
+		t.Logf("seed %d: declined %.3f, left the zone %.3f", seed, declined, float64(s.far)/all)
+		const unaware = 0.8 / 3
+		assert.Assert(t, declined <= unaware/2, "declined %.3f", declined)
+	}
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -89,8 +89,12 @@
 	if verdict.Load != nil {
 		r.options.Endpoints.ObserveLoad(to.Name, verdict.Load.Running+verdict.Load.Waiting)
 	}
-	ok := err == nil && (answer.Status < http.StatusInternalServerError || verdict.NotRun)
-	if ctx.Err() == nil {
+	switch {
+	case ctx.Err() != nil:
+	case err == nil && verdict.NotRun:
+		r.options.Endpoints.ObserveDecline(to.Name)
+	default:
+		ok := err == nil && answer.Status < http.StatusInternalServerError
 		r.options.Endpoints.Observe(to.Name, endpointNames(group), ok, time.Since(started))
 	}
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,7 @@
 	MarkLeaving(name string)
 	MarkUnreachable(name string)
 	ObserveLoad(name string, requests int)
+	ObserveDecline(name string)
 	Observe(name string, group []string, ok bool, latency time.Duration)
 }
 
