--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -52,7 +52,7 @@
 	var groups map[string]json.RawMessage
 	assert.NilError(t, json.Unmarshal([]byte(vm.Metrics().String()), &groups))
 	var missing []string
-	for _, group := range metrics.Catalog() {
+	for _, group := range metrics.DaemonCatalog() {
 		if _, found := groups[group.Name]; !found {
 			missing = append(missing, group.Name)
 		}
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -5,6 +5,39 @@
 
 // Catalog returns the documentation of all groups.
 func Catalog() []Group {
+	return append(DaemonCatalog(), nodeGroups...)
+}
+
+// nodeGroups are the groups that only a node on the users' platform publishes.
+var nodeGroups = []Group{
+	relayGroup,
+	relayPlainAnswersGroup,
+	relayFirstEventsGroup,
+	relayQueuesGroup,
+	upstreamGroup,
+	storeGroup,
+	storeAnswersGroup,
+	rolesGroup,
+	logGroup,
+}
+
+// NodeCatalog returns the documentation of the groups that a node on the users'
+// platform publishes.
+func NodeCatalog() []Group {
+	return append([]Group{
+		reservationGroup,
+		schedulingGroup,
+		endpointGroup,
+		membershipGroup,
+		peerServerGroup,
+		peerDialerGroup,
+		timelineGroup,
+	}, nodeGroups...)
+}
+
+// DaemonCatalog returns the documentation of the groups that a daemon with its own
+// settings publishes.
+func DaemonCatalog() []Group {
 	return []Group{
 		gatewayGroup,
 		completionGroup,
--- a/internal/metrics/definition.go
+++ b/internal/metrics/definition.go
@@ -43,6 +43,8 @@
 	VMs         Unit = "VMs"
 	Connections Unit = "connections"
 	TrueIfAway  Unit = "true while away"
+
+	Milliseconds Unit = "milliseconds"
 )
 
 // wildcard ends a name that stands for all names that begin like it.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -26,7 +26,7 @@
 }
 
 func TestCatalogIsComplete(t *testing.T) {
-	form := regexp.MustCompile(`^[a-z]+(_[a-z]+)*(_\*)?$`)
+	form := regexp.MustCompile(`^[a-z]+[0-9]*(_[a-z]+)*(_\*)?$`)
 	groups := map[string]bool{}
 	for _, group := range Catalog() {
 		assert.Assert(t, !groups[group.Name], group.Name)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 	"github.com/ospreyshed/ospreyshed/internal/roles"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
@@ -48,6 +50,8 @@
 	TurnLimit time.Duration
 	// Clock also counts the time in which the machine stood still.
 	Clock func() time.Time
+	// Vars are the adapter's own values by group.
+	Vars map[string]*expvar.Map
 	// Background runs from the start to the stop of the process.
 	Background []func(ctx context.Context, events Events)
 }
@@ -75,12 +79,14 @@
 
 // Node is the process of one entry VM.
 type Node struct {
-	app *fx.App
+	app     *fx.App
+	metrics *metrics.Registry
 }
 
 // New wires a node; Start starts it.
 func New(options Options) *Node {
-	return &Node{app: fx.New(
+	n := &Node{}
+	n.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(options.Grace),
@@ -88,9 +94,14 @@
 		peersModule,
 		relayModule,
 		serversModule,
-	)}
+		fx.Populate(&n.metrics),
+	)
+	return n
 }
 
+// Metrics returns the node's counters.
+func (n *Node) Metrics() *metrics.Registry { return n.metrics }
+
 // Start starts the node. It returns once all listeners are open.
 func (n *Node) Start(ctx context.Context) error {
 	if err := n.app.Err(); err != nil {
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/relay"
+	"github.com/ospreyshed/ospreyshed/internal/roles"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const loopback = "127.0.0.1:0"
+
+// noIngress serves nobody.
+type noIngress struct{}
+
+func (noIngress) ServeHTTP(http.ResponseWriter, *http.Request)      {}
+func (noIngress) ServeReadiness(http.ResponseWriter, *http.Request) {}
+func (noIngress) Drain()                                            {}
+
+// noOrders gives no orders and keeps none.
+type noOrders struct{}
+
+func (noOrders) Read(context.Context) (roles.Reading, error)         { return roles.Reading{}, nil }
+func (noOrders) Append(context.Context, roles.Entry) (uint64, error) { return 0, nil }
+func (noOrders) SetRole(context.Context, *configuration.Endpoint, configuration.Role, uint64) error {
+	return nil
+}
+
+func testOptions(t *testing.T) Options {
+	t.Helper()
+	log := decisionlog.Discard()
+	t.Cleanup(log.Close)
+	return Options{
+		VM: "vm-1", Zone: "a", Incarnation: 1,
+		CallerAddress: loopback, ReadinessAddress: loopback, PeerAddress: loopback,
+		Grace:   time.Minute,
+		Fleet:   fleet.NewStore(),
+		Log:     log,
+		Ingress: func(*relay.Relay) Ingress { return noIngress{} },
+		Journal: noOrders{},
+		Orders:  func(*upstream.Client) roles.Orders { return noOrders{} },
+		Clock:   time.Now,
+	}
+}
+
+func TestEveryCounterIsDocumentedAndPublished(t *testing.T) {
+	options := testOptions(t)
+	// The adapter brings these two.
+	options.Vars = map[string]*expvar.Map{"store": new(expvar.Map), "store_answers": metrics.NewLatency().Vars()}
+	n := New(options)
+	assert.NilError(t, n.Start(t.Context()))
+	defer func() { assert.NilError(t, n.Stop(context.Background())) }()
+	assert.DeepEqual(t, n.Metrics().Undocumented(), []string(nil))
+	var groups map[string]json.RawMessage
+	assert.NilError(t, json.Unmarshal([]byte(n.Metrics().String()), &groups))
+	for _, group := range metrics.NodeCatalog() {
+		assert.Assert(t, groups[group.Name] != nil, "%s is not published", group.Name)
+	}
+	for _, name := range n.Metrics().Unpublished() {
+		assert.Assert(t, len(name) > 6 && name[:6] == "store.", "%s is not published", name)
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -31,7 +31,7 @@
 // peersModule provides what entry VMs tell each other.
 var peersModule = fx.Module("peers",
 	fx.Provide(
-		metrics.NewRegistry,
+		newRegistry,
 		newEvents,
 		newEndpoints,
 		newDialer,
@@ -42,6 +42,15 @@
 	fx.Invoke(func(*peer.Server) {}),
 )
 
+// newRegistry returns a registry that has the adapter's own values.
+func newRegistry(options *Options) *metrics.Registry {
+	registry := metrics.NewRegistry()
+	for group, values := range options.Vars {
+		registry.Mount(group, values)
+	}
+	return registry
+}
+
 // newEvents returns the time line, whose events also appear in the log.
 func newEvents(options *Options, registry *metrics.Registry) (timeline.Recorder, *timeline.Ring) {
 	ring := timeline.NewRing(options.VM, options.Incarnation, timelineEvents)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -105,7 +105,7 @@
 func newIngress(options *Options, r *relay.Relay) Ingress { return options.Ingress(r) }
 
 // runBalancer keeps the roles of engines in balance.
-func runBalancer(lifecycle fx.Lifecycle, options *Options, client *upstream.Client, members *swim.Service) {
+func runBalancer(lifecycle fx.Lifecycle, options *Options, client *upstream.Client, members *swim.Service, registry *metrics.Registry) {
 	balancer := roles.New(roles.Options{
 		VM:        options.VM,
 		Journal:   options.Journal,
@@ -116,6 +116,7 @@
 		Clock:     options.Clock,
 		Log:       options.Log,
 	})
+	registry.Mount("roles", metrics.Fields(&balancer.Counters))
 	background.Run(lifecycle, balancer.Run)
 }
 
--- a/internal/roles/balancer.go
+++ b/internal/roles/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -76,8 +77,21 @@
 	Log   *decisionlog.Log
 }
 
+// Counters count orders. The zero value is ready to use.
+type Counters struct {
+	// Given counts orders that engines accepted, Failed those that they did not or
+	// did not answer.
+	Given, Failed atomic.Int64
+	// NotEntered counts orders that another process was faster with, or that the
+	// journal did not take.
+	NotEntered atomic.Int64
+}
+
 // Balancer gives the orders that keep the engines in balance.
 type Balancer struct {
+	// Counters are read by the metrics.
+	Counters Counters
+
 	options Options
 	planner *planner
 	// due is since when an order has been due.
@@ -174,6 +188,7 @@
 	}
 	fence, err := b.options.Journal.Append(ctx, entry)
 	if err != nil || fence == 0 {
+		b.Counters.NotEntered.Add(1)
 		b.logOrder(entry, fence, "order not entered", err)
 		return false
 	}
@@ -184,6 +199,11 @@
 		return false
 	}
 	err = b.options.Orders.SetRole(ctx, change.Engine, change.To, fence)
+	if err != nil {
+		b.Counters.Failed.Add(1)
+	} else {
+		b.Counters.Given.Add(1)
+	}
 	b.logOrder(entry, fence, "role ordered", err)
 	return true
 }
--- a/internal/scheduling/late_line.go
+++ b/internal/scheduling/late_line.go
@@ -40,10 +40,10 @@
 // granted notes a grant.
 func (l *lateLine) granted(now time.Time) { l.grants = append(l.grants, now) }
 
-// waiting notes whether any background demand waits.
-func (l *lateLine) waiting(now time.Time, any bool) {
+// waiting notes whether some background demand waits.
+func (l *lateLine) waiting(now time.Time, some bool) {
 	switch {
-	case !any:
+	case !some:
 		l.since = time.Time{}
 	case l.since.IsZero():
 		l.since = now
