--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -104,23 +104,45 @@
 	s.unreachable = absence.Absence{}
 }
 
+// Standing is what decides on an endpoint in a choice.
+type Standing struct {
+	// InFlight is the number of this VM's calls on it.
+	InFlight int
+	// Reported is the load that it told of itself, faded by Age; 0 if it told none.
+	Reported float64
+	// Age is the time since its last report.
+	Age time.Duration
+	// Failing is the part of recent calls that failed or were declined.
+	Failing float64
+}
+
+// Standing returns what is known of an endpoint now.
+func (r *Registry) Standing(name string) Standing {
+	s := r.get(name)
+	now := r.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	standing := Standing{
+		InFlight: int(s.inFlight.Load()),
+		Reported: s.load.estimate(now),
+		Failing:  s.failures.now(now),
+	}
+	if !s.load.at.IsZero() {
+		standing.Age = now.Sub(s.load.at)
+	}
+	return standing
+}
+
 // cost compares endpoints: their fullness, and what a failure costs.
 func (r *Registry) cost(e *configuration.Endpoint) float64 {
-	s := r.get(e.Name)
-	s.mu.Lock()
-	failing := s.failures.now(r.now())
-	s.mu.Unlock()
-	return r.fullness(e) + failureCost*failing
+	standing := r.Standing(e.Name)
+	return r.fullness(e, standing) + failureCost*standing.Failing
 }
 
 // fullness returns an endpoint's requests, as known here and including one more, as
 // a part of its slots, over its share of the load. Without slots it counts requests.
-func (r *Registry) fullness(e *configuration.Endpoint) float64 {
-	s := r.get(e.Name)
-	s.mu.Lock()
-	told := s.load.estimate(r.now())
-	s.mu.Unlock()
-	requests := max(told, float64(s.inFlight.Load())) + 1
+func (r *Registry) fullness(e *configuration.Endpoint, standing Standing) float64 {
+	requests := max(standing.Reported, float64(standing.InFlight)) + 1
 	return requests / float64(max(1, e.Slots)) / max(minShare, r.share(e.Name))
 }
 
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -223,8 +223,7 @@
 // PickLeastLoaded chooses among usable endpoints by the power of two choices on how
 // full they are, as far as this VM's calls in flight and the endpoints' own reports
 // tell, and on how often they fail. Endpoints of the zone are preferred unless those
-// of others are much better.
-// It returns nil if none is usable.
+// of others are much better. It returns nil if none is usable.
 func (r *Registry) PickLeastLoaded(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint {
 	usable := make([]*configuration.Endpoint, 0, len(candidates))
 	for _, e := range candidates {
--- a/internal/endpoint/registry_test.go
+++ b/internal/endpoint/registry_test.go
@@ -100,9 +100,9 @@
 	r.now = func() time.Time { return now }
 	e := &configuration.Endpoint{Name: "e", Slots: 6}
 	r.ObserveLoad("e", 11)
-	assert.Equal(t, r.fullness(e), 2.0)
+	assert.Equal(t, r.cost(e), 2.0)
 	now = now.Add(10 * loadDecay)
-	assert.Assert(t, r.fullness(e) < 0.2, "%f", r.fullness(e))
+	assert.Assert(t, r.cost(e) < 0.2, "%f", r.cost(e))
 }
 
 func TestPickPrefersOwnZoneAndLeastInFlight(t *testing.T) {
--- a/internal/membership/swim/machine.go
+++ b/internal/membership/swim/machine.go
@@ -130,7 +130,7 @@
 	if due(now, &m.nextSync, syncPeriod) {
 		calls = append(calls, m.startSync(now)...)
 	}
-	if !m.hasJoined(now) {
+	if !m.configuredAt.IsZero() && !m.hasJoined(now) {
 		calls = append(calls, m.startFirstJoin(now)...)
 	}
 	if due(now, &m.nextJoin, joinPeriod) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"github.com/ospreyshed/ospreyshed/internal/background"
@@ -126,7 +127,7 @@
 	registry.Mount("peer_server", server.Vars())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return server.Start() },
-		OnStop:  func(ctx context.Context) error { return stopPeers(ctx, server) },
+		OnStop:  func(ctx context.Context) error { return stopPeers(ctx, server, options.Log) },
 	})
 	return server, nil
 }
@@ -142,11 +143,12 @@
 
 // stopPeers ends the listener for peers. Calls that are cut off are no error, since
 // their callers ask the next owner.
-func stopPeers(ctx context.Context, server shutdowner) error {
+func stopPeers(ctx context.Context, server shutdowner, log *decisionlog.Log) error {
 	limited, cancel := context.WithTimeout(ctx, peerStopLimit)
 	defer cancel()
 	err := server.Shutdown(limited)
 	if errors.Is(err, context.DeadlineExceeded) {
+		log.Change("calls of peers were cut off", logrus.Fields{"after_ms": peerStopLimit.Milliseconds()})
 		return nil
 	}
 	return err
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 )
 
 // busyPeers is a server whose connections stay busy.
@@ -19,9 +21,11 @@
 
 // A stop has to end within the grace, most of which requests in flight may take.
 func TestPeersDoNotHoldUpTheStop(t *testing.T) {
+	log := decisionlog.Discard()
+	defer log.Close()
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		assert.NilError(t, stopPeers(t.Context(), busyPeers{}))
+		assert.NilError(t, stopPeers(t.Context(), busyPeers{}, log))
 		assert.Assert(t, time.Since(began) < stopMargin)
 	})
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -40,6 +41,7 @@
 		if chosen == nil {
 			break
 		}
+		r.noteChoice(x, chosen)
 		x.exclude = append(x.exclude, chosen.Name)
 		settled := r.tryPlain(ctx, x, chosen, candidates)
 		if ctx.Err() != nil {
@@ -53,6 +55,16 @@
 	r.concludePlain(x)
 }
 
+// noteChoice logs the endpoint that gets a request, and why.
+func (r *Relay) noteChoice(x *exchange, chosen *configuration.Endpoint) {
+	standing := r.options.Endpoints.Standing(chosen.Name)
+	r.decide(x, "endpoint chosen", logrus.Fields{
+		"endpoint": chosen.Name, "zone_of_endpoint": chosen.Zone, "in_flight": standing.InFlight,
+		"reported": math.Round(standing.Reported*10) / 10, "report_age_ms": standing.Age.Milliseconds(),
+		"failing": math.Round(standing.Failing*100) / 100,
+	})
+}
+
 // withConnections returns the endpoints of a plain service that this process may
 // open a further connection to. An endpoint resets connections beyond its limit,
 // which leaves requests on them in doubt.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
@@ -29,6 +30,8 @@
 	MarkUnreachable(name string)
 	ObserveLoad(name string, requests int)
 	ObserveDecline(name string)
+	// Standing tells what decided on an endpoint.
+	Standing(name string) endpoint.Standing
 	Observe(name string, group []string, ok bool, latency time.Duration)
 }
 
