--- a/cmd/ospreyshedd/main_test.go
+++ b/cmd/ospreyshedd/main_test.go
@@ -55,13 +55,19 @@
 	return binary
 }
 
-// freeAddress returns an address of loopback that nobody listens on.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns different addresses of loopback that nobody listens on. All
+// are held until the last one is known, since a port that was given back may be the
+// next one that is given out.
+func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", standin.AnyAddress)
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	addresses := make([]string, count)
+	for i := range addresses {
+		listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", standin.AnyAddress)
+		assert.NilError(t, err)
+		defer func() { _ = listener.Close() }()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses
 }
 
 // startFleet starts the stand-ins and two entry VMs of one availability zone.
@@ -69,16 +75,19 @@
 	t.Helper()
 	bundle, err := localsite.BundleOf("quickstart.json", examples.Quickstart)
 	assert.NilError(t, err)
+	vms := len(bundle.Fleet.VMs)
+	addresses := freeAddresses(t, 2*vms)
 	for i := range bundle.Fleet.VMs {
 		bundle.Fleet.VMs[i].Zone = bundle.Fleet.Zones[0].Name
-		bundle.Fleet.VMs[i].Address = freeAddress(t)
+		bundle.Fleet.VMs[i].Address = addresses[i]
 	}
 	platform, err := standin.StartBundle(&bundle, nil)
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, platform.Close()) })
 	f := &fleet{platform: platform, processes: map[string]*exec.Cmd{}, callers: map[string]string{}}
 	binary := buildDaemon(t)
-	for _, vm := range bundle.Fleet.VMs {
+	for i, vm := range bundle.Fleet.VMs {
+		f.callers[vm.Name] = addresses[vms+i]
 		f.start(t, binary, &vm, bundle.Fleet.VMs[0].Address)
 	}
 	f.publish(t, bundle)
@@ -91,7 +100,6 @@
 // start starts the daemon of one entry VM.
 func (f *fleet) start(t *testing.T, binary string, vm *configuration.VM, seed string) {
 	t.Helper()
-	f.callers[vm.Name] = freeAddress(t)
 	conf := map[string]any{
 		"vm": vm.Name, "zone": vm.Zone,
 		"callers":  map[string]any{"listen": f.callers[vm.Name]},
