--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -15,9 +15,9 @@
 
 const (
 	// leastBusyRetryAfter and mostBusyRetryAfter bound what is told to callers of a
-	// busy pool. Bursts last for seconds, and callers wait no longer than a third
-	// of their time.
-	leastBusyRetryAfter = time.Second
+	// busy pool. Bursts last for some seconds, and a caller who comes back within one
+	// is refused for good. Callers wait no longer than a third of their time.
+	leastBusyRetryAfter = 3 * time.Second
 	mostBusyRetryAfter  = 4 * time.Second
 )
 
