--- a/internal/claim/cluster_test.go
+++ b/internal/claim/cluster_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
@@ -153,7 +154,7 @@
 
 // reach returns the VM at an address, or an error if the network loses the call.
 func (v *vm) reach(ctx context.Context, address string) (*vm, error) {
-	pause(ctx, v.cluster.delay)
+	background.Pause(ctx, v.cluster.delay)
 	c := v.cluster
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/claim/fakelog_test.go
+++ b/internal/claim/fakelog_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 )
 
@@ -91,9 +92,9 @@
 }
 
 func (l *fakeLog) Append(ctx context.Context, name string, entries []logservice.Entry) (uint64, error) {
-	pause(ctx, l.latency/2)
+	background.Pause(ctx, l.latency/2)
 	first, err := l.decide(name, entries)
-	pause(ctx, l.latency/2+l.hang())
+	background.Pause(ctx, l.latency/2+l.hang())
 	if err == nil && ctx.Err() != nil {
 		err = logservice.InDoubt.Wrap(ctx.Err(), "no answer")
 	}
@@ -147,10 +148,10 @@
 }
 
 func (l *fakeLog) Read(ctx context.Context, name string, from uint64, limit int, _ time.Duration) (logservice.Page, error) {
-	pause(ctx, l.latency)
+	background.Pause(ctx, l.latency)
 	page, err := l.page(name, from, limit)
 	if l.answerDelay > 0 {
-		pause(ctx, l.answerDelay)
+		background.Pause(ctx, l.answerDelay)
 	}
 	return page, err
 }
--- a/internal/claim/outbox.go
+++ b/internal/claim/outbox.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"github.com/ospreyshed/ospreyshed/internal/background"
 )
 
 // Bounds of the pauses between tries.
@@ -60,7 +62,7 @@
 		if o.once(try) {
 			return
 		}
-		pause(o.ctx, delays.NextBackOff())
+		background.Pause(o.ctx, delays.NextBackOff())
 	}
 	o.counters.unrecorded.Add(1)
 }
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
@@ -86,7 +87,7 @@
 			return decision.Ticket
 		}
 		assert.Assert(t, err == nil && decision.Kind == Unknown || errorx.IsOfType(err, OwnerAway) || errorx.IsOfType(err, KeyFuture), "%v", err)
-		pause(t.Context(), time.Millisecond)
+		background.Pause(t.Context(), time.Millisecond)
 	}
 }
 
--- a/internal/claim/shard_serve.go
+++ b/internal/claim/shard_serve.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 )
 
@@ -18,7 +19,7 @@
 	}
 	if !s.synced {
 		s.failUnsent()
-		pause(ctx, retryPause)
+		background.Pause(ctx, retryPause)
 		return
 	}
 	s.refresh(ctx)
@@ -31,16 +32,6 @@
 	}
 }
 
-// pause waits for a duration or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // catchUp reads the stream up to its end and reports whether it succeeded.
 func (s *shard) catchUp(ctx context.Context) bool {
 	for {
@@ -212,7 +203,7 @@
 		s.applyOwn(batch)
 	case errorx.IsOfType(err, logservice.Throttled):
 		s.requeue(batch)
-		pause(ctx, retryPause)
+		background.Pause(ctx, retryPause)
 	case errorx.HasTrait(err, logservice.NotAppended):
 		s.fail(batch)
 	default:
@@ -246,7 +237,7 @@
 	s.requeueKnown(batch)
 	if appendErr != nil {
 		s.counters.inDoubt.Add(1)
-		pause(ctx, retryPause)
+		background.Pause(ctx, retryPause)
 		s.synced = false
 	}
 }
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	claimv1 "github.com/ospreyshed/ospreyshed/api/claim/v1"
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/rendezvous"
 )
@@ -177,7 +178,7 @@
 		if err == nil {
 			return response
 		}
-		pause(ctx, fenceRetry)
+		background.Pause(ctx, fenceRetry)
 	}
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,6 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/completion"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
-	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
 )
@@ -55,7 +54,6 @@
 	callers *callerServer
 	peers   *peerServer
 	store   *configuration.Store
-	members *swim.Service
 	metrics *metrics.Registry
 }
 
@@ -82,7 +80,7 @@
 		pathModule,
 		serverModule,
 		optionsOf(options),
-		fx.Populate(&d.callers, &d.peers, &d.store, &d.members, &d.metrics),
+		fx.Populate(&d.callers, &d.peers, &d.store, &d.metrics),
 	)
 	return d
 }
@@ -120,7 +118,7 @@
 
 // Ready reports whether the daemon has a configuration to serve by and is known to
 // the other entry VMs.
-func (d *Daemon) Ready() bool { return d.store.Snapshot() != nil && d.members.Joined() }
+func (d *Daemon) Ready() bool { return d.callers.gateway.Ready() }
 
 // Metrics returns the daemon's counters.
 func (d *Daemon) Metrics() *metrics.Registry { return d.metrics }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,12 +129,18 @@
 	_, _ = w.Write([]byte("ok\n"))
 }
 
+// Ready reports whether there is a configuration to serve by and other entry VMs know
+// this one.
+func (g *Gateway) Ready() bool {
+	return g.options.Configuration.Snapshot() != nil && g.options.Joined()
+}
+
 // serveReady tells the balancer whether to send requests here.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case g.draining.Load():
 		problem.Write(w, problem.New(problem.Draining, http.StatusServiceUnavailable, problem.NotRun, ""))
-	case g.options.Configuration.Snapshot() == nil, !g.options.Joined():
+	case !g.Ready():
 		problem.Write(w, notReady())
 	default:
 		_, _ = w.Write([]byte("ready\n"))
--- a/internal/membership/swim/candidate.go
+++ b/internal/membership/swim/candidate.go
@@ -12,17 +12,13 @@
 	// values are names, empty if unknown.
 	seeds, configured, hinted map[string]string
 	turn                      int
-	// calling are the addresses that were called to join, called those of finished
-	// exchanges, whatever their outcome.
-	calling, called map[string]bool
+	// called are the addresses that were called to join; the value tells that the
+	// exchange is finished, whatever its outcome.
+	called map[string]bool
 }
 
 func newCandidates() candidates {
-	return candidates{
-		seeds:   make(map[string]string),
-		calling: make(map[string]bool),
-		called:  make(map[string]bool),
-	}
+	return candidates{seeds: make(map[string]string), called: make(map[string]bool)}
 }
 
 // hasJoined reports whether every entry VM of the configuration that can be
@@ -38,12 +34,12 @@
 
 // finished notes an exchange whose outcome is known.
 func (c *candidates) finished(done *call) {
-	if done.Kind == callExchange && c.calling[done.Address] {
+	if _, called := c.called[done.Address]; called && done.Kind == callExchange {
 		c.called[done.Address] = true
 	}
 }
 
-// uncalled returns the candidates that have not been called yet.
+// uncalled returns the candidates without a finished call.
 func (m *machine) uncalled() map[string]string {
 	open := m.openCandidates()
 	for address := range open {
@@ -58,10 +54,10 @@
 func (m *machine) startFirstJoin(now time.Time) []call {
 	open := m.uncalled()
 	for _, address := range sortedKeys(open) {
-		if m.candidates.calling[address] {
+		if _, called := m.candidates.called[address]; called {
 			continue
 		}
-		m.candidates.calling[address] = true
+		m.candidates.called[address] = false
 		m.counters.Joins.Add(1)
 		return []call{m.exchange(now, address, open[address], 0)}
 	}
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -1,6 +1,10 @@
 package metrics
 
-// latencyValues are the values of a histogram of durations, in milliseconds.
+// latencyGroup documents a histogram of durations, in milliseconds.
+func latencyGroup(name, help string) Group {
+	return Group{Name: name, Help: help, Values: latencyValues}
+}
+
 var latencyValues = []Definition{
 	{"count", Counter, Requests, "Durations observed.", none},
 	{"le_*", Counter, Requests, "Durations of at most so many milliseconds.", none},
@@ -34,23 +38,11 @@
 	},
 }
 
-var relayPlainAnswersGroup = Group{
-	Name:   "relay_plain_answers",
-	Help:   "Time from the arrival of a request to a plain endpoint's answer.",
-	Values: latencyValues,
-}
+var relayPlainAnswersGroup = latencyGroup("relay_plain_answers", "Time from the arrival of a request to a plain endpoint's answer.")
 
-var relayFirstEventsGroup = Group{
-	Name:   "relay_first_events",
-	Help:   "Time from the arrival of a request to its stream's first event.",
-	Values: latencyValues,
-}
+var relayFirstEventsGroup = latencyGroup("relay_first_events", "Time from the arrival of a request to its stream's first event.")
 
-var relayQueuesGroup = Group{
-	Name:   "relay_queues",
-	Help:   "Time that generations waited for engines.",
-	Values: latencyValues,
-}
+var relayQueuesGroup = latencyGroup("relay_queues", "Time that generations waited for engines.")
 
 var upstreamGroup = Group{
 	Name: "upstream",
@@ -76,17 +68,13 @@
 	},
 }
 
-var storeAnswersGroup = Group{
-	Name:   "store_answers",
-	Help:   "Time of calls to the store that do not wait for records.",
-	Values: latencyValues,
-}
+var storeAnswersGroup = latencyGroup("store_answers", "Time of calls to the store that do not wait for records.")
 
 var rolesGroup = Group{
 	Name: "roles",
 	Help: "Orders to engines to change their role.",
 	Values: []Definition{
-		{"given", Counter, Calls, "Orders that an engine accepted.", "Several a minute: engines come and go."},
+		{"given", Counter, Calls, "Orders that an engine accepted or did not need any more.", "Several a minute: engines come and go."},
 		{"failed", Counter, Calls, "Orders that an engine did not accept or answer.", "Any rise: lines `role ordered` name the engine."},
 		{"not_entered", Counter, Calls, "Orders that the journal did not take, since another VM was faster or the store is away.", none},
 	},
--- a/internal/roles/balancer.go
+++ b/internal/roles/balancer.go
@@ -79,8 +79,8 @@
 
 // Counters count orders. The zero value is ready to use.
 type Counters struct {
-	// Given counts orders that engines accepted, Failed those that they did not or
-	// did not answer.
+	// Given counts orders that engines accepted or did not need any more, Failed those
+	// that they did not accept or answer.
 	Given, Failed atomic.Int64
 	// NotEntered counts orders that another process was faster with, or that the
 	// journal did not take.
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -68,12 +68,12 @@
 	if d.Resumed {
 		return nil
 	}
+	all, own := c.ahead(w)
 	usable := seconds(slack.Seconds() * admissionShare)
-	wait := c.predictWait(now, w)
+	wait := c.predictWait(now, w, all, own)
 	if d.Priority <= BackgroundPriority && wait > 0 {
-		all, _ := c.ahead(w)
 		usable = seconds(slack.Seconds() * lateShare)
-		wait = c.lateWait(now, all.count)
+		wait = lateWait(all.count, c.lateRate(now))
 	}
 	if wait > usable {
 		return &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(d.ID, wait-usable)}
@@ -164,11 +164,10 @@
 }
 
 // predictWait returns the predicted wait of a demand behind those that are
-// served before it. Prefill engines and decode slots are both in the way; the
+// served before it, of which some are of its own team. Prefill engines and decode slots are both in the way; the
 // slower of them decides. The team's share of the pool bounds what the demands
 // of other teams can add.
-func (c *Coordinator) predictWait(now time.Time, w *waiter) time.Duration {
-	all, own := c.ahead(w)
+func (c *Coordinator) predictWait(now time.Time, w *waiter, all, own backlog) time.Duration {
 	wait := c.waitBehind(now, all)
 	if own.count == all.count {
 		return wait
--- a/internal/scheduling/late_line.go
+++ b/internal/scheduling/late_line.go
@@ -77,9 +77,13 @@
 	return 1 / per.Seconds()
 }
 
+// lateRate returns the grants a second that background demands can expect.
+func (c *Coordinator) lateRate(now time.Time) float64 {
+	return c.late.rate(now, c.freedRate())
+}
+
 // lateWait returns the predicted wait of a background demand behind others.
-func (c *Coordinator) lateWait(now time.Time, ahead int) time.Duration {
-	rate := c.late.rate(now, c.freedRate())
+func lateWait(ahead int, rate float64) time.Duration {
 	return seconds(float64(ahead+1) / rate)
 }
 
@@ -91,6 +95,7 @@
 		return
 	}
 	c.late.nextCheck = now.Add(lateCheckPeriod)
+	rate := c.lateRate(now)
 	ahead := 0
 	for _, l := range c.queue.inOrder(now) {
 		if l.priority() > BackgroundPriority {
@@ -98,7 +103,7 @@
 			continue
 		}
 		for _, w := range slices.Clone(l.waiters) {
-			wait := c.lateWait(now, ahead)
+			wait := lateWait(ahead, rate)
 			if w.latestStart.IsZero() || !now.Add(wait).After(w.latestStart) {
 				ahead++
 				continue
--- a/internal/scheduling/rest.go
+++ b/internal/scheduling/rest.go
@@ -15,7 +15,7 @@
 	// lostBeforeRest is the number of answers lost in a row that let an engine rest.
 	lostBeforeRest = 3
 	// leavingTime is how long a holder's word that an engine leaves counts. The
-	// platform's list tells all owners in touch within seconds.
+	// platform's list tells every owner that it reaches within seconds.
 	leavingTime = 10 * time.Second
 	// maxRestingShare bounds the part of a role's engines that rest at a time.
 	maxRestingShare = 0.5
