Give the processes of a test's fleet an IP number of their own

Cause: startFleet closed the listeners that reserved its ports before the daemons listened. Any process on the machine could take such a port of 127.0.0.1 in between, as the port of a listener or as the local port of a connection. Seen as "address is already used" and as an entry VM that refused connections for a minute. Change: ports are drawn on a loopback IP number that belongs to the test process, on which nothing else listens and from which nothing connects. The window between drawing and listening remains, but nobody can enter it.

--- a/cmd/ospreyshedd/main_test.go
+++ b/cmd/ospreyshedd/main_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +22,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/caller"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/localsite"
+	"github.com/ospreyshed/ospreyshed/internal/loopback"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 	"github.com/ospreyshed/ospreyshed/internal/standin"
 	"github.com/ospreyshed/ospreyshed/internal/standin/engine"
@@ -55,28 +55,14 @@
 	return binary
 }
 
-// freeAddresses returns distinct loopback addresses with free ports. All listeners
-// stay open until the last port is known, because a port that was released may be
-// assigned again.
-func freeAddresses(t *testing.T, count int) []string {
-	t.Helper()
-	addresses := make([]string, count)
-	for i := range addresses {
-		listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", standin.AnyAddress)
-		assert.NilError(t, err)
-		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().String()
-	}
-	return addresses
-}
-
 // startFleet starts the stand-ins and two entry VMs of one availability zone.
 func startFleet(t *testing.T) *fleet {
 	t.Helper()
 	bundle, err := localsite.BundleOf("quickstart.json", examples.Quickstart)
 	assert.NilError(t, err)
 	vms := len(bundle.Fleet.VMs)
-	addresses := freeAddresses(t, 2*vms)
+	addresses, err := loopback.FreeAddresses(t.Context(), loopback.ProcessIP(), 2*vms)
+	assert.NilError(t, err)
 	for i := range bundle.Fleet.VMs {
 		bundle.Fleet.VMs[i].Zone = bundle.Fleet.Zones[0].Name
 		bundle.Fleet.VMs[i].Address = addresses[i]
@@ -167,6 +153,36 @@
 	}, poll.WithTimeout(pollTimeout))
 }
 
+// summaryResult is what a caller got for a summary request.
+type summaryResult struct {
+	answer caller.Answer
+	err    error
+}
+
+// startSummary sends a summary request through entry-a and waits until an engine
+// holds memory for it. It fails if the request ends first.
+func (f *fleet) startSummary(t *testing.T, prompt string) <-chan summaryResult {
+	t.Helper()
+	ended := make(chan summaryResult, 1)
+	go func() {
+		answer, err := f.client("entry-a").Do(t.Context(), summaryRequest(prompt))
+		ended <- summaryResult{answer, err}
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.platform.Totals().PiecesHeld > 0 {
+			return poll.Success()
+		}
+		select {
+		case got := <-ended:
+			return poll.Error(fmt.Errorf("the request ended before an engine held memory: status %d, %s %s, %v",
+				got.answer.Status, got.answer.Problem, got.answer.Detail, got.err))
+		default:
+			return poll.Continue("no engine holds memory")
+		}
+	}, poll.WithTimeout(pollTimeout))
+	return ended
+}
+
 func summaryRequest(prompt string) caller.Request {
 	return caller.Request{
 		Method: http.MethodPost, Path: "/v1/completions", Stream: true,
@@ -184,14 +200,10 @@
 	f := startFleet(t)
 	// Engines ignore closed connections, so that only a cancel frees their memory.
 	f.setEngineFaults(engine.Faults{IgnoreClose: true, Slow: neverFinishes})
-	ended := make(chan error, 1)
-	go func() {
-		_, err := f.client("entry-a").Do(t.Context(), summaryRequest("orphan"))
-		ended <- err
-	}()
-	f.awaitMemoryHeld(t, true)
+	ended := f.startSummary(t, "orphan")
 	f.signal(t, syscall.SIGKILL)
-	assert.Assert(t, <-ended != nil, "the caller of a killed VM got an answer")
+	killed := <-ended
+	assert.Assert(t, killed.err != nil, "the caller of a killed VM got an answer")
 	f.awaitMemoryHeld(t, false)
 	f.setEngineFaults(engine.Faults{})
 	answer, err := f.client("entry-b").Do(t.Context(), summaryRequest("after the kill"))
@@ -238,16 +250,7 @@
 func TestSignalEndsTheDaemonGracefully(t *testing.T) {
 	f := startFleet(t)
 	f.setEngineFaults(engine.Faults{Slow: 20})
-	type result struct {
-		answer caller.Answer
-		err    error
-	}
-	ended := make(chan result, 1)
-	go func() {
-		answer, err := f.client("entry-a").Do(t.Context(), summaryRequest("finish this"))
-		ended <- result{answer, err}
-	}()
-	f.awaitMemoryHeld(t, true)
+	ended := f.startSummary(t, "finish this")
 	f.signal(t, syscall.SIGTERM)
 	got := <-ended
 	assert.NilError(t, got.err)
