Share what one entry VM of a zone reads from the store

Cause: each of 195 VMs read the registrations every 1.6 s and kept two readers of the configuration, with listings at each start. Change: package feed. One VM of each zone, chosen by rendezvous hashing, reads the store; the others follow it by calls that are answered as soon as something is newer. Each answer carries the age of the state, so that a VM knows how old its own is at most. It leaves a source that falls behind and reads the store itself before a leaving endpoint or a configuration would be late; VMs that the store turns away are helped by others. Renewals of registrations are not passed on. The second configuration reader is gone: long polls last two fifths of the bound at most, so that one that misses its record keeps it. A VM that cannot know whether its configuration is the newest answers 503 instead of 404 for an unknown route. Tests: package feed, in virtual time and without a network: 40 cases of a reader that is killed, silent, slow, draining, cut off or turned away, alone or with its stand-by; a store that is away, slow, forgets or answers a poll late; 300 VMs that start at once. The follower's tests moved there with their conditions; those of repeated listings are gone with the listings, which bounded long polls replace. Ruled out: passing on all records (56 renewals a second), a fixed stand-by that reads too (twice the calls for what a follower finds out in 0.15 of the bound).

--- /dev/null
+++ b/internal/feed/service.go
@@ -0,0 +1,379 @@
+package feed
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ospreyshed/ospreyshed/internal/background"
+	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+	"github.com/ospreyshed/ospreyshed/internal/membership"
+)
+
+const (
+	// serveGain is the gain in age, as a fraction of MaxAge, for which a follower is
+	// answered although nothing has changed. A follower that was not answered for less
+	// must not reach sourceAge before the next read.
+	serveGain = 0.1
+	// maxHold limits the time for which a follower's call is held.
+	maxHold = 30 * time.Second
+	// followMargin is how much longer than the hold time a call to a source may take.
+	followMargin = 50 * time.Millisecond
+	// longPollMargin is how much longer than its wait a long poll may take, as a
+	// fraction of the smallest MaxAge.
+	longPollMargin = 0.3
+	// longPollAge is the age, as a fraction of MaxAge, above which a topic is read
+	// without waiting, because a long poll confirms the state only when it ends.
+	longPollAge = 0.1
+	// readTolerance is the factor by which readAge may be exceeded, so that a step that
+	// was cut short by a record does not cause further reads.
+	readTolerance = 1.1
+)
+
+// Params are the inputs of a Service.
+type Params struct {
+	View  membership.View
+	Store Store
+	Peers Peers
+	Log   *decisionlog.Log
+	// Clock also advances while the machine is suspended.
+	Clock  func() time.Time
+	Topics []Topic
+	Random *rand.Rand
+}
+
+// topicState is a topic with its replica and what is known of its age.
+type topicState struct {
+	Topic
+	replica *replica
+	// confirmed is the latest time at which the store is known to have had nothing
+	// beyond the replica's state; zero if unknown.
+	confirmed time.Time
+	// outage is set from a failed read of this VM until its next listing or the next
+	// update of a source.
+	outage bool
+	// differs is set if the state differs from the source's.
+	differs bool
+}
+
+// Service keeps the topics up to date. It is safe for concurrent use.
+type Service struct {
+	params   Params
+	counters Counters
+
+	mu     sync.Mutex
+	topics []*topicState
+	// advanced is closed and replaced when a topic advances.
+	advanced chan struct{}
+	// stopped is closed when Run ends.
+	stopped chan struct{}
+	planner *planner
+	// source is the VM that was followed last; empty if this VM read the store.
+	source string
+}
+
+// New returns a service whose state is unknown until Run has read it.
+func New(params Params) *Service {
+	s := &Service{params: params, advanced: make(chan struct{}), stopped: make(chan struct{})}
+	maxAge := time.Duration(math.MaxInt64)
+	for _, topic := range params.Topics {
+		s.topics = append(s.topics, &topicState{Topic: topic, replica: newReplica(topic.Meaning)})
+		maxAge = min(maxAge, topic.MaxAge)
+	}
+	s.planner = newPlanner(params.View.Self(), maxAge, params.Random)
+	return s
+}
+
+// Counters returns the counters of the service.
+func (s *Service) Counters() *Counters { return &s.counters }
+
+// Age returns the time since the store is known to have had nothing newer of a topic.
+// It is the maximum duration while the topic is unknown.
+func (s *Service) Age(topic string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.topicNamed(topic); t != nil {
+		return t.age(s.params.Clock())
+	}
+	return math.MaxInt64
+}
+
+func (t *topicState) age(now time.Time) time.Duration {
+	if t.confirmed.IsZero() {
+		return math.MaxInt64
+	}
+	return max(0, now.Sub(t.confirmed))
+}
+
+// relativeAge returns the age as a fraction of MaxAge, infinite if it is unknown.
+func (t *topicState) relativeAge(now time.Time) float64 {
+	if t.confirmed.IsZero() {
+		return math.Inf(1)
+	}
+	return float64(t.age(now)) / float64(t.MaxAge)
+}
+
+// Run keeps the topics up to date until ctx ends. It is called once.
+func (s *Service) Run(ctx context.Context) {
+	defer close(s.stopped)
+	for ctx.Err() == nil {
+		next := s.plan()
+		switch next.kind {
+		case readForZone, readForSelf:
+			s.readStore(ctx, next.kind)
+		case follow:
+			s.follow(ctx, next)
+		case wait:
+			background.Pause(ctx, next.until.Sub(s.params.Clock()))
+		}
+		s.expire()
+	}
+}
+
+// plan returns the next step and logs a change of the source.
+func (s *Service) plan() step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.params.Clock()
+	next := s.planner.plan(now, s.params.View.Members(), s.planningAge(now))
+	source := s.source
+	switch next.kind {
+	case readForZone:
+		source = ""
+	case follow:
+		source = next.source.VM
+	}
+	if source != s.source {
+		s.params.Log.Change("store is read through another VM", logrus.Fields{
+			"source": source, "previous": s.source, "age_ms": s.oldest(now).Milliseconds(),
+		})
+		s.source = source
+	}
+	return next
+}
+
+// planningAge returns the greatest relative age of a topic. Topics with a longer MaxAge
+// are renewed along with the others and count only if they are too old all the same.
+func (s *Service) planningAge(now time.Time) float64 {
+	oldest := 0.0
+	for _, t := range s.topics {
+		age := t.relativeAge(now)
+		if t.MaxAge == s.planner.maxAge || age >= s.planner.rescueAt {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
+// oldest returns the greatest age of a topic that is known.
+func (s *Service) oldest(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, t := range s.topics {
+		if !t.confirmed.IsZero() {
+			oldest = max(oldest, t.age(now))
+		}
+	}
+	return oldest
+}
+
+// expire deletes the keys that did not come back after an outage.
+func (s *Service) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.params.Clock()
+	for _, t := range s.topics {
+		s.apply(t, t.replica.expire(now))
+	}
+}
+
+// apply passes changes to the topic's receiver. The lock must be held.
+func (s *Service) apply(t *topicState, changes []Record) {
+	if len(changes) > 0 {
+		t.Apply(changes)
+	}
+}
+
+// signalAdvance wakes the calls of followers. The lock must be held.
+func (s *Service) signalAdvance() {
+	close(s.advanced)
+	s.advanced = make(chan struct{})
+}
+
+// readStore reads all topics that are due: at the same time, or one after the other
+// while the store fails, so that a failing store gets one call instead of all.
+func (s *Service) readStore(ctx context.Context, kind stepKind) {
+	due, failing := s.due(kind)
+	if len(due) == 0 {
+		background.Pause(ctx, time.Duration(readAge*float64(s.planner.maxAge)))
+		return
+	}
+	failed := false
+	if failing {
+		failed = !s.readOneByOne(ctx, due, kind)
+	} else {
+		failed = !s.readTogether(ctx, due, kind)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if failed {
+		s.planner.storeFailed(s.params.Clock(), s.params.View.Members())
+		return
+	}
+	s.planner.storeAnswered()
+}
+
+// readOneByOne reads topics until one fails and reports whether none did.
+func (s *Service) readOneByOne(ctx context.Context, due []*topicState, kind stepKind) bool {
+	for _, t := range due {
+		if !s.tryTopic(ctx, t, kind) {
+			return false
+		}
+	}
+	return true
+}
+
+// readTogether reads topics at the same time and reports whether none failed.
+func (s *Service) readTogether(ctx context.Context, due []*topicState, kind stepKind) bool {
+	var reads sync.WaitGroup
+	var failed atomic.Bool
+	for _, t := range due {
+		reads.Go(func() {
+			if !s.tryTopic(ctx, t, kind) {
+				failed.Store(true)
+			}
+		})
+	}
+	reads.Wait()
+	return !failed.Load()
+}
+
+// tryTopic reads a topic and reports whether the store answered.
+func (s *Service) tryTopic(ctx context.Context, t *topicState, kind stepKind) bool {
+	err := s.readTopic(ctx, t, kind)
+	if err == nil || ctx.Err() != nil {
+		return true
+	}
+	s.handleReadError(t, err)
+	return errorx.IsOfType(err, Trimmed)
+}
+
+// due returns the topics to read, and whether the last reads of the store failed.
+func (s *Service) due(kind stepKind) (due []*topicState, failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.params.Clock()
+	for _, t := range s.topics {
+		if kind == readForSelf && t.relativeAge(now) >= sourceAge || kind == readForZone && s.dueForZone(t, now) {
+			due = append(due, t)
+		}
+	}
+	return due, s.planner.storeFailing
+}
+
+// dueForZone reports whether the reader of the zone reads a topic in this step. A step
+// lasts as long as its long polls; a topic that would become too old meanwhile is read
+// at its beginning.
+func (s *Service) dueForZone(t *topicState, now time.Time) bool {
+	step := readAge * float64(s.planner.maxAge)
+	return t.LongPoll || float64(t.age(now))+step > readAge*readTolerance*float64(t.MaxAge)
+}
+
+// readTopic reads the records of a topic that follow its state, or all if it has none.
+func (s *Service) readTopic(ctx context.Context, t *topicState, kind stepKind) error {
+	s.count(kind)
+	s.mu.Lock()
+	began, next := s.params.Clock(), t.replica.next
+	listing := !t.replica.listed || t.outage
+	waits := kind == readForZone && t.LongPoll && t.relativeAge(began) < longPollAge
+	s.mu.Unlock()
+	if listing {
+		return s.listTopic(ctx, t, began)
+	}
+	longPoll := time.Duration(0)
+	if waits {
+		longPoll = time.Duration(readAge * float64(s.planner.maxAge))
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, longPoll+time.Duration(longPollMargin*float64(s.planner.maxAge)))
+		defer cancel()
+	}
+	page, err := s.params.Store.Read(ctx, t.Name, next, longPoll)
+	if err != nil {
+		return err
+	}
+	if elapsed := s.params.Clock().Sub(began); len(page.Records) == 0 && elapsed >= longPoll {
+		// The store answers a long poll without records no sooner than at its end.
+		began = began.Add(longPoll)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(t, t.replica.applyPage(page))
+	s.confirm(t, began)
+	return nil
+}
+
+// listTopic reads the newest record of each key.
+func (s *Service) listTopic(ctx context.Context, t *topicState, began time.Time) error {
+	page, err := s.params.Store.List(ctx, t.Name)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.replica.listed && page.Next < t.replica.next {
+		return nil
+	}
+	var keepUntil time.Time
+	if t.outage {
+		s.params.Log.Change("store is back", logrus.Fields{"topic": t.Name, "offset": page.Next})
+		keepUntil = s.params.Clock().Add(t.LapseGrace)
+	}
+	s.apply(t, t.replica.applyListing(page, keepUntil))
+	s.confirm(t, began)
+	return nil
+}
+
+func (s *Service) count(kind stepKind) {
+	if kind == readForZone {
+		s.counters.ReadsForZone.Add(1)
+		return
+	}
+	s.counters.ReadsForSelf.Add(1)
+}
+
+// confirm records that the store had nothing beyond the state at a time. The lock must
+// be held.
+func (s *Service) confirm(t *topicState, at time.Time) {
+	t.outage = false
+	if at.After(t.confirmed) {
+		t.confirmed = at
+	}
+	s.signalAdvance()
+}
+
+// handleReadError records a failed read.
+func (s *Service) handleReadError(t *topicState, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.ReadsFailed.Add(1)
+	fields := logrus.Fields{"topic": t.Name, "offset": t.replica.next, "error": err.Error()}
+	if errorx.IsOfType(err, Trimmed) {
+		// The next read lists the topic.
+		t.replica.listed = false
+		t.confirmed = time.Time{}
+		s.params.Log.Change("store dropped records that were not read", fields)
+		return
+	}
+	if !t.outage {
+		s.params.Log.Change("store is away", fields)
+	}
+	t.outage = true
+}
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -17,6 +17,7 @@
 	upstreamGroup,
 	storeGroup,
 	storeAnswersGroup,
+	feedGroup,
 	rolesGroup,
 	logGroup,
 }
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -89,3 +89,19 @@
 			"Any rise: the log is incomplete; lines about a request may be missing."},
 	},
 }
+
+var feedGroup = Group{
+	Name: "feed",
+	Help: "What the VMs of a zone share of the platform's store.",
+	Values: []Definition{
+		{"reads_for_zone", Counter, Calls, "Reads of the store by the VM that reads for its zone.", noAction},
+		{"reads_for_self", Counter, Calls, "Reads of the store because this VM's state was unknown or too old.",
+			"A steady rise: no VM of the zone sends news in time; log lines `source of the store's state failed` name them."},
+		{"reads_failed", Counter, Calls, "Reads of the store that failed.", "A rise on one VM only: look at its way to the store."},
+		{"updates", Counter, Calls, "Responses of other VMs with something newer.", noAction},
+		{"sources_failed", Counter, Calls, "Calls to other VMs that failed or brought nothing newer in time.",
+			"A steady rise: the VM that reads for the zone is overloaded or does not reach the store."},
+		{"whole_states", Counter, Calls, "States fetched as a whole because they differed from the source's.", "A steady rise: report it with the log."},
+		{"served", Counter, Calls, "Calls of other VMs that follow this one.", noAction},
+	},
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
@@ -44,7 +45,10 @@
 	Dialect relay.Dialect
 	Log     *decisionlog.Log
 	// Ingress returns the adapter's handler for callers.
-	Ingress func(*relay.Relay) Ingress
+	Ingress func(*relay.Relay, *feed.Service) Ingress
+	// Store and Topics are what the entry VMs share of the platform's store.
+	Store  feed.Store
+	Topics func(Events) []feed.Topic
 	// Journal and Orders are used to change the roles of engines.
 	Journal roles.Journal
 	Orders  func(*upstream.Client) roles.Orders
@@ -56,7 +60,7 @@
 	// Vars are the adapter's own metrics by group.
 	Vars map[string]*expvar.Map
 	// Background functions run from the start of the process until it stops.
-	Background []func(ctx context.Context, events Events)
+	Background []func(ctx context.Context)
 }
 
 // Ingress serves callers in the adapter's wire format.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
@@ -50,7 +51,8 @@
 		Grace:   time.Minute,
 		Fleet:   fleet.NewStore(),
 		Log:     log,
-		Ingress: func(*relay.Relay) Ingress { return noIngress{} },
+		Ingress: func(*relay.Relay, *feed.Service) Ingress { return noIngress{} },
+		Topics:  func(Events) []feed.Topic { return nil },
 		Journal: noOrders{},
 		Orders:  func(*upstream.Client) roles.Orders { return noOrders{} },
 		Clock:   time.Now,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -13,6 +13,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
@@ -38,6 +39,7 @@
 		newDialer,
 		newMembers,
 		newReservation,
+		newFeed,
 		newPeerServer,
 	),
 	fx.Invoke(func(*peer.Server) {}),
@@ -109,6 +111,24 @@
 	return service
 }
 
+// newFeed returns the service by which the entry VMs of a zone share what one of them
+// reads from the platform's store.
+func newFeed(lifecycle fx.Lifecycle, options *Options, members *swim.Service, dialer *peer.HTTPDialer, budgets *retry.Shared, registry *metrics.Registry) *feed.Service {
+	events := Events{EntryVMs: func(vms []fleet.EntryVM) { applyEntryVMs(options, members, budgets, vms) }}
+	service := feed.New(feed.Params{
+		View:   members,
+		Store:  options.Store,
+		Peers:  feed.NewPeers(dialer),
+		Log:    options.Log,
+		Clock:  options.Clock,
+		Topics: options.Topics(events),
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	registry.Mount("feed", metrics.Fields(service.Counters()))
+	background.Run(lifecycle, service.Run)
+	return service
+}
+
 // condition returns whether an engine is leaving or ejected.
 func condition(view *fleet.View, endpoints *endpoint.Registry, name string) reservation.Condition {
 	instance := view.Instance(name)
@@ -116,10 +136,10 @@
 	return reservation.Condition{Leaving: leaving, Ejected: !leaving && !endpoints.Usable(name)}
 }
 
-func newPeerServer(lifecycle fx.Lifecycle, options *Options, members *swim.Service, reservations *reservation.Service, ring *timeline.Ring, registry *metrics.Registry) (*peer.Server, error) {
+func newPeerServer(lifecycle fx.Lifecycle, options *Options, members *swim.Service, reservations *reservation.Service, shared *feed.Service, ring *timeline.Ring, registry *metrics.Registry) (*peer.Server, error) {
 	server, err := peer.NewServer(
 		peer.Options{Listen: options.PeerAddress, Insecure: true},
-		members.Peer(), reservations.Handler(), timelinerpc.NewHandler(ring),
+		members.Peer(), reservations.Handler(), shared.Handler(), timelinerpc.NewHandler(ring),
 	)
 	if err != nil {
 		return nil, err
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -9,7 +9,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
-	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
@@ -105,7 +105,9 @@
 	return r
 }
 
-func newIngress(options *Options, r *relay.Relay) Ingress { return options.Ingress(r) }
+func newIngress(options *Options, r *relay.Relay, f *feed.Service) Ingress {
+	return options.Ingress(r, f)
+}
 
 // runBalancer runs the balancer of engine roles.
 func runBalancer(lifecycle fx.Lifecycle, options *Options, client *upstream.Client, members *swim.Service, registry *metrics.Registry) {
@@ -135,9 +137,8 @@
 }
 
 // runBackground runs the adapter's background work.
-func runBackground(lifecycle fx.Lifecycle, options *Options, members *swim.Service, budgets *retry.Shared) {
-	events := Events{EntryVMs: func(vms []fleet.EntryVM) { applyEntryVMs(options, members, budgets, vms) }}
+func runBackground(lifecycle fx.Lifecycle, options *Options) {
 	for _, work := range options.Background {
-		background.Run(lifecycle, func(ctx context.Context) { work(ctx, events) })
+		background.Run(lifecycle, work)
 	}
 }
