--- a/cmd/ospreyshedd/main_test.go
+++ b/cmd/ospreyshedd/main_test.go
@@ -174,7 +174,7 @@
 		}
 		select {
 		case got := <-ended:
-			return poll.Error(fmt.Errorf("the request ended before an engine held memory: status %d, %s %s, %v",
+			return poll.Error(fmt.Errorf("the request ended before an engine held memory: status %d, %s %s, %w",
 				got.answer.Status, got.answer.Problem, got.answer.Detail, got.err))
 		default:
 			return poll.Continue("no engine holds memory")
