Limit the whole states that a VM sends to others

Cause: a VM that the store does not answer in time asks another VM for the whole state. With 3,000 endpoints that is 750 kB; all VMs of a zone that start at once could ask one VM of 112 MB for it. Change: whole states are limited to 1 MiB a second with a burst of 4 MiB; whoever gets none goes on to the next VM or to the store.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -162,7 +162,8 @@
 // respond returns what is newer than a request that was held for some time: anything
 // that has changed, or a state that was confirmed considerably later. Topics with the
 // smallest MaxAge decide on the latter together, since the reader renews them one
-// shortly after the other. The lock must be held.
+// shortly after the other. Whole states beyond the limit are left out. The lock must be
+// held.
 func (s *Service) respond(now time.Time, held time.Duration, request *Request) Response {
 	response := Response{Held: held}
 	changed := false
@@ -173,6 +174,9 @@
 			continue
 		}
 		u := TopicUpdate{Topic: t.Name, Age: t.age(now), update: t.replica.updateSince(known.Next, known.Whole)}
+		if u.update.whole && !s.wholeStates.AllowN(now, min(u.update.size(), wholeBurst)) {
+			continue
+		}
 		changed = changed || known.Whole || len(u.update.entries) > 0
 		if t.MaxAge == s.planner.maxAge {
 			theirs = max(theirs, saturatingAdd(known.Age, held))
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -195,6 +195,15 @@
 	entries []updateEntry
 }
 
+// size returns the approximate number of bytes of the entries.
+func (u *update) size() int {
+	n := 0
+	for _, e := range u.entries {
+		n += len(e.Key) + len(e.Value)
+	}
+	return n
+}
+
 type updateEntry struct {
 	Record
 	changed changeNumber
--- a/internal/feed/service.go
+++ b/internal/feed/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
@@ -21,6 +22,11 @@
 	// answered although nothing has changed. A follower that was not answered for less
 	// must not reach sourceAge before the next read.
 	serveGain = 0.1
+	// wholeBytesPerSecond and wholeBurst limit the whole states that a VM sends, because
+	// all VMs of a zone may ask for one at the same time. Whoever gets none asks another
+	// VM or the store.
+	wholeBytesPerSecond = 1 << 20
+	wholeBurst          = 4 << 20
 	// maxHold limits the time for which a follower's call is held.
 	maxHold = 30 * time.Second
 	// followMargin is how much longer than the hold time a call to a source may take.
@@ -74,13 +80,20 @@
 	// stopped is closed when Run ends.
 	stopped chan struct{}
 	planner *planner
+	// wholeStates limits the bytes of whole states.
+	wholeStates *rate.Limiter
 	// source is the VM that was followed last; empty if this VM read the store.
 	source string
 }
 
 // New returns a service whose state is unknown until Run has read it.
 func New(params Params) *Service {
-	s := &Service{params: params, advanced: make(chan struct{}), stopped: make(chan struct{})}
+	s := &Service{
+		params:      params,
+		advanced:    make(chan struct{}),
+		stopped:     make(chan struct{}),
+		wholeStates: rate.NewLimiter(wholeBytesPerSecond, wholeBurst),
+	}
 	maxAge := time.Duration(math.MaxInt64)
 	for _, topic := range params.Topics {
 		s.topics = append(s.topics, &topicState{Topic: topic, replica: newReplica(topic.Meaning)})
