--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -333,3 +333,19 @@
 		assert.Assert(t, sent <= wholeBurst+endpoints*200, "%d bytes at once", sent)
 	})
 }
+
+// A source that lags behind what this VM has read must not replace its state, even if
+// it sends its whole state.
+func TestOlderStatesAreNotAdopted(t *testing.T) {
+	simulate(t, 1, 1, func(s *sim) {
+		service := s.vms[0].service
+		old := update{next: 1, whole: true, entries: []updateEntry{{Record{"config", []byte("v000")}, 1}}}
+		s.store.put(configTopic, "config", "v002")
+		time.Sleep(simMaxAge)
+		service.mu.Lock()
+		adopted := service.adopt(time.Now(), &Response{Topics: []TopicUpdate{{Topic: configTopic, update: old}}})
+		service.mu.Unlock()
+		assert.Assert(t, !adopted)
+		assert.Equal(t, s.value(s.vms[0], configTopic, "config").value, "v002")
+	})
+}
