--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -128,6 +128,9 @@
 		return true
 	}
 	newer := confirmed.After(t.confirmed) || len(changes) > 0
+	if t.outage && newer {
+		s.params.Log.Change("store is back", logrus.Fields{"topic": t.Name, "offset": u.next, "source": s.source})
+	}
 	s.confirm(t, confirmed)
 	return newer
 }
