Let VMs that start at once know each other within two seconds

Cause: after all processes were killed, each VM called the unknown addresses one a second in the same order, so that all called the same VM, which answers four such calls a second with what differs. Change: unknown addresses are called in random order; in its first three seconds a VM exchanges digests every 250 ms, in its zone and with unknown addresses; 16 such calls a second are answered with what differs. After that the exchanges are spread at random. TestAllVMsThatStartAtOnceSoonKnowTheirZone fails before.

--- a/internal/membership/swim/candidate.go
+++ b/internal/membership/swim/candidate.go
@@ -12,8 +12,6 @@
 	// replaced as a whole. Keys are addresses, values are VM names, empty if
 	// unknown.
 	seeds, configured, hinted map[string]string
-	// joinIndex selects the next candidate of startJoin in round-robin order.
-	joinIndex int
 	// called holds the addresses that startFirstJoin has called. The value reports
 	// whether the exchange has finished, whatever its outcome.
 	called map[string]bool
@@ -67,15 +65,15 @@
 	return nil
 }
 
-// startJoin calls the next candidate that is not a member.
+// startJoin calls a random candidate that is not a member. In a fixed order all VMs that
+// start at once would call the same one.
 func (m *machine) startJoin(now time.Time) []call {
 	unjoined := m.unjoinedCandidates()
 	if len(unjoined) == 0 {
 		return nil
 	}
-	m.candidates.joinIndex++
 	addresses := sortedKeys(unjoined)
-	address := addresses[m.candidates.joinIndex%len(addresses)]
+	address := addresses[m.random.IntN(len(addresses))]
 	m.counters.Joins.Add(1)
 	return []call{m.exchange(now, address, unjoined[address], 0)}
 }
--- a/internal/membership/swim/fault_test.go
+++ b/internal/membership/swim/fault_test.go
@@ -214,3 +214,53 @@
 	}
 	assert.Equal(t, s.wrongView(), "")
 }
+
+// After all processes were killed, hundreds of VMs start at once and know nobody. They
+// all called the same address in turn, which answers a few calls a second; 300 of them
+// took 10 s to know each other, 100 took 3 s, and until then each zone had several owners of a ledger.
+func TestAllVMsThatStartAtOnceSoonKnowTheirZone(t *testing.T) {
+	const vms, zones = 120, 5
+	for name, limit := range map[string]time.Duration{
+		// The store keeps the addresses of VMs that have run before.
+		"addresses are known": 2 * time.Second,
+		"a seed is known":     joinLimit,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFleet(1, vms, zones)
+			if name == "addresses are known" {
+				s.announceAll()
+			}
+			s.run(limit)
+			for _, viewer := range s.nodes {
+				for _, vm := range s.nodes {
+					state, _ := s.state(viewer, vm.VM)
+					assert.Assert(t, vm.Zone != viewer.Zone || state == membership.Alive, "%s does not know %s", viewer.VM, vm.VM)
+				}
+			}
+		})
+	}
+}
+
+// announceAll gives every VM the addresses of all others.
+func (s *sim) announceAll() {
+	addresses := make(map[string]string)
+	for _, n := range s.nodes {
+		addresses[n.Address] = n.VM
+	}
+	for _, n := range s.nodes {
+		n.machine.candidates.configured = addresses
+	}
+}
+
+// The exchanges of VMs that started together must not come all at the same time later.
+func TestExchangesAreSpreadAfterTheStart(t *testing.T) {
+	s := newFleet(1, 100, 1)
+	s.run(youngPhase + tickPeriod)
+	next := make(map[time.Duration]int)
+	for _, n := range s.nodes {
+		next[n.machine.nextSync.Sub(s.now)/(syncPeriod/5)]++
+	}
+	for part, vms := range next {
+		assert.Assert(t, vms < 50, "%d of 100 VMs exchange within part %d of the period", vms, part)
+	}
+}
--- a/internal/membership/swim/machine.go
+++ b/internal/membership/swim/machine.go
@@ -50,6 +50,9 @@
 	nextJoin   time.Time
 	lastHeard  time.Time
 
+	startedAt time.Time
+	// spread is set once the time of the first exchange after the young phase is drawn.
+	spread bool
 	// configuredAt is the time at which the first configuration was applied.
 	configuredAt time.Time
 	joined       bool
@@ -95,7 +98,8 @@
 		lastTick:    now,
 		nextProbe:   now.Add(randomDuration(random, probePeriod)),
 		nextLink:    now.Add(randomDuration(random, linkPeriod)),
-		nextSync:    now.Add(randomDuration(random, syncPeriod)),
+		nextSync:    now.Add(randomDuration(random, youngPeriod)),
+		startedAt:   now,
 		nextJoin:    now,
 		lastHeard:   now,
 	}
@@ -130,18 +134,44 @@
 	if due(now, &m.nextLink, linkPeriod) {
 		calls = append(calls, m.startLink(now)...)
 	}
-	if due(now, &m.nextSync, syncPeriod) {
+	if m.syncDue(now) {
 		calls = append(calls, m.startSync(now)...)
 	}
 	if !m.configuredAt.IsZero() && !m.hasJoined(now) {
 		calls = append(calls, m.startFirstJoin(now)...)
 	}
-	if due(now, &m.nextJoin, joinPeriod) {
+	if due(now, &m.nextJoin, m.joinEvery(now)) {
 		calls = append(calls, m.startJoin(now)...)
 	}
 	return calls
 }
 
+// young reports whether this VM has just started.
+func (m *machine) young(now time.Time) bool { return now.Sub(m.startedAt) < youngPhase }
+
+// joinEvery returns the time between two calls to addresses at which no member is known.
+func (m *machine) joinEvery(now time.Time) time.Duration {
+	if m.young(now) {
+		return youngPeriod
+	}
+	return joinPeriod
+}
+
+// syncDue reports whether an exchange within the zone is due and sets the time of the
+// next one. The first one after the young phase comes at a random time, since many VMs
+// may have started together.
+func (m *machine) syncDue(now time.Time) bool {
+	if m.young(now) {
+		return due(now, &m.nextSync, youngPeriod)
+	}
+	if m.spread {
+		return due(now, &m.nextSync, syncPeriod)
+	}
+	m.spread = true
+	m.nextSync = now.Add(randomDuration(m.random, syncPeriod))
+	return false
+}
+
 // due reports whether a periodic action is due and sets its next time. Missed
 // periods are skipped.
 func due(now time.Time, next *time.Time, period time.Duration) bool {
--- a/internal/membership/swim/timing.go
+++ b/internal/membership/swim/timing.go
@@ -21,6 +21,11 @@
 	// joinPeriod is the time between two calls to addresses at which no member is
 	// known.
 	joinPeriod = time.Second
+	// youngPhase is the time after its start for which a VM exchanges digests every
+	// youngPeriod, with the others of its zone and with addresses at which no member is
+	// known. When all VMs start at once, none of them knows the others.
+	youngPhase  = 3 * time.Second
+	youngPeriod = 250 * time.Millisecond
 	// joinLimit is the time after the first configuration at which a VM counts as
 	// joined even if its first calls to the others have not finished.
 	joinLimit = 3 * time.Second
@@ -76,8 +81,8 @@
 	// differencesPerSecond and differenceBurst limit the rate of responses that
 	// list differing members, so that a healed partition causes no burst of
 	// traffic. Responses beyond the limit list none, as if the digests were equal.
-	differencesPerSecond = 4
-	differenceBurst      = 16
+	differencesPerSecond = 16
+	differenceBurst      = 32
 	// maxUpdates is the maximum number of updates accepted in a message.
 	maxUpdates = 64
 	// maxMembers bounds the number of records of members.
