--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -2,7 +2,7 @@
 // reads from the platform's store.
 //
 // Each VM keeps a replica of every topic and knows when the store last confirmed it.
-// One VM of the zone, chosen by rendezvous hashing over the members in view, reads the
+// One VM of the zone, the first by rendezvous hashing over the members in view, reads the
 // store; the others follow it by calls that are answered as soon as something newer is
 // known. Ages are carried with each answer, so that a VM always knows an upper bound
 // of how old its own state is, whatever way it came.
