Log why a stream or request ended without its answer

Cause: the logs could not tell apart what may have lost requests.

Counter relay.silences. No decision changes.

--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -33,6 +33,8 @@
 		{"prefills", Counter, Calls, "Prefills completed on a prefill engine.", noAction},
 		{"prefills_lost", Counter, Calls, "Prefills wasted because their KV cache was not used for decode.",
 			"A steady rise: engines evict KV caches early or lack memory."},
+		{"silences", Counter, Requests, "Times that an engine sent no event of a stream for the silence limit.",
+			"A rise: engines pause or hang; log lines `stream cut` with `silent` name them."},
 		{"resumed", Counter, Requests, "Streams that were resumed on another engine.", "A rise: engines interrupt streams; log lines `stream cut` name them."},
 		{"broken", Counter, Requests, "Streams that ended before they were complete.", "A rise: as for `resumed`, but on routes on which streams cannot be resumed."},
 	},
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -15,6 +15,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/relay"
 )
 
 const (
@@ -88,13 +89,14 @@
 	options *Options
 	ingress Ingress
 	members *swim.Service
+	relay   *relay.Relay
 	server  *http.Server
 }
 
-func runCallerServer(lifecycle fx.Lifecycle, options *Options, ingress Ingress, members *swim.Service) {
+func runCallerServer(lifecycle fx.Lifecycle, options *Options, ingress Ingress, members *swim.Service, r *relay.Relay) {
 	readiness := newServer(http.HandlerFunc(ingress.ServeReadiness))
 	serve(lifecycle, options, "readiness", options.ReadinessAddress, readiness)
-	s := &callerServer{options: options, ingress: ingress, members: members, server: newServer(ingress)}
+	s := &callerServer{options: options, ingress: ingress, members: members, relay: r, server: newServer(ingress)}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			return listen(ctx, options, "callers", options.CallerAddress, s.server)
@@ -114,10 +116,24 @@
 	defer cancel()
 	err := s.server.Shutdown(drain)
 	if err != nil {
-		s.options.Log.Change("requests were cut off at the end of the grace", logrus.Fields{"error": err.Error()})
+		s.logCutOff(err)
 		err = s.server.Close()
 	}
 	s.members.Leave(drain)
 	s.options.Log.Change("drained", logrus.Fields{"ms": time.Since(started).Milliseconds()})
 	return err
 }
+
+// maxCutOffLines limits the lines about requests that are cut off at the end of a stop.
+const maxCutOffLines = 64
+
+// logCutOff logs the requests that are cut off because the grace has passed.
+func (s *callerServer) logCutOff(err error) {
+	requests := s.relay.InFlight()
+	s.options.Log.Change("requests were cut off at the end of the grace", logrus.Fields{"error": err.Error(), "requests": len(requests)})
+	for _, r := range requests[:min(len(requests), maxCutOffLines)] {
+		s.options.Log.Change("request cut off", logrus.Fields{
+			"request": r.ID, "route": r.Route, "age_ms": r.Age.Milliseconds(), "sent": r.Sent,
+		})
+	}
+}
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -31,6 +31,9 @@
 	errDeclined = errors.New("declined")
 )
 
+// obstacleSingleRun is the obstacle of a request that may run only once.
+const obstacleSingleRun = "the route allows a single run"
+
 // generation is the state of a generation request across its attempts.
 type generation struct {
 	*exchange
@@ -88,7 +91,7 @@
 		r.callerGone(g.exchange)
 	case g.headerSent:
 		r.Counters.Broken.Add(1)
-		r.decide(g.exchange, "stream broken", logrus.Fields{"tokens": g.delivered})
+		r.decide(g.exchange, "stream broken", logrus.Fields{"tokens": g.delivered, "last_event": g.lastEventID, "reason": g.obstacle})
 		g.caller.Abort()
 	default:
 		r.concludePlain(g.exchange)
@@ -143,6 +146,7 @@
 		g.relaxed = true
 		return errRetry
 	}
+	g.obstacle = string(refusal.Reason)
 	if g.headerSent || g.mayHaveRun {
 		return errGiveUp
 	}
@@ -247,6 +251,7 @@
 // once.
 func (g *generation) retryUnlessSingleRun() error {
 	if g.route.RunsOnce() {
+		g.obstacle = obstacleSingleRun
 		return errGiveUp
 	}
 	return errRetry
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -189,6 +189,7 @@
 	call.Timeout = x.timeLeft()
 	if call.Stage != Prefill {
 		x.sends++
+		x.tracked.sent.Store(true)
 	}
 	r.Counters.Sent.Add(1)
 	response, err := r.options.Client.Do(ctx, to.Address, &upstream.Request{
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,6 +87,9 @@
 	// Prefills counts successful prefills, PrefillsLost those whose KV cache was not
 	// used by a decode engine.
 	Prefills, PrefillsLost atomic.Int64
+	// Silences counts the times that an engine sent no event of a stream for the silence
+	// limit.
+	Silences atomic.Int64
 	// Resumed counts streams that were cut and may continue on another engine, Broken
 	// those that were aborted before their end.
 	Resumed, Broken atomic.Int64
@@ -104,6 +107,7 @@
 	options  Options
 	requests atomic.Uint64
 	waits    *waitEstimator
+	inFlight *inFlight
 }
 
 // New returns a relay.
@@ -114,6 +118,7 @@
 		Queues:       metrics.NewLatency(),
 		options:      options,
 		waits:        newWaitEstimator(),
+		inFlight:     newInFlight(),
 	}
 }
 
@@ -131,6 +136,7 @@
 		refusal:    "no endpoint is reachable",
 		retryAfter: unreachableRetryAfter,
 	}
+	defer r.inFlight.begin(x)()
 	if service.Engines != nil && request.Generation != nil {
 		r.serveGeneration(ctx, x)
 		return
@@ -195,7 +201,12 @@
 // mayAttempt reports whether the request may be sent to another endpoint. It takes
 // a retry from the budget if the request has been sent before.
 func (r *Relay) mayAttempt(x *exchange) bool {
-	if x.sends >= max(1, x.route.MaxAttempts) || x.timeLeft() <= 0 {
+	switch {
+	case x.sends >= max(1, x.route.MaxAttempts):
+		x.obstacle = "the route's attempts are used up"
+		return false
+	case x.timeLeft() <= 0:
+		x.obstacle = "the deadline has passed"
 		return false
 	}
 	return x.sends == 0 || r.spendRetry(x)
@@ -205,6 +216,7 @@
 func (r *Relay) spendRetry(x *exchange) bool {
 	if !r.options.Budget.Spend(x.service.Name) {
 		r.Counters.RepeatsDenied.Add(1)
+		x.obstacle = "the retry budget is used up"
 		return false
 	}
 	r.Counters.Repeated.Add(1)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -173,6 +173,10 @@
 	refusal string
 	// retryAfter is the retry delay sent to the caller if the request did not run.
 	retryAfter time.Duration
+	// tracked is the record of the request while it is in flight.
+	tracked *tracked
+	// obstacle is the reason why no further attempt followed.
+	obstacle string
 }
 
 // timeLeft returns the time until the final answer is due.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,8 @@
 	id         engine.AttemptID
 	endpoint   *configuration.Endpoint
 	started    time.Time
+	// silent is set once the engine sent no event for streamStallTimeout.
+	silent atomic.Bool
 }
 
 // forward sends events to the caller as they arrive. It returns nil if the stream
@@ -55,7 +58,11 @@
 // abortOnStall returns a timer that aborts the response of a resumable stream if no
 // event arrives in time.
 func (s *stream) abortOnStall(response *upstream.Response) *time.Timer {
-	timer := time.AfterFunc(streamStallTimeout, response.Abort)
+	timer := time.AfterFunc(streamStallTimeout, func() {
+		s.silent.Store(true)
+		s.relay.Counters.Silences.Add(1)
+		response.Abort()
+	})
 	if !s.generation.route.Resumable {
 		timer.Stop()
 	}
@@ -104,10 +111,12 @@
 	r.observe(g, s.endpoint, false)
 	r.decide(g.exchange, "stream cut", logrus.Fields{
 		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": g.lastEventID, "error": err.Error(),
+		"silent": s.silent.Load(), "resumable": g.route.Resumable,
 	})
 	response.Close()
 	g.exclude = append(g.exclude, s.endpoint.Name)
 	if g.route.RunsOnce() {
+		g.obstacle = obstacleSingleRun
 		return errGiveUp
 	}
 	r.Counters.Resumed.Add(1)
