--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -302,9 +302,14 @@
 		if after, err := strconv.Atoi(r.Header.Get(lastHeader)); err == nil {
 			first = after + 1
 		}
-		for n := first; n <= last; n++ {
-			_, _ = w.Write([]byte("id: " + strconv.Itoa(n) + "\ndata: t\n\n"))
-		}
+		eventsBetween(w, first, last)
+	}
+}
+
+// eventsBetween writes numbered events.
+func eventsBetween(w http.ResponseWriter, first, last int) {
+	for n := first; n <= last; n++ {
+		_, _ = w.Write([]byte("id: " + strconv.Itoa(n) + "\ndata: t\n\n"))
 	}
 }
 
