Keep the stream of a silent engine until another engine can continue it

Callers lost streams whose engine had only paused: this VM closed the engine's connection after 1.3 s without an event, and then found that no attempt could follow. On routes whose streams may not be resumed none ever can: the timer was stopped for them and armed again after their first event. On the others the route's attempts or the retry budget were used up, or no engine was free.

The class of fault: an attempt is ended by a time limit before it is known that another can follow. The stream is read in the background now. After the same 1.3 s the relay takes a retry and reserves other engines while the stream stays open; it ends the silent engine's stream only when they are granted and usable. If the engine goes on first, the reservation is withdrawn and the retry returned. Only then does a failure to continue cost nothing.

--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -70,7 +70,8 @@
 	return &upstream.Request{Method: http.MethodDelete, Target: "/free/" + handle, Header: http.Header{}}
 }
 
-// fakeReserver gives the configured answers in turn and records demands and progress.
+// fakeReserver gives the configured answers in turn and records demands and progress. A
+// nil answer means that the demand waits until it is withdrawn.
 type fakeReserver struct {
 	mu       sync.Mutex
 	answers  []func(d scheduling.Demand) (scheduling.Grant, error)
@@ -90,11 +91,15 @@
 	return scheduling.Grant{}, &scheduling.Refusal{Reason: scheduling.RefusedTarget, RetryAfter: time.Millisecond}
 }
 
-func (f *fakeReserver) Reserve(_ context.Context, d scheduling.Demand) (scheduling.Grant, error) {
+func (f *fakeReserver) Reserve(ctx context.Context, d scheduling.Demand) (scheduling.Grant, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	answer := f.answers[min(len(f.demands), len(f.answers)-1)]
 	f.demands = append(f.demands, d)
+	f.mu.Unlock()
+	if answer == nil {
+		<-ctx.Done()
+		return scheduling.Grant{}, ctx.Err()
+	}
 	return answer(d)
 }
 
@@ -132,6 +137,12 @@
 	return b.left >= 0
 }
 
+func (b *budget) Refund(string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left++
+}
+
 // recorder implements Caller and records the final answer.
 type recorder struct {
 	outcome      string
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -55,6 +55,9 @@
 	relaxed bool
 	// late is set if the objective can no longer be met.
 	late bool
+	// next holds the engines that were reserved for the next attempt during the current
+	// one, nil if there are none.
+	next *reserved
 }
 
 // serveGeneration serves a request on model engines.
@@ -67,7 +70,8 @@
 	g.late = g.priorWait >= x.route.Objective-deliveryMargin
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	for r.mayAttempt(x) {
+	defer r.releaseUnused(g)
+	for g.next != nil || r.mayAttempt(x) {
 		err := r.attempt(ctx, g)
 		if err == nil {
 			r.Counters.Answered.Add(1)
@@ -102,7 +106,7 @@
 // the answer is complete, errGiveUp if no other attempt may follow.
 func (r *Relay) attempt(ctx context.Context, g *generation) error {
 	started := time.Now()
-	demand, grant, err := r.reserve(ctx, g)
+	demand, grant, err := r.takeReserved(ctx, g)
 	if err != nil {
 		return err
 	}
@@ -118,6 +122,23 @@
 	return r.run(ctx, g, demand.ID, grant)
 }
 
+// takeReserved returns the engines that were reserved for this attempt during the
+// previous one, and otherwise reserves engines.
+func (r *Relay) takeReserved(ctx context.Context, g *generation) (scheduling.Demand, scheduling.Grant, error) {
+	if next := g.next; next != nil {
+		g.next = nil
+		return next.demand, next.grant, nil
+	}
+	return r.reserve(ctx, g)
+}
+
+// releaseUnused releases engines that were reserved for an attempt that does not follow.
+func (r *Relay) releaseUnused(g *generation) {
+	if g.next != nil {
+		r.release(g.next.demand.ID)
+	}
+}
+
 // reserve requests engines, and retries the demand with a later target each time it
 // is refused because the target cannot be met. The error is errGiveUp.
 func (r *Relay) reserve(ctx context.Context, g *generation) (scheduling.Demand, scheduling.Grant, error) {
@@ -213,6 +234,12 @@
 	return err
 }
 
+// usable reports whether this process knows the engines of a grant and none is draining.
+func (r *Relay) usable(grant scheduling.Grant) bool {
+	view := r.options.Fleet.View()
+	return available(view.Instance(grant.Prefill)) && available(view.Instance(grant.Decode))
+}
+
 // available reports whether this process knows an engine and it is not draining.
 func available(instance *fleet.Instance) bool { return instance != nil && !instance.Draining }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,8 @@
 	Earn(service string)
 	// Spend takes one retry and reports whether the budget allows it.
 	Spend(service string) bool
+	// Refund returns a retry that was taken and not used.
+	Refund(service string)
 }
 
 // Options holds the identity and the dependencies of a Relay.
@@ -78,7 +80,8 @@
 	Refused, Failed atomic.Int64
 	// CallersGone counts requests whose caller disconnected before the end.
 	CallersGone atomic.Int64
-	// Sent counts calls to endpoints, Repeated the retries that the budget allowed.
+	// Sent counts calls to endpoints, Repeated the retries that the budget allowed,
+	// without those that were returned unused.
 	Sent, Repeated atomic.Int64
 	// RepeatsDenied counts retries that the budget did not allow.
 	RepeatsDenied atomic.Int64
@@ -222,3 +225,14 @@
 	r.Counters.Repeated.Add(1)
 	return true
 }
+
+// refundRetry returns a retry that was not used.
+func (r *Relay) refundRetry(service string) {
+	r.options.Budget.Refund(service)
+	r.Counters.Repeated.Add(-1)
+}
+
+// release reports that an attempt no longer holds its engines.
+func (r *Relay) release(id engine.AttemptID) {
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.Released})
+}
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,19 +12,22 @@
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
 
-// silentAfter returns a handler that streams events up to the last one and falls silent
-// after the first ones, until the relay has noticed the silence.
-func (s *fixture) silentAfter(silent, last int) func(http.ResponseWriter, *http.Request) {
+// silentUntil returns a handler that streams four events and falls silent after the
+// second one until a condition holds.
+func silentUntil(condition func() bool) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
-		events(silent)(w, r)
+		events(2)(w, r)
 		_ = http.NewResponseController(w).Flush()
-		for s.relay.Counters.Silences.Load() == 0 && r.Context().Err() == nil {
+		for !condition() && r.Context().Err() == nil {
 			time.Sleep(time.Millisecond)
 		}
-		eventsBetween(w, silent+1, last)
+		eventsBetween(w, 3, 4)
 	}
 }
 
+// silenceNoticed reports whether the relay has noticed a silence.
+func (s *fixture) silenceNoticed() bool { return s.relay.Counters.Silences.Load() > 0 }
+
 // A sound engine may pause for a while. A stream that no other engine can continue must
 // not be ended because of it.
 func TestSilenceDoesNotEndAStreamThatCannotBeContinued(t *testing.T) {
@@ -46,7 +50,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := newFixture(t, grant("p1", "e1"), c.second)
 			s.relay.options.Budget = &budget{left: c.budget}
-			s.engines(answers(http.StatusOK, "h1"), s.silentAfter(2, 4))
+			s.engines(answers(http.StatusOK, "h1"), silentUntil(s.silenceNoticed))
 			caller := s.serve(c.route, work)
 			assert.Equal(t, caller.outcome, "stream")
 			assert.Equal(t, caller.body, eventText(4))
@@ -72,3 +76,33 @@
 	assert.DeepEqual(t, s.reserver.demands[1].Exclude, []string{"e1"})
 	assert.Assert(t, s.reserver.demands[1].Resumed)
 }
+
+// An engine that goes on while others are sought keeps its stream, and nothing that was
+// taken for the change is kept.
+func TestEngineThatGoesOnKeepsItsStream(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"), nil)
+	retries := &budget{left: 1}
+	s.relay.options.Budget = retries
+	s.engines(answers(http.StatusOK, "h1"), silentUntil(s.silenceNoticed))
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.outcome, "stream")
+	assert.Equal(t, caller.body, eventText(4))
+	assert.Equal(t, s.callLog(), "p1:1 e1:2/h1")
+	assert.Equal(t, len(s.reserver.demands), 2)
+	assert.Equal(t, retries.left, 1)
+	assert.Equal(t, s.relay.Counters.Repeated.Load(), int64(0))
+}
+
+// A grant that names a leaving engine must not end the stream that it was to continue.
+func TestSilentStreamIsNotLeftForALeavingEngine(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"), grant("p2", "e2"))
+	retries := &budget{left: 1}
+	s.relay.options.Budget = retries
+	s.engines(answers(http.StatusOK, "h1"), silentUntil(func() bool { return strings.Contains(s.reserver.kinds(), "released") }))
+	s.drain("e2")
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.body, eventText(4))
+	assert.Equal(t, s.callLog(), "p1:1 e1:2/h1")
+	assert.Equal(t, s.reserver.kinds(), "prefill-done first-token released released")
+	assert.Equal(t, retries.left, 1)
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,10 +14,17 @@
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
-// streamStallTimeout is how long a resumable stream may go without events before it
-// is resumed on another engine. Callers give up after two seconds without an event.
+// streamStallTimeout is how long a stream may go without events before other engines
+// are sought that can continue it. Callers give up after two seconds without an event.
 const streamStallTimeout = 1300 * time.Millisecond
 
+var (
+	// errSilent is the cause of a cut if the engine sent no event in time.
+	errSilent = errors.New("no event arrived in time")
+	// errGrantOutdated means that an engine of a grant is leaving or not known here.
+	errGrantOutdated = errors.New("a granted engine is leaving or unknown")
+)
+
 // stream forwards the events of one engine to the caller.
 type stream struct {
 	relay      *Relay
@@ -26,58 +32,79 @@
 	id         engine.AttemptID
 	endpoint   *configuration.Endpoint
 	started    time.Time
-	// silent is set once the engine sent no event for streamStallTimeout.
-	silent atomic.Bool
+	// batches counts the batches that were forwarded.
+	batches int
+	// sought is the reservation of other engines while this one is silent, nil if
+	// there is none.
+	sought *continuation
 }
 
-// forward sends events to the caller as they arrive. It returns nil if the stream
-// was complete according to its framing.
+// forward sends events to the caller as they arrive. It returns nil if the stream was
+// complete according to its framing.
+//
+// An engine that is silent may only be pausing, so its stream stays open until other
+// engines are reserved to continue it.
 func (s *stream) forward(ctx context.Context, response *upstream.Response) error {
-	g := s.generation
 	events := newEventReader(response)
-	events.lastID = g.lastEventID
-	stallTimer := s.abortOnStall(response)
-	defer stallTimer.Stop()
-	for first := true; ; first = false {
-		complete, err := events.next()
-		if err != nil {
-			return s.handleEnd(ctx, response, err)
-		}
-		stallTimer.Reset(streamStallTimeout)
-		if !g.headerSent {
-			g.headerSent = true
-			g.caller.Begin(response.Status, response.Header)
+	events.lastID = s.generation.lastEventID
+	pump := startEventPump(events)
+	defer pump.close(response.Abort)
+	defer func() { s.sought.withdraw() }()
+	silence := time.NewTimer(streamStallTimeout)
+	defer silence.Stop()
+	for {
+		select {
+		case b := <-pump.batches:
+			if b.err != nil {
+				pump.ended = true
+				return s.handleEnd(ctx, b.err)
+			}
+			if err := s.deliver(response, b); err != nil {
+				return err
+			}
+			silence.Reset(streamStallTimeout)
+			pump.resume()
+		case <-silence.C:
+			if s.handleSilence(ctx); s.sought == nil && s.mayMoveLater() {
+				silence.Reset(streamStallTimeout)
+			}
+		case found := <-s.sought.decided():
+			if s.takeOver(found) {
+				return errRetry
+			}
+			silence.Reset(streamStallTimeout)
 		}
-		if err := g.caller.Event(complete); err != nil {
-			return context.Canceled
-		}
-		s.recordEvents(events, first)
 	}
 }
 
-// abortOnStall returns a timer that aborts the response of a resumable stream if no
-// event arrives in time.
-func (s *stream) abortOnStall(response *upstream.Response) *time.Timer {
-	timer := time.AfterFunc(streamStallTimeout, func() {
-		s.silent.Store(true)
-		s.relay.Counters.Silences.Add(1)
-		response.Abort()
-	})
-	if !s.generation.route.Resumable {
-		timer.Stop()
+// deliver sends a batch of events to the caller. The error is context.Canceled if the
+// caller does not take them.
+func (s *stream) deliver(response *upstream.Response, b batch) error {
+	g := s.generation
+	s.sought.withdraw()
+	s.sought = nil
+	if !g.headerSent {
+		g.headerSent = true
+		g.caller.Begin(response.Status, response.Header)
 	}
-	return timer
+	if err := g.caller.Event(b.events); err != nil {
+		return context.Canceled
+	}
+	s.record(b)
+	return nil
 }
 
-// recordEvents records and reports the progress after events were sent to the caller.
-func (s *stream) recordEvents(events *eventReader, first bool) {
+// record records and reports the progress after events were sent to the caller.
+func (s *stream) record(b batch) {
 	g := s.generation
-	g.lastEventID = events.lastID
+	first := s.batches == 0
+	s.batches++
+	g.lastEventID = b.lastID
 	g.recordEventTime(time.Now())
 	if first && g.deliveredBefore == 0 {
 		s.relay.FirstEvents.Observe(g.firstEvent.Sub(g.request.Arrived))
 	}
-	g.delivered += events.takeEventCount() * g.service.Engines.TokensPerEvent
+	g.delivered += b.count * g.service.Engines.TokensPerEvent
 	if first {
 		s.relay.options.Reserver.Progress(scheduling.Progress{
 			ID: s.id, Kind: scheduling.FirstTokenSeen, Decode: s.endpoint.Name, Elapsed: time.Since(s.started),
@@ -86,6 +113,58 @@
 	s.relay.options.Reserver.Delivered(s.id, g.delivered-g.deliveredBefore)
 }
 
+// handleSilence begins to reserve other engines for the stream of a silent one, if
+// another attempt may follow.
+func (s *stream) handleSilence(ctx context.Context) {
+	s.relay.Counters.Silences.Add(1)
+	s.sought = s.relay.seekContinuation(ctx, s.generation, s.endpoint.Name)
+	fields := logrus.Fields{"endpoint": s.endpoint.Name, "tokens": s.generation.delivered, "last_event": s.generation.lastEventID}
+	if s.sought == nil {
+		fields["obstacle"] = s.generation.obstacle
+	}
+	s.relay.decide(s.generation.exchange, "engine silent", fields)
+}
+
+// mayMoveLater reports whether the stream can still be continued on another engine,
+// although it could not now.
+func (s *stream) mayMoveLater() bool {
+	g := s.generation
+	return !g.route.RunsOnce() && g.sends < g.route.MaxAttempts
+}
+
+// takeOver ends the stream of a silent engine in favour of the reserved engines. It
+// returns false if there are none that can be used.
+func (s *stream) takeOver(found reserved) bool {
+	r, g := s.relay, s.generation
+	if found.err == nil && !r.usable(found.grant) {
+		r.release(found.demand.ID)
+		found.err = errGrantOutdated
+	}
+	if found.err != nil {
+		s.sought = nil
+		g.obstacle = found.err.Error()
+		r.refundRetry(g.service.Name)
+		r.decide(g.exchange, "silent engine not replaced", logrus.Fields{"endpoint": s.endpoint.Name, "obstacle": g.obstacle})
+		return false
+	}
+	s.sought = nil
+	g.next = &found
+	s.recordCut(errSilent)
+	r.Counters.Resumed.Add(1)
+	return true
+}
+
+// recordCut records that the stream broke off.
+func (s *stream) recordCut(cause error) {
+	g := s.generation
+	s.relay.observe(g, s.endpoint, false)
+	s.relay.decide(g.exchange, "stream cut", logrus.Fields{
+		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": g.lastEventID, "error": cause.Error(),
+		"silent": errors.Is(cause, errSilent), "resumable": g.route.Resumable,
+	})
+	g.exclude = append(g.exclude, s.endpoint.Name)
+}
+
 // recordEventTime records that the caller got events at a time.
 func (g *generation) recordEventTime(now time.Time) {
 	if g.firstEvent.IsZero() {
@@ -99,7 +178,7 @@
 // handleEnd handles the end of an engine's stream. It returns nil if the answer is
 // complete, errRetry if another attempt may follow, and otherwise errGiveUp or the
 // error of ctx.
-func (s *stream) handleEnd(ctx context.Context, response *upstream.Response, err error) error {
+func (s *stream) handleEnd(ctx context.Context, err error) error {
 	r, g := s.relay, s.generation
 	if errors.Is(err, io.EOF) && g.headerSent {
 		r.observe(g, s.endpoint, true)
@@ -108,13 +187,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	r.observe(g, s.endpoint, false)
-	r.decide(g.exchange, "stream cut", logrus.Fields{
-		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": g.lastEventID, "error": err.Error(),
-		"silent": s.silent.Load(), "resumable": g.route.Resumable,
-	})
-	response.Close()
-	g.exclude = append(g.exclude, s.endpoint.Name)
+	s.recordCut(err)
 	if g.route.RunsOnce() {
 		g.obstacle = obstacleSingleRun
 		return errGiveUp
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -38,15 +38,7 @@
 }
 
 // Earn credits one request.
-func (b *Budget) Earn() {
-	for {
-		old := b.balance.Load()
-		updated := min(old+b.earn, b.ceiling.Load())
-		if updated == old || b.balance.CompareAndSwap(old, updated) {
-			return
-		}
-	}
-}
+func (b *Budget) Earn() { b.add(b.earn) }
 
 // Spend takes one retry and reports whether the budget allowed it.
 func (b *Budget) Spend() bool {
@@ -60,3 +52,17 @@
 		}
 	}
 }
+
+// Refund returns a retry that was taken and not used.
+func (b *Budget) Refund() { b.add(milli) }
+
+// add raises the balance, up to the reserve.
+func (b *Budget) add(amount int64) {
+	for {
+		old := b.balance.Load()
+		updated := max(old, min(old+amount, b.ceiling.Load()))
+		if updated == old || b.balance.CompareAndSwap(old, updated) {
+			return
+		}
+	}
+}
--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -50,6 +50,9 @@
 // Spend takes one retry of a service and reports whether the budget allows it.
 func (s *Shared) Spend(service string) bool { return s.of(service).Spend() }
 
+// Refund returns a retry of a service that was taken and not used.
+func (s *Shared) Refund(service string) { s.of(service).Refund() }
+
 func (s *Shared) of(service string) *Budget {
 	if found, ok := s.budgets.Load(service); ok {
 		return found.(*Budget)
