Take an engine for silent after half the time that callers wait

Cause: the limit of 1.3 s was the same for all routes, and shorter than pauses that a sound engine may make. Each such pause cost a prefill on another engine and a retry, and the first engine may still work on the stream until it notices.

Change: the limit is half the time for which the route's callers wait for an event (4 s with an objective of 1 s, so 2 s); the other half is for the prefill on another engine.

--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -64,7 +64,7 @@
 	first := g.route.Objective - g.priorWait - deliveryMargin
 	switch {
 	case g.late:
-		first = g.request.FirstEventTimeout - lateMargin
+		first = g.request.EventTimeout - lateMargin
 	case !g.relaxed:
 		first = time.Duration(firstTargetShare * float64(first))
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -28,9 +28,9 @@
 	Arrived time.Time
 	// Timeout is how long the caller waits, counted from Arrived; 0 if unknown.
 	Timeout time.Duration
-	// FirstEventTimeout is how long the caller of a stream waits for its first
-	// event, counted from Arrived; 0 if there is no separate limit.
-	FirstEventTimeout time.Duration
+	// EventTimeout is how long the caller of a stream waits for its first event, counted
+	// from Arrived, and for each further event; 0 if there is no separate limit.
+	EventTimeout time.Duration
 	// Generation is nil for requests that are not served by a model.
 	Generation *Generation
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -14,9 +14,14 @@
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
-// streamStallTimeout is how long a stream may go without events before other engines
-// are sought that can continue it. Callers give up after two seconds without an event.
-const streamStallTimeout = 1300 * time.Millisecond
+const (
+	// silenceShare is the share of the time that callers wait for an event after which
+	// other engines are sought that can continue the stream. The rest of that time is for
+	// the prefill on one of them.
+	silenceShare = 0.5
+	// defaultSilenceLimit replaces that time if it is not known how long callers wait.
+	defaultSilenceLimit = 2 * time.Second
+)
 
 var (
 	// errSilent is the cause of a cut if the engine sent no event in time.
@@ -50,7 +55,8 @@
 	pump := startEventPump(events)
 	defer pump.close(response.Abort)
 	defer func() { s.sought.withdraw() }()
-	silence := time.NewTimer(streamStallTimeout)
+	limit := silenceLimit(s.generation.request)
+	silence := time.NewTimer(limit)
 	defer silence.Stop()
 	for {
 		select {
@@ -62,21 +68,31 @@
 			if err := s.deliver(response, b); err != nil {
 				return err
 			}
-			silence.Reset(streamStallTimeout)
+			silence.Reset(limit)
 			pump.resume()
 		case <-silence.C:
 			if s.handleSilence(ctx); s.sought == nil && s.mayMoveLater() {
-				silence.Reset(streamStallTimeout)
+				silence.Reset(limit)
 			}
 		case found := <-s.sought.decided():
 			if s.takeOver(found) {
 				return errRetry
 			}
-			silence.Reset(streamStallTimeout)
+			silence.Reset(limit)
 		}
 	}
 }
 
+// silenceLimit returns how long a stream of the request may go without events before
+// other engines are sought. An engine that pauses for a shorter time keeps the stream: a
+// change costs another prefill and a retry.
+func silenceLimit(request *Request) time.Duration {
+	if request.EventTimeout <= 0 {
+		return defaultSilenceLimit
+	}
+	return time.Duration(silenceShare * float64(request.EventTimeout))
+}
+
 // deliver sends a batch of events to the caller. The error is context.Canceled if the
 // caller does not take them.
 func (s *stream) deliver(response *upstream.Response, b batch) error {
