Refuse requests that still wait for engines when their VM stops

Callers whose requests waited for engines when a VM stopped lost their connection at the end of the grace and got neither an answer nor a refusal, so they could not know that the request had not run. Found while looking for other places that end an accepted request although a true answer can be given.

Cause: a stop only waits for requests in flight and then closes their connections. Change: after half of the grace, requests that still wait are refused as not run, with a short retry delay: another VM can serve them, and here they could hardly finish. Streams that have begun go on, those that are waiting to be continued too.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,8 @@
 // An adapter supplies the wire formats for callers, endpoints and the platform. A
 // graceful shutdown runs in this order: readiness checks start to fail; requests
 // are served until the platform has stopped sending new ones; the listener closes
-// and requests in flight finish; background work stops.
+// and requests in flight finish, except that those which still wait for engines after
+// half of the grace are refused; background work stops.
 package node
 
 import (
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -23,7 +23,7 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-const loopback = "127.0.0.1:0"
+const anyLoopbackPort = "127.0.0.1:0"
 
 // noIngress is an Ingress that serves no callers.
 type noIngress struct{}
@@ -47,7 +47,7 @@
 	t.Cleanup(log.Close)
 	return Options{
 		VM: "vm-1", Zone: "a", Incarnation: 1,
-		CallerAddress: loopback, ReadinessAddress: loopback, PeerAddress: loopback,
+		CallerAddress: anyLoopbackPort, ReadinessAddress: anyLoopbackPort, PeerAddress: anyLoopbackPort,
 		Grace:   time.Minute,
 		Fleet:   fleet.NewStore(),
 		Log:     log,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -27,6 +27,9 @@
 	// balancerLag is how long requests still arrive after readiness checks start to
 	// fail: two checks at an interval of a second, plus the time to connect.
 	balancerLag = 2500 * time.Millisecond
+	// waitingShare is the share of the grace after which requests that still wait for
+	// engines are refused. Those that began by then have the rest of it to finish.
+	waitingShare = 0.5
 	// metricsPath is the path at which the counters are served as text.
 	metricsPath = "/metrics"
 )
@@ -111,6 +114,8 @@
 	s.options.Log.Change("draining", logrus.Fields{"grace_ms": s.options.Grace.Milliseconds()})
 	s.ingress.Drain()
 	s.members.SetDraining()
+	refusal := time.AfterFunc(time.Duration(waitingShare*float64(s.options.Grace)), s.relay.RefuseWaiting)
+	defer refusal.Stop()
 	background.Pause(ctx, balancerLag)
 	drain, cancel := context.WithDeadline(ctx, started.Add(s.options.Grace-stopMargin))
 	defer cancel()
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -103,6 +103,19 @@
 	return answer(d)
 }
 
+// awaitDemands waits for a number of demands.
+func (f *fakeReserver) awaitDemands(count int) {
+	for {
+		f.mu.Lock()
+		received := len(f.demands)
+		f.mu.Unlock()
+		if received >= count {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (f *fakeReserver) Progress(p scheduling.Progress) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -20,6 +20,9 @@
 	// their timeout.
 	minBusyRetryAfter = 3 * time.Second
 	maxBusyRetryAfter = 4 * time.Second
+	// stoppingRetryAfter is the retry delay sent to callers of a VM that stops. Another VM
+	// can serve them at once.
+	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 var (
@@ -129,7 +132,18 @@
 		g.next = nil
 		return next.demand, next.grant, nil
 	}
-	return r.reserve(ctx, g)
+	if g.headerSent {
+		return r.reserve(ctx, g)
+	}
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.stopping, cancel)()
+	demand, grant, err := r.reserve(waiting, g)
+	if err != nil && ctx.Err() == nil && r.stopping.Err() != nil {
+		g.refusal = "the VM is stopping"
+		g.retryAfter = stoppingRetryAfter
+	}
+	return demand, grant, err
 }
 
 // releaseUnused releases engines that were reserved for an attempt that does not follow.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -111,10 +111,14 @@
 	requests atomic.Uint64
 	waits    *waitEstimator
 	inFlight *inFlight
+	// stopping ends when waiting requests are to be refused.
+	stopping      context.Context
+	refuseWaiting context.CancelFunc
 }
 
 // New returns a relay.
 func New(options Options) *Relay {
+	stopping, refuseWaiting := context.WithCancel(context.Background())
 	return &Relay{
 		PlainAnswers: metrics.NewLatency(),
 		FirstEvents:  metrics.NewLatency(),
@@ -122,6 +126,9 @@
 		options:      options,
 		waits:        newWaitEstimator(),
 		inFlight:     newInFlight(),
+
+		stopping:      stopping,
+		refuseWaiting: refuseWaiting,
 	}
 }
 
@@ -147,6 +154,10 @@
 	r.servePlain(ctx, x)
 }
 
+// RefuseWaiting refuses the requests that wait for engines, and those that would have to
+// wait, because this VM stops and could not finish them. Streams that have begun go on.
+func (r *Relay) RefuseWaiting() { r.refuseWaiting() }
+
 // finalDeadline returns the time at which the final answer is due, which is the
 // earlier of the caller's and the route's timeout.
 func finalDeadline(request *Request, route *routing.Route) time.Time {
