Know the build of each endpoint

Cause: engines of several software versions serve side by side in one service, and what two versions write does not fit together. A questionnaire can set it for a pool of engines.

--- a/internal/configuration/checker.go
+++ b/internal/configuration/checker.go
@@ -12,8 +12,8 @@
 // are separators.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$`)
 
-// modelNamePattern matches names of models, their versions and adapters, which
-// often contain dots.
+// modelNamePattern matches names of models, their versions and adapters, and
+// builds, which often contain dots.
 var modelNamePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
 
 // checker collects findings about values at JSON paths.
@@ -33,7 +33,7 @@
 	c.unique(path, value, seen)
 }
 
-// modelName checks the syntax of the name of a model, version or adapter.
+// modelName checks the syntax of the name of a model, version, adapter or build.
 func (c *checker) modelName(path, value string) {
 	if !modelNamePattern.MatchString(value) {
 		c.Addf(path, "%q is no name: letters, digits, '.', ':', '-' and '_' are allowed, at most 128 characters", value)
--- a/internal/configuration/model.go
+++ b/internal/configuration/model.go
@@ -126,6 +126,9 @@
 	Kind    EndpointKind `json:"kind"`
 	// Service names the plain service; empty for engines.
 	Service string `json:"service,omitempty"`
+	// Build is the version of the endpoint's software. An answer may be continued
+	// only by an engine of the build that began it; empty if not known.
+	Build string `json:"build,omitempty"`
 	// Model, Version, Adapters and Role are the desired state of an engine.
 	Model    string   `json:"model,omitempty"`
 	Version  string   `json:"version,omitempty"`
--- a/internal/configuration/validate_fleet.go
+++ b/internal/configuration/validate_fleet.go
@@ -57,6 +57,9 @@
 	c.address(path+".address", endpoint.Address, addresses)
 	oneOf(c, path+".kind", endpoint.Kind, KindEngine, KindPlain)
 	oneOf(c, path+".fencing", endpoint.Fencing, FencingUnknown, FencingChecks, FencingIgnores)
+	if endpoint.Build != "" {
+		c.modelName(path+".build", endpoint.Build)
+	}
 	notNegative(c, path+".slots", endpoint.Slots)
 	notNegative(c, path+".memory_pieces", endpoint.MemoryPieces)
 	notNegative(c, path+".piece_tokens", endpoint.PieceTokens)
--- a/internal/configuration/validate_test.go
+++ b/internal/configuration/validate_test.go
@@ -34,6 +34,7 @@
 		{"fleet.endpoints[0].role", func(b *Bundle) { b.Fleet.Endpoints[0].Role = "" }},
 		{"fleet.endpoints[0].service", func(b *Bundle) { b.Fleet.Endpoints[0].Service = "desk" }},
 		{"fleet.endpoints[0].fencing", func(b *Bundle) { b.Fleet.Endpoints[0].Fencing = "maybe" }},
+		{"fleet.endpoints[0].build", func(b *Bundle) { b.Fleet.Endpoints[0].Build = "v1 or v2" }},
 		{"fleet.endpoints[0].adapters[1]", func(b *Bundle) { b.Fleet.Endpoints[0].Adapters = []string{"x", "x"} }},
 		{"fleet.endpoints[1].slots", func(b *Bundle) { b.Fleet.Endpoints[1].Slots = 0 }},
 		{"fleet.endpoints[4].service", func(b *Bundle) { b.Fleet.Endpoints[4].Service = "" }},
--- a/internal/questionnaire/generate.go
+++ b/internal/questionnaire/generate.go
@@ -105,6 +105,7 @@
 		Model:              s.Model.Name,
 		Version:            s.Model.Version,
 		Adapters:           s.Model.Adapters,
+		Build:              e.pool.Build,
 		Role:               e.pool.Role,
 		Slots:              e.pool.Slots,
 		MemoryPieces:       e.pool.MemoryPieces,
--- a/internal/questionnaire/questionnaire.go
+++ b/internal/questionnaire/questionnaire.go
@@ -145,6 +145,10 @@
 	// FirstNumber is the number that replaces "{n}" in the address of the first
 	// endpoint.
 	FirstNumber int `json:"first_number,omitempty" default:"1"`
+	// Build is the version of the engines' software, if engines of several
+	// versions serve the model. An answer that one of them began is continued
+	// only by engines of the same build. It is left out for instances.
+	Build string `json:"build,omitempty"`
 	// Slots is the number of requests that a decode engine can process at the
 	// same time; it is left out for prefill engines and instances. The default
 	// is 20.
--- a/internal/questionnaire/questionnaire_test.go
+++ b/internal/questionnaire/questionnaire_test.go
@@ -61,6 +61,17 @@
 	golden.Assert(t, string(text)+"\n", "base.bundle.json")
 }
 
+func TestEnginesHaveTheBuildOfTheirPool(t *testing.T) {
+	bundle := generate(t, strings.Replace(base, `"role": "decode",`, `"role": "decode", "build": "v1.2",`, 1))
+	for _, e := range bundle.Fleet.Endpoints {
+		want := ""
+		if e.Role == configuration.RoleDecode {
+			want = "v1.2"
+		}
+		assert.Equal(t, e.Build, want, e.Name)
+	}
+}
+
 // TestFindings changes one value of base at a time.
 func TestFindings(t *testing.T) {
 	for _, test := range []struct{ name, from, to, want string }{
@@ -102,6 +113,8 @@
 			`times.clock_skew: 5h0m0s is not below key_window, which is 4h0m0s`},
 		{"between tokens target above the whole answer target", `"100ms"}`, `"30s", "whole_answer": "20s"}`,
 			`between_tokens: 30s contradicts whole_answer, which is 20s`},
+		{"build of an instance", `"addresses": ["10.0.3.1:8080"]`, `"build": "v1", "addresses": ["10.0.3.1:8080"]`,
+			`services[1].instances[0].build: only engines have a build`},
 		{"pool above the maximum size", `"count": 2`, `"count": 2000000000`, `a pool has at most 10000 endpoints`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/questionnaire/services.go
+++ b/internal/questionnaire/services.go
@@ -85,6 +85,9 @@
 	if p.Role != "" {
 		v.Addf(path+".role", "only engines have a role")
 	}
+	if p.Build != "" {
+		v.Addf(path+".build", "only engines have a build")
+	}
 	if p.Slots != 0 || p.MemoryPieces != 0 || p.PieceTokens != 0 || p.LinkBytesPerSecond != 0 {
 		v.Addf(path, "slots, memory_pieces, piece_tokens and link_bytes_per_second are for engines only")
 	}
