Schedule demands that only engines of one build may decode

Change: Demand.Build. The prefill engine may have another build. Class queues are split by build, so that one build stops no other within a class. - Admission: refused at once if no engine of the build is left (leaving, reported as leaving, excluded, now a prefill engine), also while it waits. A resumed one waits for engines in a cooldown or ejected. - Dispatch: a pinned demand for which no engine of its build has a slot blocks nobody. Passed over for bypassLimit it keeps these engines from later demands, and from background demands at once, as they never bypass another one. If a slot is free and it lacks prefill engines or links, which all share, it blocks after bypassLimit as before: otherwise small prompts starve it of prefill memory. - Predictions: queues that wait for a build do not count as backlog, in prefillCongested, in dropUnservable nor in Headroom, and slots of that build do not count as becoming free for others. Weighed: counting them refused every new demand of the class while 50 callers took up streams of a full build beside two empty engines of another one (refused with a retry after 17 s in the test); leaving them out admits slightly too many when a slot of their build becomes free and they compete for prefill engines, which costs no engine time, since demands are dropped before they start.

--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -16,8 +16,7 @@
 	if r := c.checkPool(d); r != nil {
 		return r
 	}
-	key := classKey{d.Team, d.Class}
-	if waiting := c.queue.waitingOf(key); !d.Resumed && d.QueueLimit > 0 && waiting >= d.QueueLimit {
+	if !d.Resumed && d.QueueLimit > 0 && c.queue.waitingOf(classKey{d.Team, d.Class}) >= d.QueueLimit {
 		return &Refusal{Reason: RefusedQueueFull, RetryAfter: c.retryAfter(d.ID, c.drainTime(1))}
 	}
 	return c.checkTargets(now, w)
@@ -25,10 +24,10 @@
 
 // checkPool refuses a demand that no engine of the pool could ever serve.
 func (c *Coordinator) checkPool(d *Demand) *Refusal {
-	if !c.canPrefill(d) || !anyUsable(c.pool.decode, d.Exclude) {
+	if !c.canPrefill(d) || !c.anyServes(d) {
 		return &Refusal{Reason: RefusedNoEngine, RetryAfter: c.retryAfter(d.ID, noEngineRetryAfter)}
 	}
-	if !fitsAny(c.prefillPool(), d.PromptTokens) || !fitsAny(c.pool.decode, d.PromptTokens+d.OutputTokens) {
+	if !fitsAny(c.prefillPool(), d, d.PromptTokens) || !fitsAny(c.pool.decode, d, d.PromptTokens+d.OutputTokens) {
 		return &Refusal{Reason: RefusedTooLarge}
 	}
 	return nil
@@ -43,9 +42,11 @@
 	return false
 }
 
-func fitsAny(engines []*engineInfo, tokens int) bool {
+// fitsAny reports whether tokens of the demand fit in the memory of any engine that
+// serves it.
+func fitsAny(engines []*engineInfo, d *Demand, tokens int) bool {
 	for _, e := range engines {
-		if e.usable() && (e.Pieces == 0 || e.piecesFor(tokens) <= e.Pieces) {
+		if e.serves(d) && (e.Pieces == 0 || e.piecesFor(tokens) <= e.Pieces) {
 			return true
 		}
 	}
@@ -89,7 +90,7 @@
 		return true
 	}
 	for _, e := range c.pool.decode {
-		if e.usable() && c.predict.occupancyLimit(e, target) > 0 {
+		if e.serves(d) && c.predict.occupancyLimit(e, target) > 0 {
 			return true
 		}
 	}
@@ -131,7 +132,7 @@
 	best := time.Duration(math.MaxInt64)
 	seen := c.prefixes.known(d.Blocks)
 	for _, e := range c.prefillPool() {
-		if !e.usable() {
+		if !e.serves(d) {
 			continue
 		}
 		cached := 0
@@ -169,33 +170,41 @@
 // decode slot. The team's share of the pool bounds how much the demands of
 // other teams can add.
 func (c *Coordinator) predictWait(now time.Time, w *waiter, all, own backlog) time.Duration {
-	wait := c.backlogWait(now, all)
+	wait := c.backlogWait(now, &w.demand, all)
 	if own.count == all.count {
 		return wait
 	}
 	part := c.shareOf(w.demand.Team, w.demand.Share)
 	own.count = int(math.Ceil(float64(own.count) / part))
 	own.work = seconds(own.work.Seconds() / part)
-	return min(wait, c.backlogWait(now, own))
+	return min(wait, c.backlogWait(now, &w.demand, own))
 }
 
-// backlog is the number of waiting demands and the sum of their prefill times.
+// backlog is a set of waiting demands: the number of those that wait for the same
+// decode slots as a new demand, and the sum of the prefill times of all.
 type backlog struct {
 	count int
 	work  time.Duration
 }
 
 // backlogAhead returns the backlog that is served before a new demand, and the
-// part of it that belongs to the demand's own team.
+// part of it that belongs to the demand's own team. Demands that wait for engines
+// of another build are left out: until one of these is free, they take nothing that
+// the new demand needs.
 func (c *Coordinator) backlogAhead(w *waiter) (all, own backlog) {
+	d := &w.demand
 	for _, l := range c.queue.queues {
-		if l.priority() < w.demand.Priority && !l.key.resumed {
+		if l.priority() < d.Priority && !l.key.resumed || l.waitsForBuild && l.key.build != d.Build {
 			continue
 		}
-		all.count += len(l.waiters)
+		count := len(l.waiters)
+		if d.pinned() && l.key.build != d.Build {
+			count = 0
+		}
+		all.count += count
 		all.work += l.work
-		if l.key.team == w.demand.Team {
-			own.count += len(l.waiters)
+		if l.key.team == d.Team {
+			own.count += count
 			own.work += l.work
 		}
 	}
@@ -217,8 +226,8 @@
 
 // backlogWait returns the predicted time until the last demand of a backlog has
 // started.
-func (c *Coordinator) backlogWait(now time.Time, b backlog) time.Duration {
-	return max(c.prefillWait(now, b.work), c.slotWait(now, b.count))
+func (c *Coordinator) backlogWait(now time.Time, d *Demand, b backlog) time.Duration {
+	return max(c.prefillWait(now, b.work), c.slotWait(now, d, b.count))
 }
 
 // prefillWait returns the time until a prefill engine is free behind a backlog.
@@ -244,29 +253,57 @@
 	return (sum + work) / time.Duration(engines)
 }
 
-// slotWait returns the time until a decode slot is free behind a number of
-// demands. Slots become free at a rate of the number of held slots divided by
-// the mean time that a slot is held.
-func (c *Coordinator) slotWait(now time.Time, count int) time.Duration {
+// slotWait returns the time until a decode slot is free for a demand behind a number
+// of others.
+func (c *Coordinator) slotWait(now time.Time, d *Demand, count int) time.Duration {
 	free := 0
 	for _, e := range c.pool.decode {
-		if e.usable() {
+		if e.usable() && d.ofBuild(e) {
 			free += c.freeCapacity(now, e)
 		}
 	}
 	if count < free {
 		return 0
 	}
-	return c.drainTime(count - free + 1)
+	return c.releaseTime(count-free+1, c.slotsHeldFor(d))
 }
 
-// drainTime returns the predicted time in which a number of decode slots become
-// free.
-func (c *Coordinator) drainTime(count int) time.Duration {
+// slotsHeldFor returns the number of held slots that a demand may get when they
+// become free. Demands that wait for a build come first on its engines; if all
+// builds are waited for, every slot counts.
+func (c *Coordinator) slotsHeldFor(d *Demand) int {
+	awaited := c.queue.awaitedBuilds()
+	held := 0
+	for _, e := range c.pool.decode {
+		if d.ofBuild(e) && (d.pinned() || !slices.Contains(awaited, e.Build)) {
+			held += e.slotsHeld + e.pendingSlots
+		}
+	}
+	if held == 0 {
+		return c.slotsHeld()
+	}
+	return held
+}
+
+// slotsHeld returns the number of held slots.
+func (c *Coordinator) slotsHeld() int {
 	held := 0
 	for _, e := range c.pool.decode {
 		held += e.slotsHeld + e.pendingSlots
 	}
+	return held
+}
+
+// drainTime returns the predicted time in which a number of decode slots become
+// free.
+func (c *Coordinator) drainTime(count int) time.Duration {
+	return c.releaseTime(count, c.slotsHeld())
+}
+
+// releaseTime returns the predicted time in which a number of the given held slots
+// become free: they do so at a rate of their number divided by the mean time that a
+// slot is held.
+func (c *Coordinator) releaseTime(count, held int) time.Duration {
 	if held == 0 || c.slotTime.mean == 0 {
 		return 0
 	}
--- a/internal/scheduling/background.go
+++ b/internal/scheduling/background.go
@@ -107,7 +107,9 @@
 	ahead := 0
 	for _, l := range c.queue.inOrder(now) {
 		if l.priority() > BackgroundPriority {
-			ahead += len(l.waiters)
+			if !l.waitsForBuild {
+				ahead += len(l.waiters)
+			}
 			continue
 		}
 		for _, w := range slices.Clone(l.waiters) {
--- a/internal/scheduling/cooldown.go
+++ b/internal/scheduling/cooldown.go
@@ -36,6 +36,8 @@
 	// leavingUntil is when a holder's report that the engine is leaving
 	// expires.
 	leavingUntil time.Time
+	// leaving is set if such a report counted at the last updateCooldowns.
+	leaving bool
 	// active is set if the engine was excluded for one of these reasons at the
 	// last updateCooldowns.
 	active bool
@@ -76,7 +78,7 @@
 
 // engineSucceeded clears the effect of earlier failures.
 func (e *engineInfo) engineSucceeded() {
-	e.cooldown = engineCooldown{leavingUntil: e.cooldown.leavingUntil}
+	e.cooldown = engineCooldown{leavingUntil: e.cooldown.leavingUntil, leaving: e.cooldown.leaving}
 }
 
 // updateCooldowns decides which engines are in a cooldown now: of each role, no
@@ -93,11 +95,11 @@
 		limit = len(engines)
 	}
 	for _, e := range engines {
-		leaving := now.Before(e.cooldown.leavingUntil)
+		e.cooldown.leaving = now.Before(e.cooldown.leavingUntil)
 		failing := limit > 0 && !e.cooldown.afterFailure.Over(now)
 		if failing {
 			limit--
 		}
-		e.cooldown.active = leaving || failing
+		e.cooldown.active = e.cooldown.leaving || failing
 	}
 }
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -70,6 +70,9 @@
 	decided []Outcome
 	// grantsPaused stops all grants while the ledger is rebuilt.
 	grantsPaused bool
+	// reserved are the demands whose engines the demand that is being placed must
+	// leave free.
+	reserved []*Demand
 }
 
 // NewCoordinator returns a coordinator without engines.
@@ -230,6 +233,7 @@
 func (c *Coordinator) tidy(now time.Time) {
 	c.updateCooldowns(now)
 	c.counters.Expired += uint64(c.ledger.expire(now))
+	c.refuseDepartedBuilds()
 	c.dropUnservable(now)
 	for _, w := range c.queue.overdue(now) {
 		c.counters.Dropped++
@@ -248,15 +252,23 @@
 
 // dispatchOne grants the first demand in order that can start. A demand that
 // has been bypassed for longer than bypassLimit blocks those after it, so that
-// smaller or less demanding ones cannot starve it. Background demands never
-// bypass another demand, because they would take capacity that it needs.
+// smaller or less demanding ones cannot starve it; if it waits for engines of its
+// build, it only keeps these from them. Background demands never bypass another
+// demand, because they would take capacity that it needs.
 func (c *Coordinator) dispatchOne(now time.Time) bool {
+	defer func() { c.reserved = nil }()
+	var waiting reservations
 	blocked := false
-	for _, l := range c.queue.inOrder(now) {
+	order := c.queue.inOrder(now)
+	for _, l := range order {
+		l.waitsForBuild = false
+	}
+	for _, l := range order {
 		if blocked && l.priority() <= BackgroundPriority {
 			return false
 		}
 		for _, w := range l.candidates() {
+			c.reserved = waiting.of(w.demand.Priority)
 			if p, ok := c.place(now, w); ok {
 				c.grant(now, w, &p)
 				return true
@@ -264,7 +276,13 @@
 			if w.blockedSince.IsZero() {
 				w.blockedSince = now
 			}
-			if now.Sub(w.blockedSince) > bypassLimit {
+			overdue := now.Sub(w.blockedSince) > bypassLimit
+			if c.waitsForBuild(now, &w.demand) {
+				l.waitsForBuild = true
+				waiting.add(&w.demand, overdue)
+				continue
+			}
+			if overdue {
 				return false
 			}
 			blocked = true
--- a/internal/scheduling/engines.go
+++ b/internal/scheduling/engines.go
@@ -14,6 +14,8 @@
 	Name string
 	Zone string
 	Role configuration.Role
+	// Build is the version of the engine's software, empty if not known.
+	Build string
 	// Slots is the number of requests that a decode engine can hold at a time.
 	Slots int
 	// Pieces and PieceTokens define the memory for KV cache; with 0 pieces
@@ -38,6 +40,7 @@
 		Name:               e.Name,
 		Zone:               e.Zone,
 		Role:               e.Role,
+		Build:              e.Build,
 		Slots:              e.Slots,
 		Pieces:             e.MemoryPieces,
 		PieceTokens:        e.PieceTokens,
@@ -207,6 +210,12 @@
 	return e.EngineState.usable() && !e.reportedLeaving && !e.cooldown.active
 }
 
+// leaving reports whether the engine takes no new work any more, as opposed to an
+// engine that is excluded for a time.
+func (e *engineInfo) leaving() bool {
+	return e.Leaving || e.reportedLeaving || e.cooldown.leaving
+}
+
 // dropOldReleases drops releases older than the lag of load reports.
 func (e *engineInfo) dropOldReleases(now time.Time) {
 	horizon := now.Add(-loadReportLag)
--- a/internal/scheduling/queue.go
+++ b/internal/scheduling/queue.go
@@ -15,11 +15,12 @@
 	team, class string
 }
 
-// classQueueKey identifies a class queue. Resumed demands have a queue of their
-// own.
+// classQueueKey identifies a class queue. Resumed demands and those for a build have
+// queues of their own, so that a build without room stops no other demand.
 type classQueueKey struct {
 	classKey
 	resumed bool
+	build   string
 }
 
 // waiter is a waiting demand.
@@ -47,6 +48,9 @@
 	// rank is the number of lower priorities among the waiting demands, raised
 	// by the waiting time of the first demand.
 	rank int
+	// waitsForBuild is set if the last attempt to place a demand of this queue
+	// failed for want of engines of its build.
+	waitsForBuild bool
 }
 
 // insert inserts a waiter in order: by arrival, or by the latest start if the
@@ -112,17 +116,40 @@
 // waitingOf returns the number of waiting demands of a class.
 func (q *queue) waitingOf(key classKey) int {
 	n := 0
-	for _, resumed := range []bool{false, true} {
-		if l, ok := q.queues[classQueueKey{key, resumed}]; ok {
+	for other, l := range q.queues {
+		if other.classKey == key {
 			n += len(l.waiters)
 		}
 	}
 	return n
 }
 
+// pinnedWaiters returns the waiting demands for a build in the order of their ids.
+func (q *queue) pinnedWaiters() []*waiter {
+	var pinned []*waiter
+	for key, l := range q.queues {
+		if key.build != "" {
+			pinned = append(pinned, l.waiters...)
+		}
+	}
+	slices.SortFunc(pinned, func(x, y *waiter) int { return compareIDs(x.demand.ID, y.demand.ID) })
+	return pinned
+}
+
+// awaitedBuilds returns the builds of which the waiting demands need more engines.
+func (q *queue) awaitedBuilds() []string {
+	var builds []string
+	for key, l := range q.queues {
+		if l.waitsForBuild && !slices.Contains(builds, key.build) {
+			builds = append(builds, key.build)
+		}
+	}
+	return builds
+}
+
 // add adds a demand to its class queue.
 func (q *queue) add(w *waiter) {
-	key := classQueueKey{classKey{w.demand.Team, w.demand.Class}, w.demand.Resumed}
+	key := classQueueKey{classKey{w.demand.Team, w.demand.Class}, w.demand.Resumed, w.demand.Build}
 	l, ok := q.queues[key]
 	if !ok {
 		l = &classQueue{key: key}
@@ -212,9 +239,12 @@
 
 // anyAheadOf reports whether any demand waits that is served before one of a
 // priority: any demand if that priority is a background one, otherwise any but
-// background demands.
+// background demands. Those that wait for engines of a build do not count.
 func (q *queue) anyAheadOf(priority int) bool {
 	for _, l := range q.queues {
+		if l.waitsForBuild {
+			continue
+		}
 		if l.priority() > BackgroundPriority || priority <= BackgroundPriority {
 			return true
 		}
--- a/internal/scheduling/self_prefill.go
+++ b/internal/scheduling/self_prefill.go
@@ -48,11 +48,13 @@
 }
 
 // prefillCongested reports whether the prefill engines need longer than
-// selfPrefillDelay for the prefills that wait already.
+// selfPrefillDelay for the prefills that wait for them already.
 func (c *Coordinator) prefillCongested(now time.Time) bool {
 	var waiting time.Duration
 	for _, l := range c.queue.queues {
-		waiting += l.work
+		if !l.waitsForBuild {
+			waiting += l.work
+		}
 	}
 	return waiting > 0 && c.prefillWait(now, waiting) > selfPrefillDelay
 }
@@ -72,7 +74,7 @@
 	if anyUsable(c.pool.prefill, d.Exclude) {
 		return true
 	}
-	return c.settings.Options.SelfPrefill && anyUsable(c.pool.decode, d.Exclude)
+	return c.settings.Options.SelfPrefill && c.anyServes(d)
 }
 
 // prefillPool returns the engines that prefill prompts: the decode engines if
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -46,6 +46,9 @@
 	Waited time.Duration
 	// Exclude names engines that already failed this request.
 	Exclude []string
+	// Build is the build that the decode engine must have; empty permits any. The
+	// prefill engine may have another one.
+	Build string
 	// Resumed is set if tokens were already delivered, which a refusal would
 	// waste. Resumed demands are admitted before new ones.
 	Resumed bool
