Carry the build of a demand to the owner of a model

Cause: the message of a reservation had no field for the build, so that an owner on another VM granted engines of any. Result: TestDemandKeepsAllFieldsOnTheWire failed before (Build: "" in place of "v1"). It also fails for a later field that it does not set.

--- a/internal/reservation/convert.go
+++ b/internal/reservation/convert.go
@@ -43,6 +43,7 @@
 		WastedPrefillWeight: d.Weights.WastedPrefill,
 		WaitedNs:            int64(d.Waited),
 		Exclude:             d.Exclude,
+		Build:               d.Build,
 		Resumed:             d.Resumed,
 	}
 }
@@ -76,6 +77,7 @@
 		},
 		Waited:  time.Duration(p.GetWaitedNs()),
 		Exclude: p.GetExclude(),
+		Build:   p.GetBuild(),
 		Resumed: p.GetResumed(),
 	}
 }
