Look for the engines of a build in all zones

Cause: the engines that can continue an answer may all be in another zone. The spill left zones alone that had refused others, asked three zones at most, and a zone turned spilled demands away unless 5 % of all its slots were free, whatever the build. Change: a demand for a build asks each other zone once, nearest first, without regard to cooldowns, and neither starts nor ends one. Weighed: starting one when the zone refuses for want of time; but a refusal for one build, or a call that ended while it waited for one, says nothing about the room for others. A resumed demand for a build passes the check of the headroom: it is granted, refused at once if the zone has no engine of the build, or waits until the call ends (250 ms and the link's delay), instead of breaking the stream.

--- a/internal/reservation/fallback.go
+++ b/internal/reservation/fallback.go
@@ -86,7 +86,8 @@
 		}
 		engines++
 		if limit == 0 {
-			state.Ejected = true
+			// Not Ejected: a demand for a build would wait for its engines.
+			state.Leaving = true
 			continue
 		}
 		if state.SlotLimit > 0 {
--- a/internal/reservation/fleet_test.go
+++ b/internal/reservation/fleet_test.go
@@ -100,10 +100,10 @@
 }
 
 // startNetwork starts services named a-1, a-2 ... in zone a, and likewise in
-// zone b.
+// zones b and c.
 func startNetwork(t *testing.T, fleet Fleet, sizes map[string]int) *network {
 	n := &network{services: map[string]*Service{}, partitioned: map[string]bool{}}
-	for _, zone := range []string{"a", "b"} {
+	for _, zone := range []string{"a", "b", "c"} {
 		for i := range sizes[zone] {
 			vm := fmt.Sprintf("%s-%d", zone, i+1)
 			n.members = append(n.members, membership.Member{VM: vm, Zone: zone, Address: vm + ":1", Incarnation: 1, State: membership.Alive})
--- a/internal/reservation/reserve.go
+++ b/internal/reservation/reserve.go
@@ -24,7 +24,7 @@
 
 // Reserve implements Reserver. It tries this VM's own zone first. If that zone
 // refuses because it has no engine or cannot meet the targets, up to
-// maxSpillAttempts other zones are tried.
+// maxSpillAttempts other zones are tried, for a build all of them.
 func (s *Service) Reserve(ctx context.Context, d scheduling.Demand) (scheduling.Grant, error) {
 	started := time.Now()
 	key := routeKey{s.self().Zone, d.Model}
--- a/internal/reservation/server.go
+++ b/internal/reservation/server.go
@@ -32,7 +32,10 @@
 	if err != nil {
 		return reserveResult(scheduling.Grant{}, err)
 	}
-	if request.Msg.GetSpilled() && sched.headroom(d.Priority) < minSpillHeadroom {
+	// Engines of one build may be the only ones that can continue an answer, so
+	// such a demand may take their last slot or wait for it.
+	needsRoom := request.Msg.GetSpilled() && !d.ContinuesBuild()
+	if needsRoom && sched.headroom(d.Priority) < minSpillHeadroom {
 		return reserveResult(scheduling.Grant{}, &scheduling.Refusal{Reason: scheduling.RefusedTarget})
 	}
 	return reserveResult(sched.reserve(ctx, d))
--- a/internal/reservation/spill.go
+++ b/internal/reservation/spill.go
@@ -54,6 +54,15 @@
 	return p.cooldowns[key].Over(time.Now())
 }
 
+// record records the result of a call to a zone.
+func (p *spillPolicy) record(key routeKey, err error) {
+	if err != nil {
+		p.recordRefusal(key)
+		return
+	}
+	p.recordGrant(key)
+}
+
 // recordRefusal starts the cooldown of a zone, longer after each refusal.
 func (p *spillPolicy) recordRefusal(key routeKey) {
 	p.mu.Lock()
@@ -72,11 +81,19 @@
 	p.cooldowns[key] = last
 }
 
-// spill tries to reserve from the owners of other zones, the nearest first.
+// spill tries to reserve from the owners of other zones, the nearest first. For a
+// build it tries each zone once, because a few engines of one zone may be all that
+// can serve the demand.
 func (s *Service) spill(ctx context.Context, d scheduling.Demand) (scheduling.Grant, bool) {
-	for range maxSpillAttempts {
+	tried := make(map[string]bool)
+	for attempt := 0; d.Build != "" || attempt < maxSpillAttempts; attempt++ {
+		target, ok := s.nearestSpillTarget(&d, tried)
+		if !ok {
+			break
+		}
+		tried[target.key.zone] = true
 		started := time.Now()
-		if grant, ok := s.spillOnce(ctx, d); ok {
+		if grant, ok := s.spillTo(ctx, target, d); ok {
 			return grant, true
 		}
 		d.Waited += time.Since(started)
@@ -84,14 +101,11 @@
 	return scheduling.Grant{}, false
 }
 
-// spillOnce tries to reserve from the owner in the nearest zone that is not
-// cooling down.
-func (s *Service) spillOnce(ctx context.Context, d scheduling.Demand) (scheduling.Grant, bool) {
-	key, link, ok := s.spillTarget(d.Model)
-	if !ok {
-		return scheduling.Grant{}, false
-	}
-	d, ok = deductLinkCost(d, link)
+// spillTo tries to reserve from the owner in another zone. What a zone does with a
+// demand for a build does not tell whether it has room for others.
+func (s *Service) spillTo(ctx context.Context, target spillTarget, d scheduling.Demand) (scheduling.Grant, bool) {
+	key, link := target.key, target.link
+	d, ok := deductLinkCost(d, link)
 	if !ok {
 		return scheduling.Grant{}, false
 	}
@@ -103,47 +117,55 @@
 	callCtx, cancel := context.WithTimeout(ctx, spillTimeout+2*link.OneWayDelay.D())
 	defer cancel()
 	grant, err := s.callOwner(callCtx, ref.owner, &d, true)
+	if d.Build == "" {
+		s.spills.record(key, err)
+	}
 	if err != nil {
-		s.spills.recordRefusal(key)
 		s.counters.SpillsRefused.Add(1)
 		return scheduling.Grant{}, false
 	}
-	s.spills.recordGrant(key)
 	s.counters.Spills.Add(1)
 	s.holdings.add(key, &d, grant)
 	s.reporterTo(ref.owner.VM)
 	return grant, true
 }
 
-// spillTarget returns the nearest zone with members that is not cooling down.
-func (s *Service) spillTarget(model string) (routeKey, *configuration.Link, bool) {
-	type target struct {
-		key  routeKey
-		link *configuration.Link
-		// tiebreak orders zones of the same distance randomly, so that VMs do not
-		// all spill to the same one.
-		tiebreak uint64
-	}
-	var targets []target
+// spillTarget is another zone that may grant a demand.
+type spillTarget struct {
+	key  routeKey
+	link *configuration.Link
+	// tiebreak orders zones of the same distance randomly, so that VMs do not
+	// all spill to the same one.
+	tiebreak uint64
+}
+
+// nearestSpillTarget returns the nearest zone with members that is not cooling down
+// or, for a demand for a build, that was not tried.
+func (s *Service) nearestSpillTarget(d *scheduling.Demand, tried map[string]bool) (spillTarget, bool) {
+	var targets []spillTarget
 	seen := map[string]bool{s.self().Zone: true}
 	for _, m := range s.params.View.Members() {
 		if seen[m.Zone] {
 			continue
 		}
 		seen[m.Zone] = true
-		key := routeKey{m.Zone, model}
+		key := routeKey{m.Zone, d.Model}
+		mayTry := s.spills.mayTry(key)
+		if d.Build != "" {
+			mayTry = !tried[m.Zone]
+		}
 		link, ok := s.params.Fleet().Link(s.self().Zone, m.Zone)
-		if ok && s.spills.mayTry(key) {
-			targets = append(targets, target{key, link, rand.Uint64()})
+		if ok && mayTry {
+			targets = append(targets, spillTarget{key, link, rand.Uint64()})
 		}
 	}
 	if len(targets) == 0 {
-		return routeKey{}, nil, false
+		return spillTarget{}, false
 	}
-	nearest := slices.MinFunc(targets, func(x, y target) int {
+	nearest := slices.MinFunc(targets, func(x, y spillTarget) int {
 		return cmp.Or(cmp.Compare(x.link.OneWayDelay, y.link.OneWayDelay), cmp.Compare(x.tiebreak, y.tiebreak))
 	})
-	return nearest.key, nearest.link, true
+	return nearest, true
 }
 
 // deductLinkCost shortens the targets by the cost of the link: a round trip and
--- a/internal/scheduling/build.go
+++ b/internal/scheduling/build.go
@@ -10,6 +10,10 @@
 // pinned reports whether only engines of one build may decode the demand's answer.
 func (d *Demand) pinned() bool { return d.Build != "" }
 
+// ContinuesBuild reports whether the demand continues an answer that only engines of
+// one build may continue.
+func (d *Demand) ContinuesBuild() bool { return d.pinned() && d.Resumed }
+
 // ofBuild reports whether an engine has a build that may decode the demand's answer.
 func (d *Demand) ofBuild(e *engineInfo) bool { return !d.pinned() || e.Build == d.Build }
 
@@ -25,7 +29,7 @@
 	if e.Role == configuration.RolePrefill {
 		return e.usable()
 	}
-	return d.ofBuild(e) && (e.usable() || d.pinned() && d.Resumed && !e.leaving())
+	return d.ofBuild(e) && (e.usable() || d.ContinuesBuild() && !e.leaving())
 }
 
 // anyServes reports whether any decode engine serves the demand.
