Continue an answer only at the build that began it

Cause: package completion, the product's own path, resumes an answer at any engine of the model after a decode engine failed, as the relay does on the users' platform. Found by looking for the same cause elsewhere; no caller has reported it. Change: with the first token delivered the run keeps the build of the engine that wrote it, as configured when the engine was granted; the demands of further attempts name it. An engine of another build, which an owner of an older release may grant, is not called and is excluded. Without an engine of the build the answer ends as interrupted.

--- a/internal/completion/attempt.go
+++ b/internal/completion/attempt.go
@@ -33,6 +33,8 @@
 	*run
 	id    engine.AttemptID
 	grant scheduling.Grant
+	// decodeBuild is the build of the decode engine at the time of the grant.
+	decodeBuild string
 	// prefillMayHold and decodeMayHold say that the engine may hold resources for
 	// this attempt.
 	prefillMayHold, decodeMayHold bool
@@ -49,7 +51,7 @@
 	}
 	r.Counters.Attempts.Add(1)
 	r.options.Events.Record(timeline.SlotReserved, r.request.ID, grant.Prefill+" "+grant.Decode)
-	a := &attempt{run: r, id: id, grant: grant}
+	a := &attempt{run: r, id: id, grant: grant, decodeBuild: r.buildOf(grant.Decode)}
 	err = a.execute(ctx)
 	a.finish(err)
 	return err
@@ -57,6 +59,11 @@
 
 // execute runs prefill, transfer and decode.
 func (a *attempt) execute(ctx context.Context) error {
+	if a.build != "" && a.decodeBuild != a.build {
+		// The owner of the model may be of a release that ignores the build.
+		a.excludeEngine(a.grant.Decode)
+		return wrongBuild.New("%s has build %q, the answer began at %q", a.grant.Decode, a.decodeBuild, a.build)
+	}
 	prefill, found := a.options.Engines.Engine(a.grant.Prefill)
 	if !found {
 		return engine.Unreachable.New("prefill engine %s is not configured", a.grant.Prefill)
--- a/internal/completion/errors.go
+++ b/internal/completion/errors.go
@@ -20,6 +20,8 @@
 	stalled = namespace.NewType("stalled")
 	// protocolError means that an engine sent tokens out of order.
 	protocolError = namespace.NewType("protocol-error")
+	// wrongBuild means that the granted engine cannot continue the answer.
+	wrongBuild = namespace.NewType("wrong-build")
 )
 
 // RefusedError means that the request failed before the caller got a token.
--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -35,6 +35,9 @@
 	exclude  []string
 	// next is the index of the first token that the caller does not have.
 	next int
+	// build is the build of the engine that began the answer; empty if it is not known
+	// or the caller has no token.
+	build string
 	// deliveredText is the text that the caller has, kept for resuming.
 	deliveredText []byte
 	outcome       Outcome
@@ -83,6 +86,7 @@
 		Weights:      r.request.Team.Weights,
 		Waited:       time.Since(r.request.Arrived),
 		Exclude:      r.exclude,
+		Build:        r.build,
 		Resumed:      r.next > 0,
 	}
 }
@@ -175,6 +179,15 @@
 	return &InterruptedError{Delivered: r.next, Refusal: refusal, Cause: cause}
 }
 
+// buildOf returns the build of an engine, empty if it is not known.
+func (r *run) buildOf(name string) string {
+	endpoint, ok := r.options.Configuration.Snapshot().Endpoint(name)
+	if !ok {
+		return ""
+	}
+	return endpoint.Build
+}
+
 // recordOutcome records that an engine may have started work. The outcome never goes
 // back to a lesser one.
 func (r *run) recordOutcome(outcome Outcome) { r.outcome = max(r.outcome, outcome) }
--- a/internal/completion/runner_test.go
+++ b/internal/completion/runner_test.go
@@ -57,8 +57,25 @@
 	return startPoolWith(t, slots, time.Minute)
 }
 
+// startPoolOfBuilds starts a pool whose decode engines have the given builds.
+// reserver may wrap the pool's reserver.
+func startPoolOfBuilds(t *testing.T, builds map[string]string, reserver func(completion.Reserver) completion.Reserver) *pool {
+	t.Helper()
+	p, snapshot := startEngines(t, 4, builds)
+	p.runner = newRunner(t, staticConfiguration{snapshot}, time.Minute, reserver)
+	return p
+}
+
 // startPoolWith starts a pool whose phases count as stalled after the given time.
 func startPoolWith(t *testing.T, slots int, stallFloor time.Duration) *pool {
+	t.Helper()
+	p, snapshot := startEngines(t, slots, nil)
+	p.runner = newRunner(t, staticConfiguration{snapshot}, stallFloor, func(r completion.Reserver) completion.Reserver { return r })
+	return p
+}
+
+// startEngines starts the engines of a pool without a runner.
+func startEngines(t *testing.T, slots int, builds map[string]string) (*pool, *configuration.Snapshot) {
 	t.Helper()
 	p := &pool{engines: make(map[string]*standin.Server)}
 	var bundle configuration.Bundle
@@ -78,7 +95,7 @@
 		bundle.Fleet.Endpoints = append(bundle.Fleet.Endpoints, configuration.Endpoint{
 			Name: name, Zone: zoneName, Address: server.Addr(), Kind: configuration.KindEngine,
 			Model: modelName, Role: role, Slots: slots, MemoryPieces: 1 << 20, PieceTokens: 16,
-			LinkBytesPerSecond: 1 << 40,
+			LinkBytesPerSecond: 1 << 40, Build: builds[name],
 		})
 	}
 	bundle.Format = configuration.Format
@@ -95,12 +112,14 @@
 	}}
 	snapshot, err := configuration.NewSnapshot(bundle)
 	assert.NilError(t, err)
-	p.runner = newRunner(t, staticConfiguration{snapshot}, stallFloor)
-	return p
+	return p, snapshot
 }
 
-// newRunner connects a runner to its dependencies as the daemon does.
-func newRunner(t *testing.T, conf staticConfiguration, stallFloor time.Duration) *completion.Runner {
+// newRunner connects a runner to its dependencies as the daemon does. wrap returns
+// the reserver that the runner uses.
+func newRunner(
+	t *testing.T, conf staticConfiguration, stallFloor time.Duration, wrap func(completion.Reserver) completion.Reserver,
+) *completion.Runner {
 	t.Helper()
 	self := membership.Member{VM: "vm-1", Zone: zoneName, Incarnation: 1, State: membership.Alive}
 	reserver := reservation.New(reservation.Params{
@@ -120,7 +139,7 @@
 	})
 	return completion.New(completion.Options{
 		VM: "vm-1", Incarnation: 1, Zone: zoneName,
-		Reserver: reserver, Engines: clients, Canceller: cancels,
+		Reserver: wrap(reserver), Engines: clients, Canceller: cancels,
 		Endpoints: endpoint.NewRegistry(timeline.Discard), Configuration: conf, Events: timeline.Discard,
 		StallFloor: stallFloor,
 	})
--- a/internal/completion/stream.go
+++ b/internal/completion/stream.go
@@ -74,6 +74,9 @@
 	if err != nil {
 		return CallerGone.Wrap(err, "%s", a.request.ID)
 	}
+	if a.next == 0 {
+		a.build = a.decodeBuild
+	}
 	a.deliveredText = append(a.deliveredText, token.Text...)
 	a.next++
 	a.delivered++
