Let the property test of builds cover decode engines that prefill

Cause: TestBuildsAreServedSideBySide had prefill engines only; on the users' platform decode engines prefill as well, alone where no prefill engine is usable. Change: half of its histories permit that and lose both prefill engines at times. The table on engines held for a demand runs with both orders of a class. Of the breaks named in the property test catches those it caught before, and also a demand for a build that stops others while its own engine is the one that must prefill ("waits although d1 of v1 has room"). The bound on the number of releases is not counted: it follows from two checks, that no later demand takes an engine that is held and that no demand waits beside an empty engine of its build.

--- a/internal/scheduling/build_property_test.go
+++ b/internal/scheduling/build_property_test.go
@@ -31,12 +31,13 @@
 
 // buildCoverage counts the cases that the generated histories have reached.
 type buildCoverage struct {
-	pinnedGrants, pinnedOverlaps, pinnedRefusals, heldBack, freePassedPinned int
+	pinnedGrants, pinnedOverlaps, pinnedSelfPrefills, pinnedRefusals, heldBack, freePassedPinned int
 }
 
 func newBuildMachine(t *rapid.T, seen *buildCoverage) *buildMachine {
+	options := Options{SelfPrefill: rapid.Bool().Draw(t, "decode engines prefill")}
 	m := &buildMachine{
-		c: NewCoordinator(Settings{Model: smallModel()}), now: start, seen: seen,
+		c: NewCoordinator(Settings{Model: smallModel(), Options: options}), now: start, seen: seen,
 		demands: map[engine.AttemptID]Demand{}, arrival: map[engine.AttemptID]time.Time{},
 		waiting: map[engine.AttemptID]bool{}, held: map[engine.AttemptID]*Held{},
 	}
@@ -102,6 +103,9 @@
 		return
 	}
 	m.seen.pinnedGrants++
+	if o.Grant.Prefill == o.Grant.Decode {
+		m.seen.pinnedSelfPrefills++
+	}
 	if m.c.ledger.holdings[o.ID].slotPending {
 		m.seen.pinnedOverlaps++
 	}
@@ -174,8 +178,21 @@
 
 // eject ejects or restores a decode engine.
 func (m *buildMachine) eject(t *rapid.T) {
-	i := rapid.IntRange(2, len(m.states)-1).Draw(t, "engine")
-	m.states[i].Ejected = !m.states[i].Ejected
+	m.toggle(rapid.IntRange(2, len(m.states)-1).Draw(t, "engine"))
+}
+
+// ejectPrefill ejects or restores both prefill engines, if decode engines prefill.
+func (m *buildMachine) ejectPrefill(t *rapid.T) {
+	if !m.c.settings.Options.SelfPrefill {
+		t.Skip("no other engine prefills")
+	}
+	m.toggle(0, 1)
+}
+
+func (m *buildMachine) toggle(engines ...int) {
+	for _, i := range engines {
+		m.states[i].Ejected = !m.states[i].Ejected
+	}
 	m.c.SetEngines(m.now, m.states)
 }
 
@@ -200,7 +217,7 @@
 // check checks that no demand waits that could be granted at once.
 func (m *buildMachine) check(t *rapid.T) {
 	m.tick(t)
-	if !slices.ContainsFunc(m.c.pool.prefill, prefillIdle) {
+	if !m.prefillsAlone() && !slices.ContainsFunc(m.c.pool.prefill, prefillIdle) {
 		return
 	}
 	var earliest *engine.AttemptID
@@ -219,6 +236,11 @@
 	}
 }
 
+// prefillsAlone reports whether decode engines prefill all prompts.
+func (m *buildMachine) prefillsAlone() bool {
+	return !slices.ContainsFunc(m.c.pool.prefill, func(e *engineInfo) bool { return e.usable() })
+}
+
 func prefillIdle(e *engineInfo) bool { return e.usable() && e.idle() && e.prefillPieces == 0 }
 
 // checkFree checks that no engine could take the first demand that any engine may
@@ -228,6 +250,7 @@
 	awaited := m.awaitedBuilds()
 	for _, e := range m.c.pool.decode {
 		room := e.usable() && e.pendingSlots == 0 && e.slotsHeld < e.Slots && e.memoryFits(e.piecesFor(d.PromptTokens+d.OutputTokens))
+		room = room && (e.idle() || !m.prefillsAlone())
 		assert.Assert(t, !room || awaited[e.Build], "%v waits although %s of %s has room", id, e.Name, e.Build)
 		if room && awaited[e.Build] {
 			m.seen.heldBack++
@@ -270,8 +293,8 @@
 	t.Parallel()
 	var seen buildCoverage
 	defer func() {
-		assert.Check(t, seen.pinnedGrants > 0 && seen.pinnedOverlaps > 0 && seen.pinnedRefusals > 0 && seen.heldBack > 0 &&
-			seen.freePassedPinned > 0, "the generated histories do not cover all cases: %+v", seen)
+		assert.Check(t, seen.pinnedGrants > 0 && seen.pinnedOverlaps > 0 && seen.pinnedSelfPrefills > 0 &&
+			seen.pinnedRefusals > 0 && seen.heldBack > 0 && seen.freePassedPinned > 0, "the generated histories do not cover all cases: %+v", seen)
 	}()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newBuildMachine(t, &seen)
@@ -283,6 +306,7 @@
 			"further": m.advance,
 			"fail":    m.fail,
 			"eject":   m.eject,
+			"prefill": m.ejectPrefill,
 			"sleep":   m.sleep,
 			"":        m.check,
 		})
--- a/internal/scheduling/build_test.go
+++ b/internal/scheduling/build_test.go
@@ -206,6 +206,13 @@
 // Smaller demands that any engine serves would take each slot of the build that
 // becomes free.
 func TestEnginesOfABuildAreHeldForADemandThatWaitsForThem(t *testing.T) {
+	for _, order := range []configuration.Order{configuration.OrderFirstCome, configuration.OrderAny} {
+		t.Run(string(order), func(t *testing.T) { testEnginesAreHeld(t, order) })
+	}
+}
+
+func testEnginesAreHeld(t *testing.T, order configuration.Order) {
+	t.Helper()
 	c := newPoolCoordinator(buildPool())
 	fillBuild := func(first uint64, build string, count uint64) {
 		for n := first; n < first+count; n++ {
@@ -217,7 +224,7 @@
 	fillBuild(100, "v1", 2)
 	fillBuild(200, "v2", 6)
 	large := pinned(1, "v1")
-	large.PromptTokens = 19_000
+	large.PromptTokens, large.Order = 19_000, order
 	assert.Assert(t, c.Submit(start, large).Waiting())
 	background := testDemand(2)
 	background.Class, background.Priority = "late", BackgroundPriority
@@ -229,6 +236,9 @@
 	now := at(bypassLimit + time.Millisecond)
 	c.Renew(now, "vm", 1, heldOf(c))
 	assert.Assert(t, c.Submit(now, testDemand(4)).Waiting())
+	small := pinned(5, "v1")
+	small.Order = order
+	assert.Assert(t, c.Submit(now, small).Waiting())
 	for _, n := range []uint64{100, 101, 3} {
 		assert.Equal(t, len(c.Tick(now)), 0, "a later demand took an engine that is held")
 		c.Progress(now, Progress{ID: testDemand(n).ID, Kind: Released, Tokens: 100})
