Log which build a stream goes on at and which request began it

Cause: the logs could not tell whether a stream with events of two builds was continued by this VM or taken up by its caller, at this VM or another one, nor which builds they were.

Change: "engines granted" names the decode engine's build, the event after which the stream goes on and the request that began it. No decision changes.

--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -118,7 +118,8 @@
 	}()
 	r.Queues.Observe(time.Since(started))
 	r.decide(g.exchange, "engines granted", logrus.Fields{
-		"attempt": demand.ID.String(), "prefill": grant.Prefill, "decode": grant.Decode,
+		"attempt": demand.ID.String(), "prefill": grant.Prefill, "decode": grant.Decode, "build": r.buildOf(grant.Decode),
+		"last_event": g.lastEventID, "resumes": g.request.Generation.Resumes,
 		"queued_ms": time.Since(started).Milliseconds(), "predicted_first_ms": grant.FirstToken.Milliseconds(),
 		"prompt_tokens": demand.PromptTokens, "output_tokens": demand.OutputTokens, "expected_tokens": g.request.Generation.ExpectedOutputTokens,
 	})
@@ -254,6 +255,14 @@
 	return available(view.Instance(grant.Prefill)) && available(view.Instance(grant.Decode))
 }
 
+// buildOf returns the build of an engine, empty if it is not known.
+func (r *Relay) buildOf(engine string) string {
+	if instance := r.options.Fleet.View().Instance(engine); instance != nil {
+		return instance.Build
+	}
+	return ""
+}
+
 // available reports whether this process knows an engine and it is not draining.
 func available(instance *fleet.Instance) bool { return instance != nil && !instance.Draining }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -44,6 +44,9 @@
 	ExpectedOutputTokens int
 	// LastEventID is set if the caller resumes an interrupted stream.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of that stream;
+	// empty if the caller does not say.
+	Resumes string
 }
 
 // Refusal is the router's own final answer to a request that has not run and never
