Leave a silent engine only when another has processed the prompt

- The prompt is processed on the new engine while the stream stays open; then the engines are checked again and the old stream ends.
- A timer that fires late by a quarter of the limit shows that this process was paused.
- After an obstacle engines are sought again after 250 ms.
Before, the next look came when callers give up.
- A silent stream without an event asks for engines without the objective, which has passed.
- What was prepared for a caller that has gone is given back, the retry too.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -2,29 +2,42 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
 
-// reserved is a demand and the engines that were granted for it.
-type reserved struct {
+var (
+	// errSilent is the cause of a cut if the engine sent no event in time.
+	errSilent = errors.New("no event arrived in time")
+	// errGrantOutdated means that a grant names an engine that is leaving or not known
+	// here.
+	errGrantOutdated = errors.New("a granted engine is leaving or unknown")
+)
+
+// prepared are the engines that were granted for an attempt, with the KV cache that was
+// made for it.
+type prepared struct {
 	demand scheduling.Demand
 	grant  scheduling.Grant
+	// source is nil if the decode engine processes the prompt itself.
+	source *Source
 	err    error
 }
 
-// continuation reserves other engines for a stream whose engine is silent, while the
+// continuation prepares other engines for a stream whose engine is silent, while the
 // stream is still open. The silent engine may go on at any time.
 type continuation struct {
 	relay   *Relay
 	service string
 	cancel  context.CancelFunc
-	// outcome receives the decision on the demand.
-	outcome chan reserved
+	outcome chan prepared
 }
 
-// seekContinuation begins to reserve other engines than the silent one. It takes a retry
+// seekContinuation begins to prepare other engines than the silent one. It takes a retry
 // from the budget, which withdraw returns. It returns nil if no further attempt may follow;
 // the obstacle is then recorded.
 func (r *Relay) seekContinuation(ctx context.Context, g *generation, silent string) *continuation {
@@ -36,25 +49,63 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	c := &continuation{relay: r, service: g.service.Name, cancel: cancel, outcome: make(chan reserved, 1)}
+	c := &continuation{relay: r, service: g.service.Name, cancel: cancel, outcome: make(chan prepared, 1)}
 	demand := r.demand(g)
 	demand.Exclude = append(slices.Clone(demand.Exclude), silent)
-	go func() {
-		grant, err := r.options.Reserver.Reserve(ctx, demand)
-		c.outcome <- reserved{demand: demand, grant: grant, err: err}
-	}()
+	// The time for a target to be met has passed with the silence.
+	demand.Targets = configuration.Targets{}
+	attempt := g.detached()
+	go func() { c.outcome <- r.prepare(ctx, attempt, demand) }()
 	return c
 }
 
-// decided returns the channel that receives the decision, nil if c is nil.
-func (c *continuation) decided() <-chan reserved {
+// detached returns a copy whose use leaves g unchanged.
+func (g *generation) detached() *generation {
+	attempt, x := *g, *g.exchange
+	x.exclude = slices.Clone(x.exclude)
+	attempt.exchange = &x
+	return &attempt
+}
+
+// prepare reserves engines for a demand and processes the prompt.
+func (r *Relay) prepare(ctx context.Context, g *generation, demand scheduling.Demand) prepared {
+	p := prepared{demand: demand}
+	if p.grant, p.err = r.options.Reserver.Reserve(ctx, demand); p.err != nil {
+		return p
+	}
+	if !r.usable(p.grant) {
+		p.err = errGrantOutdated
+	} else if p.grant.Prefill != p.grant.Decode {
+		prefill := r.options.Fleet.View().Instance(p.grant.Prefill)
+		p.source, p.err = r.prefill(ctx, g, demand.ID, &prefill.Endpoint)
+	}
+	if p.err != nil {
+		r.release(demand.ID)
+	}
+	return p
+}
+
+// discard releases what was prepared for an attempt that does not follow.
+func (r *Relay) discard(p prepared) {
+	if p.err != nil {
+		return
+	}
+	if p.source != nil {
+		r.Counters.PrefillsLost.Add(1)
+		r.free(p.source)
+	}
+	r.release(p.demand.ID)
+}
+
+// decided returns the channel that receives the outcome, nil if c is nil.
+func (c *continuation) decided() <-chan prepared {
 	if c == nil {
 		return nil
 	}
 	return c.outcome
 }
 
-// withdraw gives up the reservation and its retry because the silent engine goes on or
+// withdraw gives up the preparation and its retry because the silent engine goes on or
 // the stream has ended. It does nothing if c is nil.
 func (c *continuation) withdraw() {
 	if c == nil {
@@ -62,9 +113,10 @@
 	}
 	c.cancel()
 	c.relay.refundRetry(c.service)
-	go func() {
-		if o := <-c.outcome; o.err == nil {
-			c.relay.release(o.demand.ID)
-		}
-	}()
+	go func() { c.relay.discard(<-c.outcome) }()
+}
+
+// release reports that an attempt no longer holds its engines.
+func (r *Relay) release(id engine.AttemptID) {
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.Released})
 }
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -32,7 +32,8 @@
 	defer response.Close()
 	if verdict.OtherInstance {
 		g.sends--
-		return false, r.handleReplacedEngine(g, id, to)
+		r.handleReplacedEngine(g, id, to)
+		return false, r.retryOrGiveUp(g)
 	}
 	if verdict.NotRun {
 		r.observe(g, to, true)
@@ -49,13 +50,12 @@
 }
 
 // handleReplacedEngine handles an engine whose address now belongs to another engine.
-func (r *Relay) handleReplacedEngine(g *generation, id engine.AttemptID, to *configuration.Endpoint) error {
+func (r *Relay) handleReplacedEngine(g *generation, id engine.AttemptID, to *configuration.Endpoint) {
 	g.refusal = "an engine is gone"
 	g.exclude = append(g.exclude, to.Name)
 	r.options.Endpoints.MarkLeaving(to.Name)
 	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.EngineLeaving, Prefill: to.Name, Decode: to.Name})
 	r.decide(g.exchange, "endpoint replaced", logrus.Fields{"endpoint": to.Name})
-	return r.retryOrGiveUp(g)
 }
 
 // decodeStage returns the stage for an engine that fetches a KV cache, or that
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -124,6 +124,11 @@
 
 func (f *fakeReserver) Delivered(engine.AttemptID, int) {}
 
+// released returns the number of attempts that were released.
+func (f *fakeReserver) released() int {
+	return strings.Count(f.kinds(), string(scheduling.Released))
+}
+
 // kinds returns the kinds of progress in order.
 func (f *fakeReserver) kinds() string {
 	f.mu.Lock()
@@ -146,8 +151,11 @@
 func (b *budget) Spend(string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.left <= 0 {
+		return false
+	}
 	b.left--
-	return b.left >= 0
+	return true
 }
 
 func (b *budget) Refund(string) {
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -58,9 +58,9 @@
 	relaxed bool
 	// late is set if the objective can no longer be met.
 	late bool
-	// next holds the engines that were reserved for the next attempt during the current
+	// next holds the engines that were prepared for the next attempt during the current
 	// one, nil if there are none.
-	next *reserved
+	next *prepared
 }
 
 // serveGeneration serves a request on model engines.
@@ -73,7 +73,7 @@
 	g.late = g.priorWait >= x.route.Objective-deliveryMargin
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	defer r.releaseUnused(g)
+	defer r.discardUnused(g)
 	for g.next != nil || r.mayAttempt(x) {
 		err := r.attempt(ctx, g)
 		if err == nil {
@@ -105,34 +105,45 @@
 	}
 }
 
-// attempt reserves engines and runs the request on them once. It returns nil if
-// the answer is complete, errGiveUp if no other attempt may follow.
+// attempt reserves engines and runs the request on them once, or on those that were
+// prepared during the previous attempt. It returns nil if the answer is complete,
+// errGiveUp if no other attempt may follow.
 func (r *Relay) attempt(ctx context.Context, g *generation) error {
+	if next := g.next; next != nil {
+		g.next = nil
+		return r.holding(g, next.demand, next.grant, time.Now(), func() error {
+			if next.source == nil {
+				return r.run(ctx, g, next.demand.ID, next.grant)
+			}
+			return r.runDecode(ctx, g, next.demand.ID, next.grant, next.source)
+		})
+	}
 	started := time.Now()
-	demand, grant, err := r.takeReserved(ctx, g)
+	demand, grant, err := r.reserveUnlessStopping(ctx, g)
 	if err != nil {
 		return err
 	}
+	r.Queues.Observe(time.Since(started))
+	return r.holding(g, demand, grant, started, func() error { return r.run(ctx, g, demand.ID, grant) })
+}
+
+// holding runs an attempt and releases its engines.
+func (r *Relay) holding(g *generation, demand scheduling.Demand, grant scheduling.Grant, started time.Time, run func() error) error {
 	defer func() {
 		r.options.Reserver.Progress(scheduling.Progress{ID: demand.ID, Kind: scheduling.Released, Tokens: g.delivered - g.deliveredBefore})
 	}()
-	r.Queues.Observe(time.Since(started))
 	r.decide(g.exchange, "engines granted", logrus.Fields{
 		"attempt": demand.ID.String(), "prefill": grant.Prefill, "decode": grant.Decode, "build": r.buildOf(grant.Decode),
 		"last_event": g.lastEventID, "resumes": g.request.Generation.Resumes,
 		"queued_ms": time.Since(started).Milliseconds(), "predicted_first_ms": grant.FirstToken.Milliseconds(),
 		"prompt_tokens": demand.PromptTokens, "output_tokens": demand.OutputTokens, "expected_tokens": g.request.Generation.ExpectedOutputTokens,
 	})
-	return r.run(ctx, g, demand.ID, grant)
+	return run()
 }
 
-// takeReserved returns the engines that were reserved for this attempt during the
-// previous one, and otherwise reserves engines.
-func (r *Relay) takeReserved(ctx context.Context, g *generation) (scheduling.Demand, scheduling.Grant, error) {
-	if next := g.next; next != nil {
-		g.next = nil
-		return next.demand, next.grant, nil
-	}
+// reserveUnlessStopping reserves engines for a stream. It refuses one that has not begun
+// if this VM is stopping.
+func (r *Relay) reserveUnlessStopping(ctx context.Context, g *generation) (scheduling.Demand, scheduling.Grant, error) {
 	if g.headerSent {
 		return r.reserve(ctx, g)
 	}
@@ -147,10 +158,12 @@
 	return demand, grant, err
 }
 
-// releaseUnused releases engines that were reserved for an attempt that does not follow.
-func (r *Relay) releaseUnused(g *generation) {
+// discardUnused gives up what was prepared for an attempt that does not follow, and
+// returns the retry that was taken for it.
+func (r *Relay) discardUnused(g *generation) {
 	if g.next != nil {
-		r.release(g.next.demand.ID)
+		r.refundRetry(g.service.Name)
+		r.discard(*g.next)
 	}
 }
 
@@ -204,11 +217,22 @@
 		return r.decodeWhole(ctx, g, id, &decode.Endpoint)
 	}
 	source, err := r.prefill(ctx, g, id, &prefill.Endpoint)
+	if errors.Is(err, errNoPrefill) {
+		return r.retryOrGiveUp(g)
+	}
 	if err != nil {
 		return err
 	}
+	return r.runDecode(ctx, g, id, grant, source)
+}
+
+// runDecode runs the decode on the granted engine, which fetches the KV cache from the
+// source.
+func (r *Relay) runDecode(ctx context.Context, g *generation, id engine.AttemptID, grant scheduling.Grant, source *Source) error {
+	g.deliveredBefore = g.delivered
+	decode := r.options.Fleet.View().Instance(grant.Decode)
 	// The decode engine may have started to drain during the prefill.
-	if !available(r.options.Fleet.View().Instance(grant.Decode)) {
+	if !available(decode) {
 		r.Counters.PrefillsLost.Add(1)
 		r.free(source)
 		return r.discardGrant(g, id, grant)
@@ -218,7 +242,7 @@
 		return err
 	}
 	r.Counters.PrefillsLost.Add(1)
-	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillFailed, Prefill: prefill.Name})
+	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillFailed, Prefill: grant.Prefill})
 	r.free(source)
 	if !errors.Is(err, errDeclined) || !r.spendRetry(g.exchange) {
 		return retryIfDeclined(err)
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -21,13 +22,18 @@
 	freeTimeout = 300 * time.Millisecond
 )
 
-// prefill runs the prefill on an engine and returns the location of the KV cache.
+// errNoPrefill means that an engine made no KV cache. Another attempt costs a retry.
+var errNoPrefill = errors.New("the prompt could not be processed")
+
+// prefill runs the prefill on an engine and returns the location of the KV cache. The
+// error is errNoPrefill or that of ctx.
 func (r *Relay) prefill(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint) (*Source, error) {
 	defer r.options.Endpoints.Begin(to.Name)()
 	started := time.Now()
 	answer, verdict, err := r.call(ctx, g.exchange, to, &Call{Stage: Prefill, LastEventID: g.lastEventID}, min(prefillTimeout, g.timeLeft()))
 	if verdict.OtherInstance {
-		return nil, r.handleReplacedEngine(g, id, to)
+		r.handleReplacedEngine(g, id, to)
+		return nil, errNoPrefill
 	}
 	result, err := r.prefillResult(answer, verdict, err)
 	if ctx.Err() != nil {
@@ -39,7 +45,7 @@
 		g.refusal = "the prompt could not be read"
 		r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: failureKind(err, scheduling.PrefillFailed, scheduling.PrefillLost), Prefill: to.Name})
 		r.decide(g.exchange, "prefill failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
-		return nil, r.retryOrGiveUp(g)
+		return nil, errNoPrefill
 	}
 	r.Counters.Prefills.Add(1)
 	r.decide(g.exchange, "prompt read", logrus.Fields{
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -154,8 +154,8 @@
 	r.servePlain(ctx, x)
 }
 
-// RefuseWaiting refuses the requests that wait for engines, and those that would have to
-// wait, because this VM stops and could not finish them. Streams that have begun go on.
+// RefuseWaiting refuses the requests that have no engines yet, because this VM stops and
+// could hardly finish them. Streams that have begun go on.
 func (r *Relay) RefuseWaiting() { r.refuseWaiting() }
 
 // finalDeadline returns the time at which the final answer is due, which is the
@@ -242,8 +242,3 @@
 	r.options.Budget.Refund(service)
 	r.Counters.Repeated.Add(-1)
 }
-
-// release reports that an attempt no longer holds its engines.
-func (r *Relay) release(id engine.AttemptID) {
-	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.Released})
-}
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -1,13 +1,16 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
@@ -126,3 +129,120 @@
 		assert.Equal(t, silenceLimit(&Request{EventTimeout: c.callersWait}), c.limit)
 	}
 }
+
+// A stream that was left for engines which then failed to continue it was lost, although
+// the silent engine would have gone on.
+func TestStreamIsLeftOnlyOnceThePromptIsProcessedElsewhere(t *testing.T) {
+	for name, prefill := range map[string]func(s *fixture) func(http.ResponseWriter, *http.Request){
+		"prefill fails": func(*fixture) func(http.ResponseWriter, *http.Request) {
+			return answers(http.StatusInternalServerError, "no")
+		},
+		"prefill is declined": func(*fixture) func(http.ResponseWriter, *http.Request) { return declines },
+		"decode engine drains": func(s *fixture) func(http.ResponseWriter, *http.Request) {
+			return func(w http.ResponseWriter, r *http.Request) {
+				s.drain("e2")
+				answers(http.StatusOK, "h2")(w, r)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newImpatientFixture(t, grant("p1", "e1"), grant("p2", "e2"))
+			retries := &budget{left: 1}
+			s.relay.options.Budget = retries
+			s.endpoint("p1", "pool", configuration.RolePrefill, answers(http.StatusOK, "h1"))
+			s.endpoint("p2", "pool", configuration.RolePrefill, prefill(s))
+			s.endpoint("e1", "pool", configuration.RoleDecode, silentUntil(func() bool { return s.reserver.released() > 0 }))
+			s.endpoint("e2", "pool", configuration.RoleDecode, events(4))
+			caller := s.serve(check, work)
+			assert.Equal(t, caller.outcome, "stream")
+			assert.Equal(t, caller.body, eventText(4))
+			assert.Assert(t, !strings.Contains(s.callLog(), "e2:"), s.callLog())
+			assert.Equal(t, retries.left, 1)
+		})
+	}
+}
+
+// A retry that becomes available only when callers give up is of no use to them.
+func TestSilentStreamIsLookedAtAgainSoon(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.eventTimeout = 4 * seekInterval
+	retries := &budget{left: 0}
+	s.relay.options.Budget = retries
+	left := make(chan time.Duration, 1)
+	s.engines(answers(http.StatusOK, "h1"), func(w http.ResponseWriter, r *http.Request) {
+		events(2)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		for !s.silenceNoticed() {
+			time.Sleep(time.Millisecond)
+		}
+		retries.Refund("")
+		noticed := s.relay.Counters.Silences.Load()
+		<-r.Context().Done()
+		left <- time.Duration(s.relay.Counters.Silences.Load()-noticed) * seekInterval
+	})
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.body, eventText(3))
+	assert.Assert(t, <-left <= seekInterval, "the stream did not move at the first look after the retry became available")
+}
+
+// An engine that sends its header and then nothing has missed the objective, which must
+// not keep others from taking the request.
+func TestSilenceBeforeTheFirstEventMovesTheRequest(t *testing.T) {
+	withoutTarget := func(d scheduling.Demand) (scheduling.Grant, error) {
+		if d.Targets.FirstToken > 0 {
+			return refuseTarget(d)
+		}
+		return grant("p2", "e2")(d)
+	}
+	s := newImpatientFixture(t, grant("p1", "e1"), withoutTarget)
+	s.engines(answers(http.StatusOK, "h1"), func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.outcome, "stream")
+	assert.Equal(t, caller.body, eventText(3))
+}
+
+// A pause of the VM must not count as a silence of all its engines.
+func TestLateTimerIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := newSilenceTimer(2 * time.Second)
+		defer timer.timer.Stop()
+		<-timer.timer.C
+		assert.Assert(t, !timer.paused())
+		time.Sleep(timer.tolerance())
+		assert.Assert(t, !timer.paused())
+		time.Sleep(time.Millisecond)
+		assert.Assert(t, timer.paused())
+		timer.reset(timer.tolerance())
+		<-timer.timer.C
+		assert.Assert(t, !timer.paused())
+	})
+}
+
+// What was prepared for a caller that has gone must be given back.
+func TestPreparedEnginesAreReleasedIfTheCallerIsGone(t *testing.T) {
+	s := newImpatientFixture(t, grant("p1", "e1"))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	retries := &budget{left: 1}
+	s.relay.options.Budget = retries
+	s.reserver.answers = append(s.reserver.answers, func(d scheduling.Demand) (scheduling.Grant, error) {
+		cancel()
+		return grant("e2", "e2")(d)
+	})
+	s.engines(answers(http.StatusOK, "h1"), func(w http.ResponseWriter, r *http.Request) {
+		events(2)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	s.serveTo(ctx, &recorder{}, check, work)
+	for s.reserver.released() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, len(s.reserver.demands), 2)
+	assert.Assert(t, !strings.Contains(s.callLog(), "e2:"), s.callLog())
+	assert.Equal(t, retries.left, 1)
+}
--- a/internal/relay/stop_test.go
+++ b/internal/relay/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -44,3 +45,25 @@
 	assert.Equal(t, caller.outcome, "stream")
 	assert.Equal(t, caller.body, eventText(3))
 }
+
+// A stream that waits to be continued must not be given up either, since its caller has
+// events already.
+func TestStreamThatWaitsToBeContinuedGoesOnDuringAStop(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"), nil)
+	s.engines(answers(http.StatusOK, "h1"), cutAfter(2))
+	ctx, cancel := context.WithCancel(t.Context())
+	caller, served := &recorder{}, make(chan struct{})
+	go func() {
+		defer close(served)
+		s.serveTo(ctx, caller, check, work)
+	}()
+	s.reserver.awaitDemands(2)
+	s.relay.RefuseWaiting()
+	select {
+	case <-served:
+		t.Fatal("the stream was given up")
+	case <-time.After(20 * time.Millisecond):
+	}
+	cancel()
+	<-served
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -21,13 +21,12 @@
 	silenceShare = 0.5
 	// defaultSilenceLimit replaces that time if it is not known how long callers wait.
 	defaultSilenceLimit = 2 * time.Second
-)
-
-var (
-	// errSilent is the cause of a cut if the engine sent no event in time.
-	errSilent = errors.New("no event arrived in time")
-	// errGrantOutdated means that an engine of a grant is leaving or not known here.
-	errGrantOutdated = errors.New("a granted engine is leaving or unknown")
+	// seekInterval is the time after which engines are sought again if there was an
+	// obstacle.
+	seekInterval = 250 * time.Millisecond
+	// pauseShare is the share of the silence limit by which its timer may be late. If it
+	// is later, this process was paused, and events may have arrived meanwhile.
+	pauseShare = 0.25
 )
 
 // stream forwards the events of one engine to the caller.
@@ -39,7 +38,9 @@
 	started    time.Time
 	// batches counts the batches that were forwarded.
 	batches int
-	// sought is the reservation of other engines while this one is silent, nil if
+	// silent is set once the engine was silent for the limit.
+	silent bool
+	// sought is the preparation of other engines while this one is silent, nil if
 	// there is none.
 	sought *continuation
 }
@@ -48,16 +49,15 @@
 // complete according to its framing.
 //
 // An engine that is silent may only be pausing, so its stream stays open until other
-// engines are reserved to continue it.
+// engines are ready to continue it.
 func (s *stream) forward(ctx context.Context, response *upstream.Response) error {
 	events := newEventReader(response)
 	events.lastID = s.generation.lastEventID
 	pump := startEventPump(events)
 	defer pump.close(response.Abort)
 	defer func() { s.sought.withdraw() }()
-	limit := silenceLimit(s.generation.request)
-	silence := time.NewTimer(limit)
-	defer silence.Stop()
+	silence := newSilenceTimer(silenceLimit(s.generation.request))
+	defer silence.timer.Stop()
 	for {
 		select {
 		case b := <-pump.batches:
@@ -68,21 +68,46 @@
 			if err := s.deliver(response, b); err != nil {
 				return err
 			}
-			silence.Reset(limit)
+			silence.reset(silence.limit)
 			pump.resume()
-		case <-silence.C:
-			if s.handleSilence(ctx); s.sought == nil && s.mayMoveLater() {
-				silence.Reset(limit)
+		case <-silence.timer.C:
+			if silence.paused() {
+				silence.reset(silence.tolerance())
+			} else if s.handleSilence(ctx); s.sought == nil && s.mayMoveLater() {
+				silence.reset(seekInterval)
 			}
 		case found := <-s.sought.decided():
-			if s.takeOver(found) {
+			if s.takeOver(ctx, found) {
 				return errRetry
 			}
-			silence.Reset(limit)
+			silence.reset(seekInterval)
 		}
 	}
 }
 
+// silenceTimer measures the time without events.
+type silenceTimer struct {
+	limit time.Duration
+	timer *time.Timer
+	due   time.Time
+}
+
+func newSilenceTimer(limit time.Duration) *silenceTimer {
+	return &silenceTimer{limit: limit, timer: time.NewTimer(limit), due: time.Now().Add(limit)}
+}
+
+func (t *silenceTimer) reset(d time.Duration) {
+	t.timer.Reset(d)
+	t.due = time.Now().Add(d)
+}
+
+// paused reports whether the timer fired so late that this process was paused.
+func (t *silenceTimer) paused() bool { return time.Since(t.due) > t.tolerance() }
+
+func (t *silenceTimer) tolerance() time.Duration {
+	return time.Duration(pauseShare * float64(t.limit))
+}
+
 // silenceLimit returns how long a stream of the request may go without events before
 // other engines are sought. An engine that pauses for a shorter time keeps the stream: a
 // change costs another prefill and a retry.
@@ -129,9 +154,13 @@
 	s.relay.options.Reserver.Delivered(s.id, g.delivered-g.deliveredBefore)
 }
 
-// handleSilence begins to reserve other engines for the stream of a silent one, if
+// handleSilence begins to prepare other engines for the stream of a silent one, if
 // another attempt may follow.
 func (s *stream) handleSilence(ctx context.Context) {
+	if !s.silent {
+		s.silent = true
+		s.relay.observe(s.generation, s.endpoint, false)
+	}
 	s.relay.Counters.Silences.Add(1)
 	s.sought = s.relay.seekContinuation(ctx, s.generation, s.endpoint.Name)
 	fields := logrus.Fields{"endpoint": s.endpoint.Name, "tokens": s.generation.delivered, "last_event": s.generation.lastEventID}
@@ -148,22 +177,21 @@
 	return !g.route.RunsOnce() && g.sends < g.route.MaxAttempts
 }
 
-// takeOver ends the stream of a silent engine in favour of the reserved engines. It
+// takeOver ends the stream of a silent engine in favour of the prepared engines. It
 // returns false if there are none that can be used.
-func (s *stream) takeOver(found reserved) bool {
+func (s *stream) takeOver(ctx context.Context, found prepared) bool {
 	r, g := s.relay, s.generation
-	if found.err == nil && !r.usable(found.grant) {
-		r.release(found.demand.ID)
+	s.sought = nil
+	if found.err == nil && (ctx.Err() != nil || !r.usable(found.grant)) {
+		r.discard(found)
 		found.err = errGrantOutdated
 	}
 	if found.err != nil {
-		s.sought = nil
 		g.obstacle = found.err.Error()
 		r.refundRetry(g.service.Name)
 		r.decide(g.exchange, "silent engine not replaced", logrus.Fields{"endpoint": s.endpoint.Name, "obstacle": g.obstacle})
 		return false
 	}
-	s.sought = nil
 	g.next = &found
 	s.recordCut(errSilent)
 	r.Counters.Resumed.Add(1)
@@ -173,7 +201,9 @@
 // recordCut records that the stream broke off.
 func (s *stream) recordCut(cause error) {
 	g := s.generation
-	s.relay.observe(g, s.endpoint, false)
+	if !s.silent {
+		s.relay.observe(g, s.endpoint, false)
+	}
 	s.relay.decide(g.exchange, "stream cut", logrus.Fields{
 		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": g.lastEventID, "error": cause.Error(),
 		"silent": errors.Is(cause, errSilent), "resumable": g.route.Resumable,
