Define the calls by which VMs remember builds of streams

Cause: engines of several builds may serve one service, and a stream may go on only at the build that began it. Generated with the committed go:generate line.

--- a/api/generate.go
+++ b/api/generate.go
@@ -6,3 +6,4 @@
 //go:generate protoc -I .. --go_out=.. --go_opt=module=github.com/ospreyshed/ospreyshed --connect-go_out=.. --connect-go_opt=module=github.com/ospreyshed/ospreyshed ../api/timeline/v1/timeline.proto
 //go:generate protoc -I .. --go_out=.. --go_opt=module=github.com/ospreyshed/ospreyshed --connect-go_out=.. --connect-go_opt=module=github.com/ospreyshed/ospreyshed ../api/membership/v1/membership.proto
 //go:generate protoc -I .. --go_out=.. --go_opt=module=github.com/ospreyshed/ospreyshed --connect-go_out=.. --connect-go_opt=module=github.com/ospreyshed/ospreyshed ../api/feed/v1/feed.proto
+//go:generate protoc -I .. --go_out=.. --go_opt=module=github.com/ospreyshed/ospreyshed --connect-go_out=.. --connect-go_opt=module=github.com/ospreyshed/ospreyshed ../api/origin/v1/origin.proto
