--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -15,6 +15,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 )
 
@@ -93,13 +94,14 @@
 	ingress Ingress
 	members *swim.Service
 	relay   *relay.Relay
+	origins *origin.Service
 	server  *http.Server
 }
 
-func runCallerServer(lifecycle fx.Lifecycle, options *Options, ingress Ingress, members *swim.Service, r *relay.Relay) {
+func runCallerServer(lifecycle fx.Lifecycle, options *Options, ingress Ingress, members *swim.Service, r *relay.Relay, origins *origin.Service) {
 	readiness := newServer(http.HandlerFunc(ingress.ServeReadiness))
 	serve(lifecycle, options, "readiness", options.ReadinessAddress, readiness)
-	s := &callerServer{options: options, ingress: ingress, members: members, relay: r, server: newServer(ingress)}
+	s := &callerServer{options: options, ingress: ingress, members: members, relay: r, origins: origins, server: newServer(ingress)}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			return listen(ctx, options, "callers", options.CallerAddress, s.server)
@@ -116,7 +118,8 @@
 	s.members.SetDraining()
 	refusal := time.AfterFunc(time.Duration(waitingShare*float64(s.options.Grace)), s.relay.RefuseWaiting)
 	defer refusal.Stop()
-	background.Pause(ctx, balancerLag)
+	s.origins.HandOver(ctx)
+	background.Pause(ctx, time.Until(started.Add(balancerLag)))
 	drain, cancel := context.WithDeadline(ctx, started.Add(s.options.Grace-stopMargin))
 	defer cancel()
 	err := s.server.Shutdown(drain)
@@ -124,6 +127,7 @@
 		s.logCutOff(err)
 		err = s.server.Close()
 	}
+	s.origins.HandOver(ctx)
 	s.members.Leave(drain)
 	s.options.Log.Change("drained", logrus.Fields{"ms": time.Since(started).Milliseconds()})
 	return err
