Continue streams only at the build that began them

Cause: neither a continuation within one response nor a stream that its caller takes up named the build; a VM at which a stream is taken up did not know it, and did not read the header that names the request which began the stream.

Change: the relay records the engine's build before each send, with the other VMs (package origin), and ties the stream to it with the first event. Further demands name the build, and grants of another one are not used. If the build is not known, the stream goes on only if all engines of the service have had one build within the last minute, and is refused at once otherwise. Engines that failed the stream are allowed again if no other has its build.

--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 )
@@ -20,6 +21,9 @@
 	// departed are the names of instances that are no longer registered, oldest
 	// first.
 	departed []string
+	// formerBuilds are the builds of which no endpoint is registered any more, with the
+	// time at which the last one left.
+	formerBuilds map[buildKey]time.Time
 }
 
 // maxDepartedNames bounds the names of departed instances that are kept.
@@ -27,7 +31,7 @@
 
 // NewStore returns a store without a configuration.
 func NewStore() *Store {
-	s := &Store{}
+	s := &Store{formerBuilds: make(map[buildKey]time.Time)}
 	s.view.Store(NewView(nil, nil, nil))
 	return s
 }
@@ -52,10 +56,13 @@
 }
 
 // SetInstances replaces the instances.
-func (s *Store) SetInstances(instances []Instance) {
+func (s *Store) SetInstances(instances []Instance) { s.setInstancesAt(instances, time.Now()) }
+
+func (s *Store) setInstancesAt(instances []Instance, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordDepartures(instances)
+	s.recordBuilds(instances, now)
 	s.instances = instances
 	s.publish()
 }
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -36,6 +36,8 @@
 		{"silences", Counter, Requests, "Times that an engine sent no event of a stream for the silence limit.",
 			"A rise: engines pause or hang; log lines `stream cut` with `silent` name them."},
 		{"resumed", Counter, Requests, "Streams that were resumed on another engine.", "A rise: engines interrupt streams; log lines `stream cut` name them."},
+		{"untraced", Counter, Requests, "Streams that callers took up and whose build is not known.",
+			"A rise without many VMs lost at once: see the `origin` counters; log lines `stream not traced` name the streams."},
 		{"broken", Counter, Requests, "Streams that ended before they were complete.", "A rise: as for `resumed`, but on routes on which streams cannot be resumed."},
 	},
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -13,6 +13,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 	"github.com/ospreyshed/ospreyshed/internal/reservation"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
@@ -83,6 +84,7 @@
 	Budgets      *retry.Shared
 	Client       *upstream.Client
 	Registry     *metrics.Registry
+	Origins      *origin.Service
 }
 
 func newRelay(p relayParams) *relay.Relay {
@@ -95,6 +97,7 @@
 		Reserver:    p.Reservations,
 		Budget:      p.Budgets,
 		Client:      p.Client,
+		Origins:     p.Origins,
 		Dialect:     p.Options.Dialect,
 		Log:         p.Options.Log,
 	})
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -13,9 +13,9 @@
 var (
 	// errSilent is the cause of a cut if the engine sent no event in time.
 	errSilent = errors.New("no event arrived in time")
-	// errGrantOutdated means that a grant names an engine that is leaving or not known
-	// here.
-	errGrantOutdated = errors.New("a granted engine is leaving or unknown")
+	// errGrantOutdated means that a grant names an engine that is leaving, not known here
+	// or of a build that must not continue the stream.
+	errGrantOutdated = errors.New("a granted engine is leaving, unknown or of another build")
 )
 
 // prepared are the engines that were granted for an attempt, with the KV cache that was
@@ -73,7 +73,7 @@
 	if p.grant, p.err = r.options.Reserver.Reserve(ctx, demand); p.err != nil {
 		return p
 	}
-	if !r.usable(p.grant) {
+	if !r.usable(g, p.grant) {
 		p.err = errGrantOutdated
 	} else if p.grant.Prefill != p.grant.Decode {
 		prefill := r.options.Fleet.View().Instance(p.grant.Prefill)
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -19,6 +19,7 @@
 // may have accepted the call.
 func (r *Relay) decode(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint, source *Source) (bool, error) {
 	defer r.options.Endpoints.Begin(to.Name)()
+	r.recordOrigin(g, to.Build)
 	started := time.Now()
 	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID})
 	if ctx.Err() != nil {
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -46,7 +46,8 @@
 		Weights:      configuration.Weights{WastedPrefill: 1},
 		Waited:       time.Since(g.request.Arrived),
 		Exclude:      g.exclude,
-		Resumed:      g.headerSent,
+		Build:        g.requiredBuild(),
+		Resumed:      g.headerSent || g.takenUp,
 	}
 }
 
@@ -63,7 +64,7 @@
 func (r *Relay) targets(g *generation) configuration.Targets {
 	first := g.route.Objective - g.priorWait - deliveryMargin
 	switch {
-	case g.late:
+	case g.late || g.takenUp:
 		first = g.request.EventTimeout - lateMargin
 	case !g.relaxed:
 		first = time.Duration(firstTargetShare * float64(first))
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
@@ -140,6 +141,37 @@
 	return strings.Join(kinds, " ")
 }
 
+// fakeOrigins records what is reported and answers all searches alike.
+type fakeOrigins struct {
+	mu       sync.Mutex
+	found    origin.Origin
+	err      error
+	searched []string
+	recorded []origin.Origin
+	ended    []string
+}
+
+func (f *fakeOrigins) Record(o origin.Origin) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recorded = append(f.recorded, o)
+}
+
+func (f *fakeOrigins) End(stream string, complete bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = append(f.ended, stream+":"+strconv.FormatBool(complete))
+}
+
+func (f *fakeOrigins) Confirm(context.Context, string) error { return nil }
+
+func (f *fakeOrigins) Find(_ context.Context, stream string) (origin.Origin, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.searched = append(f.searched, stream)
+	return f.found, f.err
+}
+
 // budget allows a number of retries.
 type budget struct {
 	mu   sync.Mutex
@@ -197,6 +229,7 @@
 	fleet     *fleet.Store
 	endpoints *endpoint.Registry
 	reserver  *fakeReserver
+	origins   *fakeOrigins
 	instances []fleet.Instance
 	// eventTimeout is how long callers wait for an event.
 	eventTimeout time.Duration
@@ -218,6 +251,7 @@
 		fleet:     fleet.NewStore(),
 		endpoints: endpoint.NewRegistry(timeline.Discard),
 		reserver:  &fakeReserver{answers: answers},
+		origins:   &fakeOrigins{err: origin.Unknown.New("no record")},
 
 		eventTimeout: time.Minute,
 	}
@@ -227,7 +261,7 @@
 	}))
 	s.relay = New(Options{
 		VM: "vm", Incarnation: 1, Zone: "a", Fleet: s.fleet, Endpoints: s.endpoints, Reserver: s.reserver,
-		Budget: &budget{left: 10}, Client: client, Dialect: testDialect{}, Log: log,
+		Budget: &budget{left: 10}, Client: client, Origins: s.origins, Dialect: testDialect{}, Log: log,
 	})
 	return s
 }
@@ -260,6 +294,14 @@
 	s.fleet.SetInstances(s.instances)
 }
 
+// setBuilds sets the builds of endpoints.
+func (s *fixture) setBuilds(builds map[string]string) {
+	for i := range s.instances {
+		s.instances[i].Build = builds[s.instances[i].Name]
+	}
+	s.fleet.SetInstances(s.instances)
+}
+
 // drain marks an endpoint as draining.
 func (s *fixture) drain(name string) {
 	for i := range s.instances {
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -37,9 +37,13 @@
 // obstacleSingleRun is the obstacle of a request that may run only once.
 const obstacleSingleRun = "the route allows a single run"
 
+// obstacleDeadline is the obstacle of a request whose deadline has passed.
+const obstacleDeadline = "the deadline has passed"
+
 // generation is the state of a generation request across its attempts.
 type generation struct {
 	*exchange
+	lineage
 	// headerSent is set once the header of the stream was sent to the caller.
 	headerSent bool
 	// lastEventID is the ID of the last event that the caller received.
@@ -73,10 +77,16 @@
 	g.late = g.priorWait >= x.route.Objective-deliveryMargin
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	if !r.trace(ctx, g) {
+		return
+	}
+	complete := false
+	defer func() { r.endStream(g, complete) }()
 	defer r.discardUnused(g)
 	for g.next != nil || r.mayAttempt(x) {
 		err := r.attempt(ctx, g)
 		if err == nil {
+			complete = true
 			r.Counters.Answered.Add(1)
 			r.decide(x, "stream complete", logrus.Fields{
 				"tokens": g.delivered, "late": g.late, "first_event_ms": g.firstEvent.Sub(x.request.Arrived).Milliseconds(),
@@ -98,6 +108,9 @@
 		r.callerGone(g.exchange)
 	case g.headerSent:
 		r.Counters.Broken.Add(1)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			g.obstacle = obstacleDeadline
+		}
 		r.decide(g.exchange, "stream broken", logrus.Fields{"tokens": g.delivered, "last_event": g.lastEventID, "reason": g.obstacle})
 		g.caller.Abort()
 	default:
@@ -190,7 +203,10 @@
 		g.refusal = err.Error()
 		return errGiveUp
 	}
-	if refusal.Reason == scheduling.RefusedTarget && !g.late && !g.headerSent {
+	if g.allowFailedEngines(refusal.Reason) {
+		return errRetry
+	}
+	if refusal.Reason == scheduling.RefusedTarget && !g.late && !g.begun && !g.headerSent {
 		g.late = g.relaxed
 		g.relaxed = true
 		return errRetry
@@ -212,6 +228,9 @@
 	if !available(prefill) || !available(decode) {
 		return r.discardGrant(g, id, grant)
 	}
+	if !g.permits(decode.Build) {
+		return r.discardWrongBuild(g, decode)
+	}
 	g.deliveredBefore = g.delivered
 	if prefill == decode {
 		return r.decodeWhole(ctx, g, id, &decode.Endpoint)
@@ -273,10 +292,12 @@
 	return err
 }
 
-// usable reports whether this process knows the engines of a grant and none is draining.
-func (r *Relay) usable(grant scheduling.Grant) bool {
+// usable reports whether this process knows the engines of a grant, none is draining and
+// the decode engine may continue the stream.
+func (r *Relay) usable(g *generation, grant scheduling.Grant) bool {
 	view := r.options.Fleet.View()
-	return available(view.Instance(grant.Prefill)) && available(view.Instance(grant.Decode))
+	decode := view.Instance(grant.Decode)
+	return available(view.Instance(grant.Prefill)) && available(decode) && g.permits(decode.Build)
 }
 
 // buildOf returns the build of an engine, empty if it is not known.
@@ -311,6 +332,15 @@
 	return errRetry
 }
 
+// discardWrongBuild excludes an engine that must not continue the stream. Owners of
+// releases that do not know of builds grant such engines.
+func (r *Relay) discardWrongBuild(g *generation, decode *fleet.Instance) error {
+	g.exclude = append(g.exclude, decode.Name)
+	g.refusal = "no engine of the stream's build was granted"
+	r.decide(g.exchange, "grant not used", logrus.Fields{"endpoint": decode.Name, "build": decode.Build, "required_build": g.build})
+	return errRetry
+}
+
 // retryOrGiveUp takes a retry for an attempt in which the request itself was not
 // sent. It returns errGiveUp if the budget does not allow it.
 func (r *Relay) retryOrGiveUp(g *generation) error {
--- /dev/null
+++ b/internal/relay/origins_test.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/origin"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+// twoBuilds are the builds of the engines of fixture.engines.
+var twoBuilds = map[string]string{"p1": "v1", "p2": "v2", "e1": "v1", "e2": "v2"}
+
+// takenUp is a request of a caller that has two events of a stream.
+var takenUp = &Generation{PromptTokens: 100, MaxOutputTokens: 50, LastEventID: "2", Resumes: "r0"}
+
+func refuseNoEngine(scheduling.Demand) (scheduling.Grant, error) {
+	return scheduling.Grant{}, &scheduling.Refusal{Reason: scheduling.RefusedNoEngine}
+}
+
+// What engines of two builds write does not fit together in one stream.
+func TestCutStreamGoesOnAtItsBuildOnly(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"), grant("p2", "e2"), refuseNoEngine)
+	s.engines(answers(http.StatusOK, "h1"), cutAfter(2))
+	s.setBuilds(twoBuilds)
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.outcome, "aborted")
+	assert.Equal(t, caller.body, eventText(2))
+	assert.Equal(t, s.callLog(), "p1:1 e1:2/h1")
+	assert.Equal(t, s.reserver.demands[0].Build, "")
+	assert.Equal(t, s.reserver.demands[1].Build, "v1")
+	assert.DeepEqual(t, s.origins.ended, []string{"r1:false"})
+}
+
+// The engine of another build must not take the stream of a silent engine either.
+func TestSilentStreamIsNotLeftForAnotherBuild(t *testing.T) {
+	s := newImpatientFixture(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.engines(answers(http.StatusOK, "h1"), silentUntil(s.silenceNoticed))
+	s.setBuilds(twoBuilds)
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.body, eventText(4))
+	assert.Equal(t, s.callLog(), "p1:1 e1:2/h1")
+}
+
+func TestStreamThatIsTakenUpGoesOnAtItsBuild(t *testing.T) {
+	s := newFixture(t, grant("p2", "e2"))
+	s.engines(answers(http.StatusOK, "h1"), events(3))
+	s.setBuilds(twoBuilds)
+	s.origins.found, s.origins.err = origin.Origin{Stream: "r0", Build: "v2", Revision: 3}, nil
+	caller := s.serve(check, takenUp)
+	assert.Equal(t, caller.outcome, "stream")
+	assert.Equal(t, s.callLog(), "p2:1/2 e2:2/h2/2")
+	demand := s.reserver.demands[0]
+	assert.Equal(t, demand.Build, "v2")
+	assert.Assert(t, demand.Resumed)
+	assert.DeepEqual(t, s.origins.searched, []string{"r0"})
+	assert.DeepEqual(t, s.origins.recorded, []origin.Origin{{Stream: "r0", Service: "pool", Build: "v2", Revision: 3}})
+	assert.DeepEqual(t, s.origins.ended, []string{"r0:true"})
+}
+
+// A stream whose build nobody knows could get events of two builds.
+func TestUntracedStreamGoesOnOnlyIfThereIsOneBuild(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		builds     map[string]string
+		err        error
+		outcome    string
+		retryAfter time.Duration
+	}{
+		{"one build", map[string]string{"p1": "v1", "p2": "v1", "e1": "v1", "e2": "v1"}, origin.Unknown.New("none"), "stream", 0},
+		{"two builds", twoBuilds, origin.Unknown.New("none"), "refused: the build that began the stream is not known", 0},
+		{"two builds, VMs did not respond", twoBuilds, origin.Incomplete.New("late"), "refused: the build that began the stream is not known", unansweredRetryAfter},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFixture(t, grant("p1", "e1"))
+			s.engines(answers(http.StatusOK, "h1"), events(3))
+			s.setBuilds(c.builds)
+			s.origins.err = c.err
+			caller := s.serve(check, takenUp)
+			assert.Equal(t, caller.outcome, c.outcome)
+			assert.Equal(t, caller.retryAfter, c.retryAfter)
+		})
+	}
+}
+
+// A caller that takes a stream up may come to a VM that knows only the build of an
+// engine that declined it.
+func TestBuildIsRecordedBeforeEachSend(t *testing.T) {
+	s := newFixture(t, grant("e1", "e1"), grant("e2", "e2"))
+	recordedBefore := 0
+	s.endpoint("e1", "pool", configuration.RoleDecode, declines)
+	s.endpoint("e2", "pool", configuration.RoleDecode, func(w http.ResponseWriter, r *http.Request) {
+		recordedBefore = len(s.origins.recorded)
+		events(2)(w, r)
+	})
+	s.setBuilds(twoBuilds)
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.body, eventText(2))
+	assert.Equal(t, recordedBefore, 2)
+	assert.DeepEqual(t, s.origins.recorded, []origin.Origin{
+		{Stream: "r1", Service: "pool", Build: "v1", Revision: 1},
+		{Stream: "r1", Service: "pool", Build: "v2", Revision: 2},
+	})
+	assert.DeepEqual(t, s.origins.ended, []string{"r1:true"})
+}
+
+// An engine that failed the stream may be the only one that can continue it.
+func TestOnlyEngineOfTheBuildIsTriedAgain(t *testing.T) {
+	onlyWithoutExclusions := func(d scheduling.Demand) (scheduling.Grant, error) {
+		if len(d.Exclude) > 0 {
+			return refuseNoEngine(d)
+		}
+		return grant("p1", "e1")(d)
+	}
+	s := newFixture(t, onlyWithoutExclusions)
+	cut := false
+	s.engines(answers(http.StatusOK, "h1"), func(w http.ResponseWriter, r *http.Request) {
+		if !cut {
+			cut = true
+			cutAfter(1)(w, r)
+		}
+		events(3)(w, r)
+	})
+	s.setBuilds(twoBuilds)
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.outcome, "stream")
+	assert.Equal(t, caller.body, eventText(3))
+	assert.Equal(t, len(s.reserver.demands), 3)
+}
+
+// Streams that may not be resumed need no record.
+func TestStreamsThatMayNotBeResumedAreNotRecorded(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), events(2))
+	s.setBuilds(twoBuilds)
+	s.serve(dossier, work)
+	assert.Equal(t, len(s.origins.recorded)+len(s.origins.ended), 0)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -67,6 +67,7 @@
 	Reserver    Reserver
 	Budget      Budget
 	Client      *upstream.Client
+	Origins     Origins
 	Dialect     Dialect
 	Log         *decisionlog.Log
 }
@@ -96,6 +97,8 @@
 	// Resumed counts streams that were cut and may continue on another engine, Broken
 	// those that were aborted before their end.
 	Resumed, Broken atomic.Int64
+	// Untraced counts streams that callers took up and whose build is not known.
+	Untraced atomic.Int64
 }
 
 // Relay serves requests. It is safe for concurrent use.
@@ -220,7 +223,7 @@
 		x.obstacle = "the route's attempts are used up"
 		return false
 	case x.timeLeft() <= 0:
-		x.obstacle = "the deadline has passed"
+		x.obstacle = obstacleDeadline
 		return false
 	}
 	return x.sends == 0 || r.spendRetry(x)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,7 +65,7 @@
 				pump.ended = true
 				return s.handleEnd(ctx, b.err)
 			}
-			if err := s.deliver(response, b); err != nil {
+			if err := s.deliver(ctx, response, b); err != nil {
 				return err
 			}
 			silence.reset(silence.limit)
@@ -120,11 +120,12 @@
 
 // deliver sends a batch of events to the caller. The error is context.Canceled if the
 // caller does not take them.
-func (s *stream) deliver(response *upstream.Response, b batch) error {
+func (s *stream) deliver(ctx context.Context, response *upstream.Response, b batch) error {
 	g := s.generation
 	s.sought.withdraw()
 	s.sought = nil
 	if !g.headerSent {
+		s.relay.beginStream(ctx, g)
 		g.headerSent = true
 		g.caller.Begin(response.Status, response.Header)
 	}
@@ -182,7 +183,7 @@
 func (s *stream) takeOver(ctx context.Context, found prepared) bool {
 	r, g := s.relay, s.generation
 	s.sought = nil
-	if found.err == nil && (ctx.Err() != nil || !r.usable(found.grant)) {
+	if found.err == nil && (ctx.Err() != nil || !r.usable(g, found.grant)) {
 		r.discard(found)
 		found.err = errGrantOutdated
 	}
