Answer requests that a stopping VM reads after its listener closed

Callers whose request was on its way on a connection that had just been opened lost it when the VM stopped: neither an answer nor a refusal.

Cause: http.Server.Shutdown makes the server close a connection after it has read a request from it.

Change: a stop closes the listener and idle connections, waits until no connection carries a request or is newer than a second, and refuses generation requests that arrive meanwhile: other VMs serve them from the beginning to the end.

TestStopRefusesRequestsThatComeAfterTheBalancersLag failed before with EOF. The tests of node pass three times with -race.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -53,7 +53,7 @@
 		OnStart: func(ctx context.Context) error {
 			// A failure of the metrics listener must not keep the node from serving
 			// callers.
-			if err := listen(ctx, options, "metrics", options.MetricsAddress, server); err != nil {
+			if _, err := listen(ctx, options, "metrics", options.MetricsAddress, server); err != nil {
 				options.Log.Change("metrics are not served", logrus.Fields{"error": err.Error()})
 			}
 			return nil
@@ -69,23 +69,27 @@
 // serve runs a server from the start of the process to its stop.
 func serve(lifecycle fx.Lifecycle, options *Options, name, address string, server *http.Server) {
 	lifecycle.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error { return listen(ctx, options, name, address, server) },
-		OnStop:  func(context.Context) error { return server.Close() },
+		OnStart: func(ctx context.Context) error {
+			_, err := listen(ctx, options, name, address, server)
+			return err
+		},
+		OnStop: func(context.Context) error { return server.Close() },
 	})
 }
 
 // listen opens a listener and serves it in the background.
-func listen(ctx context.Context, options *Options, name, address string, server *http.Server) error {
+func listen(ctx context.Context, options *Options, name, address string, server *http.Server) (net.Listener, error) {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
 	if err != nil {
-		return fmt.Errorf("listener for %s: %w", name, err)
+		return nil, fmt.Errorf("listener for %s: %w", name, err)
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			options.Log.Change("listener failed", logrus.Fields{"listener": name, "error": err.Error()})
 		}
 	}()
-	return nil
+	return listener, nil
 }
 
 // callerServer is the HTTP server for callers.
@@ -96,15 +100,20 @@
 	relay   *relay.Relay
 	origins *origin.Service
 	server  *http.Server
+	// listener is set once the server runs.
+	listener    net.Listener
+	connections *connections
 }
 
 func runCallerServer(lifecycle fx.Lifecycle, options *Options, ingress Ingress, members *swim.Service, r *relay.Relay, origins *origin.Service) {
 	readiness := newServer(http.HandlerFunc(ingress.ServeReadiness))
 	serve(lifecycle, options, "readiness", options.ReadinessAddress, readiness)
-	s := &callerServer{options: options, ingress: ingress, members: members, relay: r, origins: origins, server: newServer(ingress)}
+	s := &callerServer{options: options, ingress: ingress, members: members, relay: r, origins: origins, server: newServer(ingress), connections: newConnections()}
+	s.server.ConnState = s.connections.observe
 	lifecycle.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error {
-			return listen(ctx, options, "callers", options.CallerAddress, s.server)
+		OnStart: func(ctx context.Context) (err error) {
+			s.listener, err = listen(ctx, options, "callers", options.CallerAddress, s.server)
+			return err
 		},
 		OnStop: s.stop,
 	})
@@ -122,11 +131,7 @@
 	background.Pause(ctx, time.Until(started.Add(balancerLag)))
 	drain, cancel := context.WithDeadline(ctx, started.Add(s.options.Grace-stopMargin))
 	defer cancel()
-	err := s.server.Shutdown(drain)
-	if err != nil {
-		s.logCutOff(err)
-		err = s.server.Close()
-	}
+	err := s.drain(drain)
 	s.origins.HandOver(ctx)
 	s.members.Leave(drain)
 	s.options.Log.Change("drained", logrus.Fields{"ms": time.Since(started).Milliseconds()})
@@ -146,3 +151,16 @@
 		})
 	}
 }
+
+// drain closes the listener and waits for requests in flight; those that are left when ctx
+// ends are cut off. It does not use Server.Shutdown, which closes connections without an
+// answer to the request that was just read from them.
+func (s *callerServer) drain(ctx context.Context) error {
+	s.relay.RefuseNew()
+	closed := s.listener.Close()
+	s.server.SetKeepAlivesEnabled(false)
+	if err := s.connections.await(ctx); err != nil {
+		s.logCutOff(err)
+	}
+	return errors.Join(closed, s.server.Close())
+}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -79,19 +81,7 @@
 	defer engine.Close()
 	finish := sync.OnceFunc(func() { close(release) })
 	defer finish()
-	options := testOptions(t)
-	options.Grace = 6 * time.Second
-	options.Dialect = plainDialect{}
-	options.Fleet.SetTable(routing.NewTable(1, routing.Limits{}, nil, []routing.Service{
-		{Name: "pool", Engines: &routing.Engines{Slots: 1, MemoryTokens: 30_000, TokensPerEvent: 1}},
-	}))
-	options.Fleet.SetInstances([]fleet.Instance{{ID: "e1", Endpoint: configuration.Endpoint{
-		Name: "e1", Zone: "a", Address: engine.Listener.Addr().String(), Service: "pool",
-		Role: configuration.RoleDecode, Slots: 1,
-	}}})
-	addresses, err := loopback.FreeAddresses(t.Context(), loopback.ProcessIP(), 1)
-	assert.NilError(t, err)
-	options.CallerAddress = addresses[0]
+	options := stopOptions(t, engine.Listener.Addr().String())
 	var served *relay.Relay
 	options.Ingress = func(r *relay.Relay, _ *feed.Service) Ingress {
 		served = r
@@ -99,10 +89,10 @@
 	}
 	n := New(options)
 	assert.NilError(t, n.Start(t.Context()))
-	running := get(t, addresses[0])
+	running := get(t, options.CallerAddress)
 	defer func() { assert.NilError(t, running.Body.Close()) }()
 	waiting := make(chan string, 1)
-	go func() { waiting <- status(t, addresses[0]) }()
+	go func() { waiting <- status(t, options.CallerAddress) }()
 	for len(served.InFlight()) < 2 {
 		time.Sleep(time.Millisecond)
 	}
@@ -116,6 +106,68 @@
 	assert.NilError(t, <-stopped)
 }
 
+// A connection that was opened just before the listener closed can still bring a request.
+// A server that shuts down closes it without an answer.
+func TestStopRefusesRequestsThatComeAfterTheBalancersLag(t *testing.T) {
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\ndata: t\n\n")
+	}))
+	defer engine.Close()
+	options := stopOptions(t, engine.Listener.Addr().String())
+	n := New(options)
+	assert.NilError(t, n.Start(t.Context()))
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop(context.Background()) }()
+	late := lastConnection(t, options.CallerAddress)
+	_, err := io.WriteString(late, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(late), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.NilError(t, response.Body.Close())
+	assert.NilError(t, <-stopped)
+}
+
+// lastConnection connects until nothing listens any more, and returns the connection that
+// was opened last.
+func lastConnection(t *testing.T, address string) net.Conn {
+	t.Helper()
+	var last net.Conn
+	for {
+		connection, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+		if err != nil {
+			t.Cleanup(func() { assert.Check(t, last.Close()) })
+			return last
+		}
+		if last != nil {
+			assert.NilError(t, last.Close())
+		}
+		last = connection
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// stopOptions returns the options of a node with one engine that has one slot.
+func stopOptions(t *testing.T, engine string) Options {
+	t.Helper()
+	options := testOptions(t)
+	options.Grace = 6 * time.Second
+	options.Dialect = plainDialect{}
+	options.Fleet.SetTable(routing.NewTable(1, routing.Limits{}, nil, []routing.Service{
+		{Name: "pool", Engines: &routing.Engines{Slots: 1, MemoryTokens: 30_000, TokensPerEvent: 1}},
+	}))
+	options.Fleet.SetInstances([]fleet.Instance{{ID: "e1", Endpoint: configuration.Endpoint{
+		Name: "e1", Zone: "a", Address: engine, Service: "pool", Role: configuration.RoleDecode, Slots: 1,
+	}}})
+	addresses, err := loopback.FreeAddresses(t.Context(), loopback.ProcessIP(), 1)
+	assert.NilError(t, err)
+	options.CallerAddress = addresses[0]
+	options.Ingress = func(r *relay.Relay, _ *feed.Service) Ingress {
+		return relayIngress{relay: r, fleet: options.Fleet}
+	}
+	return options
+}
+
 // get returns the response to a request.
 func get(t *testing.T, address string) *http.Response {
 	t.Helper()
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -25,6 +25,9 @@
 	stoppingRetryAfter = 50 * time.Millisecond
 )
 
+// stoppingRefusal is the refusal of a VM that stops.
+var stoppingRefusal = Refusal{Reason: "the VM is stopping", RetryAfter: stoppingRetryAfter}
+
 var (
 	// errGiveUp means that no further attempt may follow.
 	errGiveUp = errors.New("attempt failed and no other attempt may follow")
@@ -165,8 +168,7 @@
 	defer context.AfterFunc(r.stopping, cancel)()
 	demand, grant, err := r.reserve(waiting, g)
 	if err != nil && ctx.Err() == nil && r.stopping.Err() != nil {
-		g.refusal = "the VM is stopping"
-		g.retryAfter = stoppingRetryAfter
+		g.refusal, g.retryAfter = stoppingRefusal.Reason, stoppingRefusal.RetryAfter
 	}
 	return demand, grant, err
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -117,6 +117,8 @@
 	// stopping ends when waiting requests are to be refused.
 	stopping      context.Context
 	refuseWaiting context.CancelFunc
+	// refusesNew is set when new generation requests are to be refused.
+	refusesNew atomic.Bool
 }
 
 // New returns a relay.
@@ -151,12 +153,20 @@
 	}
 	defer r.inFlight.begin(x)()
 	if service.Engines != nil && request.Generation != nil {
+		if r.refusesNew.Load() {
+			r.refuse(x, stoppingRefusal)
+			return
+		}
 		r.serveGeneration(ctx, x)
 		return
 	}
 	r.servePlain(ctx, x)
 }
 
+// RefuseNew refuses generation requests that arrive from now on, because this VM stops
+// and other VMs can serve them.
+func (r *Relay) RefuseNew() { r.refusesNew.Store(true) }
+
 // RefuseWaiting refuses the requests that have no engines yet, because this VM stops and
 // could hardly finish them. Streams that have begun go on.
 func (r *Relay) RefuseWaiting() { r.refuseWaiting() }
