Guess no build from old registrations, and leave time and retries to streams taken up

Callers could still get events of two builds from a VM that was cut off during a release, since the only build was taken from registrations of any age; could wait for a search until they gave up; and lost retries to attempts that found no engine and sent nothing.

- The only build counts only if the registrations are at most 3 s old.
- A search takes at most half of the time that the caller waits for an event.
- An attempt that sends nothing returns its retry.
- The build is checked again after a prefill.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,8 @@
 	Log     *decisionlog.Log
 	// Ingress returns the adapter's handler for callers.
 	Ingress func(*relay.Relay, *feed.Service) Ingress
+	// EndpointTopic is the name of the topic of the endpoints' registrations.
+	EndpointTopic string
 	// Store and Topics are what the entry VMs share of the platform's store.
 	Store  feed.Store
 	Topics func(Events) []feed.Topic
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -85,21 +85,23 @@
 	Client       *upstream.Client
 	Registry     *metrics.Registry
 	Origins      *origin.Service
+	Feed         *feed.Service
 }
 
 func newRelay(p relayParams) *relay.Relay {
 	r := relay.New(relay.Options{
-		VM:          p.Options.VM,
-		Incarnation: p.Options.Incarnation,
-		Zone:        p.Options.Zone,
-		Fleet:       p.Options.Fleet,
-		Endpoints:   p.Endpoints,
-		Reserver:    p.Reservations,
-		Budget:      p.Budgets,
-		Client:      p.Client,
-		Origins:     p.Origins,
-		Dialect:     p.Options.Dialect,
-		Log:         p.Options.Log,
+		VM:           p.Options.VM,
+		Incarnation:  p.Options.Incarnation,
+		Zone:         p.Options.Zone,
+		Fleet:        p.Options.Fleet,
+		EndpointsAge: func() time.Duration { return p.Feed.Age(p.Options.EndpointTopic) },
+		Endpoints:    p.Endpoints,
+		Reserver:     p.Reservations,
+		Budget:       p.Budgets,
+		Client:       p.Client,
+		Origins:      p.Origins,
+		Dialect:      p.Options.Dialect,
+		Log:          p.Options.Log,
 	})
 	p.Registry.Mount("relay", metrics.Fields(&r.Counters))
 	p.Registry.Mount("relay_plain_answers", r.PlainAnswers.Vars())
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -230,7 +230,9 @@
 	endpoints *endpoint.Registry
 	reserver  *fakeReserver
 	origins   *fakeOrigins
-	instances []fleet.Instance
+	// endpointsAge is the age of the fleet's endpoints.
+	endpointsAge time.Duration
+	instances    []fleet.Instance
 	// eventTimeout is how long callers wait for an event.
 	eventTimeout time.Duration
 	mu           sync.Mutex
@@ -261,7 +263,8 @@
 	}))
 	s.relay = New(Options{
 		VM: "vm", Incarnation: 1, Zone: "a", Fleet: s.fleet, Endpoints: s.endpoints, Reserver: s.reserver,
-		Budget: &budget{left: 10}, Client: client, Origins: s.origins, Dialect: testDialect{}, Log: log,
+		EndpointsAge: func() time.Duration { return s.endpointsAge },
+		Budget:       &budget{left: 10}, Client: client, Origins: s.origins, Dialect: testDialect{}, Log: log,
 	})
 	return s
 }
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -137,6 +137,7 @@
 	started := time.Now()
 	demand, grant, err := r.reserveUnlessStopping(ctx, g)
 	if err != nil {
+		r.returnRetry(g.exchange)
 		return err
 	}
 	r.Queues.Observe(time.Since(started))
@@ -228,9 +229,11 @@
 	view := r.options.Fleet.View()
 	prefill, decode := view.Instance(grant.Prefill), view.Instance(grant.Decode)
 	if !available(prefill) || !available(decode) {
+		r.returnRetry(g.exchange)
 		return r.discardGrant(g, id, grant)
 	}
 	if !g.permits(decode.Build) {
+		r.returnRetry(g.exchange)
 		return r.discardWrongBuild(g, decode)
 	}
 	g.deliveredBefore = g.delivered
@@ -258,6 +261,11 @@
 		r.free(source)
 		return r.discardGrant(g, id, grant)
 	}
+	if !g.permits(decode.Build) {
+		r.Counters.PrefillsLost.Add(1)
+		r.free(source)
+		return r.discardWrongBuild(g, decode)
+	}
 	accepted, err := r.decode(ctx, g, id, &decode.Endpoint, source)
 	if accepted {
 		return err
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -14,7 +14,13 @@
 const (
 	// confirmTimeout limits the wait for the holders of a stream's record before its first
 	// event, if the build has changed since the record was first sent.
-	confirmTimeout = 100 * time.Millisecond
+	confirmTimeout = 300 * time.Millisecond
+	// findShare is the share of the time that callers wait for an event that a search for
+	// their stream's build may take. The rest is for the engine.
+	findShare = 0.5
+	// soleBuildMaxAge is the age of the registrations from which on they do not tell that a
+	// service has a single build.
+	soleBuildMaxAge = 3 * time.Second
 	// unansweredRetryAfter is the retry delay sent to a caller whose stream's build could not
 	// be found because VMs did not respond.
 	unansweredRetryAfter = time.Second
@@ -75,7 +81,7 @@
 	if resumes := g.request.Generation.Resumes; resumes != "" {
 		g.stream = resumes
 	}
-	found, err := r.options.Origins.Find(ctx, g.stream)
+	found, err := r.findOrigin(ctx, g)
 	fields := logrus.Fields{"stream": g.stream, "last_event": g.lastEventID}
 	if err == nil {
 		g.build, g.revision = found.Build, found.Revision
@@ -87,7 +93,7 @@
 		return true
 	}
 	fields["error"] = err.Error()
-	if sole, ok := r.options.Fleet.SoleBuild(g.service.Name, time.Now()); ok {
+	if sole, ok := r.soleBuild(g.service.Name); ok {
 		g.build = sole
 		fields["build"] = sole
 		r.decide(g.exchange, "stream taken up at the only build", fields)
@@ -103,6 +109,25 @@
 	return false
 }
 
+// findOrigin searches for the record of the stream that a caller takes up.
+func (r *Relay) findOrigin(ctx context.Context, g *generation) (origin.Origin, error) {
+	if wait := g.request.EventTimeout; wait > 0 {
+		limited, cancel := context.WithTimeout(ctx, time.Duration(findShare*float64(wait)))
+		defer cancel()
+		ctx = limited
+	}
+	return r.options.Origins.Find(ctx, g.stream)
+}
+
+// soleBuild returns the only build that may have begun a stream of a service, false if
+// there are several or the registrations are too old to tell.
+func (r *Relay) soleBuild(service string) (string, bool) {
+	if r.options.EndpointsAge() > soleBuildMaxAge {
+		return "", false
+	}
+	return r.options.Fleet.SoleBuild(service, time.Now())
+}
+
 // recordOrigin records the build of an engine before the request is sent to it.
 func (r *Relay) recordOrigin(g *generation, build string) {
 	if g.stream == "" {
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +17,8 @@
 // twoBuilds are the builds of the engines of fixture.engines.
 var twoBuilds = map[string]string{"p1": "v1", "p2": "v2", "e1": "v1", "e2": "v2"}
 
+var oneBuild = map[string]string{"p1": "v1", "p2": "v1", "e1": "v1", "e2": "v1"}
+
 // takenUp is a request of a caller that has two events of a stream.
 var takenUp = &Generation{PromptTokens: 100, MaxOutputTokens: 50, LastEventID: "2", Resumes: "r0"}
 
@@ -67,19 +71,22 @@
 	for _, c := range []struct {
 		name       string
 		builds     map[string]string
+		age        time.Duration
 		err        error
 		outcome    string
 		retryAfter time.Duration
 	}{
-		{"one build", map[string]string{"p1": "v1", "p2": "v1", "e1": "v1", "e2": "v1"}, origin.Unknown.New("none"), "stream", 0},
-		{"two builds", twoBuilds, origin.Unknown.New("none"), "refused: the build that began the stream is not known", 0},
-		{"two builds, VMs did not respond", twoBuilds, origin.Incomplete.New("late"), "refused: the build that began the stream is not known", unansweredRetryAfter},
+		{"one build", oneBuild, 0, origin.Unknown.New("none"), "stream", 0},
+		{"one build, outdated endpoints", oneBuild, soleBuildMaxAge + 1, origin.Unknown.New("none"), "refused: the build that began the stream is not known", 0},
+		{"two builds", twoBuilds, 0, origin.Unknown.New("none"), "refused: the build that began the stream is not known", 0},
+		{"two builds, VMs did not respond", twoBuilds, 0, origin.Incomplete.New("late"), "refused: the build that began the stream is not known", unansweredRetryAfter},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newFixture(t, grant("p1", "e1"))
 			s.engines(answers(http.StatusOK, "h1"), events(3))
 			s.setBuilds(c.builds)
 			s.origins.err = c.err
+			s.endpointsAge = c.age
 			caller := s.serve(check, takenUp)
 			assert.Equal(t, caller.outcome, c.outcome)
 			assert.Equal(t, caller.retryAfter, c.retryAfter)
@@ -140,3 +147,49 @@
 	s.serve(dossier, work)
 	assert.Equal(t, len(s.origins.recorded)+len(s.origins.ended), 0)
 }
+
+// Attempts for which no engine of the build is found would use up the retries of other
+// streams.
+func TestAttemptsThatSendNothingCostNoRetry(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"), grant("p2", "e2"), refuseNoEngine)
+	s.engines(answers(http.StatusOK, "h1"), cutAfter(2))
+	s.setBuilds(twoBuilds)
+	retries := &budget{left: 3}
+	s.relay.options.Budget = retries
+	s.serve(check, work)
+	assert.Equal(t, retries.left, 3)
+	assert.Equal(t, s.relay.Counters.Repeated.Load(), int64(0))
+}
+
+// A build that changes during the prefill must not reach the stream.
+func TestBuildIsCheckedAgainAfterThePrefill(t *testing.T) {
+	s := newFixture(t, grant("p2", "e2"))
+	s.endpoint("p2", "pool", configuration.RolePrefill, func(w http.ResponseWriter, r *http.Request) {
+		s.setBuilds(oneBuild)
+		answers(http.StatusOK, "h2")(w, r)
+	})
+	s.endpoint("e2", "pool", configuration.RoleDecode, events(3))
+	s.setBuilds(twoBuilds)
+	s.origins.found, s.origins.err = origin.Origin{Stream: "r0", Build: "v2", Revision: 1}, nil
+	short := check
+	short.Timeout = 100 * time.Millisecond
+	s.serve(short, takenUp)
+	assert.Assert(t, !strings.Contains(s.callLog(), "e2:"), s.callLog())
+}
+
+// A search must leave time for the engine before the caller gives up.
+func TestSearchEndsBeforeTheCallerGivesUp(t *testing.T) {
+	s := newImpatientFixture(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), events(3))
+	s.setBuilds(oneBuild)
+	s.relay.options.Origins = silentOrigins{s.origins}
+	assert.Equal(t, s.serve(check, takenUp).outcome, "stream")
+}
+
+// silentOrigins finds nothing until the search is ended.
+type silentOrigins struct{ *fakeOrigins }
+
+func (silentOrigins) Find(ctx context.Context, _ string) (origin.Origin, error) {
+	<-ctx.Done()
+	return origin.Origin{}, origin.Incomplete.New("no response")
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,13 +63,16 @@
 	Incarnation uint64
 	Zone        string
 	Fleet       *fleet.Store
-	Endpoints   Endpoints
-	Reserver    Reserver
-	Budget      Budget
-	Client      *upstream.Client
-	Origins     Origins
-	Dialect     Dialect
-	Log         *decisionlog.Log
+	// EndpointsAge returns the time since the fleet's endpoints are known to have been
+	// complete.
+	EndpointsAge func() time.Duration
+	Endpoints    Endpoints
+	Reserver     Reserver
+	Budget       Budget
+	Client       *upstream.Client
+	Origins      Origins
+	Dialect      Dialect
+	Log          *decisionlog.Log
 }
 
 // Counters count requests and attempts. The zero value is ready to use.
@@ -239,6 +242,14 @@
 	return x.sends == 0 || r.spendRetry(x)
 }
 
+// returnRetry returns the retry that mayAttempt took for an attempt in which nothing was
+// sent.
+func (r *Relay) returnRetry(x *exchange) {
+	if x.sends > 0 {
+		r.refundRetry(x.service.Name)
+	}
+}
+
 // spendRetry takes one retry from the budget and reports whether it is allowed.
 func (r *Relay) spendRetry(x *exchange) bool {
 	if !r.options.Budget.Spend(x.service.Name) {
