Cut off no request that arrives as a stop closes idle connections

Callers lost requests that reached a VM 2.5 s after its SIGTERM. The request was passed on to an endpoint and cut off 1 ms later ("attempt failed" with use of closed network connection, then "caller gone").

Cause: closing idle connections races with the server's reads.

Change: connections of callers are tracked below the server. Either a read returns the bytes of a request, and the connection stays open until the answer, or the connection is closed and no byte is returned.

The check for pending bytes is shared with upstream.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -53,7 +53,7 @@
 		OnStart: func(ctx context.Context) error {
 			// A failure of the metrics listener must not keep the node from serving
 			// callers.
-			if _, err := listen(ctx, options, "metrics", options.MetricsAddress, server); err != nil {
+			if err := listen(ctx, options, "metrics", options.MetricsAddress, server); err != nil {
 				options.Log.Change("metrics are not served", logrus.Fields{"error": err.Error()})
 			}
 			return nil
@@ -69,27 +69,36 @@
 // serve runs a server from the start of the process to its stop.
 func serve(lifecycle fx.Lifecycle, options *Options, name, address string, server *http.Server) {
 	lifecycle.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error {
-			_, err := listen(ctx, options, name, address, server)
-			return err
-		},
-		OnStop: func(context.Context) error { return server.Close() },
+		OnStart: func(ctx context.Context) error { return listen(ctx, options, name, address, server) },
+		OnStop:  func(context.Context) error { return server.Close() },
 	})
 }
 
 // listen opens a listener and serves it in the background.
-func listen(ctx context.Context, options *Options, name, address string, server *http.Server) (net.Listener, error) {
+func listen(ctx context.Context, options *Options, name, address string, server *http.Server) error {
+	listener, err := open(ctx, name, address)
+	if err == nil {
+		serveListener(options, name, listener, server)
+	}
+	return err
+}
+
+func open(ctx context.Context, name, address string) (net.Listener, error) {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listener for %s: %w", name, err)
 	}
+	return listener, nil
+}
+
+// serveListener serves a listener in the background until it or the server is closed.
+func serveListener(options *Options, name string, listener net.Listener, server *http.Server) {
 	go func() {
 		err := server.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			options.Log.Change("listener failed", logrus.Fields{"listener": name, "error": err.Error()})
 		}
 	}()
-	return listener, nil
 }
 
 // callerServer is the HTTP server for callers.
@@ -112,7 +121,10 @@
 	s.server.ConnState = s.connections.observe
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) (err error) {
-			s.listener, err = listen(ctx, options, "callers", options.CallerAddress, s.server)
+			s.listener, err = open(ctx, "callers", options.CallerAddress)
+			if err == nil {
+				serveListener(options, "callers", s.connections.listener(s.listener), s.server)
+			}
 			return err
 		},
 		OnStop: s.stop,
@@ -153,12 +165,12 @@
 }
 
 // drain closes the listener and waits for requests in flight; those that are left when ctx
-// ends are cut off. It does not use Server.Shutdown, which closes connections without an
-// answer to the request that was just read from them.
+// ends are cut off. It does not use the server's own shutdown, which closes connections
+// although a request was just read from them.
 func (s *callerServer) drain(ctx context.Context) error {
 	s.relay.RefuseNew()
 	closed := s.listener.Close()
-	s.server.SetKeepAlivesEnabled(false)
+	s.connections.closeIdle()
 	if err := s.connections.await(ctx); err != nil {
 		s.logCutOff(err)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -60,15 +59,7 @@
 
 // usable reports whether the connection is open and holds no unsolicited bytes.
 func (k *conn) usable() bool {
-	if k.reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := k.socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	return err == nil && !readable(control)
+	return k.reader.Buffered() == 0 && !Readable(k.socket)
 }
 
 // exchange sends the request and reads the response's header.
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -20,15 +22,23 @@
 	return failed
 }
 
-// readable reports whether a read would return at once, with bytes or because the
-// connection has ended.
-func readable(raw syscall.RawConn) bool {
+// Readable reports whether a read from a connection would return at once, with bytes or
+// because the connection has ended. It is true for a connection that cannot be asked. A
+// read that is in progress is not disturbed.
+func Readable(connection net.Conn) bool {
+	socket, ok := connection.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
 	var peeked [1]byte
 	pending := true
-	err := raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		_, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		pending = err != unix.EAGAIN
-		return true
+		pending = !errors.Is(err, unix.EAGAIN)
 	})
 	return err != nil || pending
 }
