Let a restarted owner refuse nothing before it knows the engines

Cause: a VM that is killed and started again owns its models at once by rendezvous, before it has read anything. A peer takes a refusal as final. Change: reservation.Fleet has Known. A VM that does not know its fleet answers as one that does not own the model, which peers of all releases follow already: they ask again every 25 ms and serve from the static share after 600 ms. fleet.Store knows its fleet once a configuration is in force and the instances have been set; package feed calls a topic's receiver once even if the topic is empty, so that "none are registered" differs from "not read yet". A model that a VM with a known fleet lacks is refused at once, as before. Weighed: answering "unavailable", so that peers use their share after 25 ms instead of 600 ms. Chosen: the owner, whose ledger is exact; the share of a VM in a large zone may hold no slot, and then refuses. An owner of an older release still refuses until it is replaced. Result: TestRestartedOwnerRefusesNothingBeforeItKnowsTheEngines and TestStaticShareReplacesAnOwnerThatNeverKnowsTheEngines failed before ("refused: no-engine, retry after 0s" without a configuration, "1.615888318s" without engines), and TestReceiversLearnOnceThatATopicIsEmpty without the change of package feed.

--- a/internal/configuration/lookup.go
+++ b/internal/configuration/lookup.go
@@ -24,6 +24,9 @@
 	return names
 }
 
+// Known reports that all models and engines are known: a configuration names them.
+func (*Snapshot) Known() bool { return true }
+
 // Models returns the names of all models.
 func (s *Snapshot) Models() []string {
 	models := s.Fleet().Models
--- a/internal/daemon/path.go
+++ b/internal/daemon/path.go
@@ -98,6 +98,7 @@
 // emptyFleet is the fleet of a VM without a configuration.
 type emptyFleet struct{}
 
+func (emptyFleet) Known() bool                                                          { return false }
 func (emptyFleet) Engines(string, configuration.Role, string) []*configuration.Endpoint { return nil }
 func (emptyFleet) Model(string) (*configuration.Model, bool)                            { return nil, false }
 func (emptyFleet) Models() []string                                                     { return nil }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -95,6 +95,25 @@
 	}
 }
 
+// A receiver that is not called for an empty topic takes it for one that was not read yet.
+func TestReceiversLearnOnceThatATopicIsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(t, 1, 2)
+		s.store.setTrouble(func(string) simTrouble { return simTrouble{refuse: true} })
+		s.startAll()
+		defer s.stop()
+		for calls := range 2 {
+			time.Sleep(3 * simMaxAge)
+			s.mu.Lock()
+			for _, vm := range s.vms {
+				assert.Equal(t, vm.applied[endpointTopic], calls, "%s", vm.member.VM)
+			}
+			s.mu.Unlock()
+			s.store.setTrouble(nil)
+		}
+	})
+}
+
 // All VMs of a zone lose their reader at the same time. Calls to the store that came
 // all at once would exceed its rate.
 func TestReadsAreSpreadWhenTheReadersFail(t *testing.T) {
--- a/internal/feed/service.go
+++ b/internal/feed/service.go
@@ -58,6 +58,8 @@
 type topicState struct {
 	Topic
 	replica *replica
+	// applied is set once the receiver has been called.
+	applied bool
 	// confirmed is the latest time at which the store is known to have had nothing
 	// beyond the replica's state; zero if unknown.
 	confirmed time.Time
@@ -205,9 +207,11 @@
 	}
 }
 
-// apply passes changes to the topic's receiver. The lock must be held.
+// apply passes changes to the topic's receiver, and calls it once even if the topic is
+// empty. The lock must be held.
 func (s *Service) apply(t *topicState, changes []Record) {
-	if len(changes) > 0 {
+	if len(changes) > 0 || t.replica.listed && !t.applied {
+		t.applied = true
 		t.Apply(changes)
 	}
 }
--- a/internal/feed/sim_test.go
+++ b/internal/feed/sim_test.go
@@ -272,6 +272,8 @@
 	cancel  context.CancelFunc
 	// known are the values of each topic as applied, at the time of their application.
 	known map[string]map[string]simValue
+	// applied is the number of calls of each topic's receiver.
+	applied map[string]int
 	// went is set if a configuration older than a known one was applied.
 	wentBack bool
 }
@@ -335,6 +337,7 @@
 	s.mu.Lock()
 	vm.service, vm.cancel = service, cancel
 	vm.known = map[string]map[string]simValue{configTopic: {}, endpointTopic: {}, vmTopic: {}}
+	vm.applied = make(map[string]int)
 	s.mu.Unlock()
 	s.running.Go(func() {
 		service.Run(ctx)
@@ -409,6 +412,7 @@
 	return func(changes []Record) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		vm.applied[topic]++
 		for _, rec := range changes {
 			before := vm.known[topic][rec.Key].value
 			if topic == configTopic && len(rec.Value) > 0 && string(rec.Value) < before {
--- a/internal/feed/topic.go
+++ b/internal/feed/topic.go
@@ -72,6 +72,7 @@
 	LapseGrace time.Duration
 	// Meaning returns what is compared of a value.
 	Meaning func(key string, value []byte) Meaning
-	// Apply receives the records whose meaning has changed. It must not block.
+	// Apply receives the records whose meaning has changed. It is first called once the
+	// topic is known, with no records if it is empty. It must not block.
 	Apply func([]Record)
 }
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -17,7 +17,9 @@
 
 	mu        sync.Mutex
 	instances []Instance
-	entryVMs  []EntryVM
+	// instancesKnown is set once the instances have been set.
+	instancesKnown bool
+	entryVMs       []EntryVM
 	// departed are the names of instances that are no longer registered, oldest
 	// first.
 	departed []string
@@ -55,7 +57,7 @@
 	return true
 }
 
-// SetInstances replaces the instances.
+// SetInstances replaces the instances. From then on they are known, even if there are none.
 func (s *Store) SetInstances(instances []Instance) { s.setInstancesAt(instances, time.Now()) }
 
 func (s *Store) setInstancesAt(instances []Instance, now time.Time) {
@@ -63,7 +65,7 @@
 	defer s.mu.Unlock()
 	s.recordDepartures(instances)
 	s.recordBuilds(instances, now)
-	s.instances = instances
+	s.instances, s.instancesKnown = instances, true
 	s.publish()
 }
 
@@ -96,6 +98,7 @@
 // publish builds and publishes a new view. The lock must be held.
 func (s *Store) publish() {
 	view := NewView(s.table.Load(), s.instances, s.entryVMs)
+	view.known = s.table.Load() != nil && s.instancesKnown
 	for _, name := range s.departed {
 		view.departed[name] = true
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -60,6 +60,7 @@
 	models    map[string]*configuration.Model
 	entryVMs  map[string][]string
 	link      configuration.Link
+	known     bool
 }
 
 // NewView builds a view. The table may be nil while no configuration is known.
@@ -169,6 +170,10 @@
 	return model, ok
 }
 
+// Known implements reservation.Fleet. It reports whether a configuration is in force and
+// the registrations have been read, even if there were none.
+func (v *View) Known() bool { return v.known }
+
 // Models implements reservation.Fleet.
 func (v *View) Models() []string {
 	names := make([]string, 0, len(v.models))
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -55,6 +56,21 @@
 	assert.Assert(t, !store.View().Departed("d1"), "it is back")
 }
 
+func TestFleetIsKnownOnceConfigurationAndRegistrationsAreRead(t *testing.T) {
+	for _, registrationsFirst := range []bool{false, true} {
+		store := NewStore()
+		steps := []func(){func() { store.SetTable(table(1)) }, func() { store.SetInstances(nil) }}
+		if registrationsFirst {
+			slices.Reverse(steps)
+		}
+		store.SetEntryVMs([]EntryVM{{Name: "vm1", Zone: "a"}})
+		steps[0]()
+		assert.Assert(t, !store.View().Known())
+		steps[1]()
+		assert.Assert(t, store.View().Known(), "none are registered")
+	}
+}
+
 func TestConfigurationNeverReverts(t *testing.T) {
 	store := NewStore()
 	assert.Assert(t, store.SetTable(table(5)))
--- a/internal/reservation/fleet_test.go
+++ b/internal/reservation/fleet_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -122,6 +124,18 @@
 	return n
 }
 
+// restart replaces a VM's service by a new one that knows a fleet of its own.
+func (n *network) restart(ctx context.Context, vm string, fleet func() Fleet) *Service {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := slices.IndexFunc(n.members, func(m membership.Member) bool { return m.VM == vm })
+	n.members[i].Incarnation++
+	self := node{n, n.members[i]}
+	n.services[vm] = New(Params{View: self, Dialer: self, Fleet: fleet})
+	go n.services[vm].Run(ctx)
+	return n.services[vm]
+}
+
 // owner returns the VM that owns the model in zone a, and one that does not.
 func (n *network) owner() (owner, other string) {
 	for _, vm := range []string{"a-1", "a-2", "a-3"} {
@@ -323,6 +337,97 @@
 	})
 }
 
+// startingFleet is what a VM knows that has just started.
+type startingFleet struct {
+	smallFleet
+	// modelKnown and known report whether the configuration has been read, and
+	// whether the registrations of engines have been read as well.
+	modelKnown, known bool
+}
+
+func (f startingFleet) Known() bool { return f.known }
+
+func (f startingFleet) Model(name string) (*configuration.Model, bool) {
+	model, _ := f.smallFleet.Model(name)
+	return model, f.modelKnown
+}
+
+func (f startingFleet) Models() []string {
+	if !f.modelKnown {
+		return nil
+	}
+	return f.smallFleet.Models()
+}
+
+func (f startingFleet) Engines(model string, role configuration.Role, zone string) []*configuration.Endpoint {
+	if !f.known {
+		return nil
+	}
+	return f.smallFleet.Engines(model, role, zone)
+}
+
+// runRestartedOwner runs a test with an owner that started again and does not know
+// all of its fleet until learn is called.
+func runRestartedOwner(t *testing.T, test func(t *testing.T, owner, other *Service, learn func(Fleet))) {
+	for _, modelKnown := range []bool{false, true} {
+		t.Run(fmt.Sprintf("model known=%t", modelKnown), func(t *testing.T) {
+			runFleet(t, 5, map[string]int{"a": 2}, func(t *testing.T, n *network) {
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				var fleet atomic.Pointer[Fleet]
+				learn := func(f Fleet) { fleet.Store(&f) }
+				learn(startingFleet{smallFleet: smallFleet{5}, modelKnown: modelKnown})
+				vm, other := n.owner()
+				owner := n.restart(ctx, vm, func() Fleet { return *fleet.Load() })
+				test(t, owner, n.services[other], learn)
+			})
+		})
+	}
+}
+
+// The owner's answer is final for its peers, and it lacks engines that it has not read yet.
+func TestRestartedOwnerRefusesNothingBeforeItKnowsTheEngines(t *testing.T) {
+	runRestartedOwner(t, func(t *testing.T, owner, other *Service, learn func(Fleet)) {
+		outcomes := make(chan error, 2)
+		for i, s := range []*Service{owner, other} {
+			go func() {
+				_, err := s.Reserve(t.Context(), demand(s.self().VM, uint64(i)))
+				outcomes <- err
+			}()
+		}
+		time.Sleep(ownerSearchTimeout / 2)
+		learn(smallFleet{5})
+		for range cap(outcomes) {
+			assert.NilError(t, <-outcomes)
+		}
+		assert.Equal(t, owner.counters.Fallbacks.Load()+other.counters.Fallbacks.Load(), uint64(0))
+	})
+}
+
+// Nothing else ends the search of peers for an owner that stays without engines.
+func TestStaticShareReplacesAnOwnerThatNeverKnowsTheEngines(t *testing.T) {
+	runRestartedOwner(t, func(t *testing.T, owner, other *Service, _ func(Fleet)) {
+		_, err := other.Reserve(t.Context(), demand(other.self().VM, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, other.counters.Fallbacks.Load(), uint64(1))
+		_, err = owner.Reserve(t.Context(), demand(owner.self().VM, 2))
+		assert.Equal(t, asRefusal(err).Reason, scheduling.RefusedNoEngine)
+	})
+}
+
+// A model that does not exist must not be searched for.
+func TestOwnerThatKnowsTheFleetRefusesUnknownModelsAtOnce(t *testing.T) {
+	runRestartedOwner(t, func(t *testing.T, owner, other *Service, learn func(Fleet)) {
+		learn(startingFleet{smallFleet: smallFleet{5}, known: true})
+		for _, s := range []*Service{owner, other} {
+			started := time.Now()
+			_, err := s.Reserve(t.Context(), demand(s.self().VM, 1))
+			assert.Equal(t, asRefusal(err).Reason, scheduling.RefusedNoEngine)
+			assert.Equal(t, time.Since(started), time.Duration(0))
+		}
+	})
+}
+
 // spillFleet has engines in zone b only.
 type spillFleet struct{ smallFleet }
 
--- a/internal/reservation/inputs.go
+++ b/internal/reservation/inputs.go
@@ -9,6 +9,9 @@
 
 // Fleet is the part of the configuration in force that the service uses.
 type Fleet interface {
+	// Known reports whether the models and their engines are known. It stays true once it
+	// is. Before that, the other methods may lack models and engines that exist.
+	Known() bool
 	// Engines returns the engines of a model and role in a zone.
 	Engines(model string, role configuration.Role, zone string) []*configuration.Endpoint
 	// Model returns the configuration of a model.
--- a/internal/reservation/ownership.go
+++ b/internal/reservation/ownership.go
@@ -7,9 +7,15 @@
 )
 
 // ownedScheduler returns this VM's scheduler of a model that it owns. If there
-// is none, it creates one whose ledger has to be rebuilt first.
+// is none, it creates one whose ledger has to be rebuilt first. A VM that does
+// not know the fleet yet counts as no owner: it would refuse demands for lack of
+// engines that exist.
 func (s *Service) ownedScheduler(model string) (*modelScheduler, error) {
-	modelConfig, known := s.params.Fleet().Model(model)
+	fleet := s.params.Fleet()
+	if !fleet.Known() {
+		return nil, NotOwner.New("%s does not know the engines of %s yet", s.self().VM, model)
+	}
+	modelConfig, known := fleet.Model(model)
 	if !known {
 		return nil, &scheduling.Refusal{Reason: scheduling.RefusedNoEngine}
 	}
--- a/internal/reservation/service_test.go
+++ b/internal/reservation/service_test.go
@@ -32,6 +32,8 @@
 	}, true
 }
 
+func (f smallFleet) Known() bool { return true }
+
 func (f smallFleet) Models() []string { return []string{"m"} }
 
 func (f smallFleet) EntryVMs(zone string) []string { return []string{zone + "-1", zone + "-2"} }
