Return a retry only if no engine got a call

A stream that is prepared to leave a silent engine takes a retry and may have its prompt processed elsewhere. If the engine then went on, or the prefill failed, the retry was returned although an engine had got a call, so that many pauses of engines could add more calls than the budget allows.

The retry is returned only if nothing was sent.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -25,7 +25,9 @@
 	grant  scheduling.Grant
 	// source is nil if the decode engine processes the prompt itself.
 	source *Source
-	err    error
+	// sent is set if an engine got a call, which costs a retry whatever follows.
+	sent bool
+	err  error
 }
 
 // continuation prepares other engines for a stream whose engine is silent, while the
@@ -38,8 +40,8 @@
 }
 
 // seekContinuation begins to prepare other engines than the silent one. It takes a retry
-// from the budget, which withdraw returns. It returns nil if no further attempt may follow;
-// the obstacle is then recorded.
+// from the budget, which is returned if no engine gets a call. It returns nil if no further
+// attempt may follow; the obstacle is then recorded.
 func (r *Relay) seekContinuation(ctx context.Context, g *generation, silent string) *continuation {
 	if g.route.RunsOnce() {
 		g.obstacle = obstacleSingleRun
@@ -77,6 +79,7 @@
 		p.err = errGrantOutdated
 	} else if p.grant.Prefill != p.grant.Decode {
 		prefill := r.options.Fleet.View().Instance(p.grant.Prefill)
+		p.sent = true
 		p.source, p.err = r.prefill(ctx, g, demand.ID, &prefill.Endpoint)
 	}
 	if p.err != nil {
@@ -85,8 +88,12 @@
 	return p
 }
 
-// discard releases what was prepared for an attempt that does not follow.
-func (r *Relay) discard(p prepared) {
+// discard releases what was prepared for an attempt that does not follow, and returns its
+// retry if no engine got a call.
+func (r *Relay) discard(service string, p prepared) {
+	if !p.sent {
+		r.refundRetry(service)
+	}
 	if p.err != nil {
 		return
 	}
@@ -105,15 +112,14 @@
 	return c.outcome
 }
 
-// withdraw gives up the preparation and its retry because the silent engine goes on or
-// the stream has ended. It does nothing if c is nil.
+// withdraw gives up the preparation because the silent engine goes on or the stream has
+// ended. It does nothing if c is nil.
 func (c *continuation) withdraw() {
 	if c == nil {
 		return
 	}
 	c.cancel()
-	c.relay.refundRetry(c.service)
-	go func() { c.relay.discard(<-c.outcome) }()
+	go func() { c.relay.discard(c.service, <-c.outcome) }()
 }
 
 // release reports that an attempt no longer holds its engines.
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -190,6 +190,19 @@
 	return true
 }
 
+// await waits until a number of retries is left.
+func (b *budget) await(left int) {
+	for {
+		b.mu.Lock()
+		reached := b.left == left
+		b.mu.Unlock()
+		if reached {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (b *budget) Refund(string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -174,12 +174,10 @@
 	return demand, grant, err
 }
 
-// discardUnused gives up what was prepared for an attempt that does not follow, and
-// returns the retry that was taken for it.
+// discardUnused gives up what was prepared for an attempt that does not follow.
 func (r *Relay) discardUnused(g *generation) {
 	if g.next != nil {
-		r.refundRetry(g.service.Name)
-		r.discard(*g.next)
+		r.discard(g.service.Name, *g.next)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -263,6 +263,6 @@
 
 // refundRetry returns a retry that was not used.
 func (r *Relay) refundRetry(service string) {
-	r.options.Budget.Refund(service)
 	r.Counters.Repeated.Add(-1)
+	r.options.Budget.Refund(service)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -183,13 +183,13 @@
 func (s *stream) takeOver(ctx context.Context, found prepared) bool {
 	r, g := s.relay, s.generation
 	s.sought = nil
-	if found.err == nil && (ctx.Err() != nil || !r.usable(g, found.grant)) {
-		r.discard(found)
-		found.err = errGrantOutdated
+	obstacle := found.err
+	if obstacle == nil && (ctx.Err() != nil || !r.usable(g, found.grant)) {
+		obstacle = errGrantOutdated
 	}
-	if found.err != nil {
-		g.obstacle = found.err.Error()
-		r.refundRetry(g.service.Name)
+	if obstacle != nil {
+		r.discard(g.service.Name, found)
+		g.obstacle = obstacle.Error()
 		r.decide(g.exchange, "silent engine not replaced", logrus.Fields{"endpoint": s.endpoint.Name, "obstacle": g.obstacle})
 		return false
 	}
