--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -23,6 +23,8 @@
 	// stoppingRetryAfter is the retry delay sent to callers of a VM that stops. Another VM
 	// can serve them at once.
 	stoppingRetryAfter = 50 * time.Millisecond
+	// maxLoggedParts limits the parts of a prompt in a log line.
+	maxLoggedParts = 16
 )
 
 // stoppingRefusal is the refusal of a VM that stops.
@@ -154,10 +156,17 @@
 		"last_event": g.lastEventID, "resumes": g.request.Generation.Resumes,
 		"queued_ms": time.Since(started).Milliseconds(), "predicted_first_ms": grant.FirstToken.Milliseconds(),
 		"prompt_tokens": demand.PromptTokens, "output_tokens": demand.OutputTokens, "expected_tokens": g.request.Generation.ExpectedOutputTokens,
+		"parts": g.loggedParts(),
 	})
 	return run()
 }
 
+// loggedParts returns the parts of the prompt that are logged.
+func (g *generation) loggedParts() []string {
+	parts := g.request.Generation.SharedParts
+	return parts[:min(len(parts), maxLoggedParts)]
+}
+
 // reserveUnlessStopping reserves engines for a stream. It refuses one that has not begun
 // if this VM is stopping.
 func (r *Relay) reserveUnlessStopping(ctx context.Context, g *generation) (scheduling.Demand, scheduling.Grant, error) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -38,6 +38,9 @@
 // Generation describes the work of a request that is served by a model.
 type Generation struct {
 	PromptTokens int
+	// SharedParts are the IDs of the parts of the prompt, in order, that other prompts may
+	// have as well.
+	SharedParts []string
 	// MaxOutputTokens limits the length of the answer.
 	MaxOutputTokens int
 	// ExpectedOutputTokens is the caller's estimate; 0 if there is none.
