Look up the engines of a prepared attempt once

A silent stream's next attempt is prepared on engines of a grant. prepare checked them in one view of the fleet and took the prefill engine from the next: an engine, or its whole service, that left between the two looks made the second one nil, and the panic of that goroutine ended the process with all its requests. Both looks use one view now.

TestEngineThatLeavesWhileAnAttemptIsPreparedEndsNothing changes the fleet beside the preparation; before the change it failed with the nil dereference in prepare on its first run.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -75,10 +75,12 @@
 	if p.grant, p.err = r.options.Reserver.Reserve(ctx, demand); p.err != nil {
 		return p
 	}
-	if !r.usable(g, p.grant) {
+	// The engines may leave at any time; one view is used for both looks.
+	view := r.options.Fleet.View()
+	if !usable(view, g, p.grant) {
 		p.err = errGrantOutdated
 	} else if p.grant.Prefill != p.grant.Decode {
-		prefill := r.options.Fleet.View().Instance(p.grant.Prefill)
+		prefill := view.Instance(p.grant.Prefill)
 		p.sent = true
 		p.source, p.err = r.prefill(ctx, g, demand.ID, &prefill.Endpoint)
 	}
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -300,10 +300,9 @@
 	return err
 }
 
-// usable reports whether this process knows the engines of a grant, none is draining and
-// the decode engine may continue the stream.
-func (r *Relay) usable(g *generation, grant scheduling.Grant) bool {
-	view := r.options.Fleet.View()
+// usable reports whether a view holds the engines of a grant, none is draining and the
+// decode engine may continue the stream.
+func usable(view *fleet.View, g *generation, grant scheduling.Grant) bool {
 	decode := view.Instance(grant.Decode)
 	return available(view.Instance(grant.Prefill)) && available(decode) && g.permits(decode.Build)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -184,7 +184,7 @@
 	r, g := s.relay, s.generation
 	s.sought = nil
 	obstacle := found.err
-	if obstacle == nil && (ctx.Err() != nil || !r.usable(g, found.grant)) {
+	if obstacle == nil && (ctx.Err() != nil || !usable(r.options.Fleet.View(), g, found.grant)) {
 		obstacle = errGrantOutdated
 	}
 	if obstacle != nil {
