Wait until the server accepts no more before a drain goes on

A stop that found nothing to wait for closed the server before its accept loop had noticed that the listener was closed; the server closed the listener again and the stop ended with "use of closed network connection". A connection accepted in that moment could also miss the look for idle ones. drain now waits for the end of the accept loop.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -91,14 +91,18 @@
 	return listener, nil
 }
 
-// serveListener serves a listener in the background until it or the server is closed.
-func serveListener(options *Options, name string, listener net.Listener, server *http.Server) {
+// serveListener serves a listener in the background until it or the server is closed. The
+// returned channel is closed when the server accepts no more connections.
+func serveListener(options *Options, name string, listener net.Listener, server *http.Server) <-chan struct{} {
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		err := server.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			options.Log.Change("listener failed", logrus.Fields{"listener": name, "error": err.Error()})
 		}
 	}()
+	return ended
 }
 
 // callerServer is the HTTP server for callers.
@@ -109,8 +113,10 @@
 	relay   *relay.Relay
 	origins *origin.Service
 	server  *http.Server
-	// listener is set once the server runs.
+	// listener and accepting are set once the server runs; accepting is closed when the
+	// server accepts no more connections.
 	listener    net.Listener
+	accepting   <-chan struct{}
 	connections *connections
 }
 
@@ -120,17 +126,20 @@
 	s := &callerServer{options: options, ingress: ingress, members: members, relay: r, origins: origins, server: newServer(ingress), connections: newConnections()}
 	s.server.ConnState = s.connections.observe
 	lifecycle.Append(fx.Hook{
-		OnStart: func(ctx context.Context) (err error) {
-			s.listener, err = open(ctx, "callers", options.CallerAddress)
-			if err == nil {
-				serveListener(options, "callers", s.connections.listener(s.listener), s.server)
-			}
-			return err
-		},
-		OnStop: s.stop,
+		OnStart: s.open,
+		OnStop:  s.stop,
 	})
 }
 
+// open opens the listener and serves it.
+func (s *callerServer) open(ctx context.Context) (err error) {
+	s.listener, err = open(ctx, "callers", s.options.CallerAddress)
+	if err == nil {
+		s.accepting = serveListener(s.options, "callers", s.connections.listener(s.listener), s.server)
+	}
+	return err
+}
+
 // stop drains the server: requests in flight finish before the process ends.
 func (s *callerServer) stop(ctx context.Context) error {
 	started := time.Now()
@@ -170,6 +179,7 @@
 func (s *callerServer) drain(ctx context.Context) error {
 	s.relay.RefuseNew()
 	closed := s.listener.Close()
+	<-s.accepting
 	s.connections.closeIdle()
 	if err := s.connections.await(ctx); err != nil {
 		s.logCutOff(err)
