Move the tracked connections of callers into a package

internal/node closes callers' connections on a stop without dropping a request that was just read; the product's own listener needs the same. No change in behaviour; the tests move along.

--- /dev/null
+++ b/internal/callerconn/tracker.go
@@ -0,0 +1,115 @@
+// Package callerconn tracks the connections of an HTTP server below it, so that a stop
+// closes none from which a request has been read.
+//
+// The standard library's shutdown drops requests that it has just read.
+package callerconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// newConnectionTimeout is how long a new connection may take to bring its first
+	// request during a stop. Callers give up on a connection after a second.
+	newConnectionTimeout = time.Second
+	// drainPollInterval is the time between two checks for connections in use.
+	drainPollInterval = 10 * time.Millisecond
+)
+
+// Tracker tracks the connections of one server. It can close them without cutting off a
+// request: the server either reads none from a connection or answers it.
+type Tracker struct {
+	mu   sync.Mutex
+	open map[*conn]bool
+	// closing is set when idle connections are to be closed.
+	closing bool
+}
+
+// New returns a tracker without connections.
+func New() *Tracker { return &Tracker{open: make(map[*conn]bool)} }
+
+// Listener returns a listener whose connections are tracked.
+func (t *Tracker) Listener(l net.Listener) net.Listener { return trackingListener{l, t} }
+
+// trackingListener tracks the connections that it accepts.
+type trackingListener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept implements net.Listener.
+func (l trackingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &conn{Conn: accepted, since: time.Now()}
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	l.tracker.open[tracked] = true
+	return tracked, nil
+}
+
+// Observe records a change of a connection's state. It is meant for http.Server.ConnState.
+func (t *Tracker) Observe(changed net.Conn, state http.ConnState) {
+	tracked, ok := changed.(*conn)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	closing := t.closing
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(t.open, tracked)
+	}
+	t.mu.Unlock()
+	if state != http.StateIdle {
+		return
+	}
+	tracked.setIdle()
+	if closing {
+		tracked.closeIfIdle()
+	}
+}
+
+// CloseIdle closes the connections that carry no request, and all others once they do
+// not.
+func (t *Tracker) CloseIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closing = true
+	for conn := range t.open {
+		conn.closeIfIdle()
+	}
+}
+
+// inUse returns the number of connections that carry a request or may bring their first
+// one.
+func (t *Tracker) inUse(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for conn := range t.open {
+		if conn.inUse(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Await waits until no connection is in use. The error is that of ctx.
+func (t *Tracker) Await(ctx context.Context) error {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for t.inUse(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
--- a/internal/node/connections_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -1,4 +1,4 @@
-package node
+package callerconn
 
 import (
 	"bufio"
@@ -9,17 +9,20 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // A request that arrived as a stop closed idle connections was passed on to an endpoint
 // and then cut off.
 func TestRequestThatArrivesAsIdleConnectionsCloseIsAnsweredOrNotRead(t *testing.T) {
 	var served atomic.Int64
-	tracked := newConnections()
-	server := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	tracked := New()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		served.Add(1)
 		select {
 		case <-r.Context().Done():
@@ -27,11 +30,11 @@
 		case <-time.After(time.Millisecond):
 		}
 		w.WriteHeader(http.StatusNoContent)
-	}))
-	server.ConnState = tracked.observe
+	})}
+	server.ConnState = tracked.Observe
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	go func() { _ = server.Serve(tracked.listener(listener)) }()
+	go func() { _ = server.Serve(tracked.Listener(listener)) }()
 	defer func() { assert.NilError(t, server.Close()) }()
 	answered := int64(0)
 	for i := range 300 {
@@ -44,7 +47,7 @@
 		go func() {
 			defer close(closed)
 			time.Sleep(time.Duration(i%60) * time.Microsecond)
-			tracked.closeIdle()
+			tracked.CloseIdle()
 		}()
 		got := exchange(conn, reader)
 		<-closed
@@ -81,17 +84,17 @@
 	caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, caller.Close()) }()
-	tracked := newConnections()
-	accepted, err := tracked.listener(listener).Accept()
+	tracked := New()
+	accepted, err := tracked.Listener(listener).Accept()
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, accepted.Close()) }()
-	tracked.observe(accepted, http.StateIdle)
+	tracked.Observe(accepted, http.StateIdle)
 	_, err = io.WriteString(caller, "GET")
 	assert.NilError(t, err)
-	for !upstream.Readable(accepted.(*callerConn).Conn) {
+	for !upstream.Readable(accepted.(*conn).Conn) {
 		time.Sleep(time.Millisecond)
 	}
-	tracked.closeIdle()
+	tracked.CloseIdle()
 	assert.Equal(t, tracked.inUse(time.Now()), 1)
 	read := make([]byte, 8)
 	n, err := accepted.Read(read)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"github.com/ospreyshed/ospreyshed/internal/background"
+	"github.com/ospreyshed/ospreyshed/internal/callerconn"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
@@ -117,14 +118,14 @@
 	// server accepts no more connections.
 	listener    net.Listener
 	accepting   <-chan struct{}
-	connections *connections
+	connections *callerconn.Tracker
 }
 
 func runCallerServer(lifecycle fx.Lifecycle, options *Options, ingress Ingress, members *swim.Service, r *relay.Relay, origins *origin.Service) {
 	readiness := newServer(http.HandlerFunc(ingress.ServeReadiness))
 	serve(lifecycle, options, "readiness", options.ReadinessAddress, readiness)
-	s := &callerServer{options: options, ingress: ingress, members: members, relay: r, origins: origins, server: newServer(ingress), connections: newConnections()}
-	s.server.ConnState = s.connections.observe
+	s := &callerServer{options: options, ingress: ingress, members: members, relay: r, origins: origins, server: newServer(ingress), connections: callerconn.New()}
+	s.server.ConnState = s.connections.Observe
 	lifecycle.Append(fx.Hook{
 		OnStart: s.open,
 		OnStop:  s.stop,
@@ -135,7 +136,7 @@
 func (s *callerServer) open(ctx context.Context) (err error) {
 	s.listener, err = open(ctx, "callers", s.options.CallerAddress)
 	if err == nil {
-		s.accepting = serveListener(s.options, "callers", s.connections.listener(s.listener), s.server)
+		s.accepting = serveListener(s.options, "callers", s.connections.Listener(s.listener), s.server)
 	}
 	return err
 }
@@ -180,8 +181,8 @@
 	s.relay.RefuseNew()
 	closed := s.listener.Close()
 	<-s.accepting
-	s.connections.closeIdle()
-	if err := s.connections.await(ctx); err != nil {
+	s.connections.CloseIdle()
+	if err := s.connections.Await(ctx); err != nil {
 		s.logCutOff(err)
 	}
 	return errors.Join(closed, s.server.Close())
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ospreyshed/ospreyshed/internal/callerconn"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 )
 
@@ -16,7 +17,7 @@
 	for range 300 {
 		options := testOptions(t)
 		s := &callerServer{
-			options: &options, relay: relay.New(relay.Options{}), connections: newConnections(),
+			options: &options, relay: relay.New(relay.Options{}), connections: callerconn.New(),
 			server: newServer(http.NotFoundHandler()),
 		}
 		assert.NilError(t, s.open(t.Context()))
