Count a request that was read with the one before

A server may read a second request together with the first. After the first answer its connection has nothing unread and counted as idle, also while the second was served: a stop closed it. A connection is idle only once the server waits for bytes that have not arrived, and the server's report that it serves a request counts too.

TestRequestThatWasReadWithAnotherIsAnsweredAsIdleConnectionsClose; the same play on the code before ended with an unexpected EOF. TestIdleConnectionWithAnUnreadRequestIsNotClosed sets the idle phase itself, since the server's report alone no longer does; without the look for unread bytes it fails as before.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -22,6 +22,10 @@
 	phaseNew phase = iota
 	// phaseRequest is the time from the first byte of a request to its answer.
 	phaseRequest
+	// phaseAnswered is the time from an answer until the server needs more bytes. It may
+	// have read the next request with the last one.
+	phaseAnswered
+	// phaseIdle is the time in which the server waits for the next request.
 	phaseIdle
 	phaseClosed
 )
@@ -29,15 +33,16 @@
 // conn is a connection of a caller.
 type conn struct {
 	net.Conn
-	socket syscall.RawConn
-	since  time.Time
+	tracker *Tracker
+	socket  syscall.RawConn
+	since   time.Time
 
 	mu    sync.Mutex
 	phase phase
 }
 
 // newConn returns a tracked connection. The error is of type NoSocket.
-func newConn(accepted net.Conn, now time.Time) (*conn, error) {
+func newConn(t *Tracker, accepted net.Conn, now time.Time) (*conn, error) {
 	socket, ok := accepted.(syscall.Conn)
 	if !ok {
 		return nil, NoSocket.New("connection of type %T", accepted)
@@ -46,11 +51,11 @@
 	if err != nil {
 		return nil, NoSocket.Wrap(err, "connection from %s", accepted.RemoteAddr())
 	}
-	return &conn{Conn: accepted, socket: raw, since: now}, nil
+	return &conn{Conn: accepted, tracker: t, socket: raw, since: now}, nil
 }
 
-// Read implements net.Conn. It returns no byte of a request after closeIfIdle has closed
-// the connection.
+// Read implements net.Conn. It returns no byte of a request once the connection was found
+// idle during a stop; the server closes it then.
 func (c *conn) Read(b []byte) (n int, err error) {
 	waited := c.socket.Read(func(fd uintptr) (done bool) {
 		n, err = c.receive(int(fd), b)
@@ -83,7 +88,7 @@
 	}
 	switch {
 	case errors.Is(err, unix.EAGAIN):
-		return 0, err
+		return 0, c.awaitRequest()
 	case err != nil:
 		return 0, &net.OpError{
 			Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err),
@@ -97,6 +102,20 @@
 	return n, nil
 }
 
+// awaitRequest records that the server needs bytes that have not arrived. It returns
+// unix.EAGAIN, or net.ErrClosed if idle connections are to be closed. The lock must be
+// held.
+func (c *conn) awaitRequest() error {
+	if c.phase == phaseAnswered {
+		c.phase = phaseIdle
+	}
+	if c.phase == phaseIdle && c.tracker.closing.Load() {
+		c.phase = phaseClosed
+		return net.ErrClosed
+	}
+	return unix.EAGAIN
+}
+
 // CloseWrite lets the server close a connection without a reset that would overtake its
 // last answer.
 func (c *conn) CloseWrite() error {
@@ -106,10 +125,13 @@
 	return nil
 }
 
-func (c *conn) setIdle() {
+// setPhase records that a request was read or answered.
+func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = phaseIdle
+	if c.phase != phaseClosed {
+		c.phase = p
+	}
 }
 
 // closeIfIdle closes the connection if no request has begun to arrive.
@@ -141,5 +163,5 @@
 func (c *conn) inUse(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == phaseRequest || c.phase == phaseNew && now.Sub(c.since) < newConnectionTimeout
+	return c.phase == phaseRequest || c.phase == phaseAnswered || c.phase == phaseNew && now.Sub(c.since) < newConnectionTimeout
 }
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,7 +28,7 @@
 	mu   sync.Mutex
 	open map[*conn]bool
 	// closing is set when idle connections are to be closed.
-	closing bool
+	closing atomic.Bool
 }
 
 // New returns a tracker without connections.
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked, err := newConn(accepted, time.Now())
+	tracked, err := newConn(l.tracker, accepted, time.Now())
 	if err != nil {
 		return nil, errors.Join(err, accepted.Close())
 	}
@@ -65,19 +66,16 @@
 	if !ok {
 		return
 	}
-	t.mu.Lock()
-	closing := t.closing
-	if state == http.StateClosed || state == http.StateHijacked {
+	switch state {
+	case http.StateActive:
+		tracked.setPhase(phaseRequest)
+	case http.StateIdle:
+		tracked.setPhase(phaseAnswered)
+	case http.StateClosed, http.StateHijacked:
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		delete(t.open, tracked)
 	}
-	t.mu.Unlock()
-	if state != http.StateIdle {
-		return
-	}
-	tracked.setIdle()
-	if closing {
-		tracked.closeIfIdle()
-	}
 }
 
 // CloseIdle closes the connections that carry no request, and all others once they do
@@ -85,7 +83,7 @@
 func (t *Tracker) CloseIdle() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.closing = true
+	t.closing.Store(true)
 	for conn := range t.open {
 		conn.closeIfIdle()
 	}
--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -61,9 +61,7 @@
 			answered++
 		}
 		assert.NilError(t, conn.Close())
-		tracked.mu.Lock()
-		tracked.closing = false
-		tracked.mu.Unlock()
+		tracked.closing.Store(false)
 	}
 	t.Logf("%d of 300 requests were answered", answered)
 }
@@ -93,7 +91,7 @@
 	accepted, err := tracked.Listener(listener).Accept()
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, accepted.Close()) }()
-	tracked.Observe(accepted, http.StateIdle)
+	accepted.(*conn).setPhase(phaseIdle)
 	_, err = io.WriteString(caller, "GET")
 	assert.NilError(t, err)
 	for !upstream.Readable(accepted.(*conn).Conn) {
@@ -215,7 +213,38 @@
 // A connection that cannot be asked for unread bytes would be closed with a request on it.
 func TestConnectionWithoutASocketIsNotAccepted(t *testing.T) {
 	ours, theirs := net.Pipe()
-	_, err := newConn(ours, time.Now())
+	_, err := newConn(New(), ours, time.Now())
 	assert.Assert(t, errorx.IsOfType(err, NoSocket), "%v", err)
 	assert.NilError(t, errors.Join(ours.Close(), theirs.Close()))
 }
+
+// A request that was read together with the one before was cut off: its connection had no
+// unread bytes after the first answer, and counted as idle.
+func TestRequestThatWasReadWithAnotherIsAnsweredAsIdleConnectionsClose(t *testing.T) {
+	const requests = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+	tracked := New()
+	server := &http.Server{ReadHeaderTimeout: time.Minute, ConnState: tracked.Observe}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/2" {
+			tracked.CloseIdle()
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(tracked.Listener(listener)) }()
+	defer func() { assert.NilError(t, server.Close()) }()
+	caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(caller, requests)
+	assert.NilError(t, err)
+	reader := bufio.NewReader(caller)
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+	}
+	_, err = reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.NilError(t, caller.Close())
+}
