Close new connections in a drain only if they brought no request

A drain counted a new connection as unused after a second. One that had brought a request which this VM had not read yet, because it was held up for that long, was cut off. Others stayed open until the server was closed, and a request that came before that was read and cut off. Both are looked at like idle connections now: one with unread bytes is in use, any other is closed so that nothing more is read from it. The server does not answer the read that ends then.

TestNewConnectionWithAnUnreadRequestIsInUse and TestNewConnectionWithoutARequestIsClosedBeforeADrainEnds; the same plays on the code before counted 0 connections in use, and read the request after the drain.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -30,6 +30,9 @@
 	phaseClosed
 )
 
+// readOperation is the operation in the errors of a read.
+const readOperation = "read"
+
 // conn is a connection of a caller.
 type conn struct {
 	net.Conn
@@ -66,8 +69,7 @@
 	}
 	var failure *net.OpError
 	if errors.As(err, &failure) {
-		// The server distinguishes failed reads by this name.
-		failure.Op = "read"
+		failure.Op = readOperation
 	}
 	return n, err
 }
@@ -80,7 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseClosed {
-		return 0, net.ErrClosed
+		return 0, c.readError(net.ErrClosed)
 	}
 	n, err := unix.Read(fd, b)
 	for errors.Is(err, unix.EINTR) {
@@ -90,9 +92,7 @@
 	case errors.Is(err, unix.EAGAIN):
 		return 0, c.awaitRequest()
 	case err != nil:
-		return 0, &net.OpError{
-			Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err),
-		}
+		return 0, c.readError(os.NewSyscallError("read", err))
 	case n == 0 && len(b) > 0:
 		return 0, io.EOF
 	}
@@ -111,11 +111,17 @@
 	}
 	if c.phase == phaseIdle && c.tracker.closing.Load() {
 		c.phase = phaseClosed
-		return net.ErrClosed
+		return c.readError(net.ErrClosed)
 	}
 	return unix.EAGAIN
 }
 
+// readError returns the error of a failed read. The server answers errors that it does not
+// recognize by the name of the operation.
+func (c *conn) readError(cause error) error {
+	return &net.OpError{Op: readOperation, Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: cause}
+}
+
 // CloseWrite lets the server close a connection without a reset that would overtake its
 // last answer.
 func (c *conn) CloseWrite() error {
@@ -134,34 +140,35 @@
 	}
 }
 
-// closeIfIdle closes the connection if no request has begun to arrive.
-func (c *conn) closeIfIdle() {
-	if c.endIfIdle() {
+// closeIfUnused closes the connection if it carries no request: it is idle, or new and
+// brought none in time. It reports whether the connection is still in use.
+func (c *conn) closeIfUnused(now time.Time) (inUse bool) {
+	inUse, ended := c.endIfUnused(now)
+	if ended {
 		// A failure means that the caller has closed the connection. The lock is not held:
 		// Close waits for a read that is in progress.
 		_ = c.Close()
 	}
+	return inUse
 }
 
-// endIfIdle reports whether the connection is to be closed because no request has begun
-// to arrive; none is read any more then. Bytes that this process has not read yet count as
-// a request.
-func (c *conn) endIfIdle() bool {
+// endIfUnused reports whether the connection is in use and whether it is to be closed; no
+// request is read any more then. Bytes that this process has not read yet count as a
+// request.
+func (c *conn) endIfUnused(now time.Time) (inUse, ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseIdle {
-		return false
-	}
-	if upstream.Readable(c.Conn) {
+	switch {
+	case c.phase == phaseClosed:
+		return false, false
+	case c.phase == phaseNew && now.Sub(c.since) < newConnectionTimeout:
+		return true, false
+	case c.phase != phaseIdle && c.phase != phaseNew:
+		return true, false
+	case upstream.Readable(c.Conn):
 		c.phase = phaseRequest
-		return false
+		return true, false
 	}
 	c.phase = phaseClosed
-	return true
-}
-
-func (c *conn) inUse(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase == phaseRequest || c.phase == phaseAnswered || c.phase == phaseNew && now.Sub(c.since) < newConnectionTimeout
+	return false, true
 }
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -78,41 +78,33 @@
 	}
 }
 
-// CloseIdle closes the connections that carry no request, and all others once they do
-// not.
-func (t *Tracker) CloseIdle() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// Drain closes the connections that carry no request, and all others once they do not. It
+// waits until none is left; the error is that of ctx if it ends before. The listener must
+// be closed and its accept loop must have ended.
+func (t *Tracker) Drain(ctx context.Context) error {
 	t.closing.Store(true)
-	for conn := range t.open {
-		conn.closeIfIdle()
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for t.closeUnused(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
 	}
+	return nil
 }
 
-// inUse returns the number of connections that carry a request or may bring their first
-// one.
-func (t *Tracker) inUse(now time.Time) int {
+// closeUnused closes the connections that carry no request and returns the number of
+// those that do or may bring their first one.
+func (t *Tracker) closeUnused(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	count := 0
 	for conn := range t.open {
-		if conn.inUse(now) {
+		if conn.closeIfUnused(now) {
 			count++
 		}
 	}
 	return count
 }
-
-// Await waits until no connection is in use. The error is that of ctx.
-func (t *Tracker) Await(ctx context.Context) error {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for t.inUse(time.Now()) > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -52,7 +52,7 @@
 		go func() {
 			defer close(closed)
 			time.Sleep(time.Duration(i%60) * time.Microsecond)
-			tracked.CloseIdle()
+			tracked.closeIdle()
 		}()
 		got := exchange(conn, reader)
 		<-closed
@@ -66,6 +66,12 @@
 	t.Logf("%d of 300 requests were answered", answered)
 }
 
+// closeIdle begins a drain.
+func (t *Tracker) closeIdle() {
+	t.closing.Store(true)
+	t.closeUnused(time.Now())
+}
+
 // exchange sends a request and reports whether it was answered.
 func exchange(conn net.Conn, reader *bufio.Reader) bool {
 	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
@@ -97,8 +103,8 @@
 	for !upstream.Readable(accepted.(*conn).Conn) {
 		time.Sleep(time.Millisecond)
 	}
-	tracked.CloseIdle()
-	assert.Equal(t, tracked.inUse(time.Now()), 1)
+	tracked.closeIdle()
+	assert.Equal(t, tracked.closeUnused(time.Now()), 1)
 	read := make([]byte, 8)
 	n, err := accepted.Read(read)
 	assert.NilError(t, err)
@@ -166,10 +172,10 @@
 	_, err = io.WriteString(caller, "GET")
 	assert.NilError(t, err)
 	<-held.read
-	tracked.CloseIdle()
+	tracked.closeIdle()
 	close(held.release)
 	assert.Equal(t, <-got, "GET<nil>")
-	assert.Equal(t, tracked.inUse(time.Now()), 1)
+	assert.Equal(t, tracked.closeUnused(time.Now()), 1)
 }
 
 // A server that does not recognize the errors of a read would answer them.
@@ -226,7 +232,7 @@
 	server := &http.Server{ReadHeaderTimeout: time.Minute, ConnState: tracked.Observe}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/2" {
-			tracked.CloseIdle()
+			tracked.closeIdle()
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
@@ -248,3 +254,49 @@
 	assert.ErrorIs(t, err, io.EOF)
 	assert.NilError(t, caller.Close())
 }
+
+// acceptOne returns both ends of a tracked connection.
+func acceptOne(t *testing.T, tracked *Tracker) (caller, accepted net.Conn) {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, listener.Close()) }()
+	caller, err = new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	accepted, err = tracked.Listener(listener).Accept()
+	assert.NilError(t, err)
+	return caller, accepted
+}
+
+// A VM that was held up for longer than new connections have for their first request cut
+// off those that had brought one meanwhile.
+func TestNewConnectionWithAnUnreadRequestIsInUse(t *testing.T) {
+	tracked := New()
+	caller, accepted := acceptOne(t, tracked)
+	_, err := io.WriteString(caller, "GET")
+	assert.NilError(t, err)
+	for !upstream.Readable(accepted.(*conn).Conn) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, tracked.closeUnused(time.Now().Add(2*newConnectionTimeout)), 1)
+	read := make([]byte, 8)
+	n, err := accepted.Read(read)
+	assert.NilError(t, err)
+	assert.Equal(t, string(read[:n]), "GET")
+	assert.NilError(t, errors.Join(caller.Close(), accepted.Close()))
+}
+
+// A new connection without a request stayed open at the end of a drain, and a request that
+// came before the server was closed was read and cut off.
+func TestNewConnectionWithoutARequestIsClosedBeforeADrainEnds(t *testing.T) {
+	tracked := New()
+	caller, accepted := acceptOne(t, tracked)
+	assert.Equal(t, tracked.closeUnused(time.Now()), 1, "it may still bring a request")
+	assert.Equal(t, tracked.closeUnused(time.Now().Add(newConnectionTimeout)), 0)
+	_, _ = io.WriteString(caller, "GET")
+	_, err := accepted.Read(make([]byte, 8))
+	assert.ErrorIs(t, err, net.ErrClosed)
+	var failure *net.OpError
+	assert.Assert(t, errors.As(err, &failure) && failure.Op == "read", "a server would answer %v", err)
+	assert.NilError(t, caller.Close())
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -181,8 +181,7 @@
 	s.relay.RefuseNew()
 	closed := s.listener.Close()
 	<-s.accepting
-	s.connections.CloseIdle()
-	if err := s.connections.Await(ctx); err != nil {
+	if err := s.connections.Drain(ctx); err != nil {
 		s.logCutOff(err)
 	}
 	return errors.Join(closed, s.server.Close())
