Hold back requests with a part of their prompts on which engines crash

Callers saw: sound streams at the engines broke off (up to eight at each crash), and the engines that were left could not serve all. Cause: a part of a prompt crashes each engine that begins an answer on it, and no VM compared crashes, so that each request with that part was taken for a sound one and sent on to another engine; the class of fault is work that is repeated although it destroys what runs it.

Change: package quarantine records the crashes of engines with the parts of the requests that they had just begun to answer, shares them among all VMs and quarantines a part that three crashes have in common and no sound answer clears; the relay refuses requests with it before each call. A trial after a minute ends a wrong quarantine. Why this works: bystanders' parts are cleared by sound answers or explained by the part with more crashes; every VM knows a crash within milliseconds.

--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -19,6 +19,8 @@
 	storeAnswersGroup,
 	feedGroup,
 	originGroup,
+	quarantineGroup,
+	quarantineShareGroup,
 	rolesGroup,
 	logGroup,
 }
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -38,6 +38,8 @@
 		{"resumed", Counter, Requests, "Streams that were resumed on another engine.", "A rise: engines interrupt streams; log lines `stream cut` name them."},
 		{"untraced", Counter, Requests, "Streams that callers took up and whose build is not known.",
 			"A rise without many VMs lost at once: see the `origin` counters; log lines `stream not traced` name the streams."},
+		{"held_back", Counter, Requests, "Requests that were not sent because engines crash on a part of their prompts.",
+			"A rise: see the `quarantine` counters; log lines `request held back` name the parts."},
 		{"broken", Counter, Requests, "Streams that ended before they were complete.", "A rise: as for `resumed`, but on routes on which streams cannot be resumed."},
 	},
 }
@@ -141,3 +143,36 @@
 		{"records", Gauge, Records, "Records in memory.", "Compare with `dropped`."},
 	},
 }
+
+var quarantineGroup = Group{
+	Name: "quarantine",
+	Help: "Parts of prompts on which engines crash.",
+	Values: []Definition{
+		{"crashes", Counter, Incidents, "Engines whose processes ended when they began to answer requests of this VM.",
+			"A rise: engines crash; log lines `engine crashed under requests` name them and the parts of the prompts."},
+		{"quarantined", Counter, Incidents, "Times that parts were put in quarantine.",
+			"Any rise: log lines `parts of prompts quarantined` name the parts; report them to the team that sends them and to the makers of the engines."},
+		{"cleared", Counter, Incidents, "Parts that were cleared of a crash because this VM got a sound answer to a prompt with them.", noAction},
+		{"trials", Counter, Requests, "Requests with quarantined parts that were sent to find out whether engines still crash.", noAction},
+		{"in_force", Gauge, Incidents, "Quarantines in force.", "Above 0: requests with these parts are refused, see `relay.held_back`."},
+	},
+}
+
+var quarantineShareGroup = Group{
+	Name: "quarantine_share",
+	Help: "Exchange of observations on crashes between VMs.",
+	Values: []Definition{
+		{"published", Counter, Records, "Facts observed here and queued for other VMs.", noAction},
+		{"forwarded", Counter, Records, "Facts of other zones that were queued for the own zone.", noAction},
+		{"received", Counter, Records, "Facts of other VMs that were new here.", noAction},
+		{"rejected", Counter, Records, "Facts outside of the bounds.", "Any rise: VMs run versions that do not fit, or names are longer than 64 bytes."},
+		{"deliveries", Counter, Calls, "Calls that brought facts to other VMs.", noAction},
+		{"deliveries_failed", Counter, Calls, "Such calls that failed.", "A steady rise: VMs do not reach each other; compare with the group `membership`."},
+		{"given_up", Counter, Calls, "Deliveries given up after too many failures; the periodic exchange makes up for them.", noAction},
+		{"dropped", Counter, Records, "Facts that were not queued because too many were.", "Any rise: report it with the log."},
+		{"exchanges", Counter, Calls, "Periodic exchanges with other VMs.", noAction},
+		{"exchanges_failed", Counter, Calls, "Such exchanges without a response.", "See `deliveries_failed`."},
+		{"differing", Counter, Calls, "Exchanges that found other facts at the called VM.", "A steady rise: facts do not reach all VMs."},
+		{"unserved", Counter, Calls, "Calls to VMs of an earlier version.", "Expected during an upgrade."},
+	},
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -20,11 +20,13 @@
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
+	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/reservation"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 	"github.com/ospreyshed/ospreyshed/internal/timeline/timelinerpc"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
 // timelineEvents is the number of events kept in the timeline. At about 150 bytes
@@ -42,6 +44,7 @@
 		newReservation,
 		newFeed,
 		newOrigins,
+		newQuarantine,
 		newPeerServer,
 	),
 	fx.Invoke(func(*peer.Server) {}),
@@ -145,6 +148,22 @@
 	return service
 }
 
+// newQuarantine returns the service that finds parts of prompts on which engines crash.
+func newQuarantine(lifecycle fx.Lifecycle, options *Options, members *swim.Service, dialer *peer.HTTPDialer, client *upstream.Client, registry *metrics.Registry) *quarantine.Service {
+	service := quarantine.New(quarantine.Params{
+		View:    members,
+		Peers:   quarantine.NewPeers(dialer),
+		Engines: client,
+		Log:     options.Log,
+		Clock:   options.Clock,
+		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	registry.Mount("quarantine", service.Vars())
+	registry.Mount("quarantine_share", service.ShareVars())
+	background.Run(lifecycle, service.Run)
+	return service
+}
+
 // condition returns whether an engine is leaving or ejected.
 func condition(view *fleet.View, endpoints *endpoint.Registry, name string) reservation.Condition {
 	instance := view.Instance(name)
@@ -152,10 +171,10 @@
 	return reservation.Condition{Leaving: leaving, Ejected: !leaving && !endpoints.Usable(name)}
 }
 
-func newPeerServer(lifecycle fx.Lifecycle, options *Options, members *swim.Service, reservations *reservation.Service, shared *feed.Service, origins *origin.Service, ring *timeline.Ring, registry *metrics.Registry) (*peer.Server, error) {
+func newPeerServer(lifecycle fx.Lifecycle, options *Options, members *swim.Service, reservations *reservation.Service, shared *feed.Service, origins *origin.Service, quarantines *quarantine.Service, ring *timeline.Ring, registry *metrics.Registry) (*peer.Server, error) {
 	server, err := peer.NewServer(
 		peer.Options{Listen: options.PeerAddress, Insecure: true},
-		members.Peer(), reservations.Handler(), shared.Handler(), origins.Handler(), timelinerpc.NewHandler(ring),
+		members.Peer(), reservations.Handler(), shared.Handler(), origins.Handler(), quarantines.Handler(), timelinerpc.NewHandler(ring),
 	)
 	if err != nil {
 		return nil, err
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -14,6 +14,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
+	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 	"github.com/ospreyshed/ospreyshed/internal/reservation"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
@@ -85,6 +86,7 @@
 	Client       *upstream.Client
 	Registry     *metrics.Registry
 	Origins      *origin.Service
+	Quarantine   *quarantine.Service
 	Feed         *feed.Service
 }
 
@@ -100,6 +102,7 @@
 		Budget:       p.Budgets,
 		Client:       p.Client,
 		Origins:      p.Origins,
+		Quarantine:   p.Quarantine,
 		Dialect:      p.Options.Dialect,
 		Log:          p.Options.Log,
 	})
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -21,6 +21,7 @@
 	defer r.options.Endpoints.Begin(to.Name)()
 	r.recordOrigin(g, to.Build)
 	started := time.Now()
+	attempt := g.suspect.Begin(to.Name, to.Address)
 	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID})
 	if ctx.Err() != nil {
 		closeResponse(response)
@@ -28,6 +29,9 @@
 		return true, ctx.Err()
 	}
 	if err != nil {
+		if errorx.IsOfType(err, upstream.InDoubt) {
+			attempt.Broken()
+		}
 		return r.handleDecodeError(g, id, to, err)
 	}
 	defer response.Close()
@@ -46,7 +50,7 @@
 	if response.Status != http.StatusOK {
 		return true, r.handleErrorStatus(g, to, response)
 	}
-	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started}
+	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started, attempt: attempt}
 	return true, stream.forward(ctx, response)
 }
 
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -278,6 +278,7 @@
 		VM: "vm", Incarnation: 1, Zone: "a", Fleet: s.fleet, Endpoints: s.endpoints, Reserver: s.reserver,
 		EndpointsAge: func() time.Duration { return s.endpointsAge },
 		Budget:       &budget{left: 10}, Client: client, Origins: s.origins, Dialect: testDialect{}, Log: log,
+		Quarantine: startQuarantine(t, client, log),
 	})
 	return s
 }
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -10,6 +10,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
 
@@ -67,6 +68,8 @@
 	relaxed bool
 	// late is set if the objective can no longer be met.
 	late bool
+	// suspect tells whether engines crash on a part of the prompt.
+	suspect *quarantine.Request
 	// next holds the engines that were prepared for the next attempt during the current
 	// one, nil if there are none.
 	next *prepared
@@ -78,6 +81,7 @@
 		exchange:    x,
 		lastEventID: x.request.Generation.LastEventID,
 		priorWait:   r.waits.priorWait(x.route.Name, x.request.Timeout),
+		suspect:     r.options.Quarantine.Request(x.service.Name, x.request.Generation.SharedParts),
 	}
 	g.late = g.priorWait >= x.route.Objective-deliveryMargin
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
@@ -88,7 +92,7 @@
 	complete := false
 	defer func() { r.endStream(g, complete) }()
 	defer r.discardUnused(g)
-	for g.next != nil || r.mayAttempt(x) {
+	for !r.heldBack(g) && (g.next != nil || r.mayAttempt(x)) {
 		err := r.attempt(ctx, g)
 		if err == nil {
 			complete = true
@@ -243,6 +247,10 @@
 		r.returnRetry(g.exchange)
 		return r.discardWrongBuild(g, decode)
 	}
+	if r.heldBack(g) {
+		r.returnRetry(g.exchange)
+		return errGiveUp
+	}
 	g.deliveredBefore = g.delivered
 	if prefill == decode {
 		return r.decodeWhole(ctx, g, id, &decode.Endpoint)
@@ -273,6 +281,11 @@
 		r.free(source)
 		return r.discardWrongBuild(g, decode)
 	}
+	if r.heldBack(g) {
+		r.Counters.PrefillsLost.Add(1)
+		r.free(source)
+		return errGiveUp
+	}
 	accepted, err := r.decode(ctx, g, id, &decode.Endpoint, source)
 	if accepted {
 		return err
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
 const (
@@ -30,6 +32,7 @@
 func (r *Relay) prefill(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint) (*Source, error) {
 	defer r.options.Endpoints.Begin(to.Name)()
 	started := time.Now()
+	attempt := g.suspect.BeginPrompt(to.Name, to.Address)
 	answer, verdict, err := r.call(ctx, g.exchange, to, &Call{Stage: Prefill, LastEventID: g.lastEventID}, min(prefillTimeout, g.timeLeft()))
 	if verdict.OtherInstance {
 		r.handleReplacedEngine(g, id, to)
@@ -41,6 +44,9 @@
 	}
 	r.observe(g, to, err == nil)
 	if err != nil {
+		if errorx.IsOfType(err, upstream.InDoubt) {
+			attempt.Broken()
+		}
 		g.exclude = append(g.exclude, to.Name)
 		g.refusal = "the prompt could not be read"
 		r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: failureKind(err, scheduling.PrefillFailed, scheduling.PrefillLost), Prefill: to.Name})
--- a/internal/relay/prepare_test.go
+++ b/internal/relay/prepare_test.go
@@ -34,7 +34,7 @@
 		}
 	}()
 	for range 3000 {
-		g := &generation{exchange: x}
+		g := &generation{exchange: x, suspect: s.relay.options.Quarantine.Request("pool", nil)}
 		p := s.relay.prepare(t.Context(), g.detached(), s.relay.demand(g))
 		assert.Assert(t, p.err != nil || p.source != nil)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -71,6 +71,7 @@
 	Budget       Budget
 	Client       *upstream.Client
 	Origins      Origins
+	Quarantine   Quarantine
 	Dialect      Dialect
 	Log          *decisionlog.Log
 }
@@ -102,6 +103,9 @@
 	Resumed, Broken atomic.Int64
 	// Untraced counts streams that callers took up and whose build is not known.
 	Untraced atomic.Int64
+	// HeldBack counts requests that were not sent because engines crash on a part of their
+	// prompts.
+	HeldBack atomic.Int64
 }
 
 // Relay serves requests. It is safe for concurrent use.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
@@ -35,6 +36,7 @@
 	generation *generation
 	id         engine.AttemptID
 	endpoint   *configuration.Endpoint
+	attempt    *quarantine.Attempt
 	started    time.Time
 	// batches counts the batches that were forwarded.
 	batches int
@@ -141,6 +143,7 @@
 	g := s.generation
 	first := s.batches == 0
 	s.batches++
+	s.attempt.Event()
 	g.lastEventID = b.lastID
 	g.recordEventTime(time.Now())
 	if first && g.deliveredBefore == 0 {
@@ -229,11 +232,13 @@
 	r, g := s.relay, s.generation
 	if errors.Is(err, io.EOF) && g.headerSent {
 		r.observe(g, s.endpoint, true)
+		s.attempt.Complete()
 		return nil
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	s.attempt.Broken()
 	s.recordCut(err)
 	if g.route.RunsOnce() {
 		g.obstacle = obstacleSingleRun
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -99,6 +100,16 @@
 	return c.dial(ctx, address)
 }
 
+// Refuses reports whether nothing listens at an address. A connection that is opened to
+// find out is pooled.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	opened, err := c.dial(ctx, address)
+	if err == nil {
+		c.putIdle(opened, c.options.IdleTimeout)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{
 		Timeout:         c.options.DialTimeout,
