Stop the product's own listener without dropping requests

The listener of internal/daemon stopped by the standard library's shutdown, which drops HTTP/1 requests that it reads after it has begun: on connections opened just before, and on idle ones. It uses the tracked connections of internal/callerconn now. These also leave TLS handshakes and HTTP/2 alone: a handshake is no request, and the server ends HTTP/2 connections itself, so its own shutdown comes last.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -28,8 +28,15 @@
 	// phaseIdle is the time in which the server waits for the next request.
 	phaseIdle
 	phaseClosed
+	// phaseMultiplexed is that of an HTTP/2 connection. The server ends it by itself once
+	// its requests are answered.
+	phaseMultiplexed
 )
 
+// http2Preface begins an HTTP/2 connection without TLS. The server reads just these bytes
+// first.
+const http2Preface = "PRI * HTTP/2.0"
+
 // readOperation is the operation in the errors of a read.
 const readOperation = "read"
 
@@ -38,10 +45,13 @@
 	net.Conn
 	tracker *Tracker
 	socket  syscall.RawConn
-	since   time.Time
 
 	mu    sync.Mutex
 	phase phase
+	// encrypted is set if the bytes are those of TLS, whose handshake is no request.
+	encrypted bool
+	// since is the time of the accept, or of the latest byte of the handshake.
+	since time.Time
 }
 
 // newConn returns a tracked connection. The error is of type NoSocket.
@@ -97,11 +107,24 @@
 		return 0, io.EOF
 	}
 	if n > 0 {
-		c.phase = phaseRequest
+		c.record(b[:n])
 	}
 	return n, nil
 }
 
+// record records that bytes were read. The lock must be held.
+func (c *conn) record(read []byte) {
+	switch {
+	case c.phase == phaseMultiplexed:
+	case c.phase == phaseNew && c.encrypted:
+		c.since = time.Now()
+	case c.phase == phaseNew && string(read) == http2Preface:
+		c.phase = phaseMultiplexed
+	default:
+		c.phase = phaseRequest
+	}
+}
+
 // awaitRequest records that the server needs bytes that have not arrived. It returns
 // unix.EAGAIN, or net.ErrClosed if idle connections are to be closed. The lock must be
 // held.
@@ -135,11 +158,18 @@
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseClosed {
+	if c.phase != phaseClosed && c.phase != phaseMultiplexed {
 		c.phase = p
 	}
 }
 
+// setEncrypted records that the connection carries TLS.
+func (c *conn) setEncrypted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.encrypted = true
+}
+
 // closeIfUnused closes the connection if it carries no request: it is idle, or new and
 // brought none in time. It reports whether the connection is still in use.
 func (c *conn) closeIfUnused(now time.Time) (inUse bool) {
@@ -159,14 +189,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.phase == phaseClosed:
+	case c.phase == phaseClosed || c.phase == phaseMultiplexed:
 		return false, false
 	case c.phase == phaseNew && now.Sub(c.since) < newConnectionTimeout:
 		return true, false
 	case c.phase != phaseIdle && c.phase != phaseNew:
 		return true, false
 	case upstream.Readable(c.Conn):
-		c.phase = phaseRequest
+		if c.phase == phaseIdle || !c.encrypted {
+			c.phase = phaseRequest
+		}
 		return true, false
 	}
 	c.phase = phaseClosed
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -1,11 +1,12 @@
 // Package callerconn tracks the connections of an HTTP server below it, so that a stop
 // closes none from which a request has been read.
 //
-// The standard library's shutdown drops requests that it has just read.
+// The standard library's shutdown drops HTTP/1 requests that it has just read.
 package callerconn
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -62,15 +63,23 @@
 
 // Observe records a change of a connection's state. It is meant for http.Server.ConnState.
 func (t *Tracker) Observe(changed net.Conn, state http.ConnState) {
+	encrypted, ok := changed.(*tls.Conn)
+	if ok {
+		changed = encrypted.NetConn()
+	}
 	tracked, ok := changed.(*conn)
 	if !ok {
 		return
 	}
 	switch state {
+	case http.StateNew:
+		if encrypted != nil {
+			tracked.setEncrypted()
+		}
 	case http.StateActive:
-		tracked.setPhase(phaseRequest)
+		tracked.setPhase(phaseOr(phaseRequest, encrypted))
 	case http.StateIdle:
-		tracked.setPhase(phaseAnswered)
+		tracked.setPhase(phaseOr(phaseAnswered, encrypted))
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -78,9 +87,22 @@
 	}
 }
 
+// http2Protocol is the name by which TLS negotiates HTTP/2.
+const http2Protocol = "h2"
+
+// phaseOr returns a phase of a connection of HTTP/1, or phaseMultiplexed if TLS has
+// negotiated HTTP/2. The TLS connection may be nil.
+func phaseOr(p phase, encrypted *tls.Conn) phase {
+	if encrypted != nil && encrypted.ConnectionState().NegotiatedProtocol == http2Protocol {
+		return phaseMultiplexed
+	}
+	return p
+}
+
 // Drain closes the connections that carry no request, and all others once they do not. It
 // waits until none is left; the error is that of ctx if it ends before. The listener must
-// be closed and its accept loop must have ended.
+// be closed and its accept loop must have ended. HTTP/2 connections are left to the server:
+// its own shutdown answers what it has read from them.
 func (t *Tracker) Drain(ctx context.Context) error {
 	t.closing.Store(true)
 	ticker := time.NewTicker(drainPollInterval)
--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -300,3 +303,135 @@
 	assert.Assert(t, errors.As(err, &failure) && failure.Op == "read", "a server would answer %v", err)
 	assert.NilError(t, caller.Close())
 }
+
+// protocolServer serves over a tracked listener and returns its URL.
+func protocolServer(t *testing.T, tracked *Tracker, encrypted bool, handler http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	server.Listener = tracked.Listener(server.Listener)
+	server.Config.ConnState = tracked.Observe
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetHTTP1(true)
+	server.Config.Protocols.SetHTTP2(true)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.EnableHTTP2 = true
+	if encrypted {
+		server.StartTLS()
+	} else {
+		server.Start()
+	}
+	t.Cleanup(server.Close)
+	return server
+}
+
+// protocolTransport returns a transport for one protocol.
+func protocolTransport(t *testing.T, server *httptest.Server, set func(*http.Protocols)) *http.Transport {
+	t.Helper()
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	set(transport.Protocols)
+	if server.TLS != nil {
+		pool := x509.NewCertPool()
+		pool.AddCert(server.Certificate())
+		transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	}
+	t.Cleanup(transport.CloseIdleConnections)
+	return transport
+}
+
+// A handshake or a frame that is no request must not hold up a drain, and a connection
+// that carries several requests must not be closed with one of them.
+func TestDrainOfEachProtocol(t *testing.T) {
+	http1 := func(p *http.Protocols) { p.SetHTTP1(true) }
+	for _, c := range []struct {
+		name      string
+		encrypted bool
+		set       func(*http.Protocols)
+		// inUse is the number of connections with a request that a drain waits for.
+		inUse int
+	}{
+		{"HTTP/1", false, http1, 1},
+		{"HTTP/1 over TLS", true, http1, 1},
+		{"HTTP/2", false, func(p *http.Protocols) { p.SetUnencryptedHTTP2(true) }, 0},
+		{"HTTP/2 over TLS", true, func(p *http.Protocols) { p.SetHTTP2(true) }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tracked := New()
+			arrived, release := make(chan struct{}), make(chan struct{})
+			server := protocolServer(t, tracked, c.encrypted, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/held" {
+					close(arrived)
+					<-release
+				}
+				_, _ = io.WriteString(w, r.Proto)
+			})
+			get := func(transport *http.Transport, path string) string {
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+path, nil)
+				assert.NilError(t, err)
+				response, err := transport.RoundTrip(request)
+				if err != nil {
+					return err.Error()
+				}
+				body, err := io.ReadAll(response.Body)
+				assert.NilError(t, errors.Join(err, response.Body.Close()))
+				return string(body)
+			}
+			idle, busy := protocolTransport(t, server, c.set), protocolTransport(t, server, c.set)
+			proto := get(idle, "/")
+			assert.Equal(t, get(busy, "/"), proto)
+			answer := make(chan string, 1)
+			go func() { answer <- get(busy, "/held") }()
+			<-arrived
+			tracked.closing.Store(true)
+			for tracked.closeUnused(time.Now()) > c.inUse {
+				time.Sleep(time.Millisecond)
+			}
+			close(release)
+			assert.Equal(t, <-answer, proto)
+			assert.NilError(t, tracked.Drain(t.Context()))
+		})
+	}
+}
+
+// A limit that is not given back would end the service, and one that holds up Accept would
+// hold up a stop.
+func TestLimitIsGivenBackAndEndsWithItsListener(t *testing.T) {
+	const connections = 2
+	inner, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	listener := New().Listener(Limit(inner.(*net.TCPListener), connections))
+	var callers []net.Conn
+	for range connections + 1 {
+		caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		callers = append(callers, caller)
+	}
+	accepted := make(chan net.Conn)
+	go func() {
+		defer close(accepted)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				assert.Check(t, errors.Is(err, net.ErrClosed), "%v", err)
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	first, second := <-accepted, <-accepted
+	select {
+	case <-accepted:
+		t.Fatal("more connections were accepted than allowed")
+	case <-time.After(20 * time.Millisecond):
+	}
+	assert.NilError(t, first.Close())
+	third := <-accepted
+	// A server closes some connections twice.
+	_ = first.Close()
+	assert.NilError(t, listener.Close())
+	_, more := <-accepted
+	assert.Assert(t, !more)
+	assert.NilError(t, errors.Join(second.Close(), third.Close()))
+	for _, caller := range callers {
+		assert.NilError(t, caller.Close())
+	}
+}
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -10,9 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
-	"golang.org/x/net/netutil"
 
 	"github.com/ospreyshed/ospreyshed/internal/background"
+	"github.com/ospreyshed/ospreyshed/internal/callerconn"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/gateway"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
@@ -41,6 +41,9 @@
 	log      logrus.FieldLogger
 	server   *http.Server
 	listener net.Listener
+	// accepting is closed when the server accepts no more connections.
+	accepting   chan struct{}
+	connections *callerconn.Tracker
 }
 
 // callerParams are the dependencies of the listener for callers. Peers is among
@@ -68,6 +71,9 @@
 		store:    p.Store,
 		events:   p.Events,
 		log:      p.Log,
+
+		accepting:   make(chan struct{}),
+		connections: callerconn.New(),
 	}
 	limits := &p.Settings.Limits
 	s.server = &http.Server{
@@ -77,6 +83,7 @@
 		ReadTimeout:       limits.ReadTimeout.D(),
 		IdleTimeout:       limits.IdleTimeout.D(),
 		Protocols:         callerProtocols(),
+		ConnState:         s.connections.Observe,
 	}
 	p.Lifecycle.Append(fx.Hook{OnStart: s.start, OnStop: s.stop})
 	return s
@@ -101,25 +108,25 @@
 		}
 		s.server.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}
 	}
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", s.settings.Callers.Listen)
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", s.settings.Callers.Listen)
 	if err != nil {
 		return err
 	}
-	s.listener = netutil.LimitListener(listener, s.settings.Limits.Connections)
+	s.listener = s.connections.Listener(callerconn.Limit(listener.(*net.TCPListener), s.settings.Limits.Connections))
 	go s.serve()
 	s.log.WithField("address", s.addr()).Info("serving callers")
 	return nil
 }
 
 func (s *callerServer) serve() {
+	defer close(s.accepting)
 	var err error
 	if s.server.TLSConfig != nil {
 		err = s.server.ServeTLS(s.listener, "", "")
 	} else {
 		err = s.server.Serve(s.listener)
 	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		s.log.WithError(err).Error("listener for callers failed")
 	}
 }
@@ -134,7 +141,7 @@
 	background.Pause(ctx, lag)
 	drain, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err := s.server.Shutdown(drain)
+	err := s.drain(drain)
 	if err != nil {
 		s.log.WithError(err).Error("requests were cut off at the drain limit")
 		_ = s.server.Close()
@@ -148,6 +155,17 @@
 	return err
 }
 
+// drain closes the listener and waits for requests in flight. The server's own shutdown
+// comes last: it drops HTTP/1 requests that were just read, and ends HTTP/2 connections.
+func (s *callerServer) drain(ctx context.Context) error {
+	closed := s.listener.Close()
+	<-s.accepting
+	if err := s.connections.Drain(ctx); err != nil {
+		return errors.Join(closed, err)
+	}
+	return errors.Join(closed, s.server.Shutdown(ctx))
+}
+
 // drainPeriods returns the load balancer's lag and the drain limit.
 func (s *callerServer) drainPeriods() (lag, limit time.Duration) {
 	snapshot := s.store.Snapshot()
