Refuse plain requests that may outlive a stopping VM

After the listener has closed a stopping VM still gets requests on connections opened just before. Generation requests were refused, plain ones served, although one whose time ends after the VM's may be cut off by then without an answer. Those are refused now, which promises that they have not run; others are served as before.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -151,8 +151,10 @@
 	defer refusal.Stop()
 	s.origins.HandOver(ctx)
 	background.Pause(ctx, time.Until(started.Add(balancerLag)))
-	drain, cancel := context.WithDeadline(ctx, started.Add(s.options.Grace-stopMargin))
+	end := started.Add(s.options.Grace - stopMargin)
+	drain, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	s.relay.RefuseNew(end)
 	err := s.drain(drain)
 	s.origins.HandOver(ctx)
 	s.members.Leave(drain)
@@ -178,7 +180,6 @@
 // ends are cut off. It does not use the server's own shutdown, which closes connections
 // although a request was just read from them.
 func (s *callerServer) drain(ctx context.Context) error {
-	s.relay.RefuseNew()
 	closed := s.listener.Close()
 	<-s.accepting
 	if err := s.connections.Drain(ctx); err != nil {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -8,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/callerconn"
-	"github.com/ospreyshed/ospreyshed/internal/relay"
 )
 
 // A stop that finds nothing to wait for closed the listener a second time while its server
@@ -17,7 +16,7 @@
 	for range 300 {
 		options := testOptions(t)
 		s := &callerServer{
-			options: &options, relay: relay.New(relay.Options{}), connections: callerconn.New(),
+			options: &options, connections: callerconn.New(),
 			server: newServer(http.NotFoundHandler()),
 		}
 		assert.NilError(t, s.open(t.Context()))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -120,8 +120,9 @@
 	// stopping ends when waiting requests are to be refused.
 	stopping      context.Context
 	refuseWaiting context.CancelFunc
-	// refusesNew is set when new generation requests are to be refused.
-	refusesNew atomic.Bool
+	// end is the time at which requests in flight are cut off, nil until new requests are
+	// to be refused.
+	end atomic.Pointer[time.Time]
 }
 
 // New returns a relay.
@@ -155,20 +156,22 @@
 		retryAfter: unreachableRetryAfter,
 	}
 	defer r.inFlight.begin(x)()
-	if service.Engines != nil && request.Generation != nil {
-		if r.refusesNew.Load() {
-			r.refuse(x, stoppingRefusal)
-			return
-		}
+	generation := service.Engines != nil && request.Generation != nil
+	if end := r.end.Load(); end != nil && (generation || x.deadline.After(*end)) {
+		r.refuse(x, stoppingRefusal)
+		return
+	}
+	if generation {
 		r.serveGeneration(ctx, x)
 		return
 	}
 	r.servePlain(ctx, x)
 }
 
-// RefuseNew refuses generation requests that arrive from now on, because this VM stops
-// and other VMs can serve them.
-func (r *Relay) RefuseNew() { r.refusesNew.Store(true) }
+// RefuseNew refuses requests that arrive from now on, because this VM stops and other VMs
+// can serve them: generation requests, and others whose final answer may be due only after
+// the end, the time at which requests in flight are cut off.
+func (r *Relay) RefuseNew(end time.Time) { r.end.Store(&end) }
 
 // RefuseWaiting refuses the requests that have no engines yet, because this VM stops and
 // could hardly finish them. Streams that have begun go on.
