Read from callers' connections without allocations

Reading under the lock took four allocations a read, since the arguments escape to the poller's callback. They are fields of the connection now.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -46,6 +46,14 @@
 	tracker *Tracker
 	socket  syscall.RawConn
 
+	// reading is held during a read. buffer, received and failure are its argument and its
+	// outcome, try is tryRead; they are kept here so that a read allocates nothing.
+	reading  sync.Mutex
+	buffer   []byte
+	received int
+	failure  error
+	try      func(fd uintptr) bool
+
 	mu    sync.Mutex
 	phase phase
 	// encrypted is set if the bytes are those of TLS, whose handshake is no request.
@@ -64,24 +72,38 @@
 	if err != nil {
 		return nil, NoSocket.Wrap(err, "connection from %s", accepted.RemoteAddr())
 	}
-	return &conn{Conn: accepted, tracker: t, socket: raw, since: now}, nil
+	c := &conn{Conn: accepted, tracker: t, socket: raw, since: now}
+	c.try = c.tryRead
+	return c, nil
 }
 
 // Read implements net.Conn. It returns no byte of a request once the connection was found
 // idle during a stop; the server closes it then.
-func (c *conn) Read(b []byte) (n int, err error) {
-	waited := c.socket.Read(func(fd uintptr) (done bool) {
-		n, err = c.receive(int(fd), b)
-		return !errors.Is(err, unix.EAGAIN)
-	})
-	if waited != nil {
-		n, err = 0, waited
+func (c *conn) Read(b []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.buffer = b
+	err := c.socket.Read(c.try)
+	c.buffer = nil
+	if err != nil {
+		return 0, asReadError(err)
 	}
+	return c.received, c.failure
+}
+
+// tryRead receives what has arrived and reports whether the read is over.
+func (c *conn) tryRead(fd uintptr) bool {
+	c.received, c.failure = c.receive(int(fd), c.buffer)
+	return !errors.Is(c.failure, unix.EAGAIN)
+}
+
+// asReadError gives the error of waiting for bytes the operation of a read.
+func asReadError(err error) error {
 	var failure *net.OpError
 	if errors.As(err, &failure) {
 		failure.Op = readOperation
 	}
-	return n, err
+	return err
 }
 
 // receive reads what has arrived. The bytes are taken from the socket and recorded as a
