Keep verdicts on crashing parts in the platform's store

Cause: if all VMs are killed at once while a part crashes engines, each has to be found again by three crashes. Change: two VMs save each verdict, with the crashes that led to it, in a keyed topic; a VM loads them once when it starts. No calls are made while there is nothing in quarantine, but for that load.

--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -21,6 +21,7 @@
 	originGroup,
 	quarantineGroup,
 	quarantineShareGroup,
+	quarantineArchiveGroup,
 	rolesGroup,
 	logGroup,
 }
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -176,3 +176,18 @@
 		{"unserved", Counter, Calls, "Calls to VMs of an earlier version.", "Expected during an upgrade."},
 	},
 }
+
+var quarantineArchiveGroup = Group{
+	Name: "quarantine_archive",
+	Help: "Quarantines kept in the platform's store beyond the end of all VMs' processes.",
+	Values: []Definition{
+		{"loads", Counter, Calls, "Calls that load what is kept, at the start.", noAction},
+		{"loads_failed", Counter, Calls, "Such calls without a usable response. They are repeated.", "A steady rise: see the group `store`."},
+		{"restored", Counter, Records, "Quarantines restored at the start.", noAction},
+		{"expired", Counter, Records, "Kept quarantines whose retention was over.", noAction},
+		{"unreadable", Counter, Records, "Kept quarantines with unusable contents.", "Any rise: VMs run versions that do not fit."},
+		{"saves", Counter, Calls, "Calls that save a quarantine.", noAction},
+		{"deletes", Counter, Calls, "Calls that delete one.", noAction},
+		{"writes_failed", Counter, Calls, "Such calls that failed. They are repeated.", "A steady rise: see the group `store`."},
+	},
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 	"github.com/ospreyshed/ospreyshed/internal/roles"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
@@ -55,6 +56,9 @@
 	// Journal and Orders are used to change the roles of engines.
 	Journal roles.Journal
 	Orders  func(*upstream.Client) roles.Orders
+	// Archive keeps verdicts on parts of prompts on which engines crash; nil if nothing
+	// does.
+	Archive quarantine.Archive
 	// HandoverDelay is the period within which two VMs may not both give orders to
 	// engines.
 	HandoverDelay time.Duration
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -151,13 +151,16 @@
 // newQuarantine returns the service that finds parts of prompts on which engines crash.
 func newQuarantine(lifecycle fx.Lifecycle, options *Options, members *swim.Service, dialer *peer.HTTPDialer, client *upstream.Client, registry *metrics.Registry) *quarantine.Service {
 	service := quarantine.New(quarantine.Params{
-		View:    members,
-		Peers:   quarantine.NewPeers(dialer),
-		Engines: client,
-		Log:     options.Log,
-		Clock:   options.Clock,
-		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		View:      members,
+		Peers:     quarantine.NewPeers(dialer),
+		Engines:   client,
+		Archive:   options.Archive,
+		Log:       options.Log,
+		Clock:     options.Clock,
+		WallClock: time.Now,
+		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
+	registry.Mount("quarantine_archive", service.ArchiveVars())
 	registry.Mount("quarantine", service.Vars())
 	registry.Mount("quarantine_share", service.ShareVars())
 	background.Run(lifecycle, service.Run)
--- a/internal/quarantine/archive.go
+++ b/internal/quarantine/archive.go
@@ -150,7 +150,7 @@
 		size := crash.encodedBytes()
 		var added []Sound
 		for _, part := range crash.Parts {
-			for _, sound := range sounds[servicePart{crash.Service, part}] {
+			for _, sound := range sounds[subject{crash.Service, part}] {
 				size += factBytes + len(sound.Service) + len(sound.Part)
 				added = append(added, sound)
 			}
@@ -162,19 +162,16 @@
 		kept.Crashes = append(kept.Crashes, *crash)
 		kept.Sounds = append(kept.Sounds, added...)
 		for _, part := range crash.Parts {
-			delete(sounds, servicePart{crash.Service, part})
+			delete(sounds, subject{crash.Service, part})
 		}
 	}
 	return kept
 }
 
-// servicePart is a part of the prompts for a service.
-type servicePart struct{ service, part string }
-
-func (f *Facts) soundsByPart() map[servicePart][]Sound {
-	byPart := make(map[servicePart][]Sound)
+func (f *Facts) soundsByPart() map[subject][]Sound {
+	byPart := make(map[subject][]Sound)
 	for _, sound := range f.Sounds {
-		of := servicePart{sound.Service, sound.Part}
+		of := subject{sound.Service, sound.Part}
 		byPart[of] = append(byPart[of], sound)
 	}
 	return byPart
--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -37,8 +37,8 @@
 const (
 	// testRetention is the retention of the simulated VMs.
 	testRetention = 10 * time.Minute
-	// settleTime is a time in which a verdict is written by all VMs that write it.
-	settleTime = 3 * time.Second
+	// archiveSettleTime is a time in which a verdict is written by all VMs that write it.
+	archiveSettleTime = 3 * time.Second
 	// clockOffset is how much the clock of some VMs is ahead or behind.
 	clockOffset = 5 * time.Second
 )
@@ -333,7 +333,7 @@
 			{Service: "pool", Part: "in no crash", Age: time.Second},
 		}
 		s.judge(verdict)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		s.killAll()
 		pass(20 * time.Second)
 		s.startAll(3)
@@ -358,7 +358,7 @@
 	simulateArchive(t, 3, func(t *testing.T, s *archiveSim) {
 		verdict := crashingPart("bad")
 		s.judge(verdict)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		s.killAll()
 		s.archive.set(func() { s.archive.away = true })
 		s.startAll(3)
@@ -408,7 +408,7 @@
 	simulateArchive(t, 1, func(t *testing.T, s *archiveSim) {
 		before, found := crashingPart("before"), crashingPart("found")
 		s.judge(before)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		s.killAll()
 		s.archive.set(func() { s.archive.noLoads = true })
 		s.startAll(1)
@@ -486,7 +486,7 @@
 			s.lose(name)
 		}
 		s.archive.set(func() { s.archive.away = false })
-		pass(settleTime)
+		pass(archiveSettleTime)
 		assert.DeepEqual(t, s.archive.kept(), []string{keyOf(verdict)})
 	})
 }
@@ -503,7 +503,7 @@
 		}
 		s.mu.Unlock()
 		s.judge(verdict)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		saves := vmsOf(s.archive.made("save"))
 		assert.Equal(t, len(saves), 2)
 		assert.Assert(t, !slices.Contains(saves, draining))
@@ -516,9 +516,9 @@
 		verdict, other := crashingPart("bad"), crashingPart("other")
 		s.judge(verdict)
 		s.judge(other)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		s.lapse(verdict)
-		pass(archiveDeleteDelay + settleTime)
+		pass(archiveDeleteDelay + archiveSettleTime)
 		assert.DeepEqual(t, s.archive.kept(), []string{keyOf(other)})
 		assert.DeepEqual(t, vmsOf(s.archive.made("delete")), s.writersOf(keyOf(verdict)))
 		for _, vm := range s.vms {
@@ -532,7 +532,7 @@
 	simulateArchive(t, 2, func(t *testing.T, s *archiveSim) {
 		verdict := crashingPart("bad")
 		s.judge(verdict)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		for range 3 {
 			s.lapse(verdict)
 			pass(archiveDeleteDelay - time.Second)
@@ -553,7 +553,7 @@
 		wide, narrow := crashingPart("bad"), crashingPart("bad")
 		wide.Parts = []string{"bad", "shared"}
 		s.judge(wide)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		s.archive.set(func() { s.archive.refused = keyOf(narrow) })
 		s.lapse(wide)
 		s.judge(narrow)
@@ -599,7 +599,7 @@
 		}
 		verdict := crashingPart("bad")
 		s.judge(verdict)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		s.lapse(verdict)
 		pass(time.Minute)
 		before := len(s.archive.calls)
@@ -653,7 +653,7 @@
 		assert.Equal(t, len(s.archive.made("save")), 1)
 		verdict.Facts.Crashes = append(slices.Clone(verdict.Facts.Crashes), Crash{Service: "pool", Engine: "third", Parts: []string{"bad"}})
 		s.judge(verdict)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		assert.Equal(t, len(s.archive.made("save")), 2)
 		assert.Equal(t, len(s.archive.entries[keyOf(verdict)].Facts.Crashes), 3)
 	})
@@ -665,7 +665,7 @@
 	simulateArchive(t, 1, func(t *testing.T, s *archiveSim) {
 		verdict := crashingPart("bad")
 		s.judge(verdict)
-		pass(settleTime)
+		pass(archiveSettleTime)
 		s.killAll()
 		before := len(s.archive.calls)
 		for n := range 4 {
@@ -722,11 +722,11 @@
 func TestExpiredEntryIsNotRestoredButDeleted(t *testing.T) {
 	simulateArchive(t, 3, func(t *testing.T, s *archiveSim) {
 		s.judge(crashingPart("bad"))
-		pass(settleTime)
+		pass(archiveSettleTime)
 		s.killAll()
 		pass(testRetention)
 		s.startAll(3)
-		pass(archiveDeleteDelay + settleTime)
+		pass(archiveDeleteDelay + archiveSettleTime)
 		assert.Equal(t, len(s.archive.kept()), 0)
 		assert.Equal(t, len(s.archive.made("delete")), 2)
 		for _, vm := range s.vms {
--- a/internal/quarantine/counters.go
+++ b/internal/quarantine/counters.go
@@ -28,5 +28,8 @@
 	return vars
 }
 
+// ArchiveVars returns the counters of the archive.
+func (s *Service) ArchiveVars() *expvar.Map { return metrics.Fields(&s.archive.counters) }
+
 // ShareVars returns the counters of the exchange with other VMs.
 func (s *Service) ShareVars() *expvar.Map { return metrics.Fields(&s.sharer.counters) }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -36,7 +36,11 @@
 	View    membership.View
 	Peers   Peers
 	Engines Engines
+	// Archive keeps verdicts beyond the end of all VMs' processes; nil if nothing does.
+	Archive Archive
 	Log     *decisionlog.Log
+	// WallClock is the time of day, by which the age of archived verdicts is known.
+	WallClock func() time.Time
 	// Clock also advances while the machine is suspended.
 	Clock func() time.Time
 	// Random is the source of random delays. It is used under a lock.
@@ -50,6 +54,7 @@
 	counters Counters
 	started  time.Time
 	sharer   *sharer
+	archive  *archivist
 	// wake signals Run that clearings are due.
 	wake chan struct{}
 	// running are confirmations of crashes; stopping is cancelled to end them.
@@ -89,6 +94,11 @@
 		view: params.View, peers: params.Peers, store: s, log: params.Log, clock: params.Clock,
 		random: rand.New(rand.NewPCG(params.Random.Uint64(), params.Random.Uint64())),
 	})
+	s.archive = newArchivist(archiveParams{
+		View: params.View, Archive: params.Archive, Log: params.Log, WallClock: params.WallClock, Retention: Retention,
+		Restore: func(f Facts) { s.merge(f) }, Verdicts: s.verdicts,
+		Random: rand.New(rand.NewPCG(params.Random.Uint64(), params.Random.Uint64())),
+	})
 	return s
 }
 
@@ -102,6 +112,9 @@
 func (s *Service) Run(ctx context.Context) {
 	defer s.end()
 	s.running.Go(func() { s.sharer.run(ctx) })
+	if s.params.Archive != nil {
+		s.running.Go(func() { s.archive.run(ctx) })
+	}
 	ticker := time.NewTicker(expirePeriod)
 	defer ticker.Stop()
 	due := time.NewTimer(expirePeriod)
@@ -205,6 +218,7 @@
 	for _, v := range s.inForce {
 		if !containsVerdict(before, v) {
 			s.counters.Quarantined.Add(1)
+			s.archive.notify()
 			s.params.Log.Change("parts of prompts quarantined", logrus.Fields{
 				"service": v.service, "parts": v.parts, "crashes": len(v.crashes), "last_crash_ms": (now - v.lastCrash()).Milliseconds(),
 			})
@@ -212,11 +226,24 @@
 	}
 	for _, v := range before {
 		if !containsVerdict(s.inForce, v) {
+			s.archive.notify()
 			s.params.Log.Change("quarantine lifted", logrus.Fields{"service": v.service, "parts": v.parts})
 		}
 	}
 }
 
+// verdicts returns the verdicts in force with the crashes that led to them.
+func (s *Service) verdicts() []Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	verdicts := make([]Verdict, 0, len(s.inForce))
+	for _, v := range s.inForce {
+		verdicts = append(verdicts, Verdict{Service: v.service, Parts: v.parts, Facts: v.facts(now)})
+	}
+	return verdicts
+}
+
 func containsVerdict(verdicts []*verdict, wanted *verdict) bool {
 	return slices.ContainsFunc(verdicts, func(v *verdict) bool { return v.key() == wanted.key() })
 }
