Keep a silent stream whose prompt is held back meanwhile

A silent engine's stream is left once others are prepared. Whether its prompt is in quarantine was looked at before the preparation and again after the stream had been left: a part quarantined in between, which may take as long as the wait for engines, ended the stream although the silent engine could go on. takeOver looks before it leaves the stream now.

--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"errors"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
@@ -10,6 +12,9 @@
 // sent to another engine.
 const reasonQuarantined = "a part of the prompt is in quarantine: engines crashed on it"
 
+// errHeldBack means that a request must not be sent to another engine because of its prompt.
+var errHeldBack = errors.New(reasonQuarantined)
+
 // Quarantine finds the parts of prompts on which engines crash. It is implemented by
 // quarantine.Service.
 type Quarantine interface {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -190,6 +190,10 @@
 	if obstacle == nil && (ctx.Err() != nil || !usable(r.options.Fleet.View(), g, found.grant)) {
 		obstacle = errGrantOutdated
 	}
+	// A part of the prompt may have been quarantined meanwhile.
+	if obstacle == nil && r.heldBack(g) {
+		obstacle = errHeldBack
+	}
 	if obstacle != nil {
 		r.discard(g.service.Name, found)
 		g.obstacle = obstacle.Error()
