Recognize an HTTP/2 preface that is read late or in pieces

A preface counted only if one read brought all of it as the first bytes of a connection that no drain had found unread before. Otherwise the connection counted as one of HTTP/1, and its next frame as a request that a drain waits for until its limit.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -58,6 +58,8 @@
 	phase phase
 	// encrypted is set if the bytes are those of TLS, whose handshake is no request.
 	encrypted bool
+	// preface are the bytes that would complete http2Preface, empty once others have come.
+	preface string
 	// since is the time of the accept, or of the latest byte of the handshake.
 	since time.Time
 }
@@ -72,7 +74,7 @@
 	if err != nil {
 		return nil, NoSocket.Wrap(err, "connection from %s", accepted.RemoteAddr())
 	}
-	c := &conn{Conn: accepted, tracker: t, socket: raw, since: now}
+	c := &conn{Conn: accepted, tracker: t, socket: raw, preface: http2Preface, since: now}
 	c.try = c.tryRead
 	return c, nil
 }
@@ -140,13 +142,24 @@
 	case c.phase == phaseMultiplexed:
 	case c.phase == phaseNew && c.encrypted:
 		c.since = time.Now()
-	case c.phase == phaseNew && string(read) == http2Preface:
+	case c.completesPreface(read):
 		c.phase = phaseMultiplexed
 	default:
 		c.phase = phaseRequest
 	}
 }
 
+// completesPreface reports whether the bytes read so far are those of http2Preface. They may
+// come in several reads. The lock must be held.
+func (c *conn) completesPreface(read []byte) bool {
+	if len(read) > len(c.preface) || c.preface[:len(read)] != string(read) {
+		c.preface = ""
+		return false
+	}
+	c.preface = c.preface[len(read):]
+	return c.preface == ""
+}
+
 // awaitRequest records that the server needs bytes that have not arrived. It returns
 // unix.EAGAIN, or net.ErrClosed if idle connections are to be closed. The lock must be
 // held.
