Count a call before the look for its engine

An engine is chosen in one view of the fleet and looked up in the next. If it left in between, open returned before it counted the call, and its callers took back a count that was not there. At less than none, the next attempt took a retry although nothing had been sent, so that a request was refused if none was left; and a route's limit of attempts let one more through.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -181,6 +181,10 @@
 // open sends the request to an endpoint and returns its response, which must be
 // closed.
 func (r *Relay) open(ctx context.Context, x *exchange, to *configuration.Endpoint, call *Call) (*upstream.Response, Verdict, error) {
+	// Callers take back the count of a call that was not sent.
+	if call.Stage != Prefill {
+		x.sends++
+	}
 	instance := r.options.Fleet.View().Instance(to.Name)
 	if instance == nil {
 		return nil, Verdict{}, upstream.NotSent.New("%s is not in the fleet", to.Name)
@@ -188,7 +192,6 @@
 	call.InstanceID = instance.ID
 	call.Timeout = x.timeLeft()
 	if call.Stage != Prefill {
-		x.sends++
 		x.tracked.sent.Store(true)
 	}
 	r.Counters.Sent.Add(1)
