Let engines read long bodies late

Callers saw: a request with a body that the buffers do not hold failed in doubt, or its stream was cut, if its engine paused for a second before it read the body, or answered first and read it later. Cause: the kernel's limit of 1 s for unacknowledged bytes, which finds partitions, also ends a connection whose peer acknowledges them with a closed window; the class of fault is a limit that takes waiting for a failure. Found by the review of the lost requests; that it was the reported one's is not shown. Change: no such limit while a body above 32 KiB is on the way; the exchange's own deadline ends it, and the limit is restored before the connection is pooled.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,6 +42,8 @@
 	// idleSince and expires are set while the connection is in the pool.
 	idleSince, expires time.Time
 	closing            sync.Once
+	// longBody is set while the exchange has a body that may stay unread for long.
+	longBody bool
 }
 
 func newConn(client *Client, address string, socket net.Conn) *conn {
@@ -90,6 +92,9 @@
 		_, err := k.socket.Write(message.Bytes())
 		return nil, err
 	}
+	if err := k.awaitLongBody(); err != nil {
+		return nil, err
+	}
 	if _, err := k.socket.Write(message.Bytes()); err != nil {
 		return nil, err
 	}
@@ -101,6 +106,23 @@
 	return written, nil
 }
 
+// awaitLongBody lifts the limit on unacknowledged bytes for an exchange. The kernel also
+// applies it to a peer that acknowledges all bytes but has no room for more, such as an
+// endpoint that pauses or reads a long body later. The exchange's context still ends it.
+func (k *conn) awaitLongBody() error {
+	k.longBody = true
+	return limitUnacked(k.socket, 0)
+}
+
+// endLongBody restores the limit after the exchange.
+func (k *conn) endLongBody() error {
+	if !k.longBody {
+		return nil
+	}
+	k.longBody = false
+	return limitUnacked(k.socket, k.client.options.UnackedTimeout)
+}
+
 // writeHead writes the request line and the header.
 func writeHead(message *bytes.Buffer, request *Request, address string) {
 	message.WriteString(request.Method)
@@ -178,7 +200,7 @@
 	}
 	r.closed = true
 	active := r.stop()
-	if !active || !r.sawEOF || !r.reusable() {
+	if !active || !r.sawEOF || !r.reusable() || r.conn.endLongBody() != nil {
 		r.conn.close()
 		return
 	}
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -9,6 +9,20 @@
 	"golang.org/x/sys/unix"
 )
 
+// limitUnacked sets the time after which the kernel closes an open connection whose peer
+// does not acknowledge bytes; 0 leaves it to the kernel's default.
+func limitUnacked(connection net.Conn, timeout time.Duration) error {
+	socket, ok := connection.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUnackedTimeout(raw, timeout)
+}
+
 // setUnackedTimeout makes the kernel close a connection whose peer does not
 // acknowledge bytes, as happens during a network partition.
 func setUnackedTimeout(raw syscall.RawConn, timeout time.Duration) error {
