--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -110,7 +110,7 @@
 
 // receive reads what has arrived. The bytes are taken from the socket and recorded as a
 // request under one lock: a process may be held up between any two of its steps, and
-// closeIfIdle would take the connection for an idle one in between. The error is
+// endIfUnused would take the connection for an idle one in between. The error is
 // unix.EAGAIN if nothing has arrived.
 func (c *conn) receive(fd int, b []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -127,7 +127,7 @@
 	return oldest
 }
 
-// expire drops the facts whose retention is over, and sound answers that clear nothing.
+// expire drops the facts whose retention is over.
 func (l *ledger) expire(now time.Duration) {
 	maps.DeleteFunc(l.crashes, func(_ crashKey, c *crash) bool { return now-c.at >= Retention })
 	maps.DeleteFunc(l.sounds, func(_ subject, at time.Duration) bool { return now-at >= Retention })
