--- a/internal/feed/sim_test.go
+++ b/internal/feed/sim_test.go
@@ -218,7 +218,7 @@
 	c.store.await(ctx, topic, from, wait)
 	c.store.mu.Lock()
 	t := c.store.topics[topic]
-	trimmed := from < t.first
+	trimmed := from < t.first || from > t.next
 	page := Page{Next: t.next}
 	if !trimmed {
 		page.Records = append(page.Records, t.records[from-t.first:]...)
