Keep endpoints that come back after an outage in service everywhere

What callers saw: none was reported; a VM stopped using a sound endpoint for up to a second after an outage of the store, or after its return from an older copy.

Cause: a key that a listing lacks is kept for a grace, but only the VM that listed knew of it. The VM that reads for the zone took the endpoint's next record for a mere renewal and passed nothing on, so that a follower dropped the endpoint at the end of its own grace; and the grace ended although the records of its last moments were not read yet. The class of fault: a part of the state is not replicated.

Change: that a key is missing is part of what VMs pass on and of the digest; a follower keeps the key longer than its source, so that the source decides; a grace ends only for a state that is known to be complete beyond it.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -358,7 +358,7 @@
 func TestOlderStatesAreNotAdopted(t *testing.T) {
 	simulate(t, 1, 1, func(s *sim) {
 		service := s.vms[0].service
-		old := update{next: 1, whole: true, entries: []updateEntry{{Record{"config", []byte("v000")}, 1}}}
+		old := update{next: 1, whole: true, entries: []updateEntry{{Record: Record{"config", []byte("v000")}, changed: 1}}}
 		s.store.put(configTopic, "config", "v002")
 		time.Sleep(simMaxAge)
 		service.mu.Lock()
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -10,6 +10,10 @@
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 )
 
+// followerGraceFactor times the grace of a topic is how long a VM keeps a key that is missing
+// according to its source. It is longer than the source's grace, so that the source decides.
+const followerGraceFactor = 2
+
 // Peers calls other VMs.
 type Peers interface {
 	// Follow returns what a VM knows beyond the request.
@@ -127,7 +131,7 @@
 		}
 		s.recordEra(t, u.era, u.next)
 	}
-	changes, same := t.replica.adopt(*u, s.params.Clock().Add(t.LapseGrace))
+	changes, same := t.replica.adopt(*u, s.params.Clock().Add(followerGraceFactor*t.LapseGrace))
 	s.apply(t, changes)
 	// A whole state replaces any other, even if this version computes another digest.
 	if t.differs = !same && !u.whole; t.differs {
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -38,6 +38,9 @@
 
 func (e *entry) present() bool { return len(e.value) > 0 }
 
+// missing reports whether the store lacks the key although it is present here.
+func (e *entry) missing() bool { return !e.keepUntil.IsZero() }
+
 // replica is the state of one topic at one VM. It has no clock and is not safe for
 // concurrent use.
 type replica struct {
@@ -52,7 +55,8 @@
 	listed bool
 	// forgotten is the newest change of a deleted key that is no longer remembered.
 	forgotten changeNumber
-	// digest combines the keys and fingerprints of all present entries.
+	// digest combines the keys and fingerprints of all present entries, and which of them
+	// are missing from the store.
 	digest uint64
 }
 
@@ -113,11 +117,11 @@
 	}
 	r.next, r.listed = page.Next, true
 	for key, e := range r.entries {
-		if !e.present() || listed[key] || !e.keepUntil.IsZero() {
+		if !e.present() || listed[key] || e.missing() {
 			continue
 		}
 		if !keepUntil.IsZero() {
-			e.keepUntil = keepUntil
+			r.setMissing(key, e, keepUntil, changeOfListing(r.next))
 			continue
 		}
 		changes = append(changes, r.delete(key, e, changeOfListing(r.next)))
@@ -125,11 +129,19 @@
 	return changes
 }
 
+// setMissing notes that the store lacks a present key, or that it has it again if the time
+// is zero.
+func (r *replica) setMissing(key string, e *entry, keepUntil time.Time, number changeNumber) {
+	r.toggle(key, e)
+	e.keepUntil, e.changed = keepUntil, number
+	r.toggle(key, e)
+}
+
 // expire deletes the missing keys whose time has passed.
 func (r *replica) expire(now time.Time) []Record {
 	var changes []Record
 	for key, e := range r.entries {
-		if e.present() && !e.keepUntil.IsZero() && !now.Before(e.keepUntil) {
+		if e.present() && e.missing() && !now.Before(e.keepUntil) {
 			changes = append(changes, r.delete(key, e, changeOfListing(r.next)))
 		}
 	}
@@ -151,12 +163,13 @@
 		e = &entry{}
 		r.entries[rec.Key] = e
 	} else if !meaning.follows(e.meaning) {
-		if e.present() && !meaning.precedes(e.meaning) {
-			e.keepUntil = time.Time{}
+		if e.present() && e.missing() && !meaning.precedes(e.meaning) {
+			r.setMissing(rec.Key, e, time.Time{}, number)
 		}
 		return false
 	}
 	same := e.present() && e.meaning.Fingerprint == meaning.Fingerprint
+	cameBack := e.missing()
 	if known && !e.present() {
 		r.deleted--
 	}
@@ -167,7 +180,7 @@
 	r.toggle(rec.Key, e)
 	e.value, e.meaning, e.keepUntil = rec.Value, meaning, time.Time{}
 	r.toggle(rec.Key, e)
-	if !same {
+	if !same || cameBack {
 		e.changed = number
 	}
 	return !same
@@ -210,6 +223,9 @@
 	hash := xxhash.New()
 	_, _ = hash.WriteString(key)
 	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, e.meaning.Fingerprint))
+	if e.missing() {
+		_, _ = hash.Write([]byte{1})
+	}
 	r.digest ^= hash.Sum64()
 }
 
@@ -237,6 +253,8 @@
 type updateEntry struct {
 	Record
 	changed changeNumber
+	// missing says that the store lacks the key and it is kept for a while.
+	missing bool
 }
 
 // updateSince returns the update for a replica that knows the topic up to an offset of the
@@ -248,7 +266,7 @@
 		if whole && !e.present() || !whole && e.changed <= lastCovered(next) {
 			continue
 		}
-		u.entries = append(u.entries, updateEntry{Record{key, e.value}, e.changed})
+		u.entries = append(u.entries, updateEntry{Record{key, e.value}, e.changed, e.missing()})
 	}
 	return u
 }
@@ -257,8 +275,8 @@
 // whose meaning has changed. The second result is false if the state differs from the
 // sender's afterwards; then the whole state is needed.
 //
-// An update of a later era must be whole. Keys that are missing from it are kept until the
-// given time, as after a listing.
+// An update of a later era must be whole. Keys that it lacks, or that the store lacks according
+// to the sender, are kept until the given time. The sender deletes them sooner if it can.
 func (r *replica) adopt(u update, keepUntil time.Time) ([]Record, bool) {
 	var changes []Record
 	laterEra := u.era != r.era
@@ -268,7 +286,7 @@
 	named := make(map[string]bool, len(u.entries))
 	for _, incoming := range u.entries {
 		named[incoming.Key] = true
-		if r.replace(incoming) {
+		if r.replace(incoming, keepUntil) {
 			changes = append(changes, incoming.Record)
 		}
 	}
@@ -276,9 +294,9 @@
 	if u.whole {
 		for key, e := range r.entries {
 			switch {
-			case !e.present() || named[key] || !e.keepUntil.IsZero():
+			case !e.present() || named[key] || e.missing():
 			case laterEra:
-				e.keepUntil = keepUntil
+				r.setMissing(key, e, keepUntil, changeOfListing(r.next))
 			default:
 				changes = append(changes, r.delete(key, e, changeOfListing(r.next)))
 			}
@@ -290,7 +308,7 @@
 // replace sets a key to the value that a newer state has, and reports whether its
 // meaning has changed. A value that is known to be older is ignored: the sender may have
 // started while the store had an older copy.
-func (r *replica) replace(incoming updateEntry) bool {
+func (r *replica) replace(incoming updateEntry, keepUntil time.Time) bool {
 	e, known := r.entries[incoming.Key]
 	if len(incoming.Value) == 0 {
 		if !known || !e.present() {
@@ -310,8 +328,13 @@
 		r.deleted--
 	}
 	same := e.present() && e.meaning.Fingerprint == meaning.Fingerprint
+	if !incoming.missing {
+		keepUntil = time.Time{}
+	} else if e.missing() {
+		keepUntil = e.keepUntil
+	}
 	r.toggle(incoming.Key, e)
-	e.value, e.meaning, e.changed, e.keepUntil = incoming.Value, meaning, incoming.changed, time.Time{}
+	e.value, e.meaning, e.changed, e.keepUntil = incoming.Value, meaning, incoming.changed, keepUntil
 	r.toggle(incoming.Key, e)
 	return !same
 }
--- a/internal/feed/replica_test.go
+++ b/internal/feed/replica_test.go
@@ -67,7 +67,7 @@
 	sync := func(what string) {
 		t.Helper()
 		step++
-		_, same := follower.adopt(source.updateSince(follower.next, !follower.listed), time.Time{})
+		_, same := follower.adopt(source.updateSince(follower.next, !follower.listed), now)
 		assert.Assert(t, same, "%d: %s", step, what)
 		assert.Equal(t, follower.next, source.next)
 	}
--- a/internal/feed/rewind_test.go
+++ b/internal/feed/rewind_test.go
@@ -126,3 +126,31 @@
 		s.assertKnown(endpointTopic, "e0", "draining 100", confirmed, []*simVM{nil, nil})
 	})
 }
+
+// Endpoints that registered shortly before the store came back from an older copy must stay
+// in service until they have registered again, at the reader and at those who follow it; one
+// that does not come back must leave.
+func TestEntriesThatAnOlderCopyLacksAreKeptForAWhile(t *testing.T) {
+	for _, away := range []time.Duration{0, time.Second} {
+		simulate(t, 2, 5, func(s *sim) {
+			copied := s.store.ends()
+			s.store.put(endpointTopic, "new1", "ready 1")
+			s.store.put(endpointTopic, "new2", "ready 1")
+			time.Sleep(2 * time.Second)
+			since := s.value(s.vms[0], endpointTopic, "new1").at
+			s.store.setTrouble(func(string) simTrouble { return simTrouble{refuse: away > 0} })
+			time.Sleep(away)
+			s.store.rewind(copied)
+			s.store.setTrouble(nil)
+			time.Sleep(1800 * time.Millisecond)
+			s.store.put(endpointTopic, "new1", "ready 2")
+			time.Sleep(8 * time.Second)
+			for _, vm := range s.vms {
+				kept := s.value(vm, endpointTopic, "new1")
+				assert.Equal(t, kept.value, "ready 1", "%s lost it", vm.member.VM)
+				assert.Assert(t, kept.at.Sub(since) < time.Second, "%s lost it for a while", vm.member.VM)
+				assert.Equal(t, s.value(vm, endpointTopic, "new2").value, "", "%s keeps an endpoint that did not come back", vm.member.VM)
+			}
+		})
+	}
+}
--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -71,7 +71,7 @@
 			Topic: u.Topic, Era: u.update.era, Next: u.update.next, Whole: u.update.whole, AgeUs: microseconds(u.Age), Digest: u.update.digest,
 		}
 		for _, e := range u.update.entries {
-			topic.Entries = append(topic.Entries, &feedv1.Entry{Key: e.Key, Value: e.Value, Change: uint64(e.changed)})
+			topic.Entries = append(topic.Entries, &feedv1.Entry{Key: e.Key, Value: e.Value, Change: uint64(e.changed), Missing: e.missing})
 		}
 		encoded.Topics = append(encoded.Topics, topic)
 	}
@@ -83,7 +83,7 @@
 	for _, topic := range encoded.GetTopics() {
 		u := update{era: topic.GetEra(), next: topic.GetNext(), whole: topic.GetWhole(), digest: topic.GetDigest()}
 		for _, e := range topic.GetEntries() {
-			u.entries = append(u.entries, updateEntry{Record{e.GetKey(), e.GetValue()}, changeNumber(e.GetChange())})
+			u.entries = append(u.entries, updateEntry{Record{e.GetKey(), e.GetValue()}, changeNumber(e.GetChange()), e.GetMissing()})
 		}
 		response.Topics = append(response.Topics, TopicUpdate{Topic: topic.GetTopic(), Age: duration(topic.GetAgeUs()), update: u})
 	}
--- a/internal/feed/service.go
+++ b/internal/feed/service.go
@@ -206,13 +206,14 @@
 	return oldest
 }
 
-// expire deletes the keys that did not come back after an outage.
+// expire deletes the keys that did not come back in time after an outage. A key that came
+// back may be in records that were not read yet, so that only the time counts up to which the
+// state is known to be complete.
 func (s *Service) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.params.Clock()
 	for _, t := range s.topics {
-		s.apply(t, t.replica.expire(now))
+		s.apply(t, t.replica.expire(t.confirmed))
 	}
 }
 
