Send nothing to endpoints that announce in their answers that they leave

What was reported: a request reached an engine some time after an answer had told the VM that sent it that the engine leaves (DRAIN).

Cause: only registrations were read; the header Server-Leaving of an endpoint's own answers was not. The registration of such an endpoint may say that it is ready, and an older copy of the store may say so again. The class of fault: the one who knows best is not asked.

Change: the header is decoded for every answer: to requests, prefills, decodes, orders, reports and calls that free a KV cache, whatever their status. The endpoint is leaving from then on at this VM for the life of that start, and the owner of the grant is told. Grants, engines prepared for a silent stream and the engine of a decode are checked again when they are used, and each call once more when it is sent. The balancer of roles leaves such engines out. A call that frees a KV cache names the expected instance, so that an engine at a reused address does not speak for the former one.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,9 +55,10 @@
 	Store   feed.Store
 	Topics  func(Events) []feed.Topic
 	EraSeen func(era uint64)
-	// Journal and Orders are used to change the roles of engines.
+	// Journal and Orders are used to change the roles of engines. The second parameter of
+	// Orders records that an engine announced in an answer that it leaves.
 	Journal roles.Journal
-	Orders  func(*upstream.Client) roles.Orders
+	Orders  func(client *upstream.Client, markLeaving func(engine string)) roles.Orders
 	// Archive keeps verdicts on parts of prompts on which engines crash; nil if nothing
 	// does.
 	Archive quarantine.Archive
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -56,7 +56,7 @@
 		Ingress: func(*relay.Relay, *feed.Service) Ingress { return noIngress{} },
 		Topics:  func(Events) []feed.Topic { return nil },
 		Journal: noOrders{},
-		Orders:  func(*upstream.Client) roles.Orders { return noOrders{} },
+		Orders:  func(*upstream.Client, func(string)) roles.Orders { return noOrders{} },
 		Clock:   time.Now,
 	}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/fx"
@@ -10,6 +11,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
+	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
@@ -118,13 +120,13 @@
 }
 
 // runBalancer runs the balancer of engine roles.
-func runBalancer(lifecycle fx.Lifecycle, options *Options, client *upstream.Client, members *swim.Service, registry *metrics.Registry) {
+func runBalancer(lifecycle fx.Lifecycle, options *Options, client *upstream.Client, endpoints *endpoint.Registry, members *swim.Service, registry *metrics.Registry) {
 	balancer := roles.New(roles.Options{
 		VM:            options.VM,
 		Journal:       options.Journal,
-		Orders:        options.Orders(client),
+		Orders:        options.Orders(client, endpoints.MarkLeaving),
 		HandoverDelay: options.HandoverDelay,
-		Engines:       func() []*configuration.Endpoint { return options.Fleet.View().AllEngines() },
+		Engines:       func() []*configuration.Endpoint { return stayingEngines(options.Fleet.View(), endpoints) },
 		Rank:          func() int { return rank(members, options.VM) },
 		Clock:         options.Clock,
 		Log:           options.Log,
@@ -133,6 +135,11 @@
 	background.Run(lifecycle, balancer.Run)
 }
 
+// stayingEngines returns the engines that are not leaving.
+func stayingEngines(view *fleet.View, endpoints *endpoint.Registry) []*configuration.Endpoint {
+	return slices.DeleteFunc(view.AllEngines(), func(e *configuration.Endpoint) bool { return endpoints.Leaving(e.Name) })
+}
+
 // rank returns the position of a VM among the available VMs, ordered by name.
 func rank(view membership.View, vm string) int {
 	before := 0
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -33,7 +33,11 @@
 func (plainDialect) DecodePrefill([]byte) (relay.PrefillResult, error) {
 	return relay.PrefillResult{}, nil
 }
-func (plainDialect) Free(string) *upstream.Request { return nil }
+func (plainDialect) Free(*relay.Source) *upstream.Request { return nil }
+
+func (plainDialect) JudgeFree(*relay.Source, *upstream.Response) relay.Verdict {
+	return relay.Verdict{}
+}
 
 // httpCaller is a relay.Caller on an HTTP response.
 type httpCaller struct{ w http.ResponseWriter }
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -77,7 +77,7 @@
 	}
 	// The engines may leave at any time; one view is used for both looks.
 	view := r.options.Fleet.View()
-	if !usable(view, g, p.grant) {
+	if !r.usable(view, g, p.grant) {
 		p.err = errGrantOutdated
 	} else if p.grant.Prefill != p.grant.Decode {
 		prefill := view.Instance(p.grant.Prefill)
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -35,6 +35,7 @@
 		return r.handleDecodeError(g, id, to, err)
 	}
 	defer response.Close()
+	r.reportLeaving(id, to, verdict)
 	if verdict.OtherInstance {
 		g.sends--
 		r.handleReplacedEngine(g, id, to)
@@ -63,6 +64,13 @@
 	r.decide(g.exchange, "endpoint replaced", logrus.Fields{"endpoint": to.Name})
 }
 
+// reportLeaving tells the owner of the grant that an engine announced that it leaves.
+func (r *Relay) reportLeaving(id engine.AttemptID, to *configuration.Endpoint, verdict Verdict) {
+	if verdict.Leaving {
+		r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.EngineLeaving, Prefill: to.Name, Decode: to.Name})
+	}
+}
+
 // decodeStage returns the stage for an engine that fetches a KV cache, or that
 // processes the prompt itself because there is no source.
 func decodeStage(source *Source) Stage {
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -36,6 +36,7 @@
 	sourceHeader   = "Test-Source"
 	lastHeader     = "Test-Last-Event"
 	declinedHeader = "Test-Declined"
+	leavingHeader  = "Test-Leaving"
 )
 
 // testDialect implements Dialect.
@@ -57,6 +58,7 @@
 		Foreign:       response.Header.Get(idHeader) != request.ID,
 		NotRun:        response.Header.Get(declinedHeader) != "",
 		OtherInstance: response.Status == http.StatusMisdirectedRequest,
+		Leaving:       response.Header.Get(leavingHeader) != "",
 	}
 }
 
@@ -67,8 +69,12 @@
 	return PrefillResult{Handle: string(body), Tokens: 100}, nil
 }
 
-func (testDialect) Free(handle string) *upstream.Request {
-	return &upstream.Request{Method: http.MethodDelete, Target: "/free/" + handle, Header: http.Header{}}
+func (testDialect) JudgeFree(_ *Source, response *upstream.Response) Verdict {
+	return Verdict{Leaving: response.Header.Get(leavingHeader) != ""}
+}
+
+func (testDialect) Free(source *Source) *upstream.Request {
+	return &upstream.Request{Method: http.MethodDelete, Target: "/free/" + source.Handle, Header: http.Header{}}
 }
 
 // fakeReserver gives the configured answers in turn and records demands and progress. A
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -239,7 +239,7 @@
 func (r *Relay) run(ctx context.Context, g *generation, id engine.AttemptID, grant scheduling.Grant) error {
 	view := r.options.Fleet.View()
 	prefill, decode := view.Instance(grant.Prefill), view.Instance(grant.Decode)
-	if !available(prefill) || !available(decode) {
+	if !r.available(prefill) || !r.available(decode) {
 		r.returnRetry(g.exchange)
 		return r.discardGrant(g, id, grant)
 	}
@@ -271,7 +271,7 @@
 	g.deliveredBefore = g.delivered
 	decode := r.options.Fleet.View().Instance(grant.Decode)
 	// The decode engine may have started to drain during the prefill.
-	if !available(decode) {
+	if !r.available(decode) {
 		r.Counters.PrefillsLost.Add(1)
 		r.free(source)
 		return r.discardGrant(g, id, grant)
@@ -293,6 +293,10 @@
 	r.Counters.PrefillsLost.Add(1)
 	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillFailed, Prefill: grant.Prefill})
 	r.free(source)
+	if errors.Is(err, errDeclined) && !r.available(decode) {
+		g.exclude = append(g.exclude, decode.Name)
+		return errRetry
+	}
 	if !errors.Is(err, errDeclined) || !r.spendRetry(g.exchange) {
 		return retryIfDeclined(err)
 	}
@@ -322,11 +326,11 @@
 	return err
 }
 
-// usable reports whether a view holds the engines of a grant, none is draining and the
+// usable reports whether a view holds the engines of a grant, none is leaving and the
 // decode engine may continue the stream.
-func usable(view *fleet.View, g *generation, grant scheduling.Grant) bool {
+func (r *Relay) usable(view *fleet.View, g *generation, grant scheduling.Grant) bool {
 	decode := view.Instance(grant.Decode)
-	return available(view.Instance(grant.Prefill)) && available(decode) && g.permits(decode.Build)
+	return r.available(view.Instance(grant.Prefill)) && r.available(decode) && g.permits(decode.Build)
 }
 
 // buildOf returns the build of an engine, empty if it is not known.
@@ -337,8 +341,11 @@
 	return ""
 }
 
-// available reports whether this process knows an engine and it is not draining.
-func available(instance *fleet.Instance) bool { return instance != nil && !instance.Draining }
+// available reports whether this process knows an endpoint and it is not leaving, neither by
+// its registration nor by its own answers.
+func (r *Relay) available(instance *fleet.Instance) bool {
+	return instance != nil && !instance.Draining && !r.options.Endpoints.Leaving(instance.Name)
+}
 
 // discardGrant excludes the engines of a grant that are leaving or not yet known to
 // this process from further attempts. The owner that issued the grant has a
@@ -347,7 +354,7 @@
 	view := r.options.Fleet.View()
 	for _, name := range []string{grant.Prefill, grant.Decode} {
 		instance := view.Instance(name)
-		if available(instance) {
+		if r.available(instance) {
 			continue
 		}
 		g.exclude = append(g.exclude, name)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -189,6 +189,9 @@
 	if instance == nil {
 		return nil, Verdict{}, upstream.NotSent.New("%s is not in the fleet", to.Name)
 	}
+	if !r.available(instance) {
+		return nil, Verdict{}, upstream.NotSent.New("%s is leaving", to.Name)
+	}
 	call.InstanceID = instance.ID
 	call.Timeout = x.timeLeft()
 	if call.Stage != Prefill {
@@ -207,6 +210,9 @@
 		return nil, Verdict{}, err
 	}
 	verdict := r.options.Dialect.Judge(x.request, call, response)
+	if verdict.Leaving {
+		r.options.Endpoints.MarkLeaving(to.Name)
+	}
 	if verdict.Foreign {
 		r.Counters.Foreign.Add(1)
 		response.Close()
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -33,11 +33,13 @@
 	defer r.options.Endpoints.Begin(to.Name)()
 	started := time.Now()
 	attempt := g.suspect.BeginPrompt(to.Name, to.Address)
-	answer, verdict, err := r.call(ctx, g.exchange, to, &Call{Stage: Prefill, LastEventID: g.lastEventID}, min(prefillTimeout, g.timeLeft()))
+	call := &Call{Stage: Prefill, LastEventID: g.lastEventID}
+	answer, verdict, err := r.call(ctx, g.exchange, to, call, min(prefillTimeout, g.timeLeft()))
 	if verdict.OtherInstance {
 		r.handleReplacedEngine(g, id, to)
 		return nil, errNoPrefill
 	}
+	r.reportLeaving(id, to, verdict)
 	result, err := r.prefillResult(answer, verdict, err)
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -60,7 +62,7 @@
 	r.options.Reserver.Progress(scheduling.Progress{
 		ID: id, Kind: scheduling.PrefillDone, Prefill: to.Name, Tokens: result.Tokens, Elapsed: time.Since(started),
 	})
-	return &Source{Address: to.Address, Handle: result.Handle}, nil
+	return &Source{Endpoint: to.Name, InstanceID: call.InstanceID, Address: to.Address, Handle: result.Handle}, nil
 }
 
 // prefillResult returns the outcome of a prefill call.
@@ -78,10 +80,13 @@
 func (r *Relay) free(source *Source) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	response, err := r.options.Client.Do(ctx, source.Address, r.options.Dialect.Free(source.Handle))
+	response, err := r.options.Client.Do(ctx, source.Address, r.options.Dialect.Free(source))
 	if err != nil {
 		r.options.Log.Decide("KV cache not freed", logrus.Fields{"address": source.Address, "error": err.Error()})
 		return
 	}
-	response.Close()
+	defer response.Close()
+	if r.options.Dialect.JudgeFree(source, response).Leaving {
+		r.options.Endpoints.MarkLeaving(source.Endpoint)
+	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,8 @@
 	Begin(name string) func()
 	InFlight(name string) int
 	MarkLeaving(name string)
+	// Leaving reports whether an endpoint must get no new request.
+	Leaving(name string) bool
 	MarkUnreachable(name string)
 	ObserveLoad(name string, requests int)
 	ObserveDecline(name string)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -118,8 +118,10 @@
 
 // Source locates a KV cache that an engine holds for another one.
 type Source struct {
-	Address string
-	Handle  string
+	// Endpoint is the name of the engine, InstanceID the ID that it expects in calls.
+	Endpoint, InstanceID string
+	Address              string
+	Handle               string
 }
 
 // Verdict is the classification of a response by its header.
@@ -130,6 +132,8 @@
 	NotRun bool
 	// OtherInstance is set if another endpoint has taken over the address.
 	OtherInstance bool
+	// Leaving is set if the endpoint announces that it leaves.
+	Leaving bool
 	// Load is the load that the endpoint reports; nil if it reports none.
 	Load *Load
 }
@@ -154,7 +158,9 @@
 	// DecodePrefill decodes the body of the response to a prefill call.
 	DecodePrefill(body []byte) (PrefillResult, error)
 	// Free returns the request that frees a retained KV cache.
-	Free(handle string) *upstream.Request
+	Free(source *Source) *upstream.Request
+	// JudgeFree classifies the response to it.
+	JudgeFree(source *Source, response *upstream.Response) Verdict
 }
 
 // exchange is the state of one request across its attempts.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -187,7 +187,7 @@
 	r, g := s.relay, s.generation
 	s.sought = nil
 	obstacle := found.err
-	if obstacle == nil && (ctx.Err() != nil || !usable(r.options.Fleet.View(), g, found.grant)) {
+	if obstacle == nil && (ctx.Err() != nil || !r.usable(r.options.Fleet.View(), g, found.grant)) {
 		obstacle = errGrantOutdated
 	}
 	// A part of the prompt may have been quarantined meanwhile.
