Record the limits of requests that endpoints name

The header Server-Limit is decoded for each answer; when an endpoint begins or ceases to name a limit, the timeline and the log say so (endpoint.limited, endpoint.unlimited), and a counter counts it. An answer to a call that was sent earlier does not replace what a later one said. Nothing acts on it yet: what the logs of the incident could not tell apart is added before any decision changes.

--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -30,6 +30,7 @@
 	mu               sync.Mutex
 	outlier          outlier
 	load             reportedLoad
+	limit            observedLimit
 	failures         failures
 	unreachable      cooldown.Cooldown
 	announcedLeaving time.Time
@@ -44,6 +45,8 @@
 	Ejected, Restored atomic.Int64
 	// Leaving counts endpoints that started to leave.
 	Leaving atomic.Int64
+	// Limited counts the times that endpoints began to name a limit of requests.
+	Limited atomic.Int64
 }
 
 // Registry holds the states of endpoints by name. It is safe for concurrent use.
--- a/internal/metrics/catalog_requests.go
+++ b/internal/metrics/catalog_requests.go
@@ -112,5 +112,7 @@
 			"Repeated ejections of the same endpoint: take it out of service and check its log."},
 		{"restored", Counter, Endpoints, "Endpoints that returned to service after an ejection.", noAction},
 		{"leaving", Counter, Endpoints, "Endpoints that started to leave.", "No action while VMs are being added or removed."},
+		{"limited", Counter, Endpoints, "Times that endpoints began to name a limit of requests.",
+			"A rise: endpoints are in need; the timeline names them."},
 	},
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -198,6 +198,7 @@
 		x.tracked.sent.Store(true)
 	}
 	r.Counters.Sent.Add(1)
+	sent := time.Now()
 	response, err := r.options.Client.Do(ctx, to.Address, &upstream.Request{
 		Method:  x.request.Method,
 		Target:  x.request.Target,
@@ -213,6 +214,9 @@
 	if verdict.Leaving {
 		r.options.Endpoints.MarkLeaving(to.Name)
 	}
+	if verdict.Limit != nil {
+		r.options.Endpoints.ObserveLimit(to.Name, *verdict.Limit, sent)
+	}
 	if verdict.Foreign {
 		r.Counters.Foreign.Add(1)
 		response.Close()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,10 @@
 	MarkUnreachable(name string)
 	ObserveLoad(name string, requests int)
 	ObserveDecline(name string)
+	// ObserveLimit records the limit that an endpoint names, or that it names none, from a
+	// time on, and reports whether that is new. Limit returns the newest known one.
+	ObserveLimit(name string, limit endpoint.Limit, at time.Time) bool
+	Limit(name string) (endpoint.Limit, time.Time)
 	// Stats returns the figures on which the choice of an endpoint is based.
 	Stats(name string) endpoint.Stats
 	Observe(name string, group []string, ok bool, latency time.Duration)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
@@ -136,6 +137,9 @@
 	Leaving bool
 	// Load is the load that the endpoint reports; nil if it reports none.
 	Load *Load
+	// Limit is the limit of requests that the endpoint names; nil if the response does not
+	// tell whether it names one.
+	Limit *endpoint.Limit
 }
 
 // Load is the number of requests that run and wait at an endpoint.
