Keep plain endpoints within the limit of requests that they name

Cause: the limit was not read, and each VM chose endpoints for itself; a limited endpoint that answers quickly looked idle. The class of fault: a shared budget that nobody accounts for.

Change: one VM of the endpoint's zone admits the calls of all VMs to a limited endpoint, as the owners of slots do; a VM that does not reach it keeps to a static share of half the limit. What is known of the limit travels with these calls. A request that no endpoint takes is refused at once, with the earliest time as Retry-After, spread. A retry that found no endpoint is returned to the budget.

Engines of models are not limited yet.

--- a/api/reservation/v1/reservationv1connect/reservation.connect.go
+++ b/api/reservation/v1/reservationv1connect/reservation.connect.go
@@ -41,6 +41,9 @@
 	// ReservationServiceHeartbeatProcedure is the fully-qualified name of the ReservationService's
 	// Heartbeat RPC.
 	ReservationServiceHeartbeatProcedure = "/ospreyshed.reservation.v1.ReservationService/Heartbeat"
+	// ReservationServiceAdmitProcedure is the fully-qualified name of the ReservationService's Admit
+	// RPC.
+	ReservationServiceAdmitProcedure = "/ospreyshed.reservation.v1.ReservationService/Admit"
 )
 
 // ReservationServiceClient is a client for the ospreyshed.reservation.v1.ReservationService
@@ -54,6 +57,9 @@
 	// reports progress. A progress of kind "released" also withdraws a demand
 	// that still waits; it is idempotent.
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
+	// Admit asks for one call to an endpoint that names a limit of requests. The called VM
+	// admits the calls of all VMs to that endpoint.
+	Admit(context.Context, *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error)
 }
 
 // NewReservationServiceClient constructs a client for the
@@ -80,6 +86,12 @@
 			connect.WithSchema(reservationServiceMethods.ByName("Heartbeat")),
 			connect.WithClientOptions(opts...),
 		),
+		admit: connect.NewClient[v1.AdmitRequest, v1.AdmitResponse](
+			httpClient,
+			baseURL+ReservationServiceAdmitProcedure,
+			connect.WithSchema(reservationServiceMethods.ByName("Admit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -87,6 +99,7 @@
 type reservationServiceClient struct {
 	reserve   *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
 	heartbeat *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
+	admit     *connect.Client[v1.AdmitRequest, v1.AdmitResponse]
 }
 
 // Reserve calls ospreyshed.reservation.v1.ReservationService.Reserve.
@@ -99,6 +112,11 @@
 	return c.heartbeat.CallUnary(ctx, req)
 }
 
+// Admit calls ospreyshed.reservation.v1.ReservationService.Admit.
+func (c *reservationServiceClient) Admit(ctx context.Context, req *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error) {
+	return c.admit.CallUnary(ctx, req)
+}
+
 // ReservationServiceHandler is an implementation of the
 // ospreyshed.reservation.v1.ReservationService service.
 type ReservationServiceHandler interface {
@@ -110,6 +128,9 @@
 	// reports progress. A progress of kind "released" also withdraws a demand
 	// that still waits; it is idempotent.
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
+	// Admit asks for one call to an endpoint that names a limit of requests. The called VM
+	// admits the calls of all VMs to that endpoint.
+	Admit(context.Context, *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error)
 }
 
 // NewReservationServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -131,12 +152,20 @@
 		connect.WithSchema(reservationServiceMethods.ByName("Heartbeat")),
 		connect.WithHandlerOptions(opts...),
 	)
+	reservationServiceAdmitHandler := connect.NewUnaryHandler(
+		ReservationServiceAdmitProcedure,
+		svc.Admit,
+		connect.WithSchema(reservationServiceMethods.ByName("Admit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/ospreyshed.reservation.v1.ReservationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ReservationServiceReserveProcedure:
 			reservationServiceReserveHandler.ServeHTTP(w, r)
 		case ReservationServiceHeartbeatProcedure:
 			reservationServiceHeartbeatHandler.ServeHTTP(w, r)
+		case ReservationServiceAdmitProcedure:
+			reservationServiceAdmitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -153,3 +182,7 @@
 func (UnimplementedReservationServiceHandler) Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ospreyshed.reservation.v1.ReservationService.Heartbeat is not implemented"))
 }
+
+func (UnimplementedReservationServiceHandler) Admit(context.Context, *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ospreyshed.reservation.v1.ReservationService.Admit is not implemented"))
+}
--- a/internal/endpoint/limit.go
+++ b/internal/endpoint/limit.go
@@ -23,7 +23,8 @@
 }
 
 // ObserveLimit records the limit that an endpoint names, or that it names none, from a time on.
-// It reports whether the known limit has changed. An older observation changes nothing.
+// It reports whether the endpoint began or ceased to name one. An older observation changes
+// nothing.
 func (r *Registry) ObserveLimit(name string, limit Limit, at time.Time) bool {
 	s := r.get(name)
 	s.mu.Lock()
@@ -33,12 +34,10 @@
 		s.limit = observedLimit{Limit: limit, at: at}
 	}
 	s.mu.Unlock()
-	if !newer || limit == known.Limit {
+	if !newer || limit.Named == known.Named {
 		return false
 	}
-	if limit.Named != known.Named {
-		r.recordLimit(name, limit)
-	}
+	r.recordLimit(name, limit)
 	return true
 }
 
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -38,6 +38,8 @@
 		{"resumed", Counter, Requests, "Streams that were resumed on another engine.", "A rise: engines interrupt streams; log lines `stream cut` name them."},
 		{"untraced", Counter, Requests, "Streams that callers took up and whose build is not known.",
 			"A rise without many VMs lost at once: see the `origin` counters; log lines `stream not traced` name the streams."},
+		{"at_limit", Counter, Endpoints, "Plain endpoints that were passed over because of the limit that they name.",
+			"A steady rise: endpoints are in need, see `endpoint.limited`; add endpoints."},
 		{"held_back", Counter, Requests, "Requests that were not sent because engines crash on a part of their prompts.",
 			"A rise: see the `quarantine` counters; log lines `request held back` name the parts."},
 		{"broken", Counter, Requests, "Streams that ended before they were complete.", "A rise: as for `resumed`, but on routes on which streams cannot be resumed."},
--- a/internal/metrics/catalog_reservation.go
+++ b/internal/metrics/catalog_reservation.go
@@ -15,5 +15,9 @@
 		{"spills", Counter, Requests, "Requests that were granted engines of another zone.",
 			"A steady rise: this zone lacks engines, and KV cache transfers use the links between zones."},
 		{"spills_refused", Counter, Requests, "Requests for which another zone granted no engines.", "A steady rise: all zones are at capacity; add engines."},
+		{"admitted", Counter, Calls, "Calls of all VMs to limited plain endpoints that this VM admitted.", noAction},
+		{"not_admitted", Counter, Calls, "Such calls that it did not admit.", "A rise: endpoints are in need; add endpoints."},
+		{"admission_fallbacks", Counter, Calls, "Calls of this VM to limited endpoints that it decided from its static share.",
+			"A steady rise: the VM that admits calls does not answer; check the membership."},
 	},
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -108,6 +108,8 @@
 		Conditions: func(name string) reservation.Condition {
 			return condition(options.Fleet.View(), endpoints, name)
 		},
+		Limits:  endpoints,
+		VMCount: func() int { return options.Fleet.View().VMCount() },
 	})
 	members.OnGone(func(m membership.Member) { service.HolderGone(m.VM, m.Incarnation) })
 	registry.Mount("reservation", metrics.Fields(service.Counters()))
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -101,6 +101,7 @@
 		EndpointsAge: func() time.Duration { return p.Feed.Age(p.Options.EndpointTopic) },
 		Endpoints:    p.Endpoints,
 		Reserver:     p.Reservations,
+		Admission:    p.Reservations,
 		Budget:       p.Budgets,
 		Client:       p.Client,
 		Origins:      p.Origins,
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -37,6 +37,7 @@
 	lastHeader     = "Test-Last-Event"
 	declinedHeader = "Test-Declined"
 	leavingHeader  = "Test-Leaving"
+	limitHeader    = "Test-Limit"
 )
 
 // testDialect implements Dialect.
@@ -59,9 +60,15 @@
 		NotRun:        response.Header.Get(declinedHeader) != "",
 		OtherInstance: response.Status == http.StatusMisdirectedRequest,
 		Leaving:       response.Header.Get(leavingHeader) != "",
+		Limit:         testLimit(response),
 	}
 }
 
+func testLimit(response *upstream.Response) *endpoint.Limit {
+	rate, err := strconv.ParseFloat(response.Header.Get(limitHeader), 64)
+	return &endpoint.Limit{Named: err == nil, PerSecond: rate}
+}
+
 func (testDialect) DecodePrefill(body []byte) (PrefillResult, error) {
 	if len(body) == 0 {
 		return PrefillResult{}, errors.New("no handle")
@@ -178,6 +185,21 @@
 	return f.found, f.err
 }
 
+// fakeAdmission admits all calls but those to endpoints with a wait.
+type fakeAdmission struct {
+	waits    map[string]time.Duration
+	reported []string
+}
+
+func (f *fakeAdmission) Admit(_ context.Context, to *configuration.Endpoint) (time.Duration, bool) {
+	wait, limited := f.waits[to.Name]
+	return wait, !limited
+}
+
+func (f *fakeAdmission) ReportLimit(of *configuration.Endpoint) {
+	f.reported = append(f.reported, of.Name)
+}
+
 // budget allows a number of retries.
 type budget struct {
 	mu   sync.Mutex
@@ -249,6 +271,7 @@
 	endpoints *endpoint.Registry
 	reserver  *fakeReserver
 	origins   *fakeOrigins
+	admission fakeAdmission
 	// endpointsAge is the age of the fleet's endpoints.
 	endpointsAge time.Duration
 	instances    []fleet.Instance
@@ -283,6 +306,7 @@
 	s.relay = New(Options{
 		VM: "vm", Incarnation: 1, Zone: "a", Fleet: s.fleet, Endpoints: s.endpoints, Reserver: s.reserver,
 		EndpointsAge: func() time.Duration { return s.endpointsAge },
+		Admission:    &s.admission,
 		Budget:       &budget{left: 10}, Client: client, Origins: s.origins, Dialect: testDialect{}, Log: log,
 		Quarantine: startQuarantine(t, client, log),
 	})
--- /dev/null
+++ b/internal/relay/limit_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+)
+
+// limits returns a handler that names a limit.
+func limits(rate string, serve func(http.ResponseWriter, *http.Request)) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(limitHeader, rate)
+		serve(w, r)
+	}
+}
+
+// A request that an endpoint at its limit does not take must go to another one.
+func TestRequestBeyondALimitGoesToAnotherEndpoint(t *testing.T) {
+	s := newFixture(t)
+	s.endpoint("d1", "desk", "", answers(http.StatusOK, "one"))
+	s.endpoint("d2", "desk", "", answers(http.StatusOK, "two"))
+	s.admission.waits = map[string]time.Duration{"d1": time.Second}
+	for range 10 {
+		assert.Equal(t, s.serve(lookup, nil).body, "two")
+	}
+}
+
+// A request that no endpoint takes must be refused at once, and its caller told when one takes
+// requests again.
+func TestRequestBeyondAllLimitsIsRefusedAtOnce(t *testing.T) {
+	s := newFixture(t)
+	s.endpoint("d1", "desk", "", answers(http.StatusOK, "one"))
+	s.endpoint("d2", "desk", "", answers(http.StatusOK, "two"))
+	s.admission.waits = map[string]time.Duration{"d1": 900 * time.Millisecond, "d2": 700 * time.Millisecond}
+	caller := s.serve(lookup, nil)
+	assert.Equal(t, caller.outcome, "refused: the endpoints are at their limits")
+	assert.Assert(t, caller.retryAfter >= 700*time.Millisecond && caller.retryAfter < 1400*time.Millisecond, "%v", caller.retryAfter)
+	assert.Equal(t, s.callCount(), 0)
+}
+
+// A retry that finds all other endpoints at their limits must not cost the budget of others, and
+// the caller must get the answer that there is.
+func TestRetryBeyondAllLimitsIsReturned(t *testing.T) {
+	s := newFixture(t)
+	s.endpoint("d1", "desk", "", answers(http.StatusInternalServerError, "failed"))
+	s.endpoint("d2", "desk", "", answers(http.StatusOK, "two"))
+	s.admission.waits = map[string]time.Duration{"d2": time.Second}
+	caller := s.serve(lookup, nil)
+	assert.Equal(t, caller.status, http.StatusInternalServerError)
+	assert.Equal(t, s.relay.options.Budget.(*budget).left, 10)
+}
+
+// What an endpoint names must be known at this VM and passed on when it begins and ends.
+func TestLimitsThatAnswersNameArePassedOn(t *testing.T) {
+	s := newFixture(t)
+	serve := limits("4.5", answers(http.StatusOK, "one"))
+	s.endpoint("d1", "desk", "", func(w http.ResponseWriter, r *http.Request) { serve(w, r) })
+	s.serve(lookup, nil)
+	s.serve(lookup, nil)
+	limit, _ := s.endpoints.Limit("d1")
+	assert.Equal(t, limit, endpoint.Limit{Named: true, PerSecond: 4.5})
+	assert.DeepEqual(t, s.admission.reported, []string{"d1"})
+	serve = answers(http.StatusOK, "one")
+	s.serve(lookup, nil)
+	limit, _ = s.endpoints.Limit("d1")
+	assert.Equal(t, limit, endpoint.Limit{})
+	assert.DeepEqual(t, s.admission.reported, []string{"d1", "d1"})
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -39,8 +40,9 @@
 func (r *Relay) servePlain(ctx context.Context, x *exchange) {
 	for r.mayAttempt(x) {
 		candidates := r.belowConnectionLimit(x.service)
-		chosen := r.options.Endpoints.PickLeastLoaded(candidates, r.options.Zone, x.exclude)
+		chosen := r.choosePlain(ctx, x, candidates)
 		if chosen == nil {
+			r.returnRetry(x)
 			break
 		}
 		r.logChoice(x, chosen)
@@ -57,6 +59,39 @@
 	r.concludePlain(x)
 }
 
+// choosePlain picks an endpoint that takes the request now. It returns nil if there is none.
+func (r *Relay) choosePlain(ctx context.Context, x *exchange, candidates []*configuration.Endpoint) *configuration.Endpoint {
+	passedOver := slices.Clone(x.exclude)
+	var earliest time.Duration
+	for {
+		chosen := r.options.Endpoints.PickLeastLoaded(candidates, r.options.Zone, passedOver)
+		if chosen == nil {
+			break
+		}
+		wait, admitted := r.options.Admission.Admit(ctx, chosen)
+		if admitted {
+			return chosen
+		}
+		r.Counters.AtLimit.Add(1)
+		r.decide(x, "endpoint at its limit", logrus.Fields{"endpoint": chosen.Name, "wait_ms": wait.Milliseconds()})
+		passedOver = append(passedOver, chosen.Name)
+		if earliest == 0 || wait < earliest {
+			earliest = wait
+		}
+	}
+	if earliest > 0 {
+		x.refusal = "the endpoints are at their limits"
+		x.retryAfter = spread(earliest)
+	}
+	return nil
+}
+
+// spread returns a delay between the given one and twice that, so that callers that are refused
+// together do not return together.
+func spread(delay time.Duration) time.Duration {
+	return delay + time.Duration(rand.Float64()*float64(delay))
+}
+
 // logChoice logs the endpoint chosen for a request and the stats behind the choice.
 func (r *Relay) logChoice(x *exchange, chosen *configuration.Endpoint) {
 	stats := r.options.Endpoints.Stats(chosen.Name)
@@ -214,8 +249,8 @@
 	if verdict.Leaving {
 		r.options.Endpoints.MarkLeaving(to.Name)
 	}
-	if verdict.Limit != nil {
-		r.options.Endpoints.ObserveLimit(to.Name, *verdict.Limit, sent)
+	if verdict.Limit != nil && r.options.Endpoints.ObserveLimit(to.Name, *verdict.Limit, sent) && x.service.Engines == nil {
+		r.options.Admission.ReportLimit(to)
 	}
 	if verdict.Foreign {
 		r.Counters.Foreign.Add(1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,7 @@
 	ObserveLoad(name string, requests int)
 	ObserveDecline(name string)
 	// ObserveLimit records the limit that an endpoint names, or that it names none, from a
-	// time on, and reports whether that is new. Limit returns the newest known one.
+	// time on, and reports whether it began or ceased to name one. Limit returns the newest known one.
 	ObserveLimit(name string, limit endpoint.Limit, at time.Time) bool
 	Limit(name string) (endpoint.Limit, time.Time)
 	// Stats returns the figures on which the choice of an endpoint is based.
@@ -52,6 +52,14 @@
 	Delivered(id engine.AttemptID, tokens int)
 }
 
+// Admission admits calls to plain endpoints that name a limit of requests.
+type Admission interface {
+	// Admit reports whether a call may be sent now, or the time after which to ask again.
+	Admit(ctx context.Context, to *configuration.Endpoint) (wait time.Duration, admitted bool)
+	// ReportLimit passes on that an endpoint began or ceased to name a limit.
+	ReportLimit(of *configuration.Endpoint)
+}
+
 // Budget limits the retries of a service.
 type Budget interface {
 	// Earn credits one request of a caller.
@@ -74,6 +82,7 @@
 	EndpointsAge func() time.Duration
 	Endpoints    Endpoints
 	Reserver     Reserver
+	Admission    Admission
 	Budget       Budget
 	Client       *upstream.Client
 	Origins      Origins
@@ -109,6 +118,8 @@
 	Resumed, Broken atomic.Int64
 	// Untraced counts streams that callers took up and whose build is not known.
 	Untraced atomic.Int64
+	// AtLimit counts endpoints that were not chosen because of the limit that they name.
+	AtLimit atomic.Int64
 	// HeldBack counts requests that were not sent because engines crash on a part of their
 	// prompts.
 	HeldBack atomic.Int64
--- a/internal/reservation/counters.go
+++ b/internal/reservation/counters.go
@@ -12,6 +12,9 @@
 	HeartbeatsFailed, StaleHeartbeats atomic.Uint64
 	Fallbacks                         atomic.Uint64
 	Spills, SpillsRefused             atomic.Uint64
+	// Admitted and NotAdmitted count the calls to limited endpoints that this VM decided
+	// about for all VMs, AdmissionFallbacks its own calls decided from its static share.
+	Admitted, NotAdmitted, AdmissionFallbacks atomic.Uint64
 }
 
 // Counters returns the service's own counters.
--- a/internal/reservation/fleet_test.go
+++ b/internal/reservation/fleet_test.go
@@ -20,9 +20,11 @@
 
 	reservationv1 "github.com/ospreyshed/ospreyshed/api/reservation/v1"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
 
 // network connects services in one process and can partition VMs from the
@@ -113,9 +115,13 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	n.cancel = cancel
+	vmCount := len(n.members)
 	for _, m := range n.members {
 		self := node{n, m}
-		n.services[m.VM] = New(Params{View: self, Dialer: self, Fleet: func() Fleet { return fleet }})
+		n.services[m.VM] = New(Params{
+			View: self, Dialer: self, Fleet: func() Fleet { return fleet },
+			Limits: endpoint.NewRegistry(timeline.Discard), VMCount: func() int { return vmCount },
+		})
 	}
 	for _, s := range n.services {
 		go s.Run(ctx)
@@ -131,7 +137,11 @@
 	i := slices.IndexFunc(n.members, func(m membership.Member) bool { return m.VM == vm })
 	n.members[i].Incarnation++
 	self := node{n, n.members[i]}
-	n.services[vm] = New(Params{View: self, Dialer: self, Fleet: fleet})
+	vmCount := len(n.members)
+	n.services[vm] = New(Params{
+		View: self, Dialer: self, Fleet: fleet,
+		Limits: endpoint.NewRegistry(timeline.Discard), VMCount: func() int { return vmCount },
+	})
 	go n.services[vm].Run(ctx)
 	return n.services[vm]
 }
--- a/internal/reservation/service.go
+++ b/internal/reservation/service.go
@@ -41,6 +41,11 @@
 	Conditions Conditions
 	// Scheduling are the options of all coordinators.
 	Scheduling scheduling.Options
+	// Limits are the limits that endpoints name; nil if endpoints name none.
+	Limits Limits
+	// VMCount returns the number of entry VMs in all zones that have announced themselves.
+	// It is used only with Limits.
+	VMCount func() int
 }
 
 // Service is a Reserver that can own the models of its zone. It is safe for
@@ -52,6 +57,7 @@
 	counters     Counters
 	spills       *spillPolicy
 	incarnations *incarnationTracker
+	limits       *endpointLimits
 
 	mu              sync.Mutex
 	ownedSchedulers map[string]*modelScheduler
@@ -69,6 +75,7 @@
 		holdings:        newHoldings(),
 		spills:          newSpillPolicy(),
 		incarnations:    newIncarnationTracker(),
+		limits:          newEndpointLimits(),
 		ownedSchedulers: make(map[string]*modelScheduler),
 		shareSchedulers: make(map[string]*modelScheduler),
 		reporters:       make(map[string]*progressReporter),
@@ -159,6 +166,7 @@
 func (s *Service) refresh() {
 	s.releaseLostModels()
 	s.refreshEngines()
+	s.limits.forget(time.Now())
 	for _, key := range s.keys() {
 		member, ok := s.router.ownerOf(key)
 		if !ok {
