Keep model engines within the limit of requests that they name

What callers would see: the report names a plain service only, but the same cause acts on prefills, decodes, repeats and resumed streams: engines in need were granted as any other.

Change: holders report what engines name to the owner of the grant, also that they name none when the owner believes they do; the owner paces the grants of a limited engine, predicts the wait from the limits and refuses at once what they keep from starting in time. A static share has its part of the limit. A limited engine gets one call of a grant.

--- a/internal/pacing/pacer.go
+++ b/internal/pacing/pacer.go
@@ -27,10 +27,11 @@
 	}
 }
 
-// Delay postpones the next event.
-func (p *Pacer) Delay(until time.Time) {
-	if until.After(p.next) {
-		p.next = until
+// Stagger moves the next event to a fraction of the interval between two events. Pacers that
+// share a rate and start together do not all admit their first event at the same time.
+func (p *Pacer) Stagger(now time.Time, fraction float64) {
+	if p.Limited() {
+		p.next = now.Add(time.Duration(fraction * float64(p.interval())))
 	}
 }
 
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -81,6 +81,7 @@
 		p.err = errGrantOutdated
 	} else if p.grant.Prefill != p.grant.Decode {
 		prefill := view.Instance(p.grant.Prefill)
+		g.limited = p.grant.Limited
 		p.sent = true
 		p.source, p.err = r.prefill(ctx, g, demand.ID, &prefill.Endpoint)
 	}
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -36,6 +36,7 @@
 	}
 	defer response.Close()
 	r.reportLeaving(id, to, verdict)
+	r.reportLimit(g, id, to, verdict, started)
 	if verdict.OtherInstance {
 		g.sends--
 		r.handleReplacedEngine(g, id, to)
@@ -71,6 +72,22 @@
 	}
 }
 
+// reportLimit tells the owner of the grant what an engine said of its limit of requests, if it
+// names one or the owner may believe that it does.
+func (r *Relay) reportLimit(g *generation, id engine.AttemptID, to *configuration.Endpoint, verdict Verdict, sent time.Time) {
+	if limit := verdict.Limit; limit != nil && (limit.Named || verdict.LimitChanged || g.limited) {
+		r.options.Reserver.Progress(scheduling.Progress{
+			ID: id, Kind: scheduling.EngineLimit, Prefill: to.Name, Elapsed: time.Since(sent), Limited: limit.Named, Limit: limit.PerSecond,
+		})
+	}
+}
+
+// isLimited reports whether an endpoint names a limit of requests.
+func (r *Relay) isLimited(name string) bool {
+	limit, _ := r.options.Endpoints.Limit(name)
+	return limit.Named
+}
+
 // decodeStage returns the stage for an engine that fetches a KV cache, or that
 // processes the prompt itself because there is no source.
 func decodeStage(source *Source) Stage {
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -70,6 +70,8 @@
 	late bool
 	// suspect tells whether engines crash on a part of the prompt.
 	suspect *quarantine.Request
+	// limited says that one of the granted engines takes a limited number of requests.
+	limited bool
 	// next holds the engines that were prepared for the next attempt during the current
 	// one, nil if there are none.
 	next *prepared
@@ -237,6 +239,7 @@
 // run runs the request on the granted engines: the prefill on one and the decode on
 // another, or both on one if the grant names it twice.
 func (r *Relay) run(ctx context.Context, g *generation, id engine.AttemptID, grant scheduling.Grant) error {
+	g.limited = grant.Limited
 	view := r.options.Fleet.View()
 	prefill, decode := view.Instance(grant.Prefill), view.Instance(grant.Decode)
 	if !r.available(prefill) || !r.available(decode) {
@@ -268,7 +271,7 @@
 // runDecode runs the decode on the granted engine, which fetches the KV cache from the
 // source.
 func (r *Relay) runDecode(ctx context.Context, g *generation, id engine.AttemptID, grant scheduling.Grant, source *Source) error {
-	g.deliveredBefore = g.delivered
+	g.deliveredBefore, g.limited = g.delivered, grant.Limited
 	decode := r.options.Fleet.View().Instance(grant.Decode)
 	// The decode engine may have started to drain during the prefill.
 	if !r.available(decode) {
@@ -293,7 +296,8 @@
 	r.Counters.PrefillsLost.Add(1)
 	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillFailed, Prefill: grant.Prefill})
 	r.free(source)
-	if errors.Is(err, errDeclined) && !r.available(decode) {
+	// The grant stands for one call to each engine.
+	if errors.Is(err, errDeclined) && (!r.available(decode) || r.isLimited(decode.Name)) {
 		g.exclude = append(g.exclude, decode.Name)
 		return errRetry
 	}
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
 
 // limits returns a handler that names a limit.
@@ -70,3 +73,37 @@
 	assert.Equal(t, limit, endpoint.Limit{})
 	assert.DeepEqual(t, s.admission.reported, []string{"d1", "d1"})
 }
+
+// The owner of a grant must learn what its engines say of their limits, also that a limit which
+// it knows has ended.
+func TestLimitsOfEnginesAreReportedToTheOwner(t *testing.T) {
+	limited := func(d scheduling.Demand) (scheduling.Grant, error) {
+		return scheduling.Grant{ID: d.ID, Prefill: "p1", Decode: "e1", Limited: true}, nil
+	}
+	s := newFixture(t, grant("p1", "e1"), limited)
+	s.engines(limits("2.5", answers(http.StatusOK, "h1")), events(2))
+	reports := func() (all []scheduling.Progress) {
+		s.serve(dossier, work)
+		for _, p := range s.reserver.progress {
+			if p.Kind == scheduling.EngineLimit {
+				p.ID, p.Elapsed = engine.AttemptID{}, 0
+				all = append(all, p)
+			}
+		}
+		s.reserver.progress = nil
+		return all
+	}
+	p1 := scheduling.Progress{Kind: scheduling.EngineLimit, Prefill: "p1", Limited: true, Limit: 2.5}
+	e1 := scheduling.Progress{Kind: scheduling.EngineLimit, Prefill: "e1"}
+	assert.DeepEqual(t, reports(), []scheduling.Progress{p1})
+	assert.DeepEqual(t, reports(), []scheduling.Progress{p1, e1})
+}
+
+// A grant stands for one call to each engine: one that is limited must not get a second call.
+func TestLimitedEngineGetsOneCallOfAGrant(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.engines(answers(http.StatusOK, "h1"), limits("3", declines))
+	assert.Equal(t, s.serve(check, work).body, eventText(3))
+	assert.Equal(t, strings.Count(s.callLog(), "e1:"), 1, s.callLog())
+	assert.DeepEqual(t, s.reserver.demands[1].Exclude, []string{"e1"})
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -249,7 +249,10 @@
 	if verdict.Leaving {
 		r.options.Endpoints.MarkLeaving(to.Name)
 	}
-	if verdict.Limit != nil && r.options.Endpoints.ObserveLimit(to.Name, *verdict.Limit, sent) && x.service.Engines == nil {
+	if verdict.Limit != nil {
+		verdict.LimitChanged = r.options.Endpoints.ObserveLimit(to.Name, *verdict.Limit, sent)
+	}
+	if verdict.LimitChanged && x.service.Engines == nil {
 		r.options.Admission.ReportLimit(to)
 	}
 	if verdict.Foreign {
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -40,6 +40,7 @@
 		return nil, errNoPrefill
 	}
 	r.reportLeaving(id, to, verdict)
+	r.reportLimit(g, id, to, verdict, started)
 	result, err := r.prefillResult(answer, verdict, err)
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -140,6 +140,8 @@
 	// Limit is the limit of requests that the endpoint names; nil if the response does not
 	// tell whether it names one.
 	Limit *endpoint.Limit
+	// LimitChanged is set by the relay if the endpoint began or ceased to name a limit.
+	LimitChanged bool
 }
 
 // Load is the number of requests that run and wait at an endpoint.
--- a/internal/reservation/convert.go
+++ b/internal/reservation/convert.go
@@ -93,6 +93,7 @@
 			Prefill:      grant.Prefill,
 			Decode:       grant.Decode,
 			FirstTokenNs: int64(grant.FirstToken),
+			Limited:      grant.Limited,
 		},
 	}}
 }
@@ -113,6 +114,7 @@
 		Prefill:    g.GetPrefill(),
 		Decode:     g.GetDecode(),
 		FirstToken: time.Duration(g.GetFirstTokenNs()),
+		Limited:    g.GetLimited(),
 	}, nil
 }
 
@@ -156,6 +158,8 @@
 		Tokens:    int32(p.Tokens),
 		Cached:    int32(p.Cached),
 		ElapsedNs: int64(p.Elapsed),
+		Limited:   p.Limited,
+		Limit:     p.Limit,
 	}
 }
 
@@ -168,5 +172,7 @@
 		Tokens:  int(p.GetTokens()),
 		Cached:  int(p.GetCached()),
 		Elapsed: time.Duration(p.GetElapsedNs()),
+		Limited: p.GetLimited(),
+		Limit:   p.GetLimit(),
 	}
 }
--- a/internal/reservation/fallback.go
+++ b/internal/reservation/fallback.go
@@ -69,7 +69,7 @@
 	return max(0, slices.Index(names, s.self().VM))
 }
 
-// limitToShare limits each decode engine to one of several equal shares. The
+// limitToShare limits each engine to one of several equal shares. The
 // remaining slots are assigned to the VMs in turn, shifted by one VM from
 // engine to engine, so that the shares add up to the engine's slots and no VM
 // gets all of the remainder.
@@ -77,6 +77,8 @@
 	engines := 0
 	for i := range states {
 		state := &states[i]
+		state.Limit *= limitShare / float64(parts)
+		state.LimitStagger = (float64(index) + 0.5) / float64(parts)
 		if state.Role != configuration.RoleDecode {
 			continue
 		}
--- a/internal/reservation/limits.go
+++ b/internal/reservation/limits.go
@@ -8,6 +8,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/cooldown"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/pacing"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
 
 // Limits holds what this VM knows of the limits that endpoints name.
@@ -115,7 +116,7 @@
 	if !ok {
 		l = &limiter{}
 		l.pacer.SetRate(now, share)
-		l.pacer.Delay(now.Add(time.Duration(rand.Float64() / share * float64(time.Second))))
+		l.pacer.Stagger(now, rand.Float64())
 		e.shares[name] = l
 	}
 	return l.admit(now, share)
@@ -173,5 +174,29 @@
 	}
 }
 
+// setLimits sets the limits that engines name.
+func (s *Service) setLimits(states []scheduling.EngineState) {
+	if s.params.Limits == nil {
+		return
+	}
+	for i := range states {
+		if limit, _ := s.params.Limits.Limit(states[i].Name); limit.Named {
+			states[i].Limit = rateOf(limit)
+		}
+	}
+}
+
+// observeLimit records the limit that a holder reports, and replaces it by the newest one that
+// this VM knows.
+func (s *Service) observeLimit(p *scheduling.Progress) {
+	if p.Kind != scheduling.EngineLimit || s.params.Limits == nil {
+		return
+	}
+	reported := endpoint.Limit{Named: p.Limited, PerSecond: p.Limit}
+	s.params.Limits.ObserveLimit(p.Prefill, reported, time.Now().Add(-p.Elapsed))
+	newest, _ := s.params.Limits.Limit(p.Prefill)
+	p.Limited, p.Limit = newest.Named, rateOf(newest)
+}
+
 // rateOf returns the rate at which an endpoint gets requests, in requests per second.
 func rateOf(limit endpoint.Limit) float64 { return max(minLimitRate, limit.PerSecond) }
--- a/internal/reservation/limits_sim_test.go
+++ b/internal/reservation/limits_sim_test.go
@@ -63,6 +63,14 @@
 // call sends a request of a VM, which learns the limit from the answer.
 func (p *limitedPlain) call(vm string, s *Service) {
 	sent := time.Now()
+	limit := p.answer(vm)
+	if s.params.Limits.ObserveLimit(p.endpoint.Name, limit, sent) {
+		s.ReportLimit(&p.endpoint)
+	}
+}
+
+// answer answers a request of a VM with the limit.
+func (p *limitedPlain) answer(vm string) endpoint.Limit {
 	time.Sleep(limitCallTime / 2)
 	p.mu.Lock()
 	limit, now := p.limit, time.Now()
@@ -73,9 +81,7 @@
 	}
 	p.mu.Unlock()
 	time.Sleep(limitCallTime / 2)
-	if s.params.Limits.ObserveLimit(p.endpoint.Name, limit, sent) {
-		s.ReportLimit(&p.endpoint)
-	}
+	return limit
 }
 
 // check checks all windows during which the limit did not change and returns the share of the
@@ -179,6 +185,13 @@
 				}
 			}
 		}, 0.5},
+		"no VM reaches another": {map[string]int{"a": 20, "b": 20}, 4, func(n *network, _ *limitedPlain) {
+			time.Sleep(2 * time.Second)
+			for _, m := range n.members {
+				n.cutOff(m.VM, true)
+			}
+			time.Sleep(40 * time.Second)
+		}, 0.3},
 		"VM that admits is killed": {map[string]int{"a": 3, "b": 3}, 4, func(n *network, p *limitedPlain) {
 			time.Sleep(5 * time.Second)
 			admitter, _ := n.services["b-1"].admitter(&p.endpoint)
--- a/internal/reservation/ownership.go
+++ b/internal/reservation/ownership.go
@@ -69,6 +69,7 @@
 func (s *Service) configure(model string, sched *modelScheduler, parts int) {
 	fleet := s.params.Fleet()
 	states := engineStates(fleet, s.params.Conditions, model, s.self().Zone)
+	s.setLimits(states)
 	if parts > 1 {
 		limitToShare(states, s.shareIndex(), parts)
 	}
--- a/internal/reservation/server.go
+++ b/internal/reservation/server.go
@@ -77,7 +77,9 @@
 		if err != nil {
 			continue
 		}
-		sched.progress(progressFromProto(p))
+		report := progressFromProto(p)
+		s.observeLimit(&report)
+		sched.progress(report)
 	}
 }
 
--- a/internal/reservation/service.go
+++ b/internal/reservation/service.go
@@ -107,6 +107,7 @@
 	if !ok {
 		return
 	}
+	s.observeLimit(&p)
 	s.report(key, p)
 }
 
@@ -144,7 +145,7 @@
 // report passes progress to the schedulers that may know the attempt.
 func (s *Service) report(key routeKey, p scheduling.Progress) {
 	if share := s.activeShareScheduler(key); share != nil {
-		share.progress(p)
+		s.reportToShare(share, key.model, p)
 	}
 	member, ok := s.router.ownerOf(key)
 	if !ok {
@@ -160,6 +161,16 @@
 	}
 }
 
+// reportToShare passes progress to a scheduler of a static share, which has a part of each
+// limit only.
+func (s *Service) reportToShare(share *modelScheduler, model string, p scheduling.Progress) {
+	if p.Kind == scheduling.EngineLimit {
+		s.configure(model, share, s.zoneVMCount())
+		return
+	}
+	share.progress(p)
+}
+
 // refresh follows changes of ownership and of engines, renews this VM's grants
 // in its own schedulers and ensures that each other owner has a progress
 // reporter.
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -227,7 +227,7 @@
 // backlogWait returns the predicted time until the last demand of a backlog has
 // started.
 func (c *Coordinator) backlogWait(now time.Time, d *Demand, b backlog) time.Duration {
-	return max(c.prefillWait(now, b.work), c.slotWait(now, d, b.count))
+	return max(c.prefillWait(now, b.work), c.slotWait(now, d, b.count), c.limitWait(now, d, b.count))
 }
 
 // prefillWait returns the time until a prefill engine is free behind a backlog.
@@ -259,7 +259,7 @@
 	free := 0
 	for _, e := range c.pool.decode {
 		if e.usable() && d.ofBuild(e) {
-			free += c.freeCapacity(now, e)
+			free += c.openCapacity(now, e)
 		}
 	}
 	if count < free {
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -100,7 +100,7 @@
 	places, free := 0, 0
 	for _, e := range c.pool.decode {
 		if e.usable() {
-			open := max(0, c.freeCapacity(now, e))
+			open := max(0, c.openCapacity(now, e))
 			places += open + e.slotsHeld + e.pendingSlots
 			free += open
 		}
@@ -129,6 +129,9 @@
 // grants; what is held on them stays in the ledger until it is released.
 func (c *Coordinator) SetEngines(now time.Time, states []EngineState) {
 	c.pool.set(states)
+	for _, e := range c.pool.byName {
+		e.updateLimit(now)
+	}
 	c.dispatch(now)
 }
 
@@ -321,6 +324,11 @@
 	}
 	h.prefillEngineIdle = p.prefill.prefillBacklog(now) == 0
 	p.prefill.lastPrefill = now
+	p.decode.pacer.Take(now)
+	if p.prefill != p.decode {
+		p.prefill.pacer.Take(now)
+	}
+	h.grant.Limited = p.prefill.pacer.Limited() || p.decode.pacer.Limited()
 	c.ledger.add(h)
 	c.prefixes.store(p.prefill.Name, d.Blocks)
 	c.queue.usage.charge(d.Team, d.Share, first+seconds(float64(d.OutputTokens)*c.predict.model.TokenInterval.D().Seconds()))
--- a/internal/scheduling/engines.go
+++ b/internal/scheduling/engines.go
@@ -6,6 +6,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/pacing"
 )
 
 // EngineState is the configuration of one engine and whether it may get new
@@ -28,6 +29,12 @@
 	Leaving bool
 	// Ejected excludes the engine from new grants until it is restored.
 	Ejected bool
+	// Limit is the number of requests per second that the engine takes; 0 means any.
+	Limit float64
+	// LimitStagger is the fraction of the time between two requests after which the first one
+	// is granted when a limit begins; 0 means the whole time. Schedulers that have parts of
+	// one limit differ in it.
+	LimitStagger float64
 	// SlotLimit bounds the slots in use below Slots while an ejected engine is
 	// restored gradually or while a share of it is assigned to other entry VMs;
 	// 0 means Slots.
@@ -166,6 +173,8 @@
 	cacheInDoubt bool
 
 	cooldown engineCooldown
+	// pacer spreads the calls to the engine if it takes a limited number.
+	pacer pacing.Pacer
 
 	prefillRatio ewma
 	linkRatio    ewma
@@ -176,6 +185,15 @@
 	return &engineInfo{EngineState: EngineState{Name: name}}
 }
 
+// updateLimit puts the engine's limit in force.
+func (e *engineInfo) updateLimit(now time.Time) {
+	began := !e.pacer.Limited() && e.Limit > 0
+	e.pacer.SetRate(now, e.Limit)
+	if began && e.LimitStagger > 0 {
+		e.pacer.Stagger(now, e.LimitStagger)
+	}
+}
+
 // idle reports whether nothing is held on the engine.
 func (e *engineInfo) idle() bool {
 	return len(e.held) == 0 && len(e.running) == 0 && len(e.transfers) == 0
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -44,6 +44,8 @@
 		c.responseLost(now, p.Prefill)
 	case DecodeLost:
 		c.responseLost(now, p.Decode)
+	case EngineLimit:
+		c.limitEngine(now, p)
 	case EngineLeaving:
 		c.markLeaving(now, p.Prefill)
 		c.markLeaving(now, p.Decode)
--- a/internal/scheduling/overlap.go
+++ b/internal/scheduling/overlap.go
@@ -59,7 +59,7 @@
 // pending slot predicts when a slot is free and not how many requests the
 // engine then runs.
 func (c *Coordinator) overlapPossible(e *engineInfo, d *Demand) bool {
-	if !e.usable() || e.pendingSlots >= maxPendingSlots || !c.mayTake(e, d) {
+	if !e.usable() || e.pendingSlots >= maxPendingSlots || !c.mayTake(e, d) || e.pacer.Limited() {
 		return false
 	}
 	strictest := stricter(e.strictest, d.Targets.BetweenTokens.D())
--- a/internal/scheduling/placement.go
+++ b/internal/scheduling/placement.go
@@ -77,7 +77,7 @@
 
 // prefillFree reports whether a prefill engine can take the demand now.
 func (c *Coordinator) prefillFree(now time.Time, e *engineInfo, d *Demand) bool {
-	if !e.usable() || slices.Contains(d.Exclude, e.Name) {
+	if !e.usable() || slices.Contains(d.Exclude, e.Name) || !e.pacer.Ready(now) {
 		return false
 	}
 	if e.Pieces > 0 && e.prefillPieces+e.piecesFor(d.PromptTokens) > e.Pieces {
@@ -149,7 +149,7 @@
 // slotFree reports whether a decode engine has a slot and memory for the demand
 // and whether all between-token targets on it hold with one more request.
 func (c *Coordinator) slotFree(now time.Time, e *engineInfo, d *Demand) bool {
-	if !e.usable() || e.pendingSlots > 0 || e.freeSlots() <= 0 || !c.mayTake(e, d) {
+	if !e.usable() || e.pendingSlots > 0 || e.freeSlots() <= 0 || !c.mayTake(e, d) || !e.pacer.Ready(now) {
 		return false
 	}
 	strictest := stricter(e.strictest, d.Targets.BetweenTokens.D())
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -63,6 +63,9 @@
 	Decode  string
 	// FirstToken is the predicted time from the grant to the first token.
 	FirstToken time.Duration
+	// Limited says that one of the engines takes a limited number of requests. The holder
+	// then reports what the engines say of it.
+	Limited bool
 }
 
 // RefusalReason says why a demand was refused.
@@ -106,8 +109,13 @@
 	Tokens int
 	// Cached is the number of prompt tokens served from the prefix cache.
 	Cached int
-	// Elapsed is the duration of the phase that ended.
+	// Elapsed is the duration of the phase that ended, or for EngineLimit the time since the
+	// engine said so.
 	Elapsed time.Duration
+	// Limited says that the engine named as Prefill names a limit, and Limit is the number of
+	// requests per second that it takes. They are for EngineLimit.
+	Limited bool
+	Limit   float64
 }
 
 // ProgressKind is the kind of event that a Progress reports.
@@ -129,6 +137,8 @@
 	DecodeLost  ProgressKind = "decode-lost"
 	// EngineLeaving means that the holder learned that an engine is leaving.
 	EngineLeaving ProgressKind = "engine-leaving"
+	// EngineLimit means that an engine said how many requests it takes.
+	EngineLimit ProgressKind = "engine-limit"
 	// Released means that the attempt no longer holds any resources.
 	Released ProgressKind = "released"
 )
