Leave endpoints alone for the time that they ask for

Cause: an endpoint that turns a request away with 503 may say for how many seconds it wants nothing of this VM; the header was not read, so that requests went on reaching it as cooldowns and failure rates allowed.

Callers that only such endpoints could serve are refused at once and told the earliest end, spread. Other VMs go on using the endpoint, since it told only this one.

--- /dev/null
+++ b/internal/endpoint/quiet.go
@@ -0,0 +1,37 @@
+package endpoint
+
+import "time"
+
+// maxQuiet limits the time for which an endpoint can ask for quiet. Endpoints ask for seconds; a
+// longer time would keep a sound endpoint out of service by one wrong answer.
+const maxQuiet = 30 * time.Second
+
+// MarkQuiet records that an endpoint wants no requests of this VM for a time, at most maxQuiet.
+func (r *Registry) MarkQuiet(name string, d time.Duration) {
+	s := r.get(name)
+	until := r.now().Add(min(d, maxQuiet))
+	for latest := r.latestQuiet.Load(); until.UnixNano() > latest; latest = r.latestQuiet.Load() {
+		if r.latestQuiet.CompareAndSwap(latest, until.UnixNano()) {
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.After(s.quietUntil) {
+		s.quietUntil = until
+		r.Counters.Quieted.Add(1)
+	}
+}
+
+// QuietFor returns the time for which an endpoint still wants no requests of this VM; 0 if it
+// takes them.
+func (r *Registry) QuietFor(name string) time.Duration {
+	now := r.now()
+	if now.UnixNano() >= r.latestQuiet.Load() {
+		return 0
+	}
+	s := r.get(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, s.quietUntil.Sub(now))
+}
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -27,10 +27,12 @@
 type State struct {
 	inFlight atomic.Int64
 
-	mu               sync.Mutex
-	outlier          outlier
-	load             reportedLoad
-	limit            observedLimit
+	mu      sync.Mutex
+	outlier outlier
+	load    reportedLoad
+	limit   observedLimit
+	// quietUntil is the time until which the endpoint wants no requests of this VM.
+	quietUntil       time.Time
 	failures         failures
 	unreachable      cooldown.Cooldown
 	announcedLeaving time.Time
@@ -45,6 +47,8 @@
 	Ejected, Restored atomic.Int64
 	// Leaving counts endpoints that started to leave.
 	Leaving atomic.Int64
+	// Quieted counts the times that endpoints asked for quiet.
+	Quieted atomic.Int64
 	// Limited counts the times that endpoints began to name a limit of requests.
 	Limited atomic.Int64
 }
@@ -59,6 +63,8 @@
 	// random returns a number from 0 to below 1; it is safe for concurrent use.
 	random func() float64
 	states sync.Map // endpoint name -> *State
+	// latestQuiet is the time in Unix nanoseconds until which any endpoint asked for quiet.
+	latestQuiet atomic.Int64
 }
 
 // NewRegistry returns an empty registry.
@@ -225,7 +231,7 @@
 	return latencies[(len(latencies)-1)/2], ejected
 }
 
-// PickLeastLoaded picks a usable endpoint by the power of two choices. Endpoints are
+// PickLeastLoaded picks a usable endpoint that has not asked for quiet, by the power of two choices. Endpoints are
 // compared by their utilization, known from this VM's calls in flight and the
 // endpoints' own load reports, and by their failure rate. Endpoints in the zone are
 // preferred unless those in other zones are much better. It returns nil if none is
@@ -233,7 +239,7 @@
 func (r *Registry) PickLeastLoaded(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint {
 	usable := make([]*configuration.Endpoint, 0, len(candidates))
 	for _, e := range candidates {
-		if !slices.Contains(exclude, e.Name) && r.Usable(e.Name) {
+		if !slices.Contains(exclude, e.Name) && r.QuietFor(e.Name) == 0 && r.Usable(e.Name) {
 			usable = append(usable, e)
 		}
 	}
--- a/internal/metrics/catalog_requests.go
+++ b/internal/metrics/catalog_requests.go
@@ -112,6 +112,8 @@
 			"Repeated ejections of the same endpoint: take it out of service and check its log."},
 		{"restored", Counter, Endpoints, "Endpoints that returned to service after an ejection.", noAction},
 		{"leaving", Counter, Endpoints, "Endpoints that started to leave.", "No action while VMs are being added or removed."},
+		{"quieted", Counter, Endpoints, "Times that endpoints asked for quiet with a failure.",
+			"A rise: endpoints are in need; log lines `endpoint asks for quiet` name them."},
 		{"limited", Counter, Endpoints, "Times that endpoints began to name a limit of requests.",
 			"A rise: endpoints are in need; the timeline names them."},
 	},
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
@@ -45,12 +46,30 @@
 		Targets:      r.targets(g),
 		Weights:      configuration.Weights{WastedPrefill: 1},
 		Waited:       time.Since(g.request.Arrived),
-		Exclude:      g.exclude,
+		Exclude:      r.excluded(g),
 		Build:        g.requiredBuild(),
 		Resumed:      g.headerSent || g.takenUp,
 	}
 }
 
+// excluded returns the engines that must not be granted: those that failed the request, and those
+// that want no requests of this VM at present.
+func (r *Relay) excluded(g *generation) []string {
+	excluded := slices.Clone(g.exclude)
+	for _, e := range r.engines(g.service.Name) {
+		if r.options.Endpoints.QuietFor(e.Name) > 0 && !slices.Contains(excluded, e.Name) {
+			excluded = append(excluded, e.Name)
+		}
+	}
+	return excluded
+}
+
+// engines returns the engines of a service in all zones.
+func (r *Relay) engines(service string) []*configuration.Endpoint {
+	view := r.options.Fleet.View()
+	return slices.Concat(view.Engines(service, configuration.RolePrefill, ""), view.Engines(service, configuration.RoleDecode, ""))
+}
+
 // reservedOutput returns the number of output tokens for which memory is reserved.
 func reservedOutput(work *Generation) int {
 	if work.ExpectedOutputTokens <= 0 {
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -38,6 +38,7 @@
 	declinedHeader = "Test-Declined"
 	leavingHeader  = "Test-Leaving"
 	limitHeader    = "Test-Limit"
+	quietHeader    = "Test-Quiet"
 )
 
 // testDialect implements Dialect.
@@ -61,9 +62,18 @@
 		OtherInstance: response.Status == http.StatusMisdirectedRequest,
 		Leaving:       response.Header.Get(leavingHeader) != "",
 		Limit:         testLimit(response),
+		Quiet:         testQuiet(response),
 	}
 }
 
+func testQuiet(response *upstream.Response) time.Duration {
+	quiet, err := time.ParseDuration(response.Header.Get(quietHeader))
+	if err != nil {
+		return 0
+	}
+	return quiet
+}
+
 func testLimit(response *upstream.Response) *endpoint.Limit {
 	rate, err := strconv.ParseFloat(response.Header.Get(limitHeader), 64)
 	return &endpoint.Limit{Named: err == nil, PerSecond: rate}
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -233,6 +233,9 @@
 	}
 	g.refusal = string(refusal.Reason)
 	g.retryAfter = min(max(refusal.RetryAfter, minBusyRetryAfter), maxBusyRetryAfter)
+	if quiet := r.earliestEndOfQuiet(r.engines(g.service.Name)); refusal.Reason == scheduling.RefusedNoEngine && quiet > 0 {
+		g.retryAfter = spread(quiet)
+	}
 	return errGiveUp
 }
 
@@ -242,7 +245,7 @@
 	g.limited = grant.Limited
 	view := r.options.Fleet.View()
 	prefill, decode := view.Instance(grant.Prefill), view.Instance(grant.Decode)
-	if !r.available(prefill) || !r.available(decode) {
+	if !r.mayUse(prefill) || !r.mayUse(decode) {
 		r.returnRetry(g.exchange)
 		return r.discardGrant(g, id, grant)
 	}
@@ -274,7 +277,7 @@
 	g.deliveredBefore, g.limited = g.delivered, grant.Limited
 	decode := r.options.Fleet.View().Instance(grant.Decode)
 	// The decode engine may have started to drain during the prefill.
-	if !r.available(decode) {
+	if !r.mayUse(decode) {
 		r.Counters.PrefillsLost.Add(1)
 		r.free(source)
 		return r.discardGrant(g, id, grant)
@@ -297,7 +300,7 @@
 	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.PrefillFailed, Prefill: grant.Prefill})
 	r.free(source)
 	// The grant stands for one call to each engine.
-	if errors.Is(err, errDeclined) && (!r.available(decode) || r.isLimited(decode.Name)) {
+	if errors.Is(err, errDeclined) && (!r.mayUse(decode) || r.isLimited(decode.Name)) {
 		g.exclude = append(g.exclude, decode.Name)
 		return errRetry
 	}
@@ -334,7 +337,7 @@
 // decode engine may continue the stream.
 func (r *Relay) usable(view *fleet.View, g *generation, grant scheduling.Grant) bool {
 	decode := view.Instance(grant.Decode)
-	return r.available(view.Instance(grant.Prefill)) && r.available(decode) && g.permits(decode.Build)
+	return r.mayUse(view.Instance(grant.Prefill)) && r.mayUse(decode) && g.permits(decode.Build)
 }
 
 // buildOf returns the build of an engine, empty if it is not known.
@@ -345,6 +348,12 @@
 	return ""
 }
 
+// mayUse reports whether an engine may get a call: it is not leaving and has not asked for
+// quiet.
+func (r *Relay) mayUse(instance *fleet.Instance) bool {
+	return r.available(instance) && r.options.Endpoints.QuietFor(instance.Name) == 0
+}
+
 // available reports whether this process knows an endpoint and it is not leaving, neither by
 // its registration nor by its own answers.
 func (r *Relay) available(instance *fleet.Instance) bool {
@@ -358,11 +367,11 @@
 	view := r.options.Fleet.View()
 	for _, name := range []string{grant.Prefill, grant.Decode} {
 		instance := view.Instance(name)
-		if r.available(instance) {
+		if r.mayUse(instance) {
 			continue
 		}
 		g.exclude = append(g.exclude, name)
-		leaves := instance != nil || view.Departed(name)
+		leaves := !r.available(instance) && (instance != nil || view.Departed(name))
 		if leaves {
 			r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: scheduling.EngineLeaving, Prefill: name, Decode: name})
 		}
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -40,7 +40,7 @@
 	s.endpoint("d2", "desk", "", answers(http.StatusOK, "two"))
 	s.admission.waits = map[string]time.Duration{"d1": 900 * time.Millisecond, "d2": 700 * time.Millisecond}
 	caller := s.serve(lookup, nil)
-	assert.Equal(t, caller.outcome, "refused: the endpoints are at their limits")
+	assert.Equal(t, caller.outcome, "refused: the endpoints are at their limits or asked for quiet")
 	assert.Assert(t, caller.retryAfter >= 700*time.Millisecond && caller.retryAfter < 1400*time.Millisecond, "%v", caller.retryAfter)
 	assert.Equal(t, s.callCount(), 0)
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -62,7 +62,7 @@
 // choosePlain picks an endpoint that takes the request now. It returns nil if there is none.
 func (r *Relay) choosePlain(ctx context.Context, x *exchange, candidates []*configuration.Endpoint) *configuration.Endpoint {
 	passedOver := slices.Clone(x.exclude)
-	var earliest time.Duration
+	earliest := r.earliestEndOfQuiet(candidates)
 	for {
 		chosen := r.options.Endpoints.PickLeastLoaded(candidates, r.options.Zone, passedOver)
 		if chosen == nil {
@@ -80,12 +80,24 @@
 		}
 	}
 	if earliest > 0 {
-		x.refusal = "the endpoints are at their limits"
+		x.refusal = "the endpoints are at their limits or asked for quiet"
 		x.retryAfter = spread(earliest)
 	}
 	return nil
 }
 
+// earliestEndOfQuiet returns the time until the first of the endpoints that asked for quiet takes
+// requests again; 0 if none asked.
+func (r *Relay) earliestEndOfQuiet(endpoints []*configuration.Endpoint) time.Duration {
+	earliest := time.Duration(0)
+	for _, e := range endpoints {
+		if quiet := r.options.Endpoints.QuietFor(e.Name); quiet > 0 && (earliest == 0 || quiet < earliest) {
+			earliest = quiet
+		}
+	}
+	return earliest
+}
+
 // spread returns a delay between the given one and twice that, so that callers that are refused
 // together do not return together.
 func spread(delay time.Duration) time.Duration {
@@ -227,6 +239,9 @@
 	if !r.available(instance) {
 		return nil, Verdict{}, upstream.NotSent.New("%s is leaving", to.Name)
 	}
+	if r.options.Endpoints.QuietFor(to.Name) > 0 {
+		return nil, Verdict{}, upstream.NotSent.New("%s asked for quiet", to.Name)
+	}
 	call.InstanceID = instance.ID
 	call.Timeout = x.timeLeft()
 	if call.Stage != Prefill {
@@ -249,6 +264,10 @@
 	if verdict.Leaving {
 		r.options.Endpoints.MarkLeaving(to.Name)
 	}
+	if verdict.Quiet > 0 {
+		r.options.Endpoints.MarkQuiet(to.Name, verdict.Quiet)
+		r.decide(x, "endpoint asks for quiet", logrus.Fields{"endpoint": to.Name, "ms": verdict.Quiet.Milliseconds()})
+	}
 	if verdict.Limit != nil {
 		verdict.LimitChanged = r.options.Endpoints.ObserveLimit(to.Name, *verdict.Limit, sent)
 	}
--- /dev/null
+++ b/internal/relay/quiet_test.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+)
+
+// asksForQuiet declines a request and asks for quiet.
+func asksForQuiet(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(quietHeader, "1m")
+	declines(w, r)
+}
+
+// A plain endpoint that asked for quiet must get nothing more from this VM, neither first requests
+// nor retries, and callers that only it could serve must be refused at once.
+func TestEndpointThatAskedForQuietGetsNothing(t *testing.T) {
+	s := newFixture(t)
+	s.endpoint("d1", "desk", "", asksForQuiet)
+	s.endpoint("d2", "desk", "", answers(http.StatusOK, "two"))
+	for range 20 {
+		assert.Equal(t, s.serve(lookup, nil).body, "two")
+	}
+	assert.Assert(t, strings.Count(s.callLog(), "d1:") <= 1, s.callLog())
+
+	s = newFixture(t)
+	s.endpoint("d1", "desk", "", asksForQuiet)
+	s.serve(lookup, nil)
+	caller := s.serve(lookup, nil)
+	assert.Equal(t, s.callCount(), 1)
+	assert.Assert(t, strings.HasPrefix(caller.outcome, "refused"), caller.outcome)
+	assert.Assert(t, caller.retryAfter > 20*time.Second && caller.retryAfter <= time.Minute, "%v", caller.retryAfter)
+}
+
+// An engine that asked for quiet must not be granted to this VM, nor called for a grant that was
+// made before.
+func TestEngineThatAskedForQuietGetsNothing(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.engines(asksForQuiet, events(3))
+	assert.Equal(t, s.serve(dossier, work).body, eventText(3))
+	assert.DeepEqual(t, s.reserver.demands[1].Exclude, []string{"p1"})
+	s.reserver.demands, s.reserver.progress = nil, nil
+	assert.Equal(t, s.serve(dossier, work).body, eventText(3))
+	assert.Equal(t, strings.Count(s.callLog(), "p1:"), 1, s.callLog())
+	assert.DeepEqual(t, s.reserver.demands[0].Exclude, []string{"p1"})
+	assert.Assert(t, !strings.Contains(s.reserver.kinds(), string(scheduling.EngineLeaving)), "it does not leave")
+}
+
+// If all engines asked for quiet, callers are told when the first one takes requests again.
+func TestRefusalTellsTheEndOfQuiet(t *testing.T) {
+	s := newFixture(t, func(scheduling.Demand) (scheduling.Grant, error) {
+		return scheduling.Grant{}, &scheduling.Refusal{Reason: scheduling.RefusedNoEngine, RetryAfter: time.Second}
+	})
+	s.endpoint("e1", "pool", configuration.RoleDecode, events(1))
+	s.endpoints.MarkQuiet("e1", 10*time.Second)
+	caller := s.serve(dossier, work)
+	assert.Assert(t, caller.retryAfter > 9*time.Second && caller.retryAfter <= 20*time.Second, "%v", caller.retryAfter)
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -135,6 +135,9 @@
 	OtherInstance bool
 	// Leaving is set if the endpoint announces that it leaves.
 	Leaving bool
+	// Quiet is the time for which the endpoint wants no requests of this VM; 0 if it takes
+	// them.
+	Quiet time.Duration
 	// Load is the load that the endpoint reports; nil if it reports none.
 	Load *Load
 	// Limit is the limit of requests that the endpoint names; nil if the response does not
