--- a/internal/feed/service.go
+++ b/internal/feed/service.go
@@ -290,7 +290,7 @@
 		return true
 	}
 	s.handleReadError(t, err)
-	return errorx.IsOfType(err, Trimmed) || errorx.IsOfType(err, OlderEra)
+	return errorx.IsOfType(err, Trimmed)
 }
 
 // due returns the topics to read, and whether the last reads of the store failed.
--- a/internal/pacing/pacer.go
+++ b/internal/pacing/pacer.go
@@ -15,8 +15,9 @@
 	next time.Time
 }
 
-// SetRate changes the number of events per second; 0 sets no limit. Events that are admitted
-// at the former rate leave less for the new one.
+// SetRate changes the number of events per second; 0 sets no limit. The next event is due when it
+// was, but not later than one interval of the new rate from now. A limit that is new begins with
+// a whole interval.
 func (p *Pacer) SetRate(now time.Time, perSecond float64) {
 	if perSecond == p.rate {
 		return
