--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -258,6 +258,9 @@
 		MaxIdle: maxIdle(x, call),
 	})
 	if err != nil {
+		if ctx.Err() != nil && errorx.IsOfType(err, upstream.InDoubt) {
+			r.decide(x, "answer not awaited", logrus.Fields{"endpoint": to.Name, "waited_ms": time.Since(sent).Milliseconds(), "reason": ctx.Err().Error()})
+		}
 		return nil, Verdict{}, err
 	}
 	verdict := r.options.Dialect.Judge(x.request, call, response)
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -83,10 +83,13 @@
 	defer cancel()
 	response, err := r.options.Client.Do(ctx, source.Address, r.options.Dialect.Free(source))
 	if err != nil {
-		r.options.Log.Decide("KV cache not freed", logrus.Fields{"address": source.Address, "error": err.Error()})
+		r.options.Log.Decide("KV cache not freed", logrus.Fields{"endpoint": source.Endpoint, "address": source.Address, "error": err.Error()})
 		return
 	}
 	defer response.Close()
+	if response.Status != http.StatusOK {
+		r.options.Log.Decide("KV cache not freed", logrus.Fields{"endpoint": source.Endpoint, "status": response.Status})
+	}
 	if r.options.Dialect.JudgeFree(source, response).Leaving {
 		r.options.Endpoints.MarkLeaving(source.Endpoint)
 	}
