--- a/internal/endpoint/quiet.go
+++ b/internal/endpoint/quiet.go
@@ -10,8 +10,8 @@
 func (r *Registry) MarkQuiet(name string, d time.Duration) {
 	s := r.get(name)
 	until := r.now().Add(min(d, maxQuiet))
-	for latest := r.latestQuiet.Load(); until.UnixNano() > latest; latest = r.latestQuiet.Load() {
-		if r.latestQuiet.CompareAndSwap(latest, until.UnixNano()) {
+	for latest := r.latestQuiet.Load(); latest == nil || until.After(*latest); latest = r.latestQuiet.Load() {
+		if r.latestQuiet.CompareAndSwap(latest, &until) {
 			break
 		}
 	}
@@ -24,10 +24,15 @@
 }
 
 // QuietFor returns the time for which an endpoint still wants no requests of this VM; 0 if it
-// takes them.
+// takes them. Times are compared by their monotonic readings, which a step of the time of day does not
+// change.
 func (r *Registry) QuietFor(name string) time.Duration {
+	latest := r.latestQuiet.Load()
+	if latest == nil {
+		return 0
+	}
 	now := r.now()
-	if now.UnixNano() >= r.latestQuiet.Load() {
+	if !now.Before(*latest) {
 		return 0
 	}
 	s := r.get(name)
--- a/internal/endpoint/quiet_test.go
+++ b/internal/endpoint/quiet_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"gotest.tools/v3/assert"
 
@@ -31,3 +32,23 @@
 	now = now.Add(maxQuiet)
 	assert.Assert(t, picked())
 }
+
+// A step of the time of day must not end the time that an endpoint asked for, which it did when it was
+// compared without the monotonic clock.
+func TestStepOfTheTimeOfDayDoesNotEndQuiet(t *testing.T) {
+	r := NewRegistry(timeline.Discard)
+	step := time.Duration(0)
+	r.now = func() time.Time { return stepped(time.Now(), step) }
+	r.MarkQuiet("e1", 25*time.Second)
+	for _, step = range []time.Duration{5 * time.Minute, -5 * time.Minute} {
+		assert.Assert(t, r.QuietFor("e1") > 15*time.Second, "step of %v: %v left", step, r.QuietFor("e1"))
+	}
+}
+
+// stepped returns a time whose time of day is changed by whole seconds while its monotonic reading
+// stays, as after a step of the system's clock.
+func stepped(now time.Time, step time.Duration) time.Time {
+	const secondsShift = 30 // of time.Time's first word, if it has a monotonic reading
+	*(*uint64)(unsafe.Pointer(&now)) += uint64(int64(step/time.Second)) << secondsShift
+	return now
+}
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -63,8 +63,8 @@
 	// random returns a number from 0 to below 1; it is safe for concurrent use.
 	random func() float64
 	states sync.Map // endpoint name -> *State
-	// latestQuiet is the time in Unix nanoseconds until which any endpoint asked for quiet.
-	latestQuiet atomic.Int64
+	// latestQuiet is the latest time until which any endpoint asked for quiet; nil if none has asked.
+	latestQuiet atomic.Pointer[time.Time]
 }
 
 // NewRegistry returns an empty registry.
