--- a/internal/endpoint/quiet.go
+++ b/internal/endpoint/quiet.go
@@ -2,14 +2,11 @@
 
 import "time"
 
-// maxQuiet limits the time for which an endpoint can ask for quiet. Endpoints ask for seconds; a
-// longer time would keep a sound endpoint out of service by one wrong answer.
-const maxQuiet = 30 * time.Second
-
-// MarkQuiet records that an endpoint wants no requests of this VM for a time, at most maxQuiet.
+// MarkQuiet records that an endpoint wants no requests of this VM for a time. The time holds until its
+// end; a new start of the endpoint has another name.
 func (r *Registry) MarkQuiet(name string, d time.Duration) {
 	s := r.get(name)
-	until := r.now().Add(min(d, maxQuiet))
+	until := r.now().Add(d)
 	for latest := r.latestQuiet.Load(); latest == nil || until.After(*latest); latest = r.latestQuiet.Load() {
 		if r.latestQuiet.CompareAndSwap(latest, &until) {
 			break
