--- a/internal/endpoint/quiet.go
+++ b/internal/endpoint/quiet.go
@@ -2,6 +2,24 @@
 
 import "time"
 
+// Announcement is what an endpoint says of itself in an answer to any call.
+type Announcement struct {
+	// Leaving is set if it leaves.
+	Leaving bool
+	// Quiet is the time for which it wants no calls of this VM; 0 if it takes them.
+	Quiet time.Duration
+}
+
+// Announce records what an endpoint announced.
+func (r *Registry) Announce(name string, a Announcement) {
+	if a.Leaving {
+		r.MarkLeaving(name)
+	}
+	if a.Quiet > 0 {
+		r.MarkQuiet(name, a.Quiet)
+	}
+}
+
 // MarkQuiet records that an endpoint wants no requests of this VM for a time. The time holds until its
 // end; a new start of the endpoint has another name.
 func (r *Registry) MarkQuiet(name string, d time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
@@ -56,9 +57,9 @@
 	Topics  func(Events) []feed.Topic
 	EraSeen func(era uint64)
 	// Journal and Orders are used to change the roles of engines. The second parameter of
-	// Orders records that an engine announced in an answer that it leaves.
+	// Orders records what engines announce in their answers.
 	Journal roles.Journal
-	Orders  func(client *upstream.Client, markLeaving func(engine string)) roles.Orders
+	Orders  func(client *upstream.Client, endpoints *endpoint.Registry) roles.Orders
 	// Archive keeps verdicts on parts of prompts on which engines crash; nil if nothing
 	// does.
 	Archive quarantine.Archive
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
@@ -56,7 +57,7 @@
 		Ingress: func(*relay.Relay, *feed.Service) Ingress { return noIngress{} },
 		Topics:  func(Events) []feed.Topic { return nil },
 		Journal: noOrders{},
-		Orders:  func(*upstream.Client, func(string)) roles.Orders { return noOrders{} },
+		Orders:  func(*upstream.Client, *endpoint.Registry) roles.Orders { return noOrders{} },
 		Clock:   time.Now,
 	}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -125,9 +125,10 @@
 	balancer := roles.New(roles.Options{
 		VM:            options.VM,
 		Journal:       options.Journal,
-		Orders:        options.Orders(client, endpoints.MarkLeaving),
+		Orders:        options.Orders(client, endpoints),
 		HandoverDelay: options.HandoverDelay,
 		Engines:       func() []*configuration.Endpoint { return stayingEngines(options.Fleet.View(), endpoints) },
+		Quiet:         func(engine string) bool { return endpoints.QuietFor(engine) > 0 },
 		Rank:          func() int { return rank(members, options.VM) },
 		Clock:         options.Clock,
 		Log:           options.Log,
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/loopback"
@@ -35,8 +36,8 @@
 }
 func (plainDialect) Free(*relay.Source) *upstream.Request { return nil }
 
-func (plainDialect) JudgeFree(*relay.Source, *upstream.Response) relay.Verdict {
-	return relay.Verdict{}
+func (plainDialect) JudgeFree(*relay.Source, *upstream.Response) endpoint.Announcement {
+	return endpoint.Announcement{}
 }
 
 // httpCaller is a relay.Caller on an HTTP response.
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -60,9 +60,8 @@
 		Foreign:       response.Header.Get(idHeader) != request.ID,
 		NotRun:        response.Header.Get(declinedHeader) != "",
 		OtherInstance: response.Status == http.StatusMisdirectedRequest,
-		Leaving:       response.Header.Get(leavingHeader) != "",
+		Announcement:  testAnnouncement(response),
 		Limit:         testLimit(response),
-		Quiet:         testQuiet(response),
 	}
 }
 
@@ -86,8 +85,12 @@
 	return PrefillResult{Handle: string(body), Tokens: 100}, nil
 }
 
-func (testDialect) JudgeFree(_ *Source, response *upstream.Response) Verdict {
-	return Verdict{Leaving: response.Header.Get(leavingHeader) != ""}
+func (testDialect) JudgeFree(_ *Source, response *upstream.Response) endpoint.Announcement {
+	return testAnnouncement(response)
+}
+
+func testAnnouncement(response *upstream.Response) endpoint.Announcement {
+	return endpoint.Announcement{Leaving: response.Header.Get(leavingHeader) != "", Quiet: testQuiet(response)}
 }
 
 func (testDialect) Free(source *Source) *upstream.Request {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
@@ -264,13 +265,7 @@
 		return nil, Verdict{}, err
 	}
 	verdict := r.options.Dialect.Judge(x.request, call, response)
-	if verdict.Leaving {
-		r.options.Endpoints.MarkLeaving(to.Name)
-	}
-	if verdict.Quiet > 0 {
-		r.options.Endpoints.MarkQuiet(to.Name, verdict.Quiet)
-		r.decide(x, "endpoint asks for quiet", logrus.Fields{"endpoint": to.Name, "ms": verdict.Quiet.Milliseconds()})
-	}
+	r.announced(x.request.ID, to.Name, verdict.Announcement)
 	if verdict.Limit != nil {
 		verdict.LimitChanged = r.options.Endpoints.ObserveLimit(to.Name, *verdict.Limit, sent)
 	}
@@ -285,6 +280,15 @@
 	return response, verdict, nil
 }
 
+// announced records what an endpoint said of itself in an answer to a call for a request; the call that
+// frees a KV cache is for none.
+func (r *Relay) announced(request, name string, a endpoint.Announcement) {
+	r.options.Endpoints.Announce(name, a)
+	if a.Quiet > 0 {
+		r.options.Log.Decide("endpoint asks for quiet", logrus.Fields{"request": request, "endpoint": name, "ms": a.Quiet.Milliseconds()})
+	}
+}
+
 // maxIdle returns how long a connection reused for a call may have been idle; 0
 // sets no limit.
 func maxIdle(x *exchange, call *Call) time.Duration {
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -77,8 +77,13 @@
 	return r.options.Dialect.DecodePrefill(answer.Body)
 }
 
-// free frees a KV cache that no decode engine fetched.
+// free frees a KV cache that no decode engine fetched. An engine that wants no calls drops it by
+// itself when its lifetime ends.
 func (r *Relay) free(source *Source) {
+	if quiet := r.options.Endpoints.QuietFor(source.Endpoint); quiet > 0 {
+		r.options.Log.Decide("KV cache not freed", logrus.Fields{"endpoint": source.Endpoint, "quiet_ms": quiet.Milliseconds()})
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	response, err := r.options.Client.Do(ctx, source.Address, r.options.Dialect.Free(source))
@@ -90,7 +95,5 @@
 	if response.Status != http.StatusOK {
 		r.options.Log.Decide("KV cache not freed", logrus.Fields{"endpoint": source.Endpoint, "status": response.Status})
 	}
-	if r.options.Dialect.JudgeFree(source, response).Leaving {
-		r.options.Endpoints.MarkLeaving(source.Endpoint)
-	}
+	r.announced("", source.Endpoint, r.options.Dialect.JudgeFree(source, response))
 }
--- a/internal/relay/quiet_test.go
+++ b/internal/relay/quiet_test.go
@@ -62,3 +62,26 @@
 	caller := s.serve(dossier, work)
 	assert.Assert(t, caller.retryAfter > 9*time.Second && caller.retryAfter <= 20*time.Second, "%v", caller.retryAfter)
 }
+
+// The answer to a call that frees a KV cache asks for quiet as any other, and no cache is freed at an engine
+// that asked. Neither was so, and the engine got further calls.
+func TestQuietHoldsForCallsThatFreeCaches(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.engines(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			asksForQuiet(w, r)
+			return
+		}
+		answers(http.StatusOK, "h1")(w, r)
+	}, declines)
+	s.serve(dossier, work)
+	assert.Assert(t, s.endpoints.QuietFor("p1") > 0, s.callLog())
+
+	s = newFixture(t, grant("p1", "e1"), grant("p2", "e2"))
+	s.engines(answers(http.StatusOK, "h1"), func(w http.ResponseWriter, r *http.Request) {
+		s.endpoints.MarkQuiet("p1", time.Minute)
+		declines(w, r)
+	})
+	s.serve(dossier, work)
+	assert.Equal(t, strings.Count(s.callLog(), "p1:"), 1, s.callLog())
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,9 +32,9 @@
 	MarkUnreachable(name string)
 	ObserveLoad(name string, requests int)
 	ObserveDecline(name string)
-	// MarkQuiet records that an endpoint wants no requests of this VM for a time, QuietFor
-	// returns what is left of it.
-	MarkQuiet(name string, d time.Duration)
+	// Announce records what an endpoint said of itself in an answer.
+	Announce(name string, a endpoint.Announcement)
+	// QuietFor returns the time for which an endpoint wants no calls of this VM.
 	QuietFor(name string) time.Duration
 	// ObserveLimit records the limit that an endpoint names, or that it names none, from a
 	// time on, and reports whether it began or ceased to name one. Limit returns the newest known one.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -133,11 +133,8 @@
 	NotRun bool
 	// OtherInstance is set if another endpoint has taken over the address.
 	OtherInstance bool
-	// Leaving is set if the endpoint announces that it leaves.
-	Leaving bool
-	// Quiet is the time for which the endpoint wants no requests of this VM; 0 if it takes
-	// them.
-	Quiet time.Duration
+	// Announcement is what the endpoint says of itself.
+	endpoint.Announcement
 	// Load is the load that the endpoint reports; nil if it reports none.
 	Load *Load
 	// Limit is the limit of requests that the endpoint names; nil if the response does not
@@ -168,8 +165,8 @@
 	DecodePrefill(body []byte) (PrefillResult, error)
 	// Free returns the request that frees a retained KV cache.
 	Free(source *Source) *upstream.Request
-	// JudgeFree classifies the response to it.
-	JudgeFree(source *Source, response *upstream.Response) Verdict
+	// JudgeFree returns what an engine says of itself in the response to it.
+	JudgeFree(source *Source, response *upstream.Response) endpoint.Announcement
 }
 
 // exchange is the state of one request across its attempts.
--- a/internal/roles/balancer.go
+++ b/internal/roles/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,9 @@
 	HandoverDelay time.Duration
 	// Engines returns the engines that are not leaving.
 	Engines func() []*configuration.Endpoint
+	// Quiet reports whether an engine wants no calls of this process at present. Orders to it
+	// wait, or come from another process.
+	Quiet func(engine string) bool
 	// Rank is this process's position among the processes that could give orders.
 	Rank func() int
 	// Clock also counts time during which the machine was suspended.
@@ -130,7 +134,7 @@
 // step gives the orders that are due, if this process may give orders.
 func (b *Balancer) step(ctx context.Context) {
 	now := b.options.Clock()
-	if len(b.planner.plan(now, b.options.Engines())) == 0 {
+	if len(b.due(now)) == 0 {
 		b.dueSince = time.Time{}
 		return
 	}
@@ -147,13 +151,18 @@
 		b.nextRead = now.Add(readInterval)
 		return
 	}
-	for _, change := range b.planner.plan(b.options.Clock(), b.options.Engines()) {
+	for _, change := range b.due(b.options.Clock()) {
 		if !b.order(ctx, change) {
 			return
 		}
 	}
 }
 
+// due returns the changes that this process may order now.
+func (b *Balancer) due(now time.Time) []Change {
+	return slices.DeleteFunc(b.planner.plan(now, b.options.Engines()), func(c Change) bool { return b.options.Quiet(c.Engine.Name) })
+}
+
 // readJournal reads the journal and reports whether that succeeded.
 func (b *Balancer) readJournal(ctx context.Context) bool {
 	reading, err := b.options.Journal.Read(ctx)
--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -136,6 +136,8 @@
 	received  []receivedOrder
 	journals  []*fakeJournal
 	balancers []*Balancer
+	// quiet holds the balancers and engines of which the latter want no calls of the former.
+	quiet map[string]bool
 }
 
 func newTestFleet(t *testing.T, balancers int, engines []*configuration.Endpoint) *testFleet {
@@ -151,6 +153,7 @@
 		f.balancers = append(f.balancers, New(Options{
 			VM: name, Journal: journal, Orders: fakeOrders{name, clock, &f.received}, HandoverDelay: handoverDelay,
 			Engines: func() []*configuration.Endpoint { return f.engines },
+			Quiet:   func(engine string) bool { return f.quiet[name+" "+engine] },
 			Rank:    func() int { return i },
 			Clock:   clock, Log: log,
 		}))
@@ -190,6 +193,24 @@
 	assert.Assert(t, f.received[1].at.Sub(f.received[0].at) > handoverDelay)
 }
 
+// An engine that asked one VM for quiet got orders from it. They come from another VM, which it did not ask.
+func TestNoOrderToAnEngineThatAskedForQuiet(t *testing.T) {
+	f := newTestFleet(t, 1, pool(2, 4))
+	f.quiet = map[string]bool{"vm0 e0": true, "vm0 e1": true}
+	f.run(t.Context(), 20*time.Second)
+	assert.Equal(t, len(f.received), 0)
+	assert.Equal(t, len(f.entries), 0, "the journal holds no order that is not given")
+	f.quiet = nil
+	f.run(t.Context(), 20*time.Second)
+	assert.Equal(t, len(f.received), 1)
+
+	f = newTestFleet(t, 2, pool(2, 4))
+	f.quiet = map[string]bool{"vm0 e0": true, "vm0 e1": true}
+	f.run(t.Context(), 20*time.Second)
+	assert.Equal(t, len(f.received), 1)
+	assert.Equal(t, f.received[0].holder, "vm1")
+}
+
 func TestNoOrderWhileThePlatformIsUnreachable(t *testing.T) {
 	f := newTestFleet(t, 1, pool(2, 4))
 	f.journals[0].failing = true
