--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -108,6 +108,10 @@
 // handleDecodeError handles a decode call without a response. Like decode, it reports
 // whether the engine may have accepted the call.
 func (r *Relay) handleDecodeError(g *generation, id engine.AttemptID, to *configuration.Endpoint, err error) (bool, error) {
+	if errorx.IsOfType(err, upstream.Withheld) {
+		g.sends--
+		return false, r.excludeWithheld(g, to, err)
+	}
 	r.observe(g, to, false)
 	r.options.Reserver.Progress(scheduling.Progress{ID: id, Kind: failureKind(err, scheduling.DecodeFailed, scheduling.DecodeLost), Decode: to.Name})
 	r.decide(g.exchange, "decode failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
@@ -121,6 +125,15 @@
 	return true, g.retryUnlessSingleRun()
 }
 
+// excludeWithheld excludes an engine that must get no call now, although it was granted. It has not
+// failed. The error is errRetry.
+func (r *Relay) excludeWithheld(g *generation, to *configuration.Endpoint, err error) error {
+	g.exclude = append(g.exclude, to.Name)
+	g.refusal = "the engine takes no requests at present"
+	r.decide(g.exchange, "grant not used", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
+	return errRetry
+}
+
 // handleErrorStatus handles an error response of an engine and keeps it for the caller.
 func (r *Relay) handleErrorStatus(g *generation, to *configuration.Endpoint, response *upstream.Response) error {
 	r.observe(g, to, false)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -152,7 +152,7 @@
 		r.options.Endpoints.ObserveLoad(to.Name, verdict.Load.Running+verdict.Load.Waiting)
 	}
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errorx.IsOfType(err, upstream.Withheld):
 	case err == nil && verdict.NotRun:
 		r.options.Endpoints.ObserveDecline(to.Name)
 	default:
@@ -180,6 +180,12 @@
 // other endpoint may be tried.
 func (r *Relay) handlePlainError(x *exchange, to *configuration.Endpoint, err error) bool {
 	r.decide(x, "attempt failed", logrus.Fields{"endpoint": to.Name, "error": err.Error()})
+	if errorx.IsOfType(err, upstream.Withheld) {
+		x.sends--
+		r.returnRetry(x)
+		x.refusal = "the endpoint takes no requests at present"
+		return false
+	}
 	if errorx.IsOfType(err, upstream.NotSent) {
 		r.options.Endpoints.MarkUnreachable(to.Name)
 		x.sends--
@@ -237,11 +243,8 @@
 	if instance == nil {
 		return nil, Verdict{}, upstream.NotSent.New("%s is not in the fleet", to.Name)
 	}
-	if !r.available(instance) {
-		return nil, Verdict{}, upstream.NotSent.New("%s is leaving", to.Name)
-	}
-	if r.options.Endpoints.QuietFor(to.Name) > 0 {
-		return nil, Verdict{}, upstream.NotSent.New("%s asked for quiet", to.Name)
+	if err := r.permit(to.Name); err != nil {
+		return nil, Verdict{}, err
 	}
 	call.InstanceID = instance.ID
 	call.Timeout = x.timeLeft()
@@ -257,6 +260,7 @@
 		Header:  r.options.Dialect.Header(x.request, call),
 		Body:    x.request.Body,
 		MaxIdle: maxIdle(x, call),
+		Permit:  func() error { return r.permit(to.Name) },
 	})
 	if err != nil {
 		if ctx.Err() != nil && errorx.IsOfType(err, upstream.InDoubt) {
@@ -280,6 +284,17 @@
 	return response, verdict, nil
 }
 
+// permit returns why an endpoint must not get a call now.
+func (r *Relay) permit(name string) error {
+	if !r.available(r.options.Fleet.View().Instance(name)) {
+		return upstream.Withheld.New("%s is leaving", name)
+	}
+	if r.options.Endpoints.QuietFor(name) > 0 {
+		return upstream.Withheld.New("%s asked for quiet", name)
+	}
+	return nil
+}
+
 // announced records what an endpoint said of itself in an answer to a call for a request; the call that
 // frees a KV cache is for none.
 func (r *Relay) announced(request, name string, a endpoint.Announcement) {
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -28,7 +28,7 @@
 var errNoPrefill = errors.New("the prompt could not be processed")
 
 // prefill runs the prefill on an engine and returns the location of the KV cache. The
-// error is errNoPrefill or that of ctx.
+// error is errNoPrefill, errRetry if the engine must get no call now, or that of ctx.
 func (r *Relay) prefill(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint) (*Source, error) {
 	defer r.options.Endpoints.Begin(to.Name)()
 	started := time.Now()
@@ -45,6 +45,10 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	if errorx.IsOfType(err, upstream.Withheld) {
+		r.returnRetry(g.exchange)
+		return nil, r.excludeWithheld(g, to, err)
+	}
 	r.observe(g, to, err == nil)
 	if err != nil {
 		if errorx.IsOfType(err, upstream.InDoubt) {
--- a/internal/relay/quiet_test.go
+++ b/internal/relay/quiet_test.go
@@ -3,12 +3,14 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
 
@@ -85,3 +87,43 @@
 	s.serve(dossier, work)
 	assert.Equal(t, strings.Count(s.callLog(), "p1:"), 1, s.callLog())
 }
+
+// quietOnceLooked is a registry in which an endpoint asks for quiet when a VM has looked a number of times
+// whether it did.
+type quietOnceLooked struct {
+	*endpoint.Registry
+	name  string
+	looks atomic.Int64
+}
+
+func (e *quietOnceLooked) QuietFor(name string) time.Duration {
+	if name == e.name && e.looks.Add(-1) < 0 {
+		return time.Minute
+	}
+	return 0
+}
+
+// A request for which a connection was being opened when its endpoint asked for quiet was sent. It must go
+// to another endpoint, and the one that asked must not count as failing or unreachable.
+func TestRequestIsWithheldIfItsEndpointAsksForQuietMeanwhile(t *testing.T) {
+	// The choice and the look before the dial pass.
+	const looks = 2
+	s := newFixture(t)
+	s.endpoint("d1", "desk", "", answers(http.StatusOK, "one"))
+	quiet := &quietOnceLooked{Registry: s.endpoints, name: "d1"}
+	quiet.looks.Store(looks)
+	s.relay.options.Endpoints = quiet
+	caller := s.serve(booking, nil)
+	assert.Assert(t, strings.HasPrefix(caller.outcome, "refused"), caller.outcome)
+	assert.Equal(t, s.callCount(), 0)
+	assert.Equal(t, s.endpoints.Stats("d1").FailureRate, 0.0)
+
+	s = newFixture(t, grant("e1", "e1"), grant("p2", "e2"))
+	s.engines(answers(http.StatusOK, "h1"), events(3))
+	quiet = &quietOnceLooked{Registry: s.endpoints, name: "e1"}
+	quiet.looks.Store(looks + 2) // the demand and both engines of the grant
+	s.relay.options.Endpoints = quiet
+	assert.Equal(t, s.serve(check, work).body, eventText(3))
+	assert.Assert(t, !strings.Contains(s.callLog(), "e1:"), s.callLog())
+	assert.Assert(t, !strings.Contains(s.reserver.kinds(), string(scheduling.DecodeFailed)), s.reserver.kinds())
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,16 +74,25 @@
 	// MaxIdle limits how long a pooled connection may have been idle to be used
 	// for this request; 0 sets no limit.
 	MaxIdle time.Duration
+	// Permit is asked once a connection is open, right before the request is sent; its error
+	// prevents that. If it is nil, the request is sent.
+	Permit func() error
 }
 
 // Do sends a request and returns once the response's header has arrived. Cancelling
 // ctx closes the connection, also while the body is read. The error is of type
-// NotSent or InDoubt. The response must be closed.
+// NotSent, of which Withheld is a kind, or InDoubt. The response must be closed.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
 	connection, err := c.connection(ctx, address, request.MaxIdle)
 	if err != nil {
 		return nil, NotSent.Wrap(err, "connection to %s", address)
 	}
+	if request.Permit != nil {
+		if err := request.Permit(); err != nil {
+			connection.close()
+			return nil, Withheld.Wrap(err, "request to %s", address)
+		}
+	}
 	return connection.exchange(ctx, request)
 }
 
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -257,3 +258,19 @@
 		connection.close()
 	}
 }
+
+// The look whether a request may still be sent comes after the connection is open: opening it takes time, in
+// which an endpoint may have asked for no requests.
+func TestPermitIsAskedOnceTheConnectionIsOpen(t *testing.T) {
+	received := make(chan bool, 1)
+	address := serve(t, func(_ *testing.T, requests *bufio.Reader, _ net.Conn) { received <- readRequest(requests) })
+	client := newTestClient(t)
+	request := &Request{Method: http.MethodGet, Target: "/", Header: http.Header{}}
+	request.Permit = func() error {
+		assert.Equal(t, client.Counters.Dialed.Load(), int64(1))
+		return errors.New("not now")
+	}
+	_, err := client.Do(t.Context(), address, request) //nolint:bodyclose // There is no response.
+	assert.Assert(t, errorx.IsOfType(err, Withheld) && errorx.IsOfType(err, NotSent), "%v", err)
+	assert.Assert(t, !<-received, "bytes of the request reached the endpoint")
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -6,6 +6,8 @@
 	namespace = errorx.NewNamespace("upstream")
 	// NotSent means that no byte of the request left this process.
 	NotSent = errorx.NewType(namespace, "not_sent")
+	// Withheld is a NotSent because Request.Permit did not allow to send it.
+	Withheld = NotSent.NewSubtype("withheld")
 	// InDoubt means that the endpoint may have received the request, and that no
 	// complete response was received.
 	InDoubt = errorx.NewType(namespace, "in_doubt")
