--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -61,6 +61,7 @@
 		{"reused", Counter, Calls, "Calls on idle connections from the pool.", "Low compared with `dialed`: endpoints close connections early."},
 		{"stale", Counter, Connections, "Idle connections that had been closed or had received unexpected bytes.",
 			"A steady rise: endpoints close connections early or send bytes after the end of a response."},
+		{"late", Counter, Calls, "Responses that arrived after their requests had been given up; what endpoints say of themselves in them is kept to.", noAction},
 	},
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -261,6 +261,10 @@
 		Body:    x.request.Body,
 		MaxIdle: maxIdle(x, call),
 		Permit:  func() error { return r.permit(to.Name) },
+		Late: func(response *upstream.Response) {
+			verdict := r.options.Dialect.Judge(x.request, call, response)
+			r.observeVerdict(x, to, &verdict, sent)
+		},
 	})
 	if err != nil {
 		if ctx.Err() != nil && errorx.IsOfType(err, upstream.InDoubt) {
@@ -269,6 +273,17 @@
 		return nil, Verdict{}, err
 	}
 	verdict := r.options.Dialect.Judge(x.request, call, response)
+	r.observeVerdict(x, to, &verdict, sent)
+	if verdict.Foreign {
+		r.Counters.Foreign.Add(1)
+		response.Close()
+		return nil, verdict, upstream.InDoubt.New("%s answered another request", to.Name)
+	}
+	return response, verdict, nil
+}
+
+// observeVerdict records what an endpoint says of itself in the answer to a call that was sent at a time.
+func (r *Relay) observeVerdict(x *exchange, to *configuration.Endpoint, verdict *Verdict, sent time.Time) {
 	r.announced(x.request.ID, to.Name, verdict.Announcement)
 	if verdict.Limit != nil {
 		verdict.LimitChanged = r.options.Endpoints.ObserveLimit(to.Name, *verdict.Limit, sent)
@@ -276,12 +291,6 @@
 	if verdict.LimitChanged && x.service.Engines == nil {
 		r.options.Admission.ReportLimit(to)
 	}
-	if verdict.Foreign {
-		r.Counters.Foreign.Add(1)
-		response.Close()
-		return nil, verdict, upstream.InDoubt.New("%s answered another request", to.Name)
-	}
-	return response, verdict, nil
 }
 
 // permit returns why an endpoint must not get a call now.
--- a/internal/relay/quiet_test.go
+++ b/internal/relay/quiet_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
 
@@ -127,3 +129,27 @@
 	assert.Assert(t, !strings.Contains(s.callLog(), "e1:"), s.callLog())
 	assert.Assert(t, !strings.Contains(s.reserver.kinds(), string(scheduling.DecodeFailed)), s.reserver.kinds())
 }
+
+// An endpoint that asked for quiet in its answer to a request that was given up meanwhile got further requests.
+func TestQuietAskedForAfterARequestWasGivenUpHolds(t *testing.T) {
+	for name, c := range map[string]struct {
+		route routing.Route
+		work  *Generation
+	}{"plain": {lookup, nil}, "keyed": {booking, nil}, "stream": {dossier, work}, "resumed": {check, work}} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, grant("d1", "d1"))
+			ctx, leave := context.WithCancel(t.Context())
+			asks := func(w http.ResponseWriter, r *http.Request) {
+				leave()
+				<-r.Context().Done()
+				asksForQuiet(w, r)
+			}
+			s.endpoint("d1", map[bool]string{true: "desk", false: "pool"}[c.work == nil], configuration.RoleDecode, asks)
+			s.serveTo(ctx, &recorder{}, c.route, c.work)
+			for s.endpoints.QuietFor("d1") == 0 {
+				assert.NilError(t, t.Context().Err())
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -43,6 +43,8 @@
 	Reused atomic.Int64
 	// Stale counts pooled connections that were found closed or with unsolicited bytes.
 	Stale atomic.Int64
+	// Late counts responses that arrived after their requests had been given up.
+	Late atomic.Int64
 }
 
 // Client sends requests to endpoints. It is safe for concurrent use.
@@ -52,6 +54,10 @@
 
 	options Options
 
+	// late are the waits for responses to requests that were given up, lateCount their number.
+	late      sync.WaitGroup
+	lateCount atomic.Int64
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
@@ -77,10 +83,13 @@
 	// Permit is asked once a connection is open, right before the request is sent; its error
 	// prevents that. If it is nil, the request is sent.
 	Permit func() error
+	// Late receives the header of a response that arrives shortly after ctx has ended, in a
+	// goroutine of its own; the body cannot be read. If it is nil, such responses are dropped.
+	Late func(response *Response)
 }
 
 // Do sends a request and returns once the response's header has arrived. Cancelling
-// ctx closes the connection, also while the body is read. The error is of type
+// ctx ends the exchange at once, also while the body is read. The error is of type
 // NotSent, of which Withheld is a kind, or InDoubt. The response must be closed.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
 	connection, err := c.connection(ctx, address, request.MaxIdle)
@@ -198,5 +207,8 @@
 	}
 }
 
-// Close closes all pooled connections.
-func (c *Client) Close() { c.Sweep(time.Now().Add(time.Hour)) }
+// Close closes all pooled connections and waits for late responses.
+func (c *Client) Close() {
+	c.Sweep(time.Now().Add(time.Hour))
+	c.late.Wait()
+}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -274,3 +274,37 @@
 	assert.Assert(t, errorx.IsOfType(err, Withheld) && errorx.IsOfType(err, NotSent), "%v", err)
 	assert.Assert(t, !<-received, "bytes of the request reached the endpoint")
 }
+
+// An endpoint may have answered while its request is given up. What it says of itself in that answer was lost
+// with the connection. The request must be given up at once all the same, and the endpoint must see that.
+func TestAnswerToARequestThatWasGivenUpIsReported(t *testing.T) {
+	for name, answer := range map[string]string{"answered": "HTTP/1.1 503 No\r\nRetry-After: 5\r\nContent-Length: 0\r\n\r\n", "silent": ""} {
+		t.Run(name, func(t *testing.T) {
+			givenUp, sawEnd := make(chan struct{}), make(chan bool, 1)
+			ctx, cancel := context.WithCancel(t.Context())
+			address := serve(t, func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
+				readRequest(requests)
+				cancel()
+				<-givenUp
+				_, err := requests.ReadByte()
+				sawEnd <- errors.Is(err, io.EOF)
+				writeReply(conn, answer)
+			})
+			client := newTestClient(t)
+			late := make(chan *Response, 1)
+			request := &Request{Method: http.MethodGet, Target: "/", Header: http.Header{}, Late: func(r *Response) { late <- r }}
+			_, err := client.Do(ctx, address, request) //nolint:bodyclose // There is no response.
+			assert.Assert(t, errorx.IsOfType(err, InDoubt), "%v", err)
+			close(givenUp)
+			assert.Assert(t, <-sawEnd, "the endpoint must see that the request was given up")
+			if answer == "" {
+				client.Close()
+				assert.Equal(t, len(late), 0)
+				return
+			}
+			response := <-late
+			assert.Equal(t, response.Status, http.StatusServiceUnavailable)
+			assert.Equal(t, response.Header.Get("Retry-After"), "5")
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,6 +30,11 @@
 	// a connection is pooled, so that the endpoint does not close it while a request
 	// is being sent.
 	keepAliveShare = 0.75
+	// lateTimeout is how long the response to a request that was given up is awaited. An
+	// endpoint that works on until its connection is closed does so for no longer.
+	lateTimeout = 100 * time.Millisecond
+	// maxLate limits the connections on which such responses are awaited.
+	maxLate = 256
 )
 
 // conn is one connection to an endpoint. It carries one exchange at a time.
@@ -66,7 +71,11 @@
 
 // exchange sends the request and reads the response's header.
 func (k *conn) exchange(ctx context.Context, request *Request) (*Response, error) {
-	stop := context.AfterFunc(ctx, k.close)
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		_ = k.socket.SetDeadline(time.Unix(1, 0))
+	})
 	written, err := k.send(request)
 	if err != nil {
 		stop()
@@ -74,12 +83,56 @@
 		return nil, InDoubt.Wrap(err, "sending to %s", k.address)
 	}
 	head, err := k.readHead(request.Method) //nolint:bodyclose // The connection is closed in its place.
+	if active := stop(); !active {
+		<-interrupted
+	}
 	if err != nil {
-		stop()
-		k.close()
+		k.giveUp(request, ctx.Err() != nil)
 		return nil, InDoubt.Wrap(err, "response of %s", k.address)
 	}
-	return newResponse(k, head, written, stop), nil
+	return newResponse(k, head, written, context.AfterFunc(ctx, k.close)), nil
+}
+
+// giveUp ends an exchange whose response's header has not arrived. The endpoint sees the end at once. If
+// the exchange was cancelled, the response may be on its way.
+func (k *conn) giveUp(request *Request, cancelled bool) {
+	if !cancelled || request.Late == nil || k.closeWrite() != nil {
+		k.close()
+		return
+	}
+	c := k.client
+	if c.lateCount.Add(1) > maxLate {
+		c.lateCount.Add(-1)
+		k.close()
+		return
+	}
+	c.late.Go(func() {
+		defer c.lateCount.Add(-1)
+		k.awaitLate(request)
+	})
+}
+
+// closeWrite sends the end of the stream; what arrives can still be read.
+func (k *conn) closeWrite() error {
+	socket, ok := k.socket.(interface{ CloseWrite() error })
+	if !ok {
+		return net.ErrClosed
+	}
+	return socket.CloseWrite()
+}
+
+// awaitLate waits for the header of a response to a request that was given up.
+func (k *conn) awaitLate(request *Request) {
+	defer k.close()
+	if k.socket.SetReadDeadline(time.Now().Add(lateTimeout)) != nil {
+		return
+	}
+	head, err := k.readHead(request.Method) //nolint:bodyclose // The connection is closed in its place.
+	if err != nil {
+		return
+	}
+	k.client.Counters.Late.Add(1)
+	request.Late(&Response{Status: head.StatusCode, Header: head.Header, head: head, conn: k, closed: true})
 }
 
 // send writes the request. A large body is written concurrently with reading the
