--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -162,7 +162,7 @@
 		"last_event": g.lastEventID, "resumes": g.request.Generation.Resumes,
 		"queued_ms": time.Since(started).Milliseconds(), "predicted_first_ms": grant.FirstToken.Milliseconds(),
 		"prompt_tokens": demand.PromptTokens, "output_tokens": demand.OutputTokens, "expected_tokens": g.request.Generation.ExpectedOutputTokens,
-		"parts": g.loggedParts(),
+		"parts": g.loggedParts(), "identity": g.identity,
 	})
 	return run()
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -111,7 +111,7 @@
 	r.decide(x, "endpoint chosen", logrus.Fields{
 		"endpoint": chosen.Name, "zone_of_endpoint": chosen.Zone, "in_flight": stats.InFlight,
 		"reported": math.Round(stats.ReportedLoad*10) / 10, "report_age_ms": stats.ReportAge.Milliseconds(),
-		"failing": math.Round(stats.FailureRate*100) / 100,
+		"failing": math.Round(stats.FailureRate*100) / 100, "identity": x.identity,
 	})
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
@@ -177,6 +178,7 @@
 		service:    service,
 		caller:     caller,
 		deadline:   finalDeadline(request, route),
+		identity:   quarantine.Identify(request.Method, request.Host, request.Target, request.Body, request.Caller),
 		refusal:    "no endpoint is reachable",
 		retryAfter: unreachableRetryAfter,
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
@@ -20,6 +21,8 @@
 	// ID is the caller's ID of this request; a retry by the caller has a new one.
 	ID     string
 	Method string
+	// Caller tells callers apart; a caller that sends a request again is the same.
+	Caller string
 	// Target and Host are sent to endpoints unchanged.
 	Target string
 	Host   string
@@ -191,6 +194,8 @@
 	refusal string
 	// retryAfter is the retry delay sent to the caller if the request did not run.
 	retryAfter time.Duration
+	// identity names the request whenever it comes again.
+	identity quarantine.Identity
 	// tracked is the record of the request while it is in flight.
 	tracked *tracked
 	// obstacle is the reason why no further attempt followed.
