--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -105,6 +105,19 @@
 	}
 }
 
+// Replaced reports whether an instance is registered no more and another one has its address.
+func (v *View) Replaced(name, address string) bool {
+	if v.instances[name] != nil {
+		return false
+	}
+	for _, instance := range v.instances {
+		if instance.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 func (v *View) add(instance *Instance, service *routing.Service) {
 	if service == nil {
 		return
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -151,12 +151,23 @@
 	return service
 }
 
+// processes tells whether processes of engines have ended, for package quarantine.
+type processes struct {
+	*upstream.Client
+	fleet *fleet.Store
+}
+
+// Replaced implements quarantine.Engines.
+func (p processes) Replaced(engine, address string) bool {
+	return p.fleet.View().Replaced(engine, address)
+}
+
 // newQuarantine returns the service that finds parts of prompts on which engines crash.
 func newQuarantine(lifecycle fx.Lifecycle, options *Options, members *swim.Service, dialer *peer.HTTPDialer, client *upstream.Client, registry *metrics.Registry) *quarantine.Service {
 	service := quarantine.New(quarantine.Params{
 		View:      members,
 		Peers:     quarantine.NewPeers(dialer),
-		Engines:   client,
+		Engines:   processes{client, options.Fleet},
 		Archive:   options.Archive,
 		Log:       options.Log,
 		Clock:     options.Clock,
--- a/internal/quarantine/confirm.go
+++ b/internal/quarantine/confirm.go
@@ -10,8 +10,9 @@
 const (
 	// confirmTimeout limits the time to find out whether an engine's process has ended.
 	confirmTimeout = time.Second
-	// endRetention is how long the outcome is remembered.
-	endRetention = 5 * time.Second
+	// endRetention is how long the outcome is remembered, and how long the start of another process at
+	// the address shows that the one before it has ended.
+	endRetention = 8 * time.Second
 	// maxConfirming limits the engines that are asked at the same time.
 	maxConfirming = 64
 )
@@ -80,6 +81,34 @@
 	close(end.confirmed)
 }
 
+// confirmReplaced records the crashes of engines that were back before they were asked: another process
+// has their address now.
+func (s *Service) confirmReplaced() {
+	for key, end := range s.unconfirmed() {
+		if !s.params.Engines.Replaced(key.engine, end.address) {
+			continue
+		}
+		s.mu.Lock()
+		end.ended = true
+		s.mu.Unlock()
+		s.counters.Crashes.Add(1)
+		s.recordCrash(key, end)
+	}
+}
+
+// unconfirmed returns the ends of connections whose engines listened when they were asked.
+func (s *Service) unconfirmed() map[crashKey]*engineEnd {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := make(map[crashKey]*engineEnd)
+	for key, end := range s.ends {
+		if !end.pending() && !end.ended {
+			found[key] = end
+		}
+	}
+	return found
+}
+
 // recordCrash records and shares a crash with the parts that are known so far.
 func (s *Service) recordCrash(key crashKey, end *engineEnd) {
 	s.mu.Lock()
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -20,6 +20,20 @@
 type engines struct {
 	mu    sync.Mutex
 	ended map[string]bool
+	// replaced are the engines whose addresses belong to other processes.
+	replaced map[string]bool
+}
+
+func (e *engines) Replaced(engine, _ string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.replaced[engine]
+}
+
+func (e *engines) replace(engine string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.replaced[engine] = true
 }
 
 func (e *engines) Refuses(_ context.Context, address string) bool {
@@ -54,7 +68,7 @@
 		log := decisionlog.Discard()
 		defer log.Close()
 		self := membership.Member{VM: "vm", Zone: "a", State: membership.Alive}
-		e := &engines{ended: make(map[string]bool)}
+		e := &engines{ended: make(map[string]bool), replaced: make(map[string]bool)}
 		f := &fixture{engines: e, Service: New(Params{
 			View: membership.Static{This: self, All: []membership.Member{self}}, Peers: noPeers{}, Engines: e, Log: log,
 			Clock: time.Now, Random: rand.New(rand.NewPCG(1, 1)),
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -32,6 +32,9 @@
 type Engines interface {
 	// Refuses reports whether nothing listens at an address.
 	Refuses(ctx context.Context, address string) bool
+	// Replaced reports whether an engine's process is registered no more and another one has its
+	// address.
+	Replaced(engine, address string) bool
 }
 
 // Params are the inputs of a Service.
@@ -129,6 +132,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			s.confirmReplaced()
 			s.expire()
 		case <-s.wake:
 		case <-due.C:
--- a/internal/quarantine/whole_test.go
+++ b/internal/quarantine/whole_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -124,6 +125,23 @@
 	})
 }
 
+// An engine that was back at its address before it was asked did not count as crashed. Its successor's
+// registration shows that it has.
+func TestEngineThatIsBackBeforeItIsAskedHasCrashed(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		w := comesAgain("/w", "c")
+		for i := range minClusters {
+			engine := fmt.Sprint("e", i)
+			f.Request("pool", w, nil).Begin(engine, engine).Broken()
+			time.Sleep(time.Second)
+			f.engines.replace(engine)
+		}
+		time.Sleep(2 * expirePeriod)
+		synctest.Wait()
+		assert.Assert(t, f.holdsWhole(w))
+	})
+}
+
 // The crash that completes a verdict must count before the request is sent to the next engine.
 func TestRequestWaitsUntilItsCrashCounts(t *testing.T) {
 	inBubble(t, func(t *testing.T, f *fixture) {
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -28,12 +28,17 @@
 	return quarantine.Message{}, errors.New("no such VM")
 }
 
+// neverReplaced are engines whose addresses no other process takes over.
+type neverReplaced struct{ *upstream.Client }
+
+func (neverReplaced) Replaced(string, string) bool { return false }
+
 // startQuarantine returns the quarantine of a fixture's relay.
 func startQuarantine(t *testing.T, client *upstream.Client, log *decisionlog.Log) *quarantine.Service {
 	t.Helper()
 	self := membership.Member{VM: "vm", Zone: "a", State: membership.Alive}
 	service := quarantine.New(quarantine.Params{
-		View: membership.Static{This: self, All: []membership.Member{self}}, Peers: noPeers{}, Engines: client, Log: log,
+		View: membership.Static{This: self, All: []membership.Member{self}}, Peers: noPeers{}, Engines: neverReplaced{client}, Log: log,
 		Clock:  time.Now,
 		Random: rand.New(rand.NewPCG(1, 1)),
 	})
