--- a/internal/quarantine/confirm.go
+++ b/internal/quarantine/confirm.go
@@ -13,6 +13,8 @@
 	// endRetention is how long the outcome is remembered, and how long the start of another process at
 	// the address shows that the one before it has ended.
 	endRetention = 8 * time.Second
+	// askAgainTime is the time after which an engine that had not ended is asked again.
+	askAgainTime = 250 * time.Millisecond
 	// maxConfirming limits the engines that are asked at the same time.
 	maxConfirming = 64
 )
@@ -47,8 +49,8 @@
 	s.mu.Lock()
 	now := s.now()
 	end := s.ends[key]
-	if end == nil {
-		if s.stopped || len(s.ends) >= maxConfirming {
+	if end == nil || !end.pending() && !end.ended && now-end.at >= askAgainTime {
+		if s.stopped || end == nil && len(s.ends) >= maxConfirming {
 			s.mu.Unlock()
 			return nil
 		}
--- a/internal/quarantine/whole_test.go
+++ b/internal/quarantine/whole_test.go
@@ -142,6 +142,21 @@
 	})
 }
 
+// An engine that broke off a connection and lived on was not asked again when it crashed soon afterwards.
+func TestEngineThatCrashesAfterItBrokeOffAnotherConnectionIsAskedAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		w := comesAgain("/w", "c")
+		for i := range minClusters {
+			engine := fmt.Sprint("e", i)
+			f.Request("pool", comesAgain("/v", "d"), nil).Begin(engine, engine).Broken()
+			time.Sleep(time.Second)
+			f.crashOn(f.Request("pool", w, nil), engine)
+		}
+		assert.Assert(t, f.holdsWhole(w))
+		assert.Assert(t, !f.holdsWhole(comesAgain("/v", "d")), "it broke off while the engines lived")
+	})
+}
+
 // The crash that completes a verdict must count before the request is sent to the next engine.
 func TestRequestWaitsUntilItsCrashCounts(t *testing.T) {
 	inBubble(t, func(t *testing.T, f *fixture) {
