--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -31,6 +31,8 @@
 	if err != nil {
 		if brokenOff(err) {
 			attempt.Broken()
+		}
+		if !g.route.RunsOnce() {
 			attempt.Settle(ctx)
 		}
 		return r.handleDecodeError(g, id, to, err)
