--- a/internal/quarantine/identity_test.go
+++ b/internal/quarantine/identity_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -27,3 +28,14 @@
 	assert.Equal(t, ofAnyCaller(ofAnyCaller(string(same))), "")
 	assert.Equal(t, ofAnyCaller("x"), "")
 }
+
+func BenchmarkIdentify(b *testing.B) {
+	for _, size := range []int{0, 3 << 10, 100 << 10} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			body := make([]byte, size)
+			for b.Loop() {
+				Identify("POST", "h.example", "/a/b/c", body, "10.0.0.1")
+			}
+		})
+	}
+}
