--- a/internal/quarantine/confirm.go
+++ b/internal/quarantine/confirm.go
@@ -10,8 +10,8 @@
 const (
 	// confirmTimeout limits the time to find out whether an engine's process has ended.
 	confirmTimeout = time.Second
-	// endRetention is how long the outcome is remembered, and how long the start of another process at
-	// the address shows that the one before it has ended.
+	// endRetention is how long the outcome is remembered. Another process that is registered at the
+	// address in that time shows that the engine has ended.
 	endRetention = 8 * time.Second
 	// askAgainTime is the time after which an engine that had not ended is asked again.
 	askAgainTime = 250 * time.Millisecond
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// Answer records a complete answer that came at once.
+// Answer records a complete answer that is not a stream of events.
 func (a *Attempt) Answer() {
 	if !a.sound {
 		a.recordSound()
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -68,8 +68,8 @@
 }
 
 // verdicts returns what explains the crashes. The most specific subject that does is blamed: a request of
-// one caller before the request of any, and both before parts of prompts. A subject all of whose crashes
-// a more specific one explains was only there as well; one that has others as well explains more.
+// one caller before the request of any caller, and both before parts of prompts. A less specific one is
+// blamed only if it has crashes beyond those, and then in place of the more specific ones.
 func (l *ledger) verdicts() []*verdict {
 	services := make(map[string]bool)
 	for _, c := range l.crashes {
@@ -99,15 +99,15 @@
 	return found
 }
 
-// requestVerdicts returns the verdicts on whole requests. Each is held back for itself, since requests
-// that were at the same engines cannot be told apart by one that is all of them.
+// requestVerdicts returns the verdicts on whole requests. Requests that were at the same engines have a
+// verdict each: unlike parts, several of them never come as one request that could tell them apart.
 func (l *ledger) requestVerdicts(service string, crashes []*crash) []*verdict {
-	blame := func(found map[string][]*crash, more []*verdict) []*verdict {
+	blame := func(found map[string][]*crash, moreSpecific []*verdict) []*verdict {
 		var blamed []*verdict
 		for _, name := range slices.Sorted(maps.Keys(found)) {
 			v := &verdict{service: service, parts: []string{name}, crashes: found[name]}
 			v.clusters = countClusters(v.crashes, requestClusterTime)
-			if v.clusters >= minClusters && !explained(more, v.crashes) {
+			if v.clusters >= minClusters && !explained(moreSpecific, v.crashes) {
 				blamed = append(blamed, v)
 			}
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -104,7 +104,7 @@
 }
 
 // giveUp ends an exchange whose response's header has not arrived. The endpoint sees the end at once. If
-// the exchange was cancelled, the response may be on its way.
+// the exchange was cancelled, the response may be on its way and is awaited in the background.
 func (k *conn) giveUp(request *Request, cancelled bool) {
 	if !cancelled || request.Late == nil || k.closeWrite() != nil {
 		k.close()
