Add the types of teams and the protocol of quotas

The parts of the milestone on teams and quotas are built side by side and meet at these types: team.Team and team.Quota, relay.Request.Team, Refusal.OverQuota and quota.v1.QuotaService.

--- a/api/generate.go
+++ b/api/generate.go
@@ -9,3 +9,4 @@
 //go:generate protoc -I . --go_out=.. --go_opt=module=github.com/ospreyshed/ospreyshed --connect-go_out=.. --connect-go_opt=module=github.com/ospreyshed/ospreyshed reservation/v1/reservation.proto
 //go:generate protoc -I .. --go_out=.. --go_opt=module=github.com/ospreyshed/ospreyshed --connect-go_out=.. --connect-go_opt=module=github.com/ospreyshed/ospreyshed ../api/origin/v1/origin.proto
 //go:generate protoc -I .. --go_out=.. --go_opt=module=github.com/ospreyshed/ospreyshed --connect-go_out=.. --connect-go_opt=module=github.com/ospreyshed/ospreyshed ../api/quarantine/v1/quarantine.proto
+//go:generate protoc -I .. --go_out=.. --go_opt=module=github.com/ospreyshed/ospreyshed --connect-go_out=.. --connect-go_opt=module=github.com/ospreyshed/ospreyshed ../api/quota/v1/quota.proto
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -13,6 +13,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
+	"github.com/ospreyshed/ospreyshed/internal/team"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
@@ -23,6 +24,9 @@
 	Method string
 	// Caller tells callers apart; a caller that sends a request again is the same.
 	Caller string
+	// Team is the team that sent the request, nil if the configuration has no teams or the
+	// route needs no key and the request has none.
+	Team *team.Team
 	// Target and Host are sent to endpoints unchanged.
 	Target string
 	Host   string
@@ -62,6 +66,8 @@
 	Reason string
 	// RetryAfter is the delay after which a retry may succeed; 0 if none is expected to.
 	RetryAfter time.Duration
+	// OverQuota says that the quota of the caller's team is used up.
+	OverQuota bool
 }
 
 // Failure is the router's own final answer to a request that may have run.
