--- a/internal/cli/configuration_test.go
+++ b/internal/cli/configuration_test.go
@@ -15,6 +15,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration/peersync"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice/logtest"
+	"github.com/ospreyshed/ospreyshed/internal/team"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
 
@@ -35,7 +36,7 @@
 // writeBundle writes the bundle file with replacements and returns its path.
 func writeBundle(t *testing.T, replacements ...string) string {
 	t.Helper()
-	replacements = append(replacements, "DIGEST", configuration.DigestOf("key").String())
+	replacements = append(replacements, "DIGEST", team.DigestOf("key").String())
 	path := filepath.Join(t.TempDir(), "bundle.json")
 	content := strings.NewReplacer(replacements...).Replace(bundleFile)
 	assert.NilError(t, os.WriteFile(path, []byte(content), 0o600))
--- a/internal/configuration/fixture_test.go
+++ b/internal/configuration/fixture_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/ospreyshed/ospreyshed/internal/team"
 )
 
 func seconds(n float64) Duration { return Duration(n * float64(time.Second)) }
@@ -41,7 +43,7 @@
 func testTeam(name string, share float64) Team {
 	return Team{
 		Name:       name,
-		KeyDigests: []string{DigestOf("key of " + name).String()},
+		KeyDigests: []string{team.DigestOf("key of " + name).String()},
 		Weights:    Weights{Goodput: 1},
 		Share:      share,
 		Classes: []Class{
--- a/internal/configuration/peersync/peersync_test.go
+++ b/internal/configuration/peersync/peersync_test.go
@@ -20,6 +20,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice/logtest"
+	"github.com/ospreyshed/ospreyshed/internal/team"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
 
@@ -132,7 +133,7 @@
 	for i := range teams {
 		name := fmt.Sprintf("team-%d", i)
 		bundle.Teams = append(bundle.Teams, configuration.Team{
-			Name: name, KeyDigests: []string{configuration.DigestOf(name).String()},
+			Name: name, KeyDigests: []string{team.DigestOf(name).String()},
 			Weights: configuration.Weights{Goodput: 1}, Share: share,
 		})
 	}
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -4,6 +4,8 @@
 	"crypto/subtle"
 	"maps"
 	"slices"
+
+	"github.com/ospreyshed/ospreyshed/internal/team"
 )
 
 // Snapshot is an immutable view of the configuration in force. It is safe for
@@ -12,7 +14,7 @@
 	generation uint64
 	fleet      *compiledFleet
 	teams      map[string]*CompiledTeam
-	keys       map[Digest]claimants
+	keys       map[team.Digest]claimants
 	versions   map[string]uint64
 }
 
@@ -55,7 +57,7 @@
 		return &Snapshot{
 			fleet:    compileFleet(&Fleet{}),
 			teams:    make(map[string]*CompiledTeam),
-			keys:     make(map[Digest]claimants),
+			keys:     make(map[team.Digest]claimants),
 			versions: make(map[string]uint64),
 		}
 	}
@@ -106,7 +108,7 @@
 
 // TeamByKey returns the team that a bearer key belongs to.
 func (s *Snapshot) TeamByKey(bearer string) (*CompiledTeam, bool) {
-	digest := DigestOf(bearer)
+	digest := team.DigestOf(bearer)
 	claims := s.keys[digest]
 	if len(claims) == 0 {
 		return nil, false
@@ -116,7 +118,7 @@
 
 // hasDigest reports whether the digest is one of the team's. It compares with all
 // of them in constant time.
-func (t *CompiledTeam) hasDigest(digest Digest) bool {
+func (t *CompiledTeam) hasDigest(digest team.Digest) bool {
 	found := 0
 	for i := range t.digests {
 		found |= subtle.ConstantTimeCompare(t.digests[i][:], digest[:])
--- a/internal/configuration/snapshot_test.go
+++ b/internal/configuration/snapshot_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/team"
 )
 
 func newTestSnapshot(t *testing.T, teams ...string) *Snapshot {
@@ -73,7 +75,7 @@
 func TestChangeOfOneTeamSharesTheOthers(t *testing.T) {
 	before := newTestSnapshot(t, "a", "b")
 	changed := testTeam("b", 2)
-	changed.KeyDigests = []string{DigestOf("new").String()}
+	changed.KeyDigests = []string{team.DigestOf("new").String()}
 	after := before.with([]change{{subject: TeamSubject("b"), version: 2, team: &changed}})
 	assert.Assert(t, before.teams["a"] == after.teams["a"] && before.fleet == after.fleet)
 	assert.Equal(t, after.Generation(), before.Generation()+1)
@@ -99,9 +101,9 @@
 // different teams does not depend on the order of their changes.
 func TestKeyOfTwoTeams(t *testing.T) {
 	sharing := func(name string) change {
-		team := testTeam(name, 1)
-		team.KeyDigests = []string{DigestOf("shared").String()}
-		return change{subject: TeamSubject(name), version: 1, team: &team}
+		sharer := testTeam(name, 1)
+		sharer.KeyDigests = []string{team.DigestOf("shared").String()}
+		return change{subject: TeamSubject(name), version: 1, team: &sharer}
 	}
 	for _, order := range [][]string{{"b", "c"}, {"c", "b"}} {
 		snapshot := newTestSnapshot(t, "a").with([]change{sharing(order[0]), sharing(order[1])})
--- a/internal/configuration/team.go
+++ b/internal/configuration/team.go
@@ -2,31 +2,11 @@
 
 import (
 	"cmp"
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 	"strings"
-)
-
-// Digest is the SHA-256 digest of a bearer key.
-type Digest [sha256.Size]byte
 
-// DigestOf returns the digest of a bearer key.
-func DigestOf(bearer string) Digest { return sha256.Sum256([]byte(bearer)) }
-
-// ParseDigest reads a digest from hexadecimal text.
-func ParseDigest(text string) (Digest, bool) {
-	var digest Digest
-	raw, err := hex.DecodeString(text)
-	if err != nil || len(raw) != len(digest) {
-		return digest, false
-	}
-	copy(digest[:], raw)
-	return digest, true
-}
-
-// String formats the digest in hexadecimal.
-func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+	"github.com/ospreyshed/ospreyshed/internal/team"
+)
 
 const wildcardSuffix = "/*"
 
@@ -48,7 +28,7 @@
 type CompiledTeam struct {
 	// Team is the document; callers must not change it.
 	Team    *Team
-	digests []Digest
+	digests []team.Digest
 	exact   map[route][]*Class
 	// prefixes are sorted by descending length, so that the longest match is first.
 	prefixes []prefixRoute
@@ -92,15 +72,15 @@
 	return nil, false
 }
 
-func compileTeam(team *Team) *CompiledTeam {
-	compiled := &CompiledTeam{Team: team, exact: make(map[route][]*Class, len(team.Classes))}
-	for _, text := range team.KeyDigests {
-		if digest, ok := ParseDigest(text); ok {
+func compileTeam(document *Team) *CompiledTeam {
+	compiled := &CompiledTeam{Team: document, exact: make(map[route][]*Class, len(document.Classes))}
+	for _, text := range document.KeyDigests {
+		if digest, ok := team.ParseDigest(text); ok {
 			compiled.digests = append(compiled.digests, digest)
 		}
 	}
-	for i := range team.Classes {
-		compiled.addClass(&team.Classes[i])
+	for i := range document.Classes {
+		compiled.addClass(&document.Classes[i])
 	}
 	compiled.sort()
 	return compiled
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -1,6 +1,9 @@
 package configuration
 
-import "github.com/ospreyshed/ospreyshed/internal/finding"
+import (
+	"github.com/ospreyshed/ospreyshed/internal/finding"
+	"github.com/ospreyshed/ospreyshed/internal/team"
+)
 
 // Validate checks a whole bundle and reports all findings by JSON path. It
 // returns nil or a *finding.Error.
@@ -63,7 +66,7 @@
 // share a key.
 func (c *checker) references(fleet *Fleet, teams []Team) {
 	known := newReferences(fleet)
-	owners := map[Digest]string{}
+	owners := map[team.Digest]string{}
 	for i := range teams {
 		path := index("teams", i)
 		c.teamReferences(path, &teams[i], known)
@@ -71,18 +74,18 @@
 	}
 }
 
-func (c *checker) sharedKeys(path string, team *Team, owners map[Digest]string) {
-	for i, text := range team.KeyDigests {
-		digest, ok := ParseDigest(text)
+func (c *checker) sharedKeys(path string, t *Team, owners map[team.Digest]string) {
+	for i, text := range t.KeyDigests {
+		digest, ok := team.ParseDigest(text)
 		if !ok {
 			continue
 		}
 		owner, taken := owners[digest]
-		if taken && owner != team.Name {
+		if taken && owner != t.Name {
 			c.Addf(index(path+".key_digests", i), "the key belongs to team %s", owner)
 			continue
 		}
-		owners[digest] = team.Name
+		owners[digest] = t.Name
 	}
 }
 
--- a/internal/configuration/validate_team.go
+++ b/internal/configuration/validate_team.go
@@ -3,21 +3,23 @@
 import (
 	"regexp"
 	"strings"
+
+	"github.com/ospreyshed/ospreyshed/internal/team"
 )
 
 var methodPattern = regexp.MustCompile(`^[A-Z]{1,16}$`)
 
 // team checks a team document on its own.
-func (c *checker) team(path string, team *Team) {
-	c.name(path+".name", team.Name, namePaths{})
-	c.keyDigests(path+".key_digests", team.KeyDigests)
-	c.weights(path+".weights", team.Weights)
-	notNegative(c, path+".share", team.Share)
+func (c *checker) team(path string, t *Team) {
+	c.name(path+".name", t.Name, namePaths{})
+	c.keyDigests(path+".key_digests", t.KeyDigests)
+	c.weights(path+".weights", t.Weights)
+	notNegative(c, path+".share", t.Share)
 	seen := namePaths{}
-	for i := range team.Classes {
-		c.class(index(path+".classes", i), &team.Classes[i], seen)
+	for i := range t.Classes {
+		c.class(index(path+".classes", i), &t.Classes[i], seen)
 	}
-	c.sharedRoutes(path+".classes", team.Classes)
+	c.sharedRoutes(path+".classes", t.Classes)
 }
 
 func (c *checker) keyDigests(path string, digests []string) {
@@ -26,7 +28,7 @@
 		c.Addf(path, "at least one key is needed")
 	}
 	for i, text := range digests {
-		if _, ok := ParseDigest(text); !ok {
+		if _, ok := team.ParseDigest(text); !ok {
 			c.Addf(index(path, i), "is no SHA-256 digest in hexadecimal")
 			continue
 		}
--- a/internal/localsite/control_bench_test.go
+++ b/internal/localsite/control_bench_test.go
@@ -19,6 +19,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
 	"github.com/ospreyshed/ospreyshed/internal/standin"
+	"github.com/ospreyshed/ospreyshed/internal/team"
 )
 
 const (
@@ -144,10 +145,10 @@
 func controlTeams(first *configuration.Team, n int) []configuration.Team {
 	teams := []configuration.Team{*first}
 	for i := 1; i < n; i++ {
-		team := *first
-		team.Name = fmt.Sprintf("team-%d", i)
-		team.KeyDigests = []string{configuration.DigestOf(team.Name).String()}
-		teams = append(teams, team)
+		added := *first
+		added.Name = fmt.Sprintf("team-%d", i)
+		added.KeyDigests = []string{team.DigestOf(added.Name).String()}
+		teams = append(teams, added)
 	}
 	return teams
 }
--- a/internal/questionnaire/digest.go
+++ b/internal/questionnaire/digest.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/ospreyshed/ospreyshed/internal/team"
 )
 
 // MaxKeyBytes is the maximum length of a bearer key in bytes, including a line
@@ -35,6 +35,5 @@
 			return "", BadKey.New("the key has a character other than visible ASCII")
 		}
 	}
-	sum := sha256.Sum256(key)
-	return hex.EncodeToString(sum[:]), nil
+	return team.DigestOf(string(key)).String(), nil
 }
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -49,4 +49,15 @@
 	// it only the route's priority counts.
 	Priority *int
 	Quota    Quota
+	// share is set by NewDirectory for teams with a limit.
+	share float64
+}
+
+// Share returns the team's share of contended capacity: its rate limit relative to the mean limit of
+// the teams whose quotas have the same unit, 1 if it has no limit.
+func (t *Team) Share() float64 {
+	if t.share > 0 {
+		return t.share
+	}
+	return 1
 }
