Check keys before each call and order demands by team

Cause: a request may wait for engines for seconds, in which its key may be removed; a check at its arrival alone would run it all the same. The ledger knew no teams.

Change: relay.Request.Reauthenticate is asked before each call until an endpoint may have run the request, last when the connection is open. Demands carry the team, its share and a priority of team, then route; without a team they are as before.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -171,7 +171,7 @@
 	s.options.Log.Change("requests were cut off at the end of the grace", logrus.Fields{"error": err.Error(), "requests": len(requests)})
 	for _, r := range requests[:min(len(requests), maxCutOffLines)] {
 		s.options.Log.Change("request cut off", logrus.Fields{
-			"request": r.ID, "route": r.Route, "age_ms": r.Age.Milliseconds(), "sent": r.Sent,
+			"request": r.ID, "route": r.Route, "team": r.Team, "age_ms": r.Age.Milliseconds(), "sent": r.Sent,
 		})
 	}
 }
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -7,6 +7,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/team"
 )
 
 const (
@@ -29,12 +30,16 @@
 	outputEstimateMargin = 1.25
 	// minReservedOutputTokens is the minimum memory reserved for an answer.
 	minReservedOutputTokens = 64
+	// maxTeamPriority and maxRoutePriority limit priorities so that the combined priority stays
+	// above that of background demands.
+	maxTeamPriority  = 30
+	maxRoutePriority = 31
 )
 
 // demand returns the scheduling demand of the next attempt.
 func (r *Relay) demand(g *generation) scheduling.Demand {
 	work := g.request.Generation
-	return scheduling.Demand{
+	demand := scheduling.Demand{
 		ID:           r.attemptID(),
 		Zone:         r.options.Zone,
 		Class:        classOf(g),
@@ -50,6 +55,10 @@
 		Build:        g.requiredBuild(),
 		Resumed:      g.headerSent || g.takenUp,
 	}
+	if t := g.request.Team; t != nil {
+		demand.Team, demand.Share = t.Name, t.Share()
+	}
+	return demand
 }
 
 // excluded returns the engines that must not be granted: those that failed the request, and those
@@ -107,7 +116,7 @@
 func priorityOf(g *generation) int {
 	switch {
 	case !g.late:
-		return -g.route.Priority
+		return -urgency(g.request.Team, g.route.Priority)
 	case g.priorWait > 0:
 		// Callers that were refused before precede other late requests.
 		return scheduling.BackgroundPriority
@@ -115,6 +124,19 @@
 	return scheduling.BackgroundPriority - 1
 }
 
+// urgency combines the priority of a team with that of a route; 0 is the most urgent. The team's
+// priority comes first. Without a team it is the route's priority.
+func urgency(t *team.Team, route int) int {
+	if t == nil {
+		return route
+	}
+	route = max(0, min(route, maxRoutePriority))
+	if t.Priority == nil {
+		return route
+	}
+	return max(0, min(*t.Priority, maxTeamPriority))*(maxRoutePriority+1) + route
+}
+
 func (r *Relay) attemptID() engine.AttemptID {
 	return engine.AttemptID{
 		VM:          r.options.VM,
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -258,6 +258,8 @@
 	body         string
 	retryAfter   time.Duration
 	disconnected bool
+	// unauthenticated says that a refusal is for the key.
+	unauthenticated bool
 }
 
 func (c *recorder) Deliver(a *Answer) {
@@ -273,7 +275,7 @@
 }
 func (c *recorder) Abort() { c.outcome = "aborted" }
 func (c *recorder) Refuse(r Refusal) {
-	c.outcome, c.retryAfter = "refused: "+r.Reason, r.RetryAfter
+	c.outcome, c.retryAfter, c.unauthenticated = "refused: "+r.Reason, r.RetryAfter, r.Unauthenticated
 }
 func (c *recorder) Fail(f Failure) { c.outcome = "failed: " + f.Reason }
 
--- a/internal/relay/in_flight.go
+++ b/internal/relay/in_flight.go
@@ -9,7 +9,9 @@
 // InFlight is a request that has no final answer yet.
 type InFlight struct {
 	ID, Route string
-	Age       time.Duration
+	// Team is the name of the team that sent the request, empty if there is none.
+	Team string
+	Age  time.Duration
 	// Sent is set if an endpoint may have received the request.
 	Sent bool
 }
@@ -22,9 +24,9 @@
 
 // tracked is a request in flight.
 type tracked struct {
-	id, route string
-	arrived   time.Time
-	sent      atomic.Bool
+	id, route, team string
+	arrived         time.Time
+	sent            atomic.Bool
 }
 
 func newInFlight() *inFlight { return &inFlight{requests: make(map[*tracked]struct{})} }
@@ -32,6 +34,9 @@
 // begin tracks a request until the returned function is called.
 func (f *inFlight) begin(x *exchange) func() {
 	request := &tracked{id: x.request.ID, route: x.route.Name, arrived: x.request.Arrived}
+	if x.request.Team != nil {
+		request.team = x.request.Team.Name
+	}
 	x.tracked = request
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -50,7 +55,7 @@
 	all := make([]InFlight, 0, len(r.inFlight.requests))
 	for request := range r.inFlight.requests {
 		all = append(all, InFlight{
-			ID: request.id, Route: request.route, Age: time.Since(request.arrived), Sent: request.sent.Load(),
+			ID: request.id, Route: request.route, Team: request.team, Age: time.Since(request.arrived), Sent: request.sent.Load(),
 		})
 	}
 	return all
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -143,7 +143,7 @@
 	case x.mayHaveRun:
 		r.fail(x, Failure{Reason: "no endpoint answered", Timeout: x.timeLeft() <= 0})
 	default:
-		r.refuse(x, Refusal{Reason: x.refusal, RetryAfter: x.retryAfter})
+		r.refuse(x, Refusal{Reason: x.refusal, RetryAfter: x.retryAfter, Unauthenticated: x.unauthenticated})
 	}
 }
 
@@ -281,7 +281,7 @@
 		Header:  r.options.Dialect.Header(x.request, call),
 		Body:    x.request.Body,
 		MaxIdle: maxIdle(x, call),
-		Permit:  func() error { return r.permit(to.Name) },
+		Permit:  func() error { return r.permitRequest(x, to.Name) },
 		Late: func(response *upstream.Response) {
 			verdict := r.options.Dialect.Judge(x.request, call, response)
 			r.observeVerdict(x, to, &verdict, sent)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -32,9 +32,12 @@
 	return request.Generation.SharedParts
 }
 
-// heldBack reports whether the request must not be sent to an engine because engines crash on it. It
-// records the refusal.
+// heldBack reports whether the request must not be sent to an endpoint, because its key is no longer
+// accepted or engines crash on it. It records the refusal.
 func (r *Relay) heldBack(x *exchange) bool {
+	if r.keyRejected(x) {
+		return true
+	}
 	hold, held := x.suspect.Held()
 	if !held {
 		return false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -254,6 +254,9 @@
 	}
 	fields["request"] = x.request.ID
 	fields["route"] = x.route.Name
+	if x.request.Team != nil {
+		fields["team"] = x.request.Team.Name
+	}
 	fields["sends"] = x.sends
 	fields["age_ms"] = time.Since(x.request.Arrived).Milliseconds()
 	r.options.Log.Decide(outcome, fields)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -27,6 +27,10 @@
 	// Team is the team that sent the request, nil if the configuration has no teams or the
 	// route needs no key and the request has none.
 	Team *team.Team
+	// Reauthenticate returns the team of the request's key by the configuration in force, or why the
+	// request must not be sent. It is asked until an endpoint may have run the request; nil if
+	// requests need no key.
+	Reauthenticate func() (*team.Team, *Refusal)
 	// Target and Host are sent to endpoints unchanged.
 	Target string
 	Host   string
@@ -68,6 +72,8 @@
 	RetryAfter time.Duration
 	// OverQuota says that the quota of the caller's team is used up.
 	OverQuota bool
+	// Unauthenticated says that the caller's key is no longer known.
+	Unauthenticated bool
 }
 
 // Failure is the router's own final answer to a request that may have run.
@@ -200,6 +206,8 @@
 	refusal string
 	// retryAfter is the retry delay sent to the caller if the request did not run.
 	retryAfter time.Duration
+	// unauthenticated is set if the request did not run because its key is no longer known.
+	unauthenticated bool
 	// identity names the request whenever it comes again.
 	identity quarantine.Identity
 	// suspect tells whether engines crash on the request or on a part of its prompt.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -6,13 +6,18 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/ospreyshed/ospreyshed/internal/team"
 )
 
 // Table is one version of the configuration. It is immutable.
 type Table struct {
 	// Version increases with each change.
-	Version  uint64
-	Limits   Limits
+	Version uint64
+	Limits  Limits
+	// Teams are the teams whose keys requests must carry, nil if none need one. It is set
+	// before the table is used.
+	Teams    *team.Directory
 	byPrefix map[string]*Route
 	services map[string]*Service
 }
