--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -14,6 +14,7 @@
 	relayPlainAnswersGroup,
 	relayFirstEventsGroup,
 	relayQueuesGroup,
+	teamGroup,
 	upstreamGroup,
 	storeGroup,
 	storeAnswersGroup,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -21,6 +21,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 	"github.com/ospreyshed/ospreyshed/internal/roles"
+	"github.com/ospreyshed/ospreyshed/internal/team"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
@@ -64,8 +65,10 @@
 
 func TestEveryCounterIsDocumentedAndPublished(t *testing.T) {
 	options := testOptions(t)
-	// The adapter supplies these two groups.
-	options.Vars = map[string]*expvar.Map{"store": new(expvar.Map), "store_answers": metrics.NewLatency().Vars()}
+	// The adapter supplies these groups.
+	options.Vars = map[string]*expvar.Map{
+		"store": new(expvar.Map), "store_answers": metrics.NewLatency().Vars(), "team": metrics.Fields(new(team.Counters)),
+	}
 	n := New(options)
 	assert.NilError(t, n.Start(t.Context()))
 	defer func() { assert.NilError(t, n.Stop(context.Background())) }()
