--- a/internal/relay/authentication_test.go
+++ b/internal/relay/authentication_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 	"github.com/ospreyshed/ospreyshed/internal/team"
@@ -71,6 +72,32 @@
 	}
 }
 
+// removedOnceLooked removes a key at a look for the quiet of an endpoint.
+type removedOnceLooked struct {
+	*endpoint.Registry
+	keys  *rejectAfter
+	looks int
+}
+
+func (e *removedOnceLooked) QuietFor(name string) time.Duration {
+	if e.looks--; e.looks == 0 {
+		e.keys.accepted = 0
+	}
+	return e.Registry.QuietFor(name)
+}
+
+// A connection may take longer to open than a removal to become known. The look at the endpoint with the open
+// connection follows one at the choice and one before the dial.
+func TestKeyRemovedWhileAConnectionIsOpenedRunsNothing(t *testing.T) {
+	s := newFixture(t)
+	s.endpoint("d1", "desk", "", answers(http.StatusOK, "done"))
+	keys := &rejectAfter{accepted: 1000}
+	s.relay.options.Endpoints = &removedOnceLooked{Registry: s.endpoints, keys: keys, looks: 3}
+	assert.Equal(t, s.serveAs(keys, booking, nil).outcome, "refused: removed")
+	assert.Equal(t, s.callCount(), 0)
+	assert.Equal(t, s.endpoints.Stats("d1").FailureRate, 0.0)
+}
+
 // A stream that has begun belongs to a request that was sent in time; ending it would waste what was delivered.
 func TestStreamThatHasBegunGoesOnAfterItsKeyIsRemoved(t *testing.T) {
 	s := newFixture(t, grant("p1", "e1"), grant("p2", "e2"))
