Charge requests to the quotas of their teams

Cause: nothing called the service of quotas.

Change: Serve charges a request once before anything is sent, waits for credit for at most a quarter of the route's objective, refuses with OverQuota and the time at which there will be credit, and gives the cost back in every path in which the request has not run. The node runs the service and its handler; counters, settings bounds.quota* and tests. The place at which the configuration of teams is connected is marked in internal/node/peers.go.

--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -22,6 +22,7 @@
 	quarantineGroup,
 	quarantineShareGroup,
 	quarantineArchiveGroup,
+	quotaGroup,
 	rolesGroup,
 	logGroup,
 }
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -42,6 +42,8 @@
 			"A steady rise: endpoints are in need, see `endpoint.limited`; add endpoints."},
 		{"held_back", Counter, Requests, "Requests that were not sent because engines crash on them or on a part of their prompts.",
 			"A rise: see the `quarantine` counters; log lines `request held back` name the parts or the request."},
+		{"over_quota", Counter, Requests, "Requests that were refused with 429 because of their teams' quotas.",
+			"A rise: log lines `quota exceeded` name the teams; raise their limits, or ask them to send less."},
 		{"broken", Counter, Requests, "Streams that ended before they were complete.", "A rise: as for `resumed`, but on routes on which streams cannot be resumed."},
 	},
 }
@@ -197,3 +199,30 @@
 		{"writes_failed", Counter, Calls, "Such calls that failed. They are repeated.", "A steady rise: see the group `store`."},
 	},
 }
+
+var quotaGroup = Group{
+	Name: "quota",
+	Help: "Quotas of teams, to which all VMs keep together. Units are those of each quota: requests or tokens.",
+	Values: []Definition{
+		{"taken", Counter, Requests, "Requests that were charged to a quota.", noAction},
+		{"waited", Counter, Requests, "Those of them that waited for credit.", "Near `taken`: teams send at their limits."},
+		{"refused", Counter, Requests, "Requests over a quota.", "A rise: log lines `quota exceeded` name the teams."},
+		{"refused_here", Counter, Requests, "Those of them that were refused without a call, before the time that an owner had named.", noAction},
+		{"refunded", Counter, Requests, "Requests whose cost was returned because they had not run.", "A rise: compare with `relay.refused`."},
+		{"leased", Counter, QuotaUnits, "Units that this VM leased.", noAction},
+		{"returned", Counter, QuotaUnits, "Units that this VM gave back.", noAction},
+		{"expired", Counter, QuotaUnits, "Leased units that ended unused.", "Any rise: this process is held up for parts of a second."},
+		{"owner_changes", Counter, Teams, "Times that another VM than before decided for a team.", "A steady rise without restarts: VMs do not reach each other."},
+		{"calls", Counter, Calls, "Calls to other VMs.", noAction},
+		{"calls_failed", Counter, Calls, "Calls without an answer in time.", "A steady rise: VMs do not reach each other, or are overloaded; compare with the group `membership`."},
+		{"fallback_calls", Counter, Calls, "Calls to another VM than the owner because it did not answer or did not know the team.", "See `calls_failed` and `unknown`."},
+		{"presences", Counter, Calls, "Calls that only told an owner which is not established that this VM would ask it.", "A steady rise without restarts: owners change; see `owner_changes`."},
+		{"served", Counter, Calls, "Calls of other VMs.", noAction},
+		{"rejected", Counter, Calls, "Calls of other VMs with unusable contents.", "Any rise: VMs run versions that do not fit."},
+		{"behind", Counter, Calls, "Calls of VMs with a later configuration than this one's.", "A steady rise: this VM's configuration is old; see the group `feed`."},
+		{"unknown", Counter, Calls, "Claims for teams that this VM's configuration does not have.", "See `behind`."},
+		{"established", Counter, Teams, "Times that this VM became established as an owner, for each team.", noAction},
+		{"accounts", Gauge, Teams, "Teams that sent requests to this VM within a minute.", noAction},
+		{"buckets", Gauge, Teams, "Teams for whose quotas this VM was asked within a minute.", noAction},
+	},
+}
--- a/internal/metrics/definition.go
+++ b/internal/metrics/definition.go
@@ -43,6 +43,8 @@
 	Incidents         Unit = "incidents"
 	VMs               Unit = "VMs"
 	Connections       Unit = "connections"
+	QuotaUnits        Unit = "units of quotas"
+	Teams             Unit = "teams"
 	TrueIfUnavailable Unit = "true while away"
 
 	Milliseconds Unit = "milliseconds"
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -21,9 +21,12 @@
 	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/peer"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
+	"github.com/ospreyshed/ospreyshed/internal/quota"
 	"github.com/ospreyshed/ospreyshed/internal/reservation"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
+	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	"github.com/ospreyshed/ospreyshed/internal/team"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 	"github.com/ospreyshed/ospreyshed/internal/timeline/timelinerpc"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
@@ -45,6 +48,7 @@
 		newFeed,
 		newOrigins,
 		newQuarantine,
+		newQuotas,
 		newPeerServer,
 	),
 	fx.Invoke(func(*peer.Server) {}),
@@ -181,6 +185,37 @@
 	return service
 }
 
+// newQuotas returns the service that keeps requests within the quotas of teams.
+func newQuotas(lifecycle fx.Lifecycle, options *Options, members *swim.Service, dialer *peer.HTTPDialer, registry *metrics.Registry) *quota.Service {
+	service := quota.New(quota.Params{
+		VM:          options.VM,
+		Incarnation: options.Incarnation,
+		View:        members,
+		Announced:   func() quota.Announced { return options.Fleet.View() },
+		Quota:       func(name string) (team.Quota, uint64, bool) { return quotaOf(options.Fleet.Table(), name) },
+		Peers:       quota.NewPeers(dialer),
+		Log:         options.Log,
+		Clock:       options.Clock,
+	})
+	registry.Mount("quota", service.Vars())
+	background.Run(lifecycle, service.Run)
+	return service
+}
+
+// quotaOf returns a team's quota in a configuration, which is nil while none is known, and the
+// version of the configuration.
+func quotaOf(table *routing.Table, _ string) (quota team.Quota, version uint64, known bool) {
+	if table == nil {
+		return team.Quota{}, 0, false
+	}
+	// TODO(teams): CONNECT THE CONFIGURATION HERE once routing.Table has Teams:
+	//
+	//	if t := table.Teams.Team(name); t != nil {
+	//		return t.Quota, table.Version, true
+	//	}
+	return team.Quota{}, table.Version, false
+}
+
 // condition returns whether an engine is leaving or ejected.
 func condition(view *fleet.View, endpoints *endpoint.Registry, name string) reservation.Condition {
 	instance := view.Instance(name)
@@ -188,10 +223,10 @@
 	return reservation.Condition{Leaving: leaving, Ejected: !leaving && !endpoints.Usable(name)}
 }
 
-func newPeerServer(lifecycle fx.Lifecycle, options *Options, members *swim.Service, reservations *reservation.Service, shared *feed.Service, origins *origin.Service, quarantines *quarantine.Service, ring *timeline.Ring, registry *metrics.Registry) (*peer.Server, error) {
+func newPeerServer(lifecycle fx.Lifecycle, options *Options, members *swim.Service, reservations *reservation.Service, shared *feed.Service, origins *origin.Service, quarantines *quarantine.Service, quotas *quota.Service, ring *timeline.Ring, registry *metrics.Registry) (*peer.Server, error) {
 	server, err := peer.NewServer(
 		peer.Options{Listen: options.PeerAddress, Insecure: true},
-		members.Peer(), reservations.Handler(), shared.Handler(), origins.Handler(), quarantines.Handler(), timelinerpc.NewHandler(ring),
+		members.Peer(), reservations.Handler(), shared.Handler(), origins.Handler(), quarantines.Handler(), quotas.Handler(), timelinerpc.NewHandler(ring),
 	)
 	if err != nil {
 		return nil, err
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -17,6 +17,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
+	"github.com/ospreyshed/ospreyshed/internal/quota"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 	"github.com/ospreyshed/ospreyshed/internal/reservation"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
@@ -89,6 +90,7 @@
 	Registry     *metrics.Registry
 	Origins      *origin.Service
 	Quarantine   *quarantine.Service
+	Quotas       *quota.Service
 	Feed         *feed.Service
 }
 
@@ -106,6 +108,7 @@
 		Client:       p.Client,
 		Origins:      p.Origins,
 		Quarantine:   p.Quarantine,
+		Quotas:       p.Quotas,
 		Dialect:      p.Options.Dialect,
 		Log:          p.Options.Log,
 	})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,8 +92,10 @@
 	Client       *upstream.Client
 	Origins      Origins
 	Quarantine   Quarantine
-	Dialect      Dialect
-	Log          *decisionlog.Log
+	// Quotas may be nil if no request has a team with a limit.
+	Quotas  Quotas
+	Dialect Dialect
+	Log     *decisionlog.Log
 }
 
 // Counters count requests and attempts. The zero value is ready to use.
@@ -128,6 +130,8 @@
 	// HeldBack counts requests that were not sent because engines crash on a part of their
 	// prompts.
 	HeldBack atomic.Int64
+	// OverQuota counts requests that were refused because of their teams' quotas.
+	OverQuota atomic.Int64
 }
 
 // Relay serves requests. It is safe for concurrent use.
@@ -189,6 +193,11 @@
 		r.refuse(x, stoppingRefusal)
 		return
 	}
+	settle, charged := r.charge(ctx, x)
+	if !charged {
+		return
+	}
+	defer settle()
 	if generation {
 		r.serveGeneration(ctx, x)
 		return
