End simulated processes after a failed check

Cause: checks in a bubble stopped the outer test, so that the first failure ended the run of the package with processes left over.

Change: checks use the bubble's test; processes are stopped in any case.

--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -35,7 +35,7 @@
 	}{
 		{62, 62, 16, 0.8, 0}, {62, 3, 4, 0.8, 0}, {62, 1, 4, 0.8, 0}, {62, 62, 4, 1.2, 0.4}, {62, 3, 4, 1.2, 0.4}, {300, 300, 16, 0.8, 0},
 	} {
-		simulate(t, c.vms, func(s *sim) {
+		simulate(t, c.vms, func(t *testing.T, s *sim) {
 			var teams []*simTeam
 			time.Sleep(settled)
 			for i := range c.teams {
@@ -64,7 +64,7 @@
 func TestTenTimesTheLimit(t *testing.T) {
 	for _, through := range []int{62, 3, 1} {
 		for _, limit := range []float64{47_000, 350_000} {
-			simulate(t, 62, func(s *sim) {
+			simulate(t, 62, func(t *testing.T, s *sim) {
 				time.Sleep(settled)
 				x := s.team("team", limit)
 				s.offer(x, 10, s.vms[:through], 0, 20*time.Second)
@@ -112,7 +112,7 @@
 	}
 	for _, c := range cases {
 		for _, load := range []float64{0.8, 10} {
-			simulate(t, 62, func(s *sim) {
+			simulate(t, 62, func(t *testing.T, s *sim) {
 				time.Sleep(settled)
 				x := s.team("team", 47_000)
 				s.offer(x, load, s.vms, 0, 24*time.Second)
@@ -129,7 +129,7 @@
 
 // A limit that is lowered far below what a team sends binds one window after all VMs have it.
 func TestLoweredLimitBinds(t *testing.T) {
-	simulate(t, 62, func(s *sim) {
+	simulate(t, 62, func(t *testing.T, s *sim) {
 		time.Sleep(settled)
 		x := s.team("team", 350_000)
 		s.offer(x, 1, s.vms, 0, 30*time.Second)
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -80,9 +80,9 @@
 	log       *decisionlog.Log
 }
 
-func simulate(t *testing.T, vms int, run func(s *sim)) {
+func simulate(t *testing.T, vms int, run func(t *testing.T, s *sim)) {
 	t.Helper()
-	synctest.Test(t, func(*testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		s := &sim{teams: make(map[string]*simTeam), random: rand.New(rand.NewPCG(1, 1)), log: decisionlog.Discard()}
 		for i := range vms {
 			s.vms = append(s.vms, &simVM{name: fmt.Sprintf("vm-%d", i), zone: fmt.Sprintf("zone-%d", i%simZones)})
@@ -90,15 +90,20 @@
 		for _, vm := range s.vms {
 			s.start(vm)
 		}
-		run(s)
-		for _, vm := range s.vms {
-			s.kill(vm)
-		}
-		s.running.Wait()
-		s.log.Close()
+		defer s.stop()
+		run(t, s)
 	})
 }
 
+// stop ends all processes, also after a failed check.
+func (s *sim) stop() {
+	for _, vm := range s.vms {
+		s.kill(vm)
+	}
+	s.running.Wait()
+	s.log.Close()
+}
+
 func (s *sim) start(vm *simVM) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
