--- a/internal/quota/claim.go
+++ b/internal/quota/claim.go
@@ -55,7 +55,7 @@
 		request := s.claimRequest(t, c, next.VM)
 		hold := s.holdLimit(t.Name, members, now)
 		s.mu.Unlock()
-		if len(tried) > 0 || next.VM != firstOf(t.Name, members) {
+		if len(tried) > 0 || len(excluded) > 0 && next.VM != firstOf(t.Name, members) {
 			s.counters.FallbackCalls.Add(1)
 		}
 		response, err := s.call(ctx, next, request)
@@ -95,6 +95,9 @@
 // holdLimit returns how long a refusal holds without asking again. One of another VM than the
 // owner ends when the owner may be asked again. The lock must be held.
 func (s *Service) holdLimit(name string, members []membership.Member, now time.Time) time.Duration {
+	if len(s.silent) == 0 {
+		return longestRefusal
+	}
 	c, ok := s.silent[firstOf(name, members)]
 	if !ok || c.Over(now) {
 		return longestRefusal
