--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -23,6 +23,7 @@
 	quarantineGroup,
 	quarantineShareGroup,
 	quarantineArchiveGroup,
+	quotaGroup,
 	rolesGroup,
 	logGroup,
 }
--- a/internal/team/directory.go
+++ b/internal/team/directory.go
@@ -18,6 +18,8 @@
 	byKey  map[Digest]*Team
 	byName map[string]*Team
 	shared [][]string
+	// limited are the names of the teams whose quotas set a limit.
+	limited []string
 }
 
 // NewDirectory returns a directory of teams. Entries with the same name are one team, which has
@@ -64,7 +66,7 @@
 	}
 }
 
-// setShares sets each limited team's share to its rate relative to the mean of its unit.
+// setShares collects the limited teams and sets each one's share to its rate relative to the mean of its unit.
 func (d *Directory) setShares() {
 	sums, counts := map[Unit]float64{}, map[Unit]float64{}
 	for _, t := range d.byName {
@@ -73,11 +75,13 @@
 			counts[t.Quota.Unit]++
 		}
 	}
-	for _, t := range d.byName {
+	for name, t := range d.byName {
 		if t.Quota.Limited() {
+			d.limited = append(d.limited, name)
 			t.share = t.Quota.PerSecond * counts[t.Quota.Unit] / sums[t.Quota.Unit]
 		}
 	}
+	slices.Sort(d.limited)
 }
 
 // Find returns the team of a key, nil if the key is unknown or belongs to several teams.
@@ -90,7 +94,20 @@
 }
 
 // Team returns a team by name, nil if there is none.
-func (d *Directory) Team(name string) *Team { return d.byName[name] }
+func (d *Directory) Team(name string) *Team {
+	if d == nil {
+		return nil
+	}
+	return d.byName[name]
+}
+
+// Limited returns the names of the teams whose quotas set a limit, in order.
+func (d *Directory) Limited() []string {
+	if d == nil {
+		return nil
+	}
+	return d.limited
+}
 
 // Len returns the number of teams.
 func (d *Directory) Len() int { return len(d.byName) }
