Leave a part of a quota's burst to urgent requests

Requests of routes with another priority than 0 now leave a tenth of the burst, and their refusals hold back no urgent ones at the same VM.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -18,6 +18,13 @@
 	demandMemory = time.Second
 )
 
+// charge is what a request costs its team.
+type charge struct {
+	cost int64
+	// yields is set if the request leaves a part of the burst to more urgent ones.
+	yields bool
+}
+
 // lender is the process that leased credit. Another process of the same VM does not take it back.
 type lender struct {
 	vm          string
@@ -42,9 +49,10 @@
 	demand   float64
 	demanded time.Time
 	// Requests that cost heldCost or more are refused until heldUntil, because there is credit
-	// for them only at creditAt.
+	// for them only at creditAt. With heldYields that holds only for those that yield.
 	heldUntil, creditAt time.Time
 	heldCost            int64
+	heldYields          bool
 	// owner is the VM that answered last, established what it said of itself.
 	owner       string
 	established bool
@@ -154,14 +162,15 @@
 
 // hold refuses requests of a cost or more for a time at most, because there is credit only after
 // wait.
-func (a *account) hold(now time.Time, cost int64, wait, atMost time.Duration) {
-	a.heldCost, a.creditAt, a.heldUntil = cost, now.Add(wait), now.Add(min(wait, atMost))
+func (a *account) hold(now time.Time, c charge, wait, atMost time.Duration) {
+	a.heldYields = c.yields
+	a.heldCost, a.creditAt, a.heldUntil = c.cost, now.Add(wait), now.Add(min(wait, atMost))
 }
 
 // held returns the time for which a request of a cost is refused, and the time until there is
 // credit for it; false if the owner may be asked.
-func (a *account) held(now time.Time, cost int64) (until, credit time.Duration, held bool) {
-	if cost < a.heldCost || !now.Before(a.heldUntil) {
+func (a *account) held(now time.Time, c charge) (until, credit time.Duration, held bool) {
+	if c.cost < a.heldCost || a.heldYields && !c.yields || !now.Before(a.heldUntil) {
 		return 0, 0, false
 	}
 	return a.heldUntil.Sub(now), a.creditAt.Sub(now), true
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -26,6 +26,9 @@
 	prefetchFloor = 0.5
 	// maxReservations bounds the requests of a team that wait with reserved credit, one per VM.
 	maxReservations = 512
+	// urgentReserve is the part of the burst that only the most urgent requests may use. A team
+	// that sends more than its quota would otherwise lose its urgent requests like all others.
+	urgentReserve = 0.1
 	// defaultBurst is the burst of a quota without one, as time at its rate. A bucket that holds
 	// nothing would admit nothing.
 	defaultBurst = time.Second
@@ -40,6 +43,8 @@
 	// the answer. wanted is the needed cost and what the VM expects to need soon.
 	needed, waiting, wanted int64
 	patience                time.Duration
+	// yields is set for a request that leaves urgentReserve to more urgent ones.
+	yields bool
 }
 
 // decision is the answer to a claim: credit, or the time until the needed credit is expected.
@@ -138,16 +143,24 @@
 		return decision{}
 	}
 	// More than the capacity never comes together; such a request leaves a debt.
-	threshold := min(float64(c.needed), b.capacity())
+	threshold := min(float64(c.needed)+b.reserveFor(c), b.capacity())
 	if free := b.credit - b.reservedUnits(ahead); b.capacity() > 0 && free >= threshold {
 		left := free - float64(c.needed)
-		extra := max(0, min(c.waiting, int64(left)), min(c.wanted-c.needed, int64(left-prefetchFloor*b.capacity())))
+		extra := max(0, min(c.waiting, int64(left-b.reserveFor(c))), min(c.wanted-c.needed, int64(left-prefetchFloor*b.capacity())))
 		b.credit -= float64(c.needed + extra)
 		return decision{units: c.needed + extra}
 	}
 	return decision{wait: b.refuse(now, c, threshold)}
 }
 
+// reserveFor returns the credit that a claim leaves to more urgent requests.
+func (b *bucket) reserveFor(c claim) float64 {
+	if !c.yields {
+		return 0
+	}
+	return urgentReserve * b.capacity()
+}
+
 // refuse returns the time until there will be credit for a claim, and reserves it if the
 // request can wait that long.
 func (b *bucket) refuse(now time.Time, c claim, threshold float64) time.Duration {
--- a/internal/quota/claim.go
+++ b/internal/quota/claim.go
@@ -82,7 +82,7 @@
 	_, version, _ := s.params.Quota(t.Name)
 	request := &quotav1.TakeRequest{
 		Vm: s.params.VM, Incarnation: s.params.Incarnation, Configuration: version,
-		Claims: []*quotav1.Claim{{Team: t.Name, Needed: c.needed, Waiting: c.waiting, Wanted: c.wanted, PatienceNs: int64(c.patience)}},
+		Claims: []*quotav1.Claim{{Team: t.Name, Needed: c.needed, Waiting: c.waiting, Wanted: c.wanted, PatienceNs: int64(c.patience), Yields: c.yields}},
 	}
 	if a, ok := s.accounts[t.Name]; ok {
 		for _, l := range a.returnsTo(vm) {
--- a/internal/quota/cost_test.go
+++ b/internal/quota/cost_test.go
@@ -39,7 +39,7 @@
 	sender := team.Team{Name: "team-1", Quota: plenty}
 	b.Run("request", func(b *testing.B) {
 		for b.Loop() {
-			s.Take(b.Context(), &sender, 3400, 0)
+			s.Take(b.Context(), &sender, 3400, false, 0)
 		}
 	})
 	request := &quotav1.TakeRequest{Vm: "vm-10-1-0-35", Incarnation: 1_800_000_000_000, Configuration: 60_000, Claims: []*quotav1.Claim{
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -57,6 +57,34 @@
 	return l, members, all
 }
 
+// A team that sends several times its quota would lose its few urgent requests like all others if
+// routine ones could use all of the credit.
+func TestRoutineRequestsLeaveCreditToUrgentOnes(t *testing.T) {
+	b := &bucket{quota: quota, weight: 1, settled: start}
+	served := map[bool]int{}
+	for at := time.Duration(0); at < 20*time.Second; at += 20 * time.Millisecond {
+		now := start.Add(at)
+		for range 3 {
+			served[true] += int(b.take(now, claim{vm: "a", needed: 50, wanted: 50, yields: true}).units)
+		}
+		if at%(200*time.Millisecond) == 0 {
+			served[false] += int(b.take(now, claim{vm: "b", needed: 50, wanted: 50}).units)
+		}
+	}
+	assert.Equal(t, served[false], 100*50-50, "all but the one at the empty beginning")
+	assert.Assert(t, served[true] > 20*1000-served[false]-200, "the reserve costs no rate: %v", served)
+}
+
+// A refusal of a routine request must not hold back urgent ones of its team at the same VM.
+func TestRefusalOfRoutineRequestsHoldsBackNoUrgentOnes(t *testing.T) {
+	a := newAccount()
+	a.hold(start, charge{cost: 50, yields: true}, time.Second, longestRefusal)
+	_, _, held := a.held(start, charge{cost: 60, yields: true})
+	assert.Assert(t, held)
+	_, _, held = a.held(start, charge{cost: 60})
+	assert.Assert(t, !held)
+}
+
 // An owner that begins with a full bucket would give a burst out again after each kill of all VMs.
 // Only the time since it became established counts, and before that the VMs that ask.
 func TestBucketBeginsEmpty(t *testing.T) {
--- a/internal/quota/rpc.go
+++ b/internal/quota/rpc.go
@@ -99,7 +99,7 @@
 		return &quotav1.Lease{Unlimited: true}, version
 	}
 	d, established := s.ledgerAt(now).take(now, c.GetTeam(), quota, claim{
-		vm: vm, needed: c.GetNeeded(), waiting: c.GetWaiting(), wanted: c.GetWanted(), patience: time.Duration(c.GetPatienceNs()),
+		vm: vm, needed: c.GetNeeded(), waiting: c.GetWaiting(), wanted: c.GetWanted(), patience: time.Duration(c.GetPatienceNs()), yields: c.GetYields(),
 	}, s.params.Announced())
 	return &quotav1.Lease{Units: d.units, ValidNs: int64(leaseTime), WaitNs: int64(d.wait), Established: established}, version
 }
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -114,8 +114,9 @@
 
 // Take charges a request. It waits for credit for at most the patience. The returned function
 // gives the cost back; it is to be called if the request has not run. If there is no credit, wait
-// is the time until it is expected. Both are zero if ctx ends first.
-func (s *Service) Take(ctx context.Context, t *team.Team, cost int64, patience time.Duration) (release func(), wait time.Duration, ok bool) {
+// is the time until it is expected. Both are zero if ctx ends first. A request that yields leaves a
+// part of the burst to its team's more urgent requests.
+func (s *Service) Take(ctx context.Context, t *team.Team, cost int64, yields bool, patience time.Duration) (release func(), wait time.Duration, ok bool) {
 	if t == nil || !t.Quota.Limited() || cost <= 0 {
 		return func() {}, 0, true
 	}
@@ -124,7 +125,7 @@
 	a := s.account(t.Name, started, cost)
 	waited := false
 	for {
-		r := s.try(ctx, a, t, cost, patience-s.params.Clock().Sub(started))
+		r := s.try(ctx, a, t, charge{cost, yields}, patience-s.params.Clock().Sub(started))
 		switch {
 		case r.taken:
 			s.counters.Taken.Add(1)
@@ -175,19 +176,19 @@
 }
 
 // try charges a request once, with what is here or by a call.
-func (s *Service) try(ctx context.Context, a *account, t *team.Team, cost int64, left time.Duration) result {
-	if r, decided := s.tryHere(a, cost, left); decided {
+func (s *Service) try(ctx context.Context, a *account, t *team.Team, c charge, left time.Duration) result {
+	if r, decided := s.tryHere(a, c, left); decided {
 		return r
 	}
-	if !s.awaitTurn(ctx, a, cost, max(left, callTimeout)) {
+	if !s.awaitTurn(ctx, a, c.cost, max(left, callTimeout)) {
 		return result{wait: unknownWait}
 	}
 	defer func() { <-a.asking }()
 	// The request that asked before may have brought credit, or a refusal.
-	if r, decided := s.tryHere(a, cost, left); decided {
+	if r, decided := s.tryHere(a, c, left); decided {
 		return r
 	}
-	return s.ask(ctx, a, t, cost, left)
+	return s.ask(ctx, a, t, c, left)
 }
 
 // awaitTurn waits until no other request of the team asks; false if that takes too long.
@@ -212,15 +213,15 @@
 }
 
 // tryHere decides a request without a call; false if the owner has to be asked.
-func (s *Service) tryHere(a *account, cost int64, left time.Duration) (result, bool) {
+func (s *Service) tryHere(a *account, c charge, left time.Duration) (result, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.params.Clock()
-	if a.balance(now) >= cost {
-		parts, _ := a.take(now, cost)
+	if a.balance(now) >= c.cost {
+		parts, _ := a.take(now, c.cost)
 		return result{taken: true, parts: parts}, true
 	}
-	until, credit, held := a.held(now, cost)
+	until, credit, held := a.held(now, c)
 	switch {
 	case !held:
 		return result{}, false
@@ -232,12 +233,15 @@
 }
 
 // ask asks for the credit that a request lacks.
-func (s *Service) ask(ctx context.Context, a *account, t *team.Team, cost int64, left time.Duration) result {
+func (s *Service) ask(ctx context.Context, a *account, t *team.Team, requested charge, left time.Duration) result {
 	s.mu.Lock()
 	now := s.params.Clock()
-	parts, have := a.take(now, cost)
-	needed := cost - have
-	c := claim{vm: s.params.VM, needed: needed, waiting: a.waiting, wanted: needed + a.expected(now, cost), patience: left}
+	parts, have := a.take(now, requested.cost)
+	needed := requested.cost - have
+	c := claim{
+		vm: s.params.VM, needed: needed, waiting: a.waiting, wanted: needed + a.expected(now, requested.cost), patience: left,
+		yields: requested.yields,
+	}
 	s.mu.Unlock()
 
 	answer := s.claim(ctx, t, c)
@@ -252,7 +256,7 @@
 	if answer.units < needed {
 		a.put(parts)
 		a.put(answer.lease(answer.units))
-		a.hold(s.params.Clock(), cost, answer.wait, answer.holdAtMost)
+		a.hold(s.params.Clock(), requested, answer.wait, answer.holdAtMost)
 		return refusal(answer.wait, left)
 	}
 	a.put(answer.lease(answer.units - needed))
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -312,7 +312,7 @@
 		return
 	}
 	started := time.Now()
-	release, _, ok := service.Take(context.Background(), &sender, cost, simPatience)
+	release, _, ok := service.Take(context.Background(), &sender, cost, false, simPatience)
 	s.mu.Lock()
 	t.longestWait = max(t.longestWait, time.Since(started))
 	if !ok {
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -24,8 +24,9 @@
 type Quotas interface {
 	// Take charges a request, and waits for credit for at most the patience. If there is none,
 	// wait is the time until it is expected. The returned function gives the cost of a request
-	// back that has not run.
-	Take(ctx context.Context, t *team.Team, cost int64, patience time.Duration) (release func(), wait time.Duration, ok bool)
+	// back that has not run. A request that yields leaves a part of the burst to its team's more
+	// urgent requests.
+	Take(ctx context.Context, t *team.Team, cost int64, yields bool, patience time.Duration) (release func(), wait time.Duration, ok bool)
 	// Owner returns the VM that last decided for a team.
 	Owner(team string) string
 }
@@ -40,7 +41,7 @@
 	}
 	cost := quotaCost(x.request)
 	patience := min(time.Duration(quotaPatienceShare*float64(x.route.Objective)), x.timeLeft())
-	release, wait, ok := r.options.Quotas.Take(ctx, t, cost, patience)
+	release, wait, ok := r.options.Quotas.Take(ctx, t, cost, x.route.Priority > 0, patience)
 	if ok {
 		return func() {
 			if !x.mayHaveRun {
--- a/internal/relay/quota_test.go
+++ b/internal/relay/quota_test.go
@@ -19,11 +19,12 @@
 type fakeQuotas struct {
 	wait            time.Duration
 	patience        time.Duration
+	yields          bool
 	taken, released int64
 }
 
-func (f *fakeQuotas) Take(_ context.Context, _ *team.Team, cost int64, patience time.Duration) (func(), time.Duration, bool) {
-	f.patience = patience
+func (f *fakeQuotas) Take(_ context.Context, _ *team.Team, cost int64, yields bool, patience time.Duration) (func(), time.Duration, bool) {
+	f.patience, f.yields = patience, yields
 	if f.wait > 0 {
 		return nil, f.wait, false
 	}
