Order demands of teams by urgency and bound the cost of a pass

Cause: routine demands overtook waiting urgent ones (by aging, within the bypass limit, and always once the urgent one was late). A team's late queue could crowd out those of others. A pass tried 8 candidates of each class queue of each team: 2.2 ms with 16 teams waiting and 429 ms with 1,100. After a VM was held up, prompts were prefilled for decode engines without memory.

Change: strict demands are ordered by urgency, then by time (in time, returned as told, late), then by the team's use of its share. A blocked demand holds back all less urgent ones. Late demands are admitted and dropped by the rate of their own level and the team's part. The owner records whom it told to come back when. Engines that declined an answer count as holding one more for 4 s.

--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -27,6 +27,9 @@
 	// outputEstimateMargin is the factor by which the memory reserved for an answer
 	// exceeds the caller's estimate, which is accurate only at the median.
 	outputEstimateMargin = 1.25
+	// retryWithinShare is the divisor of the time that a caller has left which gives the longest
+	// retry delay that it heeds.
+	retryWithinShare = 3
 	// minReservedOutputTokens is the minimum memory reserved for an answer.
 	minReservedOutputTokens = 64
 )
@@ -49,9 +52,22 @@
 		Exclude:      r.excluded(g),
 		Build:        g.requiredBuild(),
 		Resumed:      g.headerSent || g.takenUp,
+		Strict:       g.strict(),
+		Urgency:      regularPriority(g),
+		PriorWait:    g.priorWait,
+		RetryWithin:  g.retryWithin(),
 	}
 }
 
+// strict reports whether urgency precedes everything else in the order of service. Without
+// teams a request is ordered by priority, waiting time and the time that its caller has left.
+func (g *generation) strict() bool { return g.request.Team != nil }
+
+// retryWithin returns the longest retry delay that the caller heeds.
+func (g *generation) retryWithin() time.Duration {
+	return max(0, g.timeLeft()/retryWithinShare)
+}
+
 // excluded returns the engines that must not be granted: those that failed the request, and those
 // that want no requests of this VM at present.
 func (r *Relay) excluded(g *generation) []string {
@@ -107,7 +123,7 @@
 func priorityOf(g *generation) int {
 	switch {
 	case !g.late:
-		return -g.route.Priority
+		return regularPriority(g)
 	case g.priorWait > 0:
 		// Callers that were refused before precede other late requests.
 		return scheduling.BackgroundPriority
@@ -115,6 +131,12 @@
 	return scheduling.BackgroundPriority - 1
 }
 
+// regularPriority returns the priority of a request that is not late. It is never that of a
+// background demand.
+func regularPriority(g *generation) int {
+	return max(-g.route.Priority, scheduling.BackgroundPriority+1)
+}
+
 func (r *Relay) attemptID() engine.AttemptID {
 	return engine.AttemptID{
 		VM:          r.options.VM,
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -17,7 +17,8 @@
 	// minBusyRetryAfter and maxBusyRetryAfter bound the retry delay sent to callers of
 	// a busy pool. Bursts last for several seconds, and a caller that retries during the
 	// same burst is finally refused. Callers wait for a retry no longer than a third of
-	// their timeout.
+	// their timeout. Where urgency orders demands, the delay is predicted and only the lower
+	// bound holds.
 	minBusyRetryAfter = 3 * time.Second
 	maxBusyRetryAfter = 4 * time.Second
 	// stoppingRetryAfter is the retry delay sent to callers of a VM that stops. Another VM
@@ -158,7 +159,7 @@
 		"last_event": g.lastEventID, "resumes": g.request.Generation.Resumes,
 		"queued_ms": time.Since(started).Milliseconds(), "predicted_first_ms": grant.FirstToken.Milliseconds(),
 		"prompt_tokens": demand.PromptTokens, "output_tokens": demand.OutputTokens, "expected_tokens": g.request.Generation.ExpectedOutputTokens,
-		"parts": g.loggedParts(), "identity": g.identity,
+		"parts": g.loggedParts(), "identity": g.identity, "urgency": demand.Urgency, "late": g.late, "prior_wait_ms": g.priorWait.Milliseconds(),
 	})
 	return run()
 }
@@ -228,13 +229,24 @@
 		return errGiveUp
 	}
 	g.refusal = string(refusal.Reason)
-	g.retryAfter = min(max(refusal.RetryAfter, minBusyRetryAfter), maxBusyRetryAfter)
+	g.retryAfter = g.busyRetryAfter(refusal.RetryAfter)
 	if quiet := r.earliestEndOfQuiet(r.engines(g.service.Name)); refusal.Reason == scheduling.RefusedNoEngine && quiet > 0 {
 		g.retryAfter = spread(quiet)
 	}
 	return errGiveUp
 }
 
+// busyRetryAfter returns the retry delay for the caller of a busy pool. For a strict demand
+// the owner predicted when its turn would come; the bound below is for owners of older
+// releases, which predict something else.
+func (g *generation) busyRetryAfter(predicted time.Duration) time.Duration {
+	longest := maxBusyRetryAfter
+	if g.strict() {
+		longest = g.retryWithin()
+	}
+	return min(max(predicted, minBusyRetryAfter), longest)
+}
+
 // run runs the request on the granted engines: the prefill on one and the decode on
 // another, or both on one if the grant names it twice.
 func (r *Relay) run(ctx context.Context, g *generation, id engine.AttemptID, grant scheduling.Grant) error {
--- a/internal/reservation/convert.go
+++ b/internal/reservation/convert.go
@@ -45,6 +45,10 @@
 		Exclude:             d.Exclude,
 		Build:               d.Build,
 		Resumed:             d.Resumed,
+		Strict:              d.Strict,
+		Urgency:             int32(d.Urgency),
+		PriorWaitNs:         int64(d.PriorWait),
+		RetryWithinNs:       int64(d.RetryWithin),
 	}
 }
 
@@ -79,6 +83,11 @@
 		Exclude: p.GetExclude(),
 		Build:   p.GetBuild(),
 		Resumed: p.GetResumed(),
+
+		Strict:      p.GetStrict(),
+		Urgency:     int(p.GetUrgency()),
+		PriorWait:   time.Duration(p.GetPriorWaitNs()),
+		RetryWithin: time.Duration(p.GetRetryWithinNs()),
 	}
 }
 
--- a/internal/reservation/convert_test.go
+++ b/internal/reservation/convert_test.go
@@ -20,6 +20,7 @@
 		Targets: configuration.Targets{FirstToken: 10, BetweenTokens: 11, WholeAnswer: 12},
 		Weights: configuration.Weights{Goodput: 13, WastedPrefill: 14},
 		Waited:  15, Exclude: []string{"e"}, Build: "v1", Resumed: true,
+		Strict: true, Urgency: 16, PriorWait: 17, RetryWithin: 18,
 	}
 	value := reflect.ValueOf(d)
 	for i := range value.NumField() {
--- a/internal/reservation/fleet_test.go
+++ b/internal/reservation/fleet_test.go
@@ -284,7 +284,7 @@
 			n.partitioned[other] = partitioned
 			n.mu.Unlock()
 			time.Sleep(5 * time.Second)
-			assert.Equal(t, sched.headroom(0) == 1.0, partitioned, "partitioned: %t", partitioned)
+			assert.Equal(t, sched.headroom(&scheduling.Demand{}) == 1.0, partitioned, "partitioned: %t", partitioned)
 		}
 	})
 }
@@ -300,7 +300,7 @@
 		assert.Equal(t, n.dropResponses, 0)
 		sched, err := n.services[owner].ownedScheduler("m")
 		assert.NilError(t, err)
-		assert.Equal(t, sched.headroom(0), 0.5)
+		assert.Equal(t, sched.headroom(&scheduling.Demand{}), 0.5)
 	})
 }
 
@@ -464,7 +464,7 @@
 		time.Sleep(3 * scheduling.GrantLease)
 		sched, err := n.services["b-1"].ownedScheduler("m")
 		assert.NilError(t, err)
-		assert.Equal(t, sched.headroom(0), 0.5, "the spilled grant was not renewed")
+		assert.Equal(t, sched.headroom(&scheduling.Demand{}), 0.5, "the spilled grant was not renewed")
 
 		_, err = s.Reserve(t.Context(), demand("a-1", 2))
 		assert.NilError(t, err)
--- a/internal/reservation/model_scheduler.go
+++ b/internal/reservation/model_scheduler.go
@@ -115,11 +115,11 @@
 	return complete
 }
 
-// headroom returns the free fraction of the slots for demands of a priority.
-func (sched *modelScheduler) headroom(priority int) float64 {
+// headroom returns the free fraction of the slots for a demand.
+func (sched *modelScheduler) headroom(d *scheduling.Demand) float64 {
 	sched.mu.Lock()
 	defer sched.mu.Unlock()
-	return sched.coordinator.Headroom(time.Now(), priority)
+	return sched.coordinator.Headroom(time.Now(), d)
 }
 
 func (sched *modelScheduler) tick() {
--- a/internal/reservation/server.go
+++ b/internal/reservation/server.go
@@ -35,7 +35,7 @@
 	// Engines of one build may be the only ones that can continue an answer, so
 	// such a demand may take their last slot or wait for it.
 	needsRoom := request.Msg.GetSpilled() && !d.ContinuesBuild()
-	if needsRoom && sched.headroom(d.Priority) < minSpillHeadroom {
+	if needsRoom && sched.headroom(&d) < minSpillHeadroom {
 		return reserveResult(scheduling.Grant{}, &scheduling.Refusal{Reason: scheduling.RefusedTarget})
 	}
 	return reserveResult(sched.reserve(ctx, d))
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -70,18 +70,31 @@
 		return nil
 	}
 	all, own := c.backlogAhead(w)
-	usable := seconds(slack.Seconds() * admissionShare)
+	share := admissionShare
+	if d.Strict {
+		share = strictAdmissionShare
+	}
+	usable := seconds(slack.Seconds() * share)
 	wait := c.predictWait(now, w, all, own)
-	if d.Priority <= BackgroundPriority && wait > 0 {
+	if d.background() && wait > 0 {
 		usable = seconds(slack.Seconds() * backgroundAdmissionShare)
-		wait = backgroundWait(all.count, c.backgroundGrantRate(now))
+		wait = c.lateWait(now, w, all, own)
 	}
 	if wait > usable {
-		return &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfter(d.ID, wait-usable)}
+		return &Refusal{Reason: RefusedTarget, RetryAfter: c.retryAfterExcess(now, w, wait, wait-usable)}
 	}
 	return nil
 }
 
+// retryAfterExcess returns the retry delay of a demand whose predicted wait exceeds the time
+// that its targets leave.
+func (c *Coordinator) retryAfterExcess(now time.Time, w *waiter, wait, excess time.Duration) time.Duration {
+	if w.demand.Strict && w.demand.background() {
+		return c.tell(now, w, wait)
+	}
+	return c.retryAfter(w.demand.ID, excess)
+}
+
 // betweenTokensReachable reports whether an otherwise empty engine meets the
 // between-token target.
 func (c *Coordinator) betweenTokensReachable(d *Demand) bool {
@@ -174,7 +187,7 @@
 	if own.count == all.count {
 		return wait
 	}
-	part := c.shareOf(w.demand.Team, w.demand.Share)
+	part := c.queue.usage.part(w.demand.Team, w.demand.Share)
 	own.count = int(math.Ceil(float64(own.count) / part))
 	own.work = seconds(own.work.Seconds() / part)
 	return min(wait, c.backlogWait(now, &w.demand, own))
@@ -193,8 +206,8 @@
 // the new demand needs.
 func (c *Coordinator) backlogAhead(w *waiter) (all, own backlog) {
 	d := &w.demand
-	for _, l := range c.queue.queues {
-		if l.priority() < d.Priority && !l.key.resumed || l.waitsForBuild && l.key.build != d.Build {
+	for _, l := range c.queue.list {
+		if l.level() < w.level && !l.key.resumed || l.waitsForBuild && l.key.build != d.Build {
 			continue
 		}
 		count := len(l.waiters)
@@ -211,19 +224,6 @@
 	return all, own
 }
 
-// shareOf returns the fraction of the pool that a team gets in competition with
-// the teams that wait now.
-func (c *Coordinator) shareOf(team string, share float64) float64 {
-	own := effectiveShare(share)
-	sum := own
-	for _, other := range c.queue.activeTeams() {
-		if other != team {
-			sum += effectiveShare(c.queue.usage.shares[other])
-		}
-	}
-	return own / sum
-}
-
 // backlogWait returns the predicted time until the last demand of a backlog has
 // started.
 func (c *Coordinator) backlogWait(now time.Time, d *Demand, b backlog) time.Duration {
--- a/internal/scheduling/background.go
+++ b/internal/scheduling/background.go
@@ -84,7 +84,7 @@
 }
 
 // backgroundGrantRate returns the grants per second that background demands can
-// expect.
+// expect, strict ones excepted.
 func (c *Coordinator) backgroundGrantRate(now time.Time) float64 {
 	return c.background.rate(now, c.slotReleaseRate())
 }
@@ -98,15 +98,21 @@
 // dropUnservable refuses background demands that, at the present rate, can no
 // longer be served before their latest start.
 func (c *Coordinator) dropUnservable(now time.Time) {
-	c.background.setWaiting(now, c.queue.hasBackground())
+	c.background.setWaiting(now, c.queue.late > 0)
 	if now.Before(c.background.nextCheck) || c.background.waitingSince.IsZero() {
 		return
 	}
 	c.background.nextCheck = now.Add(backgroundCheckPeriod)
+	if c.queue.strict > 0 || len(c.lateRates) > 0 {
+		c.dropUnservableStrict(now)
+	}
+	if c.queue.strict > 0 {
+		return
+	}
 	rate := c.backgroundGrantRate(now)
 	ahead := 0
 	for _, l := range c.queue.inOrder(now) {
-		if l.priority() > BackgroundPriority {
+		if !l.background() {
 			if !l.waitsForBuild {
 				ahead += len(l.waiters)
 			}
--- a/internal/scheduling/build.go
+++ b/internal/scheduling/build.go
@@ -78,9 +78,9 @@
 	return append(list, d)
 }
 
-// of returns the reservations that a demand of a priority has to respect.
-func (r *reservations) of(priority int) []*Demand {
-	if priority <= BackgroundPriority {
+// of returns the reservations that a demand has to respect.
+func (r *reservations) of(d *Demand) []*Demand {
+	if d.background() {
 		return r.all
 	}
 	return r.overdue
--- a/internal/scheduling/build_test.go
+++ b/internal/scheduling/build_test.go
@@ -285,8 +285,8 @@
 		assert.Assert(t, c.Submit(now, pinned(n, "v1")).Waiting())
 	}
 	assert.Assert(t, !c.prefillCongested(now), "prefill engines are idle")
-	assert.Assert(t, c.Headroom(now, 0) > 0.5, "two of three engines are empty")
-	assert.Equal(t, c.Headroom(now, BackgroundPriority), c.Headroom(now, 0))
+	assert.Assert(t, c.Headroom(now, &Demand{Priority: 0}) > 0.5, "two of three engines are empty")
+	assert.Equal(t, c.Headroom(now, &Demand{Priority: BackgroundPriority}), c.Headroom(now, &Demand{Priority: 0}))
 	target := testDemand(2)
 	target.QueueLimit = 0
 	target.Targets.FirstToken = configuration.Duration(500 * time.Millisecond)
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -66,6 +66,9 @@
 	slotTime   meanDuration
 	counters   Counters
 	background backgroundRate
+	// lateRates are the rates of late strict demands by level.
+	lateRates map[int]*backgroundRate
+	recalls   recalls
 	// decided holds the outcomes that Tick has not returned yet.
 	decided []Outcome
 	// grantsPaused stops all grants while the ledger is rebuilt.
@@ -73,17 +76,22 @@
 	// reserved are the demands whose engines the demand that is being placed must
 	// leave free.
 	reserved []*Demand
+	// passes counts the passes over the waiting demands, pass is the number of the current
+	// one; 0 outside.
+	passes, pass uint64
+	misfits      []misfit
 }
 
 // NewCoordinator returns a coordinator without engines.
 func NewCoordinator(settings Settings) *Coordinator {
 	return &Coordinator{
-		settings: settings,
-		pool:     newPool(),
-		ledger:   newLedger(),
-		queue:    newQueue(),
-		predict:  newPredictor(settings.Model),
-		prefixes: newPrefixIndex(prefixIndexLimit),
+		settings:  settings,
+		pool:      newPool(),
+		ledger:    newLedger(),
+		queue:     newQueue(),
+		predict:   newPredictor(settings.Model),
+		prefixes:  newPrefixIndex(prefixIndexLimit),
+		lateRates: make(map[int]*backgroundRate),
 	}
 }
 
@@ -94,9 +102,9 @@
 func (c *Coordinator) Waiting() int { return c.queue.len() }
 
 // Headroom returns the free fraction of the capacity of the usable decode
-// engines. It is 0 while any demand waits that is served before one of the
-// given priority.
-func (c *Coordinator) Headroom(now time.Time, priority int) float64 {
+// engines. It is 0 while any demand waits that is served before the given one, and 1 if the
+// demand is strict and only less urgent ones wait, which it precedes.
+func (c *Coordinator) Headroom(now time.Time, d *Demand) float64 {
 	places, free := 0, 0
 	for _, e := range c.pool.decode {
 		if e.usable() {
@@ -105,9 +113,12 @@
 			free += open
 		}
 	}
-	if places == 0 || c.grantsPaused || c.queue.anyAheadOf(priority) {
+	if places == 0 || c.grantsPaused || c.queue.anyAheadOf(d) {
 		return 0
 	}
+	if d.Strict && c.queue.strict > 0 {
+		return 1
+	}
 	return float64(free) / float64(places)
 }
 
@@ -164,6 +175,7 @@
 func (c *Coordinator) newWaiter(now time.Time, d Demand) *waiter {
 	d.Weights = weightsOrDefault(d.Weights)
 	w := &waiter{demand: d, arrival: now.Add(-max(0, d.Waited))}
+	w.level = c.levelOf(now, w)
 	w.work = c.bestWork(&d)
 	w.latestStart = c.latestStart(w)
 	return w
@@ -240,7 +252,7 @@
 	c.dropUnservable(now)
 	for _, w := range c.queue.overdue(now) {
 		c.counters.Dropped++
-		c.refuse(w.demand.ID, RefusedTarget, c.drainTime(1))
+		c.refuseWaiter(now, w, RefusedTarget, c.drainTime(1))
 	}
 }
 
@@ -256,23 +268,26 @@
 // dispatchOne grants the first demand in order that can start. A demand that
 // has been bypassed for longer than bypassLimit blocks those after it, so that
 // smaller or less demanding ones cannot starve it; if it waits for engines of its
-// build, it only keeps these from them. Background demands never bypass another
-// demand, because they would take capacity that it needs.
+// build, it only keeps these from them. What a demand that cannot start means for
+// those after it, see blockade.
 func (c *Coordinator) dispatchOne(now time.Time) bool {
-	defer func() { c.reserved = nil }()
+	c.passes++
+	c.pass, c.misfits = c.passes, c.misfits[:0]
+	defer func() { c.reserved, c.pass = nil, 0 }()
 	var waiting reservations
-	blocked := false
+	var blocked blockade
 	order := c.queue.inOrder(now)
 	for _, l := range order {
 		l.waitsForBuild = false
 	}
 	for _, l := range order {
-		if blocked && l.priority() <= BackgroundPriority {
+		if blocked.stops(l) {
 			return false
 		}
 		for _, w := range l.candidates() {
-			c.reserved = waiting.of(w.demand.Priority)
-			if p, ok := c.place(now, w); ok {
+			c.reserved = waiting.of(&w.demand)
+			if p, ok := c.tryPlace(now, w, &blocked); ok {
+				c.pass = 0
 				c.grant(now, w, &p)
 				return true
 			}
@@ -285,21 +300,42 @@
 				waiting.add(&w.demand, overdue)
 				continue
 			}
+			if w.demand.Strict && len(w.demand.Exclude) > 0 {
+				// It needs engines that others may not want, and others may use those that
+				// it excludes.
+				waiting.add(&w.demand, true)
+				continue
+			}
 			if overdue {
 				return false
 			}
-			blocked = true
+			blocked.add(&w.demand)
 		}
 	}
 	return false
 }
 
+// tryPlace places a demand, unless it is known that no engine has room for it.
+func (c *Coordinator) tryPlace(now time.Time, w *waiter, b *blockade) (placement, bool) {
+	if c.knownMisfit(w) {
+		return placement{}, false
+	}
+	if w.demand.Strict {
+		b.tries++
+	}
+	p, ok := c.place(now, w)
+	if !ok {
+		c.addMisfit(now, w)
+	}
+	return p, ok
+}
+
 // grant records the placement in the ledger and adds the grant to the outcomes.
 func (c *Coordinator) grant(now time.Time, w *waiter, p *placement) {
 	d := &w.demand
 	c.queue.remove(w)
-	if d.Priority <= BackgroundPriority {
-		c.background.recordGrant(now)
+	if d.background() {
+		c.lateRate(w).recordGrant(now)
 	}
 	first := p.transferEnd.Add(c.predict.firstEvent(p.decode, p.decode.slotsHeld+1)).Sub(now)
 	h := &holding{
--- a/internal/scheduling/coordinator_test.go
+++ b/internal/scheduling/coordinator_test.go
@@ -218,7 +218,7 @@
 	assert.Assert(t, c.Submit(start, testDemand(1)).Waiting())
 	c.HolderGone(start, "vm", 1)
 	assert.Equal(t, c.Waiting(), 0)
-	assert.Equal(t, c.Headroom(start, 0), 1.0)
+	assert.Equal(t, c.Headroom(start, &Demand{Priority: 0}), 1.0)
 }
 
 func TestBetweenTokenTargetBoundsOccupancy(t *testing.T) {
@@ -272,7 +272,7 @@
 	fill(t, c, start, 1, 1)
 	c.Progress(start, Progress{ID: testDemand(1).ID, Kind: Released, Tokens: 100})
 	c.Renew(start, "vm", 1, []Held{{ID: testDemand(1).ID, Prefill: "p1", Decode: "d1"}})
-	assert.Equal(t, c.Headroom(start, 0), 1.0)
+	assert.Equal(t, c.Headroom(start, &Demand{Priority: 0}), 1.0)
 }
 
 func TestSmallDemandsBypassALargeOneUpToTheLimit(t *testing.T) {
--- a/internal/scheduling/engines.go
+++ b/internal/scheduling/engines.go
@@ -173,6 +173,9 @@
 	cacheInDoubt bool
 
 	cooldown engineCooldown
+	growths  growthCache
+	// declines are the times at which the engine declined answers, see declineMemory.
+	declines []time.Time
 	// pacer spreads the calls to the engine if it takes a limited number.
 	pacer pacing.Pacer
 
--- a/internal/scheduling/memory.go
+++ b/internal/scheduling/memory.go
@@ -7,6 +7,11 @@
 )
 
 const (
+	// declineMemory is how long an engine that declined an answer counts as holding a request
+	// more than the ledger knows, for example one of a VM that was held up and renewed nothing.
+	// With an eighth of the VMs held up for 3 s, 4 s more than halve the prompts that are
+	// prefilled for no answer; 8 s hardly gain, and cost answers at 1.2 times capacity.
+	declineMemory = 4 * time.Second
 	// memoryReserve is the fraction of an engine's memory that is not granted
 	// with MemoryOverTime, so that answers that outgrow their estimates at the
 	// same time do not preempt each other.
@@ -53,11 +58,72 @@
 
 // memoryAllows reports whether a decode engine has enough memory for one more
 // attempt.
-func (c *Coordinator) memoryAllows(now time.Time, e *engineInfo, promptTokens, outputTokens int) bool {
+func (c *Coordinator) memoryAllows(now time.Time, e *engineInfo, d *Demand) bool {
+	size := d.PromptTokens + d.OutputTokens
 	if !c.settings.Options.MemoryOverTime || e.Pieces == 0 {
-		return e.memoryFits(e.piecesFor(promptTokens + outputTokens))
+		return e.memoryFits(e.piecesFor(size))
 	}
-	return c.peakOf(now, e, growth{promptTokens, outputTokens}) <= grantableTokens(e)
+	unknown := 0
+	if d.Strict {
+		// What the ledger does not know is about as large as a demand.
+		unknown = size * e.recentDeclines(now)
+	}
+	return unknown+c.peakWith(now, e, growth{d.PromptTokens, d.OutputTokens}) <= grantableTokens(e)
+}
+
+// recentDeclines returns how often the engine declined an answer within declineMemory.
+func (e *engineInfo) recentDeclines(now time.Time) int {
+	e.declines = slices.DeleteFunc(e.declines, func(at time.Time) bool { return now.Sub(at) > declineMemory })
+	return len(e.declines)
+}
+
+// declined records that an engine took no answer that the ledger had room for.
+func (c *Coordinator) declined(now time.Time, name string) {
+	if e, ok := c.pool.byName[name]; ok {
+		e.declines = append(e.declines, now)
+	}
+}
+
+// growthCache holds what an engine's attempts will need, in the order in which peakTokens
+// considers them. It is valid within one pass over the waiting demands, since nothing
+// changes within it.
+type growthCache struct {
+	pass uint64
+	all  []growth
+}
+
+// peakWith returns the peak memory use in tokens of an engine's attempts together with a
+// further one.
+func (c *Coordinator) peakWith(now time.Time, e *engineInfo, further growth) int {
+	if c.pass == 0 {
+		return c.peakOf(now, e, further)
+	}
+	if e.growths.pass != c.pass {
+		e.growths.pass = c.pass
+		e.growths.all = e.growths.all[:0]
+		for _, h := range e.held {
+			e.growths.all = append(e.growths.all, c.growthOf(now, h))
+		}
+		slices.SortFunc(e.growths.all, func(x, y growth) int { return cmp.Compare(y.left, x.left) })
+	}
+	peak, sum, n := 0, 0, 0
+	add := func(g growth) {
+		n++
+		sum += g.tokens
+		peak = max(peak, sum+n*g.left)
+	}
+	added := false
+	for _, g := range e.growths.all {
+		if !added && further.left >= g.left {
+			add(further)
+			added = true
+		}
+		add(g)
+	}
+	if !added {
+		add(further)
+	}
+	return peak
 }
 
 // peakOf returns the peak memory use in tokens of an engine's attempts together
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -39,6 +39,7 @@
 	case PrefillFailed:
 		c.engineFailed(now, p.Prefill)
 	case DecodeFailed:
+		c.declined(now, p.Decode)
 		c.engineFailed(now, p.Decode)
 	case PrefillLost:
 		c.responseLost(now, p.Prefill)
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -192,7 +192,7 @@
 		decode(c, start, o.ID)
 	}
 	assert.Equal(t, c.freeCapacity(start, c.pool.byName["d0"]), 0)
-	assert.Equal(t, c.Headroom(start, 0), 0.0)
+	assert.Equal(t, c.Headroom(start, &Demand{Priority: 0}), 0.0)
 	c.slotTime.mean = 20 * time.Second
 	target := sized(9, 3500, 1000)
 	target.Targets.FirstToken = configuration.Duration(5 * time.Second)
--- a/internal/scheduling/placement.go
+++ b/internal/scheduling/placement.go
@@ -156,7 +156,7 @@
 	if e.slotsHeld+e.untracked+1 > c.predict.occupancyLimit(e, strictest) {
 		return false
 	}
-	return c.memoryAllows(now, e, d.PromptTokens, d.OutputTokens)
+	return c.memoryAllows(now, e, d)
 }
 
 // transferTime returns the duration of the KV transfer between the placement's
--- a/internal/scheduling/pool_sim_test.go
+++ b/internal/scheduling/pool_sim_test.go
@@ -79,6 +79,8 @@
 	refused, gone   bool
 	cancelled       bool
 	spent           int
+	// caller is set in the contended pool.
+	caller *caller
 }
 
 // simEngine models the rate of a prefill or decode engine.
@@ -89,6 +91,8 @@
 	active, queue []*simRequest
 	updated       time.Duration
 	version       int
+	// imported is the size of the answers that are being imported, in tokens.
+	imported int
 }
 
 type simEvent struct {
@@ -127,6 +131,8 @@
 	byID     map[engine.AttemptID]*simRequest
 	computed int
 	maxHeld  int
+	// contention is set if callers and engine memory are modelled.
+	contention *contention
 }
 
 var simEpoch = time.Unix(1_700_000_000, 0)
@@ -215,6 +221,10 @@
 }
 
 func (s *poolSim) decided(o Outcome) {
+	if s.contention != nil {
+		s.contendedOutcome(o)
+		return
+	}
 	r := s.byID[o.ID]
 	if o.Refusal != nil {
 		r.refused = true
@@ -239,7 +249,7 @@
 	var held []Held
 	s.open = slices.DeleteFunc(s.open, func(r *simRequest) bool { return r.end > 0 || r.refused || r.gone && r.held.ID.VM == "" })
 	for _, r := range s.open {
-		if r.held.ID.VM != "" {
+		if r.held.ID.VM != "" && (s.contention == nil || !s.contention.frozen(s.now, r)) {
 			held = append(held, r.held)
 		}
 	}
@@ -250,7 +260,11 @@
 
 // report sends load reports that are one period old.
 func (s *poolSim) report() {
-	for _, state := range s.shape.states() {
+	states := s.shape.states()
+	if s.contention != nil {
+		states = contendedStates(0)
+	}
+	for _, state := range states {
 		name, e := state.Name, s.engines[state.Name]
 		report := engine.LoadReport{Slots: simSlots, Active: len(e.active) + e.importing, Queued: len(e.queue)}
 		if e.prefilling {
@@ -299,7 +313,11 @@
 	r.prefillDone = s.now
 	r.held.Phase = PhaseTransfer
 	s.progress(r, PrefillDone, r.demand.PromptTokens, s.now-r.prefillArrived)
-	s.decodeArrives(r)
+	if s.contention != nil {
+		s.decodeContended(r)
+	} else {
+		s.decodeArrives(r)
+	}
 	s.nextPrefill(e)
 }
 
@@ -420,7 +438,9 @@
 		e.active = slices.DeleteFunc(e.active, func(r *simRequest) bool { return r == next })
 		next.end = s.now
 		s.release(next, next.tokens)
-		s.startImports(e)
+		if s.contention == nil {
+			s.startImports(e)
+		}
 		s.schedule(e)
 	})
 }
--- a/internal/scheduling/queue.go
+++ b/internal/scheduling/queue.go
@@ -21,12 +21,16 @@
 	classKey
 	resumed bool
 	build   string
+	// level is the level of strict demands, 0 for others.
+	level int
 }
 
 // waiter is a waiting demand.
 type waiter struct {
 	demand  Demand
 	arrival time.Time
+	// level is the place in the order of service before fairness; higher is served first.
+	level int
 	// latestStart is the latest time at which an idle engine would still meet
 	// the targets; zero if there is no target.
 	latestStart time.Time
@@ -43,6 +47,10 @@
 type classQueue struct {
 	key     classQueueKey
 	waiters []*waiter
+	// index is the place in queue.list.
+	index int
+	// usage is the virtual time of the team.
+	usage *float64
 	// work is the sum of the waiters' prefill times.
 	work time.Duration
 	// rank is the number of lower priorities among the waiting demands, raised
@@ -85,11 +93,19 @@
 // queue holds all waiting demands of the pool.
 type queue struct {
 	queues map[classQueueKey]*classQueue
-	byID   map[engine.AttemptID]*waiter
+	// list holds the class queues in no order; a pass over it is quicker than over the map.
+	list []*classQueue
+	byID map[engine.AttemptID]*waiter
 	// sorted holds the class queues that are not empty, in the order of
 	// service.
 	sorted []*classQueue
+	// pinned holds the class queues of demands for a build.
+	pinned map[classQueueKey]*classQueue
 	usage  *usage
+	// work is the sum of the prefill times of all waiting demands, strict and late are the
+	// numbers of waiting strict and background demands.
+	work         time.Duration
+	strict, late int
 	// nextDrop is a lower bound on the latest starts of all waiting demands; zero
 	// means that none is known.
 	nextDrop time.Time
@@ -98,6 +114,7 @@
 func newQueue() *queue {
 	return &queue{
 		queues: make(map[classQueueKey]*classQueue),
+		pinned: make(map[classQueueKey]*classQueue),
 		byID:   make(map[engine.AttemptID]*waiter),
 		usage:  newUsage(),
 	}
@@ -127,10 +144,8 @@
 // pinnedWaiters returns the waiting demands for a build in the order of their ids.
 func (q *queue) pinnedWaiters() []*waiter {
 	var pinned []*waiter
-	for key, l := range q.queues {
-		if key.build != "" {
-			pinned = append(pinned, l.waiters...)
-		}
+	for _, l := range q.pinned {
+		pinned = append(pinned, l.waiters...)
 	}
 	slices.SortFunc(pinned, func(x, y *waiter) int { return compareIDs(x.demand.ID, y.demand.ID) })
 	return pinned
@@ -139,7 +154,7 @@
 // awaitedBuilds returns the builds of which the waiting demands need more engines.
 func (q *queue) awaitedBuilds() []string {
 	var builds []string
-	for key, l := range q.queues {
+	for key, l := range q.pinned {
 		if l.waitsForBuild && !slices.Contains(builds, key.build) {
 			builds = append(builds, key.build)
 		}
@@ -149,15 +164,24 @@
 
 // add adds a demand to its class queue.
 func (q *queue) add(w *waiter) {
-	key := classQueueKey{classKey{w.demand.Team, w.demand.Class}, w.demand.Resumed, w.demand.Build}
+	d := &w.demand
+	key := classQueueKey{classKey: classKey{d.Team, d.Class}, resumed: d.Resumed, build: d.Build}
+	if d.Strict {
+		key.level = w.level
+	}
 	l, ok := q.queues[key]
 	if !ok {
-		l = &classQueue{key: key}
+		l = &classQueue{key: key, index: len(q.list), usage: q.usage.of(key.team)}
 		q.queues[key] = l
-		q.usage.activate(key.team, q.activeTeams())
+		q.list = append(q.list, l)
+		if d.pinned() {
+			q.pinned[key] = l
+		}
 	}
+	q.usage.enter(key.team, d.Share)
 	l.insert(w)
-	q.byID[w.demand.ID] = w
+	q.byID[d.ID] = w
+	q.count(w, 1)
 	q.lowerNextDrop(w.latestStart)
 }
 
@@ -170,8 +194,37 @@
 	l.work -= w.work
 	if len(l.waiters) == 0 {
 		delete(q.queues, l.key)
+		delete(q.pinned, l.key)
+		last := q.list[len(q.list)-1]
+		q.list[l.index], last.index = last, l.index
+		q.list = q.list[:len(q.list)-1]
 	}
 	delete(q.byID, w.demand.ID)
+	q.usage.leave(l.key.team)
+	q.count(w, -1)
+}
+
+// count adds a waiter to the totals, or subtracts it.
+func (q *queue) count(w *waiter, sign int) {
+	q.work += time.Duration(sign) * w.work
+	if w.demand.Strict {
+		q.strict += sign
+	}
+	if w.demand.background() {
+		q.late += sign
+	}
+}
+
+// sharedWork returns the sum of the prefill times of the demands that do not wait for
+// engines of a build.
+func (q *queue) sharedWork() time.Duration {
+	work := q.work
+	for _, l := range q.pinned {
+		if l.waitsForBuild {
+			work -= l.work
+		}
+	}
+	return work
 }
 
 // lowerNextDrop lowers nextDrop to a latest start if that is earlier. A zero time
@@ -208,12 +261,13 @@
 
 // inOrder returns the class queues in the order of service: resumed demands,
 // then priority raised by waiting time, then the team that used least of its
-// share, then arrival.
+// share, then arrival. While strict demands wait, waiting raises none.
 func (q *queue) inOrder(now time.Time) []*classQueue {
 	q.sorted = q.sorted[:0]
-	for _, l := range q.queues {
-		q.sorted = append(q.sorted, l)
+	if q.strict > 0 {
+		return q.firstQueues()
 	}
+	q.sorted = append(q.sorted, q.list...)
 	rankByPriority(q.sorted)
 	for _, l := range q.sorted {
 		l.rank += int(now.Sub(l.waiters[0].arrival) / agingStep)
@@ -228,34 +282,30 @@
 	for _, l := range queues {
 		l.rank = 0
 	}
-	slices.SortFunc(queues, func(x, y *classQueue) int { return cmp.Compare(x.priority(), y.priority()) })
+	slices.SortFunc(queues, func(x, y *classQueue) int { return cmp.Compare(x.level(), y.level()) })
 	for i := 1; i < len(queues); i++ {
 		queues[i].rank = queues[i-1].rank
-		if queues[i].priority() > queues[i-1].priority() {
+		if queues[i].level() > queues[i-1].level() {
 			queues[i].rank++
 		}
 	}
 }
 
-// anyAheadOf reports whether any demand waits that is served before one of a
-// priority: any demand if that priority is a background one, otherwise any but
-// background demands. Those that wait for engines of a build do not count.
-func (q *queue) anyAheadOf(priority int) bool {
-	for _, l := range q.queues {
+// anyAheadOf reports whether any demand waits that is served before the given one: any
+// demand if that is a background one, otherwise any but background demands; if it is
+// strict, any of its urgency or above. Those that wait for engines of a build do not count.
+func (q *queue) anyAheadOf(d *Demand) bool {
+	for _, l := range q.list {
 		if l.waitsForBuild {
 			continue
 		}
-		if l.priority() > BackgroundPriority || priority <= BackgroundPriority {
-			return true
+		if d.Strict && l.first().Strict {
+			if l.first().Urgency >= d.Urgency {
+				return true
+			}
+			continue
 		}
-	}
-	return false
-}
-
-// hasBackground reports whether any background demand waits.
-func (q *queue) hasBackground() bool {
-	for _, l := range q.queues {
-		if l.priority() <= BackgroundPriority {
+		if !l.background() || d.background() {
 			return true
 		}
 	}
@@ -271,8 +321,14 @@
 	return l.waiters[:min(len(l.waiters), maxCandidates)]
 }
 
-// priority returns the priority of the first demand in the class queue.
-func (l *classQueue) priority() int { return l.waiters[0].demand.Priority }
+// first returns the first demand in the class queue.
+func (l *classQueue) first() *Demand { return &l.waiters[0].demand }
+
+// level returns the level of the first demand in the class queue.
+func (l *classQueue) level() int { return l.waiters[0].level }
+
+// background reports whether the class queue holds background demands.
+func (l *classQueue) background() bool { return l.first().background() }
 
 func (q *queue) compare(x, y *classQueue) int {
 	if x.key.resumed != y.key.resumed {
@@ -283,19 +339,8 @@
 	}
 	return cmp.Or(
 		cmp.Compare(y.rank, x.rank),
-		cmp.Compare(q.usage.of(x.key.team), q.usage.of(y.key.team)),
+		cmp.Compare(*x.usage, *y.usage),
 		x.waiters[0].arrival.Compare(y.waiters[0].arrival),
 		compareIDs(x.waiters[0].demand.ID, y.waiters[0].demand.ID),
 	)
 }
-
-// activeTeams returns the teams with waiting demands.
-func (q *queue) activeTeams() []string {
-	var teams []string
-	for key := range q.queues {
-		if len(q.queues[key].waiters) > 0 && !slices.Contains(teams, key.team) {
-			teams = append(teams, key.team)
-		}
-	}
-	return teams
-}
--- a/internal/scheduling/self_prefill.go
+++ b/internal/scheduling/self_prefill.go
@@ -50,12 +50,7 @@
 // prefillCongested reports whether the prefill engines need longer than
 // selfPrefillDelay for the prefills that wait for them already.
 func (c *Coordinator) prefillCongested(now time.Time) bool {
-	var waiting time.Duration
-	for _, l := range c.queue.queues {
-		if !l.waitsForBuild {
-			waiting += l.work
-		}
-	}
+	waiting := c.queue.sharedWork()
 	return waiting > 0 && c.prefillWait(now, waiting) > selfPrefillDelay
 }
 
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -52,6 +52,16 @@
 	// Resumed is set if tokens were already delivered, which a refusal would
 	// waste. Resumed demands are admitted before new ones.
 	Resumed bool
+	// Strict orders the demand by Urgency before anything else, see contention.go.
+	// Priority then only tells whether the demand is a background one.
+	Strict bool
+	// Urgency is the urgency of a strict demand; higher is more urgent.
+	Urgency int
+	// PriorWait is the time since the caller's first attempt began, if that was refused; 0
+	// for a first attempt.
+	PriorWait time.Duration
+	// RetryWithin is the longest retry delay that the caller of a strict demand heeds.
+	RetryWithin time.Duration
 }
 
 // Grant assigns engines to a demand. The prefill may start at once; the decode
