--- a/internal/scheduling/contention_test.go
+++ b/internal/scheduling/contention_test.go
@@ -176,8 +176,8 @@
 		decode(c, start, c.Submit(start, sized(1_000_000+n, 3500, 1000)).ID)
 	}
 	for n := range uint64(1100) {
-		d := strictDemand(n, fmt.Sprint("team", n), 0)
-		// Each fits less than the one before, so that no earlier failure covers it.
+		d := strictDemand(n, fmt.Sprint("team", n/10), 0)
+		// Each is smaller than the one before, so that no earlier failure says anything of it.
 		d.PromptTokens, d.OutputTokens = 8000-int(n), 1000
 		assert.Assert(t, c.Submit(start, d).Waiting())
 	}
