Choose plain endpoints by expected finish and send full ones no more than they accept

Cause: VMs know only their own answers, about one of each endpoint in a second, so that a burst overfills endpoints; the slots and the slowdown in the load header were dropped. Change: the load header's four figures are decoded and kept with their age; usual service time and slowdown are estimated apart; endpoints that state a slowdown are compared by expected finish. A request for an endpoint that declined while full is sent with the probability with which the zone's requests were accepted, corrected by how full it is; else it goes to another one or is refused early. Facts can be learned from other VMs.

--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -68,6 +68,8 @@
 type reportedLoad struct {
 	requests float64
 	at       time.Time
+	// last is the last report.
+	last int
 }
 
 // observe records a report.
@@ -78,6 +80,7 @@
 	}
 	l.requests += weight * (float64(requests) - l.requests)
 	l.at = now
+	l.last = requests
 }
 
 // estimate returns the estimated number of requests that the endpoint has now.
@@ -88,23 +91,62 @@
 	return l.requests * math.Exp(-float64(now.Sub(l.at))/float64(loadDecay))
 }
 
-// ObserveLoad records the number of requests, running and waiting, that an endpoint
-// reports.
-func (r *Registry) ObserveLoad(name string, requests int) {
+// latest returns the last reported load, decayed.
+func (l *reportedLoad) latest(now time.Time) float64 {
+	if l.at.IsZero() {
+		return 0
+	}
+	return float64(l.last) * decay(max(0, now.Sub(l.at)), loadDecay)
+}
+
+// Load is the load that an endpoint states.
+type Load struct {
+	Running, Waiting int
+	// Slots is the number of requests that it can run at a time; 0 if not stated.
+	Slots int
+	// Slowdown is the factor by which work takes longer than usual at this moment; 0 if not
+	// stated.
+	Slowdown float64
+}
+
+// ObserveLoad records the load that an endpoint states in an answer to this VM.
+func (r *Registry) ObserveLoad(name string, load Load) {
 	s := r.get(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load.observe(r.now(), requests)
+	s.observeLoad(r.now(), load, "")
 }
 
-// ObserveDecline records that an endpoint did not run a request. This does not count
-// towards an ejection, but other endpoints are preferred.
-func (r *Registry) ObserveDecline(name string) {
+// observeLoad records the load that a VM, this one if empty, observed at a time.
+func (s *State) observeLoad(at time.Time, load Load, vm string) {
+	s.newest = newestLoad{Load: load, at: at, vm: vm}
+	s.load.observe(at, load.Running+load.Waiting)
+	s.slowdown.Observe(at, load.Slowdown)
+	s.queue.observe(load)
+}
+
+// ran records the outcome of a request that the endpoint ran.
+func (s *State) ran(now time.Time, ok bool, latency time.Duration) {
+	s.accepted++
+	s.demandAt = now
+	s.own.add(now, 0, 1, ownSumDecay)
+	if ok && !s.newest.at.IsZero() {
+		s.service.observe(latency, s.newest.Load, s.newest.Slots)
+	}
+}
+
+// ObserveDecline records that an endpoint did not run a request, and the load that it stated with
+// that; nil if it stated none. This does not count towards an ejection, but other endpoints are
+// preferred.
+func (r *Registry) ObserveDecline(name string, load *Load) {
 	s := r.get(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failures.observe(r.now(), false)
 	s.unreachable = cooldown.Cooldown{}
+	if load != nil {
+		s.queue.decline(*load)
+	}
 }
 
 // Stats are the figures by which endpoints are compared when one is picked.
@@ -118,6 +160,10 @@
 	ReportAge time.Duration
 	// FailureRate is the share of recent calls that failed or were declined.
 	FailureRate float64
+	// Slowdown is the expected slowdown, 0 if the endpoint states none, and ServiceTime the usual
+	// service time, 0 if it is not known.
+	Slowdown    float64
+	ServiceTime time.Duration
 }
 
 // Stats returns the current stats of an endpoint.
@@ -130,6 +176,8 @@
 		InFlight:     int(s.inFlight.Load()),
 		ReportedLoad: s.load.estimate(now),
 		FailureRate:  s.failures.rateAt(now),
+		Slowdown:     s.slowdown.Estimate(now),
+		ServiceTime:  s.service.mean,
 	}
 	if !s.load.at.IsZero() {
 		stats.ReportAge = now.Sub(s.load.at)
@@ -151,11 +199,12 @@
 	return requests / float64(max(1, e.Slots)) / max(minShare, r.share(e.Name))
 }
 
-// remoteShare returns the share of requests that go to another zone, given the costs
-// of the endpoints picked in the local and in the other zone. It grows with the
-// difference, so that VMs with reports of the same age do not all switch at once.
-func remoteShare(local, remote float64) float64 {
-	return clamp01(local-remote-remoteMargin) * clamp01((remoteFull-remote)/(remoteFull-remoteRoomy))
+// remoteShare returns the share of requests that go to another zone, given the amount
+// by which the cost of the endpoint picked in the local zone exceeds that of the one in the other
+// zone, and the latter. It grows with the difference, so that VMs with reports of the same age do
+// not all switch at once.
+func remoteShare(excess, remote float64) float64 {
+	return clamp01(excess-remoteMargin) * clamp01((remoteFull-remote)/(remoteFull-remoteRoomy))
 }
 
 // clamp01 limits a number to the range from 0 to 1.
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -16,6 +16,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/cooldown"
 	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
+	"github.com/ospreyshed/ospreyshed/internal/slowdown"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
 
@@ -27,10 +28,20 @@
 type State struct {
 	inFlight atomic.Int64
 
-	mu      sync.Mutex
-	outlier outlier
-	load    reportedLoad
-	limit   observedLimit
+	mu       sync.Mutex
+	outlier  outlier
+	load     reportedLoad
+	limit    observedLimit
+	newest   newestLoad
+	slowdown slowdown.Tracker
+	service  serviceTime
+	queue    queueLength
+	// offered and accepted count the requests that this VM offered to the endpoint, also if it
+	// did not send them, and those that the endpoint ran. demandAt is the time of the last change.
+	offered, accepted float64
+	demandAt          time.Time
+	// own are the sums of this VM, zone those of its zone as this VM last learned them.
+	own, zone sums
 	// quietUntil is the time until which the endpoint wants no requests of this VM.
 	quietUntil       time.Time
 	failures         failures
@@ -51,6 +62,12 @@
 	Quieted atomic.Int64
 	// Limited counts the times that endpoints began to name a limit of requests.
 	Limited atomic.Int64
+	// NotOffered counts requests that were not sent to an endpoint that probably had declined
+	// them.
+	NotOffered atomic.Int64
+	// FactsLearned counts the loads of endpoints that other VMs observed and that were newer
+	// than what was known.
+	FactsLearned atomic.Int64
 }
 
 // Registry holds the states of endpoints by name. It is safe for concurrent use.
@@ -63,6 +80,7 @@
 	// random returns a number from 0 to below 1; it is safe for concurrent use.
 	random func() float64
 	states sync.Map // endpoint name -> *State
+	demand zoneDemand
 	// latestQuiet is the latest time until which any endpoint asked for quiet; nil if none has asked.
 	latestQuiet atomic.Pointer[time.Time]
 }
@@ -178,6 +196,7 @@
 	s.mu.Lock()
 	s.outlier.observe(ok, latency)
 	s.failures.observe(r.now(), ok)
+	s.ran(r.now(), ok, latency)
 	if ok {
 		s.unreachable = cooldown.Cooldown{}
 	}
@@ -264,7 +283,7 @@
 		return remote
 	case remote == nil || local.Slots == 0 || remote.Slots == 0:
 		return local
-	case r.random() < remoteShare(r.cost(local), r.cost(remote)):
+	case r.random() < remoteShare(r.excess(local, remote), r.cost(remote)):
 		return remote
 	}
 	return local
@@ -281,7 +300,7 @@
 	}
 	first := r.randomIndex(len(usable))
 	second := (first + 1 + r.randomIndex(len(usable)-1)) % len(usable)
-	if r.cost(usable[second]) < r.cost(usable[first]) {
+	if r.better(usable[first], usable[second]) {
 		return usable[second]
 	}
 	return usable[first]
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -40,6 +40,8 @@
 			"A rise without many VMs lost at once: see the `origin` counters; log lines `stream not traced` name the streams."},
 		{"at_limit", Counter, Endpoints, "Plain endpoints that were passed over because of the limit that they name.",
 			"A steady rise: endpoints are in need, see `endpoint.limited`; add endpoints."},
+		{"overfull", Counter, Endpoints, "Plain endpoints that were passed over because they probably had declined the request.",
+			"A steady rise: the endpoints of a service are too few for its load; add endpoints."},
 		{"held_back", Counter, Requests, "Requests that were not sent because engines crash on them or on a part of their prompts.",
 			"A rise: see the `quarantine` counters; log lines `request held back` name the parts or the request."},
 		{"broken", Counter, Requests, "Streams that ended before they were complete.", "A rise: as for `resumed`, but on routes on which streams cannot be resumed."},
--- a/internal/metrics/catalog_requests.go
+++ b/internal/metrics/catalog_requests.go
@@ -116,5 +116,9 @@
 			"A rise: endpoints are in need; log lines `endpoint asks for quiet` name them."},
 		{"limited", Counter, Endpoints, "Times that endpoints began to name a limit of requests.",
 			"A rise: endpoints are in need; the timeline names them."},
+		{"not_offered", Counter, Requests, "Requests that were not sent to a plain endpoint because it probably had declined them.",
+			"A steady rise: as for `relay.overfull`; log lines `endpoint too full` name the endpoints."},
+		{"facts_learned", Counter, Endpoints, "Loads of plain endpoints that other VMs observed and that were newer than what was known.",
+			"No rise while plain requests are served by several VMs of a zone: their renewals fail; see `reservation.heartbeats_failed`."},
 	},
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -69,29 +69,47 @@
 func (r *Relay) choosePlain(ctx context.Context, x *exchange, candidates []*configuration.Endpoint) *configuration.Endpoint {
 	passedOver := slices.Clone(x.exclude)
 	earliest := r.earliestEndOfQuiet(candidates)
+	refusal := "the endpoints are at their limits or asked for quiet"
 	for {
 		chosen := r.options.Endpoints.PickLeastLoaded(candidates, r.options.Zone, passedOver)
 		if chosen == nil {
 			break
 		}
-		wait, admitted := r.options.Admission.Admit(ctx, chosen)
+		wait, offered := r.options.Endpoints.Offer(chosen)
+		admitted := false
+		if offered {
+			wait, admitted = r.options.Admission.Admit(ctx, chosen)
+		}
 		if admitted {
 			return chosen
 		}
-		r.Counters.AtLimit.Add(1)
-		r.decide(x, "endpoint at its limit", logrus.Fields{"endpoint": chosen.Name, "wait_ms": wait.Milliseconds()})
+		if !offered {
+			refusal = "the endpoints are too full"
+		}
+		r.logPassedOver(x, chosen, offered, wait)
 		passedOver = append(passedOver, chosen.Name)
 		if earliest == 0 || wait < earliest {
 			earliest = wait
 		}
 	}
 	if earliest > 0 {
-		x.refusal = "the endpoints are at their limits or asked for quiet"
+		x.refusal = refusal
 		x.retryAfter = spread(earliest)
 	}
 	return nil
 }
 
+// logPassedOver counts and logs that an endpoint was not chosen: it names a limit, or, if the
+// request was not even offered to it, it is too full.
+func (r *Relay) logPassedOver(x *exchange, e *configuration.Endpoint, offered bool, wait time.Duration) {
+	reason, counter := "endpoint at its limit", &r.Counters.AtLimit
+	if !offered {
+		reason, counter = "endpoint too full", &r.Counters.Overfull
+	}
+	counter.Add(1)
+	r.decide(x, reason, logrus.Fields{"endpoint": e.Name, "wait_ms": wait.Milliseconds()})
+}
+
 // earliestEndOfQuiet returns the time until the first of the endpoints that asked for quiet takes
 // requests again; 0 if none asked.
 func (r *Relay) earliestEndOfQuiet(endpoints []*configuration.Endpoint) time.Duration {
@@ -117,6 +135,7 @@
 		"endpoint": chosen.Name, "zone_of_endpoint": chosen.Zone, "in_flight": stats.InFlight,
 		"reported": math.Round(stats.ReportedLoad*10) / 10, "report_age_ms": stats.ReportAge.Milliseconds(),
 		"failing": math.Round(stats.FailureRate*100) / 100, "identity": x.identity,
+		"slowdown": math.Round(stats.Slowdown*100) / 100, "service_ms": stats.ServiceTime.Milliseconds(),
 	})
 }
 
@@ -155,12 +174,12 @@
 	attempt := x.suspect.Begin(to.Name, to.Address)
 	answer, verdict, err := r.call(ctx, x, to, &Call{Stage: Whole}, r.attemptTimeout(x))
 	if verdict.Load != nil {
-		r.options.Endpoints.ObserveLoad(to.Name, verdict.Load.Running+verdict.Load.Waiting)
+		r.options.Endpoints.ObserveLoad(to.Name, *verdict.Load)
 	}
 	switch {
 	case ctx.Err() != nil || errorx.IsOfType(err, upstream.Withheld):
 	case err == nil && verdict.NotRun:
-		r.options.Endpoints.ObserveDecline(to.Name)
+		r.options.Endpoints.ObserveDecline(to.Name, verdict.Load)
 	default:
 		ok := err == nil && answer.Status < http.StatusInternalServerError
 		r.options.Endpoints.Observe(to.Name, endpointNames(group), ok, time.Since(started))
--- a/internal/relay/plain_test.go
+++ b/internal/relay/plain_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 )
 
@@ -95,6 +96,36 @@
 	assert.Equal(t, s.relay.Counters.Foreign.Load(), int64(1))
 }
 
+// Guards against a request that is sent to an endpoint which probably declines it, and against a
+// refusal while another endpoint has room.
+func TestRequestGoesPastAFullEndpoint(t *testing.T) {
+	s := newFixture(t)
+	s.endpoint("d1", "desk", "", answers(http.StatusOK, "d1"))
+	full := Load{Running: 1, Waiting: 1000, Slots: 1}
+	fill := func(name string) {
+		for range 100 {
+			s.endpoints.Offer(&configuration.Endpoint{Name: name, Slots: 1})
+		}
+		s.endpoints.ObserveDecline(name, &full)
+		s.endpoints.ObserveLoad(name, full)
+	}
+	fill("d1")
+	refused := func() int {
+		count := 0
+		for range 20 {
+			if s.serve(booking, nil).outcome == "refused: the endpoints are too full" {
+				count++
+			}
+			s.endpoints.ObserveLoad("d1", full)
+		}
+		return count
+	}
+	assert.Assert(t, refused() >= 15)
+	assert.Assert(t, s.relay.Counters.Overfull.Load() >= 15)
+	s.endpoint("d2", "desk", "", answers(http.StatusOK, "d2"))
+	assert.Equal(t, refused(), 0)
+}
+
 func TestReplacedEndpointIsMarkedLeaving(t *testing.T) {
 	s := newFixture(t)
 	s.endpoint("d1", "desk", "", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,8 +31,11 @@
 	// Leaving reports whether an endpoint must get no new request.
 	Leaving(name string) bool
 	MarkUnreachable(name string)
-	ObserveLoad(name string, requests int)
-	ObserveDecline(name string)
+	ObserveLoad(name string, load Load)
+	ObserveDecline(name string, load *Load)
+	// Offer reports whether a request should be sent to an endpoint. If the endpoint probably
+	// declines it, it returns the time after which the endpoint is expected to have room.
+	Offer(e *configuration.Endpoint) (wait time.Duration, ok bool)
 	// Announce records what an endpoint said of itself in an answer.
 	Announce(name string, a endpoint.Announcement)
 	// QuietFor returns the time for which an endpoint wants no calls of this VM.
@@ -125,6 +128,8 @@
 	Untraced atomic.Int64
 	// AtLimit counts endpoints that were not chosen because of the limit that they name.
 	AtLimit atomic.Int64
+	// Overfull counts endpoints that were not chosen because they probably had declined the request.
+	Overfull atomic.Int64
 	// HeldBack counts requests that were not sent because engines crash on a part of their
 	// prompts.
 	HeldBack atomic.Int64
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -153,11 +153,17 @@
 	LimitChanged bool
 }
 
-// Load is the number of requests that run and wait at an endpoint.
-type Load struct {
-	Running, Waiting int
+// slowdown returns the slowdown that the endpoint stated, 0 if none.
+func (v *Verdict) slowdown() float64 {
+	if v.Load == nil {
+		return 0
+	}
+	return v.Load.Slowdown
 }
 
+// Load is the load that an endpoint states.
+type Load = endpoint.Load
+
 // PrefillResult is the outcome of a prefill.
 type PrefillResult struct {
 	Handle string
