Carry slowdowns to the owners of engines and share facts with renewals

Cause: the owner took a slowdown of the moment for the engine's own speed, and what one VM observed of a plain endpoint stayed there. Change: holders report the stated slowdown with the end of a phase; own speeds are learned without it and predictions of prefill and decode times multiply by it. Renewals to the owner of a zone's first model carry facts about plain endpoints and totals, the answers carry those of other VMs. Measured: go test -race of internal/reservation and internal/scheduling passes; after three renewals all VMs of a zone know a load with its true age.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -109,6 +109,7 @@
 			return condition(options.Fleet.View(), endpoints, name)
 		},
 		Limits:  endpoints,
+		Facts:   endpoints,
 		VMCount: func() int { return options.Fleet.View().VMCount() },
 	})
 	members.OnGone(func(m membership.Member) { service.HolderGone(m.VM, m.Incarnation) })
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -55,7 +55,7 @@
 	if response.Status != http.StatusOK {
 		return true, r.handleErrorStatus(g, to, response)
 	}
-	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started, attempt: attempt}
+	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started, attempt: attempt, slowdown: verdict.slowdown()}
 	return true, stream.forward(ctx, response)
 }
 
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -67,6 +67,7 @@
 	})
 	r.options.Reserver.Progress(scheduling.Progress{
 		ID: id, Kind: scheduling.PrefillDone, Prefill: to.Name, Tokens: result.Tokens, Elapsed: time.Since(started),
+		Slowdown: verdict.slowdown(),
 	})
 	return &Source{Endpoint: to.Name, InstanceID: call.InstanceID, Address: to.Address, Handle: result.Handle}, nil
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -38,6 +38,8 @@
 	endpoint   *configuration.Endpoint
 	attempt    *quarantine.Attempt
 	started    time.Time
+	// slowdown is the slowdown that the engine stated, 0 if none.
+	slowdown float64
 	// batches counts the batches that were forwarded.
 	batches int
 	// silent is set once the engine was silent for the limit.
@@ -153,6 +155,7 @@
 	if first {
 		s.relay.options.Reserver.Progress(scheduling.Progress{
 			ID: s.id, Kind: scheduling.FirstTokenSeen, Decode: s.endpoint.Name, Elapsed: time.Since(s.started),
+			Slowdown: s.slowdown,
 		})
 	}
 	s.relay.options.Reserver.Delivered(s.id, g.delivered-g.deliveredBefore)
--- a/internal/reservation/convert.go
+++ b/internal/reservation/convert.go
@@ -160,19 +160,21 @@
 		ElapsedNs: int64(p.Elapsed),
 		Limited:   p.Limited,
 		Limit:     p.Limit,
+		Slowdown:  p.Slowdown,
 	}
 }
 
 func progressFromProto(p *reservationv1.Progress) scheduling.Progress {
 	return scheduling.Progress{
-		ID:      attemptFromProto(p.GetAttempt()),
-		Kind:    scheduling.ProgressKind(p.GetKind()),
-		Prefill: p.GetPrefill(),
-		Decode:  p.GetDecode(),
-		Tokens:  int(p.GetTokens()),
-		Cached:  int(p.GetCached()),
-		Elapsed: time.Duration(p.GetElapsedNs()),
-		Limited: p.GetLimited(),
-		Limit:   p.GetLimit(),
+		ID:       attemptFromProto(p.GetAttempt()),
+		Kind:     scheduling.ProgressKind(p.GetKind()),
+		Prefill:  p.GetPrefill(),
+		Decode:   p.GetDecode(),
+		Tokens:   int(p.GetTokens()),
+		Cached:   int(p.GetCached()),
+		Elapsed:  time.Duration(p.GetElapsedNs()),
+		Limited:  p.GetLimited(),
+		Limit:    p.GetLimit(),
+		Slowdown: p.GetSlowdown(),
 	}
 }
--- a/internal/reservation/fleet_test.go
+++ b/internal/reservation/fleet_test.go
@@ -118,9 +118,10 @@
 	vmCount := len(n.members)
 	for _, m := range n.members {
 		self := node{n, m}
+		endpoints := endpoint.NewRegistry(timeline.Discard)
 		n.services[m.VM] = New(Params{
 			View: self, Dialer: self, Fleet: func() Fleet { return fleet },
-			Limits: endpoint.NewRegistry(timeline.Discard), VMCount: func() int { return vmCount },
+			Limits: endpoints, Facts: endpoints, VMCount: func() int { return vmCount },
 		})
 	}
 	for _, s := range n.services {
--- a/internal/reservation/progress_reporter.go
+++ b/internal/reservation/progress_reporter.go
@@ -75,6 +75,10 @@
 	if len(request.Progress) == 0 && len(request.Models) == 0 {
 		return
 	}
+	if includeHoldings {
+		r.service.attachFacts(request, r.vm)
+	}
+	sent := time.Now()
 	response, err := r.call(ctx, request)
 	if err != nil {
 		for key, progress := range pending {
@@ -85,6 +89,7 @@
 	}
 	r.consecutiveFailures = 0
 	r.service.router.markReachable(r.vm)
+	r.service.learnFacts(r.vm, response, sent)
 	if includeHoldings {
 		r.recordComplete(keys, response)
 	}
--- a/internal/reservation/server.go
+++ b/internal/reservation/server.go
@@ -60,6 +60,7 @@
 	}
 	h.service.applyProgress(m.GetProgress())
 	response := &reservationv1.HeartbeatResponse{}
+	h.service.exchangeFacts(m, response)
 	for _, list := range m.GetModels() {
 		complete, err := h.service.applyHoldings(m.GetVm(), m.GetIncarnation(), list)
 		if err != nil {
--- a/internal/reservation/service.go
+++ b/internal/reservation/service.go
@@ -43,6 +43,9 @@
 	Scheduling scheduling.Options
 	// Limits are the limits that endpoints name; nil if endpoints name none.
 	Limits Limits
+	// Facts holds what this VM knows of plain endpoints, which it shares with the VMs of its
+	// zone; nil if nothing is shared.
+	Facts Facts
 	// VMCount returns the number of entry VMs in all zones that have announced themselves.
 	// It is used only with Limits.
 	VMCount func() int
@@ -190,6 +193,7 @@
 		s.renewOwnedHoldings(key)
 	}
 	s.renewShareHoldings()
+	s.learnOwnDemand()
 }
 
 // renewOwnedHoldings renews this VM's grants in its own scheduler of a model.
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -131,6 +131,7 @@
 	c.pool.set(states)
 	for _, e := range c.pool.byName {
 		e.updateLimit(now)
+		e.slowdown = e.stated.Estimate(now)
 	}
 	c.dispatch(now)
 }
--- a/internal/scheduling/engines.go
+++ b/internal/scheduling/engines.go
@@ -7,6 +7,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/pacing"
+	"github.com/ospreyshed/ospreyshed/internal/slowdown"
 )
 
 // EngineState is the configuration of one engine and whether it may get new
@@ -179,6 +180,35 @@
 	prefillRatio ewma
 	linkRatio    ewma
 	decodeRatio  ewma
+
+	// stated tracks the slowdowns that the engine states, and slowdown is the current estimate,
+	// 0 if it states none.
+	stated   slowdown.Tracker
+	slowdown float64
+}
+
+// observeSlowdown records a slowdown that the engine stated.
+func (e *engineInfo) observeSlowdown(now time.Time, factor float64) {
+	e.stated.Observe(now, factor)
+	e.slowdown = e.stated.Estimate(now)
+}
+
+// pace returns the factor by which work on the engine takes longer than usual, 1 if it states
+// none.
+func (e *engineInfo) pace() float64 {
+	if e.slowdown <= 0 {
+		return 1
+	}
+	return e.slowdown
+}
+
+// usual returns how long work would have taken at the usual speed. The factor is the one stated
+// with the end of the work, 0 if there was none.
+func (e *engineInfo) usual(elapsed time.Duration, stated float64) time.Duration {
+	if stated <= 0 {
+		stated = e.pace()
+	}
+	return time.Duration(float64(elapsed) / stated)
 }
 
 func newEngineInfo(name string) *engineInfo {
--- a/internal/scheduling/observation.go
+++ b/internal/scheduling/observation.go
@@ -63,6 +63,7 @@
 	h.phase = PhaseTransfer
 	c.ledger.endPrefill(h)
 	h.prefill.engineSucceeded()
+	h.prefill.observeSlowdown(now, p.Slowdown)
 	latency := c.predict.prefillLatency()
 	transfer := h.transferEnd.Sub(h.prefillEnd) - latency
 	h.prefillEnd = now
@@ -76,14 +77,14 @@
 	base := seconds(float64(tokens-p.Cached) / c.predict.model.PrefillTokensPerSecond)
 	elapsed := p.Elapsed - latency
 	if h.prefillEngineIdle {
-		c.predict.prefills.observe(tokens-p.Cached, p.Elapsed)
+		c.predict.prefills.observe(tokens-p.Cached, h.prefill.usual(p.Elapsed, p.Slowdown))
 	} else {
 		// Behind another prefill the duration includes the wait for it, which
 		// ended when that prefill was reported as done.
 		elapsed = min(elapsed, now.Sub(h.prefill.lastDone))
 	}
 	h.prefill.lastDone = now
-	h.prefill.prefillRatio.observe(elapsed, base)
+	h.prefill.prefillRatio.observe(h.prefill.usual(elapsed, p.Slowdown), base)
 }
 
 // shiftRunning moves the predicted ends of the prefills in flight. free is when
@@ -121,6 +122,7 @@
 	if h.phase == PhaseDecode {
 		return
 	}
+	h.decode.observeSlowdown(now, p.Slowdown)
 	predicted := h.transferEnd.Sub(h.prefillEnd)
 	step := c.predict.firstEvent(h.decode, h.decode.slotsHeld)
 	if h.phase == PhaseTransfer && !h.slotPending && predicted > 0 {
@@ -144,7 +146,7 @@
 		c.predict.lengths(h.key).observe(p.Tokens, h.outputTokens)
 		steps := time.Duration(p.Tokens - 1)
 		interval := c.predict.modelInterval(h.decode.slotsHeld)
-		h.decode.decodeRatio.observe(now.Sub(h.decodeStart), steps*interval)
+		h.decode.decodeRatio.observe(h.decode.usual(now.Sub(h.decodeStart), 0), steps*interval)
 	}
 	c.ledger.remove(now, h, true)
 }
--- a/internal/scheduling/predictor.go
+++ b/internal/scheduling/predictor.go
@@ -58,7 +58,7 @@
 	if p.model.PrefillTokensPerSecond <= 0 {
 		return 0
 	}
-	s := float64(uncached) / p.model.PrefillTokensPerSecond * e.prefillRatio.ratio()
+	s := float64(uncached) / p.model.PrefillTokensPerSecond * e.prefillRatio.ratio() * e.pace()
 	return seconds(s)
 }
 
@@ -99,7 +99,7 @@
 // tokenInterval returns the time between tokens with a number of requests on
 // the engine.
 func (p *predictor) tokenInterval(e *engineInfo, occupancy int) time.Duration {
-	return time.Duration(float64(p.modelInterval(occupancy)) * e.decodeRatio.ratio())
+	return time.Duration(float64(p.modelInterval(occupancy)) * e.decodeRatio.ratio() * e.pace())
 }
 
 // modelInterval is tokenInterval without correction.
@@ -116,7 +116,7 @@
 	if target <= 0 || per <= 0 && p.tokenInterval(e, 1) <= target {
 		return math.MaxInt32
 	}
-	corrected := float64(target) / e.decodeRatio.ratio()
+	corrected := float64(target) / (e.decodeRatio.ratio() * e.pace())
 	spare := corrected - float64(p.model.TokenInterval.D())
 	if spare < 0 {
 		return 0
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -116,6 +116,10 @@
 	// requests per second that it takes. They are for EngineLimit.
 	Limited bool
 	Limit   float64
+	// Slowdown is the factor by which work takes longer than usual on the engine that ended the
+	// phase, as it stated with that; 0 if it stated none. It is for PrefillDone and
+	// FirstTokenSeen.
+	Slowdown float64
 }
 
 // ProgressKind is the kind of event that a Progress reports.
