--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,11 @@
 	return uint64(time.Now().UnixMilli())<<randomBits | low
 }
 
+// IncarnationStart returns the wall-clock time at which the process with an incarnation started.
+func IncarnationStart(incarnation uint64) time.Time {
+	return time.UnixMilli(int64(incarnation >> randomBits))
+}
+
 const (
 	startTimeout = 15 * time.Second
 	// stopTimeout limits a graceful shutdown. It exceeds every configured drain limit.
--- a/internal/feed/service.go
+++ b/internal/feed/service.go
@@ -308,10 +308,11 @@
 
 // dueForZone reports whether the reader of the zone reads a topic in this step. A step
 // lasts as long as its long polls; a topic that would become too old meanwhile is read
-// at its beginning, and so is one whose state is of an earlier era of the store.
+// at its beginning, and so is one that is wanted or whose state is of an earlier era of
+// the store.
 func (s *Service) dueForZone(t *topicState, now time.Time) bool {
 	step := readAge * float64(s.planner.maxAge)
-	return t.LongPoll || t.replica.era < s.era || float64(t.age(now))+step > readAge*readTolerance*float64(t.MaxAge)
+	return t.LongPoll || t.replica.era < s.era || t.Wanted != nil && t.Wanted() || float64(t.age(now))+step > readAge*readTolerance*float64(t.MaxAge)
 }
 
 // readTopic reads the records of a topic that follow its state, or all if it has none.
--- a/internal/feed/topic.go
+++ b/internal/feed/topic.go
@@ -83,6 +83,9 @@
 	LapseGrace time.Duration
 	// Consult makes a VM that starts ask another one for what the store may have lost.
 	Consult bool
+	// Wanted reports whether the reader of a zone should read the topic in this step although
+	// its state is not old yet; nil if it never should. It must not block.
+	Wanted func() bool
 	// Meaning returns what is compared of a value.
 	Meaning func(key string, value []byte) Meaning
 	// Apply receives the records whose meaning has changed. It is first called once the
