Find streams of two builds in the store after all VMs were killed

Cause: a stream that its caller took up after a kill of all VMs went on at the only registered build, answered 200 with text of two builds; with two builds registered every one was refused. Change: the relay asks the memory of VMs, the proof of a sole build, then the archive. While a service has several builds, VMs send the records of its streams to the archiver of their zone, which appends them every 200 ms. Engines of a build that the record does not list begin no resumable stream for up to 2 s. fleet.SoleBuild is replaced by builds.History; its test moved there with all of its cases.

--- a/api/origin/v1/originv1connect/origin.connect.go
+++ b/api/origin/v1/originv1connect/origin.connect.go
@@ -39,6 +39,8 @@
 	OriginServiceReplicateProcedure = "/ospreyshed.origin.v1.OriginService/Replicate"
 	// OriginServiceLookupProcedure is the fully-qualified name of the OriginService's Lookup RPC.
 	OriginServiceLookupProcedure = "/ospreyshed.origin.v1.OriginService/Lookup"
+	// OriginServiceArchiveProcedure is the fully-qualified name of the OriginService's Archive RPC.
+	OriginServiceArchiveProcedure = "/ospreyshed.origin.v1.OriginService/Archive"
 )
 
 // OriginServiceClient is a client for the ospreyshed.origin.v1.OriginService service.
@@ -48,6 +50,9 @@
 	Replicate(context.Context, *connect.Request[v1.ReplicateRequest]) (*connect.Response[v1.ReplicateResponse], error)
 	// Lookup asks for the record of one stream.
 	Lookup(context.Context, *connect.Request[v1.LookupRequest]) (*connect.Response[v1.LookupResponse], error)
+	// Archive asks for records to be kept in the platform's store. The response comes once
+	// they are.
+	Archive(context.Context, *connect.Request[v1.ArchiveRequest]) (*connect.Response[v1.ArchiveResponse], error)
 }
 
 // NewOriginServiceClient constructs a client for the ospreyshed.origin.v1.OriginService service. By
@@ -73,6 +78,12 @@
 			connect.WithSchema(originServiceMethods.ByName("Lookup")),
 			connect.WithClientOptions(opts...),
 		),
+		archive: connect.NewClient[v1.ArchiveRequest, v1.ArchiveResponse](
+			httpClient,
+			baseURL+OriginServiceArchiveProcedure,
+			connect.WithSchema(originServiceMethods.ByName("Archive")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -80,6 +91,7 @@
 type originServiceClient struct {
 	replicate *connect.Client[v1.ReplicateRequest, v1.ReplicateResponse]
 	lookup    *connect.Client[v1.LookupRequest, v1.LookupResponse]
+	archive   *connect.Client[v1.ArchiveRequest, v1.ArchiveResponse]
 }
 
 // Replicate calls ospreyshed.origin.v1.OriginService.Replicate.
@@ -92,6 +104,11 @@
 	return c.lookup.CallUnary(ctx, req)
 }
 
+// Archive calls ospreyshed.origin.v1.OriginService.Archive.
+func (c *originServiceClient) Archive(ctx context.Context, req *connect.Request[v1.ArchiveRequest]) (*connect.Response[v1.ArchiveResponse], error) {
+	return c.archive.CallUnary(ctx, req)
+}
+
 // OriginServiceHandler is an implementation of the ospreyshed.origin.v1.OriginService service.
 type OriginServiceHandler interface {
 	// Replicate gives records to the called VM to hold. A record of a lower revision
@@ -99,6 +116,9 @@
 	Replicate(context.Context, *connect.Request[v1.ReplicateRequest]) (*connect.Response[v1.ReplicateResponse], error)
 	// Lookup asks for the record of one stream.
 	Lookup(context.Context, *connect.Request[v1.LookupRequest]) (*connect.Response[v1.LookupResponse], error)
+	// Archive asks for records to be kept in the platform's store. The response comes once
+	// they are.
+	Archive(context.Context, *connect.Request[v1.ArchiveRequest]) (*connect.Response[v1.ArchiveResponse], error)
 }
 
 // NewOriginServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -120,12 +140,20 @@
 		connect.WithSchema(originServiceMethods.ByName("Lookup")),
 		connect.WithHandlerOptions(opts...),
 	)
+	originServiceArchiveHandler := connect.NewUnaryHandler(
+		OriginServiceArchiveProcedure,
+		svc.Archive,
+		connect.WithSchema(originServiceMethods.ByName("Archive")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/ospreyshed.origin.v1.OriginService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OriginServiceReplicateProcedure:
 			originServiceReplicateHandler.ServeHTTP(w, r)
 		case OriginServiceLookupProcedure:
 			originServiceLookupHandler.ServeHTTP(w, r)
+		case OriginServiceArchiveProcedure:
+			originServiceArchiveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -142,3 +170,7 @@
 func (UnimplementedOriginServiceHandler) Lookup(context.Context, *connect.Request[v1.LookupRequest]) (*connect.Response[v1.LookupResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ospreyshed.origin.v1.OriginService.Lookup is not implemented"))
 }
+
+func (UnimplementedOriginServiceHandler) Archive(context.Context, *connect.Request[v1.ArchiveRequest]) (*connect.Response[v1.ArchiveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ospreyshed.origin.v1.OriginService.Archive is not implemented"))
+}
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -4,7 +4,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 )
@@ -23,9 +22,6 @@
 	// departed are the names of instances that are no longer registered, oldest
 	// first.
 	departed []string
-	// formerBuilds are the builds of which no endpoint is registered any more, with the
-	// time at which the last one left.
-	formerBuilds map[buildKey]time.Time
 }
 
 // maxDepartedNames bounds the names of departed instances that are kept.
@@ -33,7 +29,7 @@
 
 // NewStore returns a store without a configuration.
 func NewStore() *Store {
-	s := &Store{formerBuilds: make(map[buildKey]time.Time)}
+	s := &Store{}
 	s.view.Store(NewView(nil, nil, nil))
 	return s
 }
@@ -58,13 +54,10 @@
 }
 
 // SetInstances replaces the instances. From then on they are known, even if there are none.
-func (s *Store) SetInstances(instances []Instance) { s.setInstancesAt(instances, time.Now()) }
-
-func (s *Store) setInstancesAt(instances []Instance, now time.Time) {
+func (s *Store) SetInstances(instances []Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordDepartures(instances)
-	s.recordBuilds(instances, now)
 	s.instances, s.instancesKnown = instances, true
 	s.publish()
 }
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -19,6 +19,7 @@
 	storeAnswersGroup,
 	feedGroup,
 	originGroup,
+	buildsGroup,
 	quarantineGroup,
 	quarantineShareGroup,
 	quarantineArchiveGroup,
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -38,6 +38,10 @@
 		{"resumed", Counter, Requests, "Streams that were resumed on another engine.", "A rise: engines interrupt streams; log lines `stream cut` name them."},
 		{"untraced", Counter, Requests, "Streams that callers took up and whose build is not known.",
 			"A rise without many VMs lost at once: see the `origin` counters; log lines `stream not traced` name the streams."},
+		{"traced_by_archive", Counter, Requests, "Streams that callers took up at the build that the store's record names, because no VM had one.",
+			"Expected after many VMs were lost at once while a service had several builds."},
+		{"held_for_builds", Counter, Requests, "Streams that waited because all engines that could begin them have a build that the store's record does not list yet.",
+			"A rise outside of releases: records of builds are not written; see the group `builds`."},
 		{"at_limit", Counter, Endpoints, "Plain endpoints that were passed over because of the limit that they name.",
 			"A steady rise: endpoints are in need, see `endpoint.limited`; add endpoints."},
 		{"held_back", Counter, Requests, "Requests that were not sent because engines crash on them or on a part of their prompts.",
@@ -146,10 +150,36 @@
 		{"lookups", Counter, Calls, "Calls to other VMs by searches.", noAction},
 		{"lookups_failed", Counter, Calls, "Such calls without a response.", "See `unanswered`."},
 		{"served", Counter, Calls, "Calls by searches of other VMs.", noAction},
+		{"archive_calls", Counter, Calls, "Calls that carried records to the VM that appends them to the store. There are some only while a service has several builds.", noAction},
+		{"archive_calls_failed", Counter, Calls, "Such calls that failed or took too long. The records go to the next VM.",
+			"A steady rise: VMs do not reach each other, or the store accepts no records; see `appends_failed`."},
+		{"appends", Counter, Calls, "Appends of this VM to the store for the VMs of its zone.", "More than five a second: report it with the log."},
+		{"appends_failed", Counter, Calls, "Such appends that failed.", "A steady rise: see the group `store`."},
+		{"appended", Counter, Records, "Records that the other appends carried.", "Divided by `appends`: the average batch size."},
+		{"archive_refused", Counter, Calls, "Calls of other VMs that were refused because too many records waited here.",
+			"Any rise: the store is slow, or there are more streams than the VMs are made for."},
+		{"archive_reads", Counter, Calls, "Calls that read the records in the store, for streams of which no VM has a record.",
+			"A rise without many VMs lost at once: report it with the log."},
+		{"archive_reads_failed", Counter, Calls, "Reads of these records that failed.", "A steady rise: see the group `store`."},
+		{"found_in_archive", Counter, Records, "Searches in the store that found a record.", noAction},
+		{"not_in_archive", Counter, Records, "Searches in the store that found none or were not answered in time.",
+			"Some for streams that began within half a second before all VMs were lost. Any other rise: see `appends_failed` and `archive_reads_failed`."},
 		{"records", Gauge, Records, "Records in memory.", "Compare with `dropped`."},
 	},
 }
 
+var buildsGroup = Group{
+	Name: "builds",
+	Help: "The history of the builds of each service's engines in the platform's store.",
+	Values: []Definition{
+		{"writes", Counter, Records, "Records that this VM wrote because the builds of a service changed.",
+			"A rise without releases: VMs see different registrations; log lines `builds of a service written` tell the builds."},
+		{"writes_failed", Counter, Records, "Records that the store did not accept. They are written again.", "A steady rise: see the group `store`."},
+		{"interruptions", Counter, Incidents, "Times that builds may have come and gone unseen, because registrations were old or this process was held up.",
+			"Compare with the group `feed`."},
+	},
+}
+
 var quarantineGroup = Group{
 	Name: "quarantine",
 	Help: "Requests and parts of prompts on which engines crash.",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,11 +17,13 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/ospreyshed/ospreyshed/internal/builds"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
+	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 	"github.com/ospreyshed/ospreyshed/internal/roles"
@@ -63,6 +65,10 @@
 	// Archive keeps verdicts on parts of prompts on which engines crash; nil if nothing
 	// does.
 	Archive quarantine.Archive
+	// Builds are the history of the builds of engines and where it is kept.
+	Builds BuildOptions
+	// Origins keeps which build began a stream; nil if nothing does.
+	Origins origin.Archive
 	// HandoverDelay is the period within which two VMs may not both give orders to
 	// engines.
 	HandoverDelay time.Duration
@@ -74,6 +80,17 @@
 	Background []func(ctx context.Context)
 }
 
+// BuildOptions are the settings of the history of builds.
+type BuildOptions struct {
+	// History is updated by the adapter with registrations and records.
+	History *builds.History
+	// Store keeps the records, Topic is the name of their topic.
+	Store builds.Store
+	Topic string
+	// Started returns the time at which a process with an incarnation started.
+	Started func(incarnation uint64) time.Time
+}
+
 // Ingress serves callers in the adapter's wire format.
 type Ingress interface {
 	http.Handler
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"github.com/ospreyshed/ospreyshed/internal/builds"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
@@ -59,6 +60,10 @@
 		Journal: noOrders{},
 		Orders:  func(*upstream.Client, *endpoint.Registry) roles.Orders { return noOrders{} },
 		Clock:   time.Now,
+		Builds: BuildOptions{
+			History: builds.NewHistory(func() uint64 { return 0 }),
+			Started: func(uint64) time.Time { return time.Now() },
+		},
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 
 	"github.com/ospreyshed/ospreyshed/internal/background"
+	"github.com/ospreyshed/ospreyshed/internal/builds"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
@@ -47,7 +48,7 @@
 		newQuarantine,
 		newPeerServer,
 	),
-	fx.Invoke(func(*peer.Server) {}),
+	fx.Invoke(func(*peer.Server) {}, runBuilds),
 )
 
 // newRegistry returns a metrics registry that contains the adapter's own metrics.
@@ -140,17 +141,38 @@
 // newOrigins returns the service by which the entry VMs remember which build began a
 // stream.
 func newOrigins(lifecycle fx.Lifecycle, options *Options, members *swim.Service, dialer *peer.HTTPDialer, registry *metrics.Registry) *origin.Service {
+	history := options.Builds.History
 	service := origin.New(origin.Params{
-		View:  members,
-		Peers: origin.NewPeers(dialer),
-		Log:   options.Log,
-		Clock: options.Clock,
+		View:     members,
+		Peers:    origin.NewPeers(dialer),
+		Log:      options.Log,
+		Clock:    options.Clock,
+		Archive:  options.Origins,
+		Archived: func(service string) bool { return history.Several(time.Now(), service) },
 	})
+	history.OnChange(service.WakeArchive)
 	registry.Mount("origin", service.Vars())
 	background.Run(lifecycle, service.Run)
 	return service
 }
 
+// runBuilds runs the service that writes the records of builds.
+func runBuilds(lifecycle fx.Lifecycle, options *Options, members *swim.Service, shared *feed.Service, registry *metrics.Registry) {
+	service := builds.NewService(builds.Params{
+		View:             members,
+		History:          options.Builds.History,
+		Store:            options.Builds.Store,
+		Log:              options.Log,
+		Clock:            options.Clock,
+		Started:          options.Builds.Started,
+		RegistrationsAge: func() time.Duration { return shared.Age(options.EndpointTopic) },
+		RecordsAge:       func() time.Duration { return shared.Age(options.Builds.Topic) },
+		Random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	registry.Mount("builds", service.Vars())
+	background.Run(lifecycle, service.Run)
+}
+
 // processes tells whether processes of engines have ended, for package quarantine.
 type processes struct {
 	*upstream.Client
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -105,6 +105,7 @@
 		Budget:       p.Budgets,
 		Client:       p.Client,
 		Origins:      p.Origins,
+		Builds:       p.Options.Builds.History,
 		Quarantine:   p.Quarantine,
 		Dialect:      p.Options.Dialect,
 		Log:          p.Options.Log,
--- a/internal/origin/bench_test.go
+++ b/internal/origin/bench_test.go
@@ -19,6 +19,7 @@
 type noPeers struct{}
 
 func (noPeers) Replicate(context.Context, membership.Member, []Copy) error { return nil }
+func (noPeers) Archive(context.Context, membership.Member, []Copy) error   { return nil }
 func (noPeers) Lookup(context.Context, membership.Member, string) (Copy, bool, error) {
 	return Copy{}, false, nil
 }
--- a/internal/origin/counters.go
+++ b/internal/origin/counters.go
@@ -33,6 +33,17 @@
 	Lookups, LookupsFailed atomic.Int64
 	// Served counts calls of other VMs that looked for a record.
 	Served atomic.Int64
+	// ArchiveCalls counts calls with records to archivers, ArchiveCallsFailed those that
+	// failed.
+	ArchiveCalls, ArchiveCallsFailed atomic.Int64
+	// Appends counts appends of this VM to the archive, AppendsFailed those that failed and
+	// Appended the records of the others. ArchiveRefused counts calls for which too many
+	// records waited.
+	Appends, AppendsFailed, Appended, ArchiveRefused atomic.Int64
+	// ArchiveReads counts calls that read the archive, ArchiveReadsFailed reads that failed.
+	ArchiveReads, ArchiveReadsFailed atomic.Int64
+	// FoundInArchive and NotInArchive count calls of FindArchived by their outcome.
+	FoundInArchive, NotInArchive atomic.Int64
 }
 
 // Vars returns the counters and the number of records in memory.
--- a/internal/origin/errors.go
+++ b/internal/origin/errors.go
@@ -15,4 +15,8 @@
 	Unconfirmed = namespace.NewType("unconfirmed")
 	// TooMany means that a call carried more records than are accepted.
 	TooMany = namespace.NewType("too-many")
+	// NotArchived means that records may not be in the archive.
+	NotArchived = namespace.NewType("not-archived")
+	// NotServed means that a VM is of a version that does not serve the call.
+	NotServed = namespace.NewType("not-served")
 )
--- a/internal/origin/rpc.go
+++ b/internal/origin/rpc.go
@@ -23,7 +23,7 @@
 
 // Replicate implements Peers.
 func (p remotePeers) Replicate(ctx context.Context, to membership.Member, records []Copy) error {
-	_, err := p.client(to).Replicate(ctx, connect.NewRequest(requestToProto(records)))
+	_, err := p.client(to).Replicate(ctx, connect.NewRequest(&originv1.ReplicateRequest{Records: recordsToProto(records)}))
 	return err
 }
 
@@ -40,6 +40,15 @@
 	return copyFromProto(response.Msg.GetRecord()), true, nil
 }
 
+// Archive implements Peers. The error is NotServed for a VM of an earlier version.
+func (p remotePeers) Archive(ctx context.Context, to membership.Member, records []Copy) error {
+	_, err := p.client(to).Archive(ctx, connect.NewRequest(&originv1.ArchiveRequest{Records: recordsToProto(records)}))
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		return NotServed.Wrap(err, "%s", to.VM)
+	}
+	return err
+}
+
 // Handler returns the handler for the peer listener.
 func (s *Service) Handler() peer.Handler {
 	path, handler := originv1connect.NewOriginServiceHandler(server{s}, peer.HandlerOptions()...)
@@ -68,12 +77,25 @@
 	return connect.NewResponse(response), nil
 }
 
-func requestToProto(records []Copy) *originv1.ReplicateRequest {
-	request := &originv1.ReplicateRequest{Records: make([]*originv1.Record, len(records))}
+// Archive implements originv1connect.OriginServiceHandler.
+func (h server) Archive(ctx context.Context, request *connect.Request[originv1.ArchiveRequest]) (*connect.Response[originv1.ArchiveResponse], error) {
+	encoded := request.Msg.GetRecords()
+	if len(encoded) > maxBatch {
+		h.service.counters.Rejected.Add(int64(len(encoded)))
+		return nil, connect.NewError(connect.CodeInvalidArgument, TooMany.New("%d records, at most %d are accepted", len(encoded), maxBatch))
+	}
+	if err := h.service.Archive(ctx, recordsFromProto(encoded)); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&originv1.ArchiveResponse{}), nil
+}
+
+func recordsToProto(records []Copy) []*originv1.Record {
+	encoded := make([]*originv1.Record, len(records))
 	for i := range records {
-		request.Records[i] = copyToProto(&records[i])
+		encoded[i] = copyToProto(&records[i])
 	}
-	return request
+	return encoded
 }
 
 func recordsFromProto(encoded []*originv1.Record) []Copy {
--- a/internal/origin/run.go
+++ b/internal/origin/run.go
@@ -22,6 +22,7 @@
 	settled bool
 	// failures is the number of failed calls since the last periodic check.
 	failures int
+	archived archived
 }
 
 // sentCopy is a copy of a record at another VM.
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ospreyshed/ospreyshed/internal/background"
+	"github.com/ospreyshed/ospreyshed/internal/cooldown"
 	"github.com/ospreyshed/ospreyshed/internal/decisionlog"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 )
@@ -34,6 +35,8 @@
 	Replicate(ctx context.Context, to membership.Member, records []Copy) error
 	// Lookup asks a member for a stream's record; false if it has none.
 	Lookup(ctx context.Context, to membership.Member, stream string) (Copy, bool, error)
+	// Archive asks a member to append records to the archive.
+	Archive(ctx context.Context, to membership.Member, records []Copy) error
 }
 
 // Params are the inputs of a Service.
@@ -43,6 +46,11 @@
 	Log   *decisionlog.Log
 	// Clock also advances while the machine is suspended.
 	Clock func() time.Time
+	// Archive keeps records beyond the life of all VMs' processes; nil if nothing does.
+	Archive Archive
+	// Archived reports whether the records of a service's streams are archived. It must not
+	// block. WakeArchive is to be called when it changes.
+	Archived func(service string) bool
 }
 
 // Service keeps records of the beginnings of streams. It is safe for concurrent use.
@@ -79,6 +87,12 @@
 	queries map[string]*query
 	// dropLogged is the time of the last log line on dropped records.
 	dropLogged time.Duration
+	sender     archiveSender
+
+	// archiveWake signals runArchive that records may be due.
+	archiveWake chan struct{}
+	appender    *archiver
+	reader      *archiveReader
 }
 
 // process identifies a start of a VM's process.
@@ -89,7 +103,7 @@
 
 // New returns a service that sends records once Run is called.
 func New(params Params) *Service {
-	return &Service{
+	s := &Service{
 		params:     params,
 		started:    params.Clock(),
 		wake:       make(chan struct{}, 1),
@@ -100,7 +114,13 @@
 		avoided:    make(map[string]time.Duration),
 		queries:    make(map[string]*query),
 		dropLogged: -Lifetime,
+
+		sender:      archiveSender{archivers: make(map[string]cooldown.Cooldown)},
+		archiveWake: make(chan struct{}, 1),
 	}
+	s.appender = newArchiver(&s.params, &s.counters)
+	s.reader = newArchiveReader(s)
+	return s
 }
 
 // Counters returns the counters of the service.
@@ -155,6 +175,10 @@
 	}
 	s.setDue(slot)
 	s.signal()
+	if s.needsArchive(slot.service.Value()) && !slot.run.archived.current(slot.run, s.params.Archive.Era()) {
+		s.setArchiveDue(slot)
+		s.WakeArchive()
+	}
 }
 
 // note counts conflicts and dropped records.
@@ -234,6 +258,12 @@
 // Run sends records and keeps their holders until ctx ends. It is called once.
 func (s *Service) Run(ctx context.Context) {
 	defer s.stop()
+	if s.params.Archive != nil {
+		var archiving sync.WaitGroup
+		defer archiving.Wait()
+		archiving.Go(func() { s.runArchive(ctx) })
+		archiving.Go(func() { s.appender.run(ctx) })
+	}
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
 	for {
@@ -244,6 +274,8 @@
 			background.Pause(ctx, batchTime)
 		case <-ticker.C:
 			s.check()
+			s.reader.expire()
+			s.WakeArchive()
 		}
 		s.dispatch(ctx, sendTimeout)
 	}
--- a/internal/origin/sim_test.go
+++ b/internal/origin/sim_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,6 +39,8 @@
 
 // simVM is one VM of a simulation. Times are zero while they do not apply.
 type simVM struct {
+	// earlier says that the VM is of a version that archives nothing.
+	earlier     bool
 	name, zone  string
 	incarnation uint64
 	service     *Service
@@ -75,12 +79,17 @@
 	// calls counts calls by caller and called VM.
 	calls   map[string]uint64
 	streams int
+
+	archive *simArchive
+	// archived says that the records of streams are archived.
+	archived atomic.Bool
 }
 
 func newSim(t *testing.T, seed uint64, zones, vmsPerZone int) *sim {
 	t.Helper()
 	s := &sim{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), log: decisionlog.Discard(), calls: make(map[string]uint64),
+		archive: &simArchive{},
 	}
 	for z := range zones {
 		for n := range vmsPerZone {
@@ -115,7 +124,10 @@
 // start starts the process of a VM, which knows nothing, unless it runs.
 func (s *sim) start(vm *simVM) {
 	ctx, cancel := context.WithCancel(context.Background())
-	service := New(Params{View: simView{s, vm}, Peers: simPeers{s, vm}, Log: s.log, Clock: time.Now})
+	service := New(Params{
+		View: simView{s, vm}, Peers: simPeers{s, vm}, Log: s.log, Clock: time.Now, Archive: s.archive,
+		Archived: func(string) bool { return s.archived.Load() },
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if vm.up() {
@@ -221,6 +233,13 @@
 	return sent
 }
 
+// isEarlier reports whether a VM is of a version that archives nothing.
+func (s *sim) isEarlier(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.vms, func(vm *simVM) bool { return vm.name == name && vm.earlier })
+}
+
 // isServing reports whether a VM serves new requests.
 func (s *sim) isServing(vm *simVM) bool {
 	s.mu.Lock()
@@ -436,10 +455,27 @@
 	if len(records) > maxBatch {
 		return TooMany.New("%d records", len(records))
 	}
-	arriving := recordsFromProto(requestToProto(records).GetRecords())
+	arriving := recordsFromProto(recordsToProto(records))
 	return p.call(ctx, to.VM, func(s *Service) { s.Accept(arriving) })
 }
 
+// Archive implements Peers.
+func (p simPeers) Archive(ctx context.Context, to membership.Member, records []Copy) error {
+	if len(records) > maxBatch {
+		return TooMany.New("%d records", len(records))
+	}
+	arriving := recordsFromProto(recordsToProto(records))
+	answers := make(chan error, 1)
+	if p.sim.isEarlier(to.VM) {
+		time.Sleep(2 * simNear)
+		return NotServed.New("%s", to.VM)
+	}
+	if err := p.call(ctx, to.VM, func(s *Service) { answers <- s.Archive(context.Background(), arriving) }); err != nil {
+		return err
+	}
+	return <-answers
+}
+
 // Lookup implements Peers.
 func (p simPeers) Lookup(ctx context.Context, to membership.Member, stream string) (Copy, bool, error) {
 	type answer struct {
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -52,10 +52,16 @@
 	}
 }
 
-// excluded returns the engines that must not be granted: those that failed the request, and those
-// that want no requests of this VM at present.
+// excluded returns the engines that must not be granted: those that failed the request, those
+// that want no requests of this VM at present, and those that may not begin the stream yet.
 func (r *Relay) excluded(g *generation) []string {
 	excluded := slices.Clone(g.exclude)
+	held, _ := r.unlisted(g)
+	for _, name := range held {
+		if !slices.Contains(excluded, name) {
+			excluded = append(excluded, name)
+		}
+	}
 	for _, e := range r.engines(g.service.Name) {
 		if r.options.Endpoints.QuietFor(e.Name) > 0 && !slices.Contains(excluded, e.Name) {
 			excluded = append(excluded, e.Name)
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -174,8 +174,12 @@
 	found    origin.Origin
 	err      error
 	searched []string
-	recorded []origin.Origin
-	ended    []string
+	// inArchive and archiveErr answer searches in the archive, which archiveSearches counts.
+	inArchive       origin.Origin
+	archiveErr      error
+	archiveSearches int
+	recorded        []origin.Origin
+	ended           []string
 }
 
 func (f *fakeOrigins) Record(o origin.Origin) {
@@ -199,6 +203,38 @@
 	return f.found, f.err
 }
 
+func (f *fakeOrigins) FindArchived(context.Context, string) (origin.Origin, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.archiveSearches++
+	return f.inArchive, f.archiveErr
+}
+
+func (f *fakeOrigins) ConfirmArchived(context.Context, string) error { return nil }
+
+// fakeBuilds answers for all services alike.
+type fakeBuilds struct {
+	mu   sync.Mutex
+	sole string
+	// held are the builds whose engines may not begin streams.
+	held map[string]bool
+}
+
+func (f *fakeBuilds) Sole(time.Time, string) (string, bool) { return f.sole, f.sole != "" }
+
+func (f *fakeBuilds) Held(_ time.Time, _, build string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held[build]
+}
+
+// list lets engines of a build begin streams.
+func (f *fakeBuilds) list(build string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.held, build)
+}
+
 // fakeAdmission admits all calls but those to endpoints with a wait.
 type fakeAdmission struct {
 	waits    map[string]time.Duration
@@ -285,6 +321,7 @@
 	endpoints *endpoint.Registry
 	reserver  *fakeReserver
 	origins   *fakeOrigins
+	builds    *fakeBuilds
 	admission fakeAdmission
 	// endpointsAge is the age of the fleet's endpoints.
 	endpointsAge time.Duration
@@ -311,7 +348,8 @@
 		fleet:     fleet.NewStore(),
 		endpoints: endpoint.NewRegistry(timeline.Discard),
 		reserver:  &fakeReserver{answers: answers},
-		origins:   &fakeOrigins{err: origin.Unknown.New("no record")},
+		origins:   &fakeOrigins{err: origin.Unknown.New("no record"), archiveErr: origin.Unknown.New("no record")},
+		builds:    &fakeBuilds{},
 
 		eventTimeout: time.Minute,
 	}
@@ -323,7 +361,7 @@
 		VM: "vm", Incarnation: 1, Zone: "a", Fleet: s.fleet, Endpoints: s.endpoints, Reserver: s.reserver,
 		EndpointsAge: func() time.Duration { return s.endpointsAge },
 		Admission:    &s.admission,
-		Budget:       &budget{left: 10}, Client: client, Origins: s.origins, Dialect: testDialect{}, Log: log,
+		Budget:       &budget{left: 10}, Client: client, Origins: s.origins, Builds: s.builds, Dialect: testDialect{}, Log: log,
 		Quarantine: startQuarantine(t, client, log),
 	})
 	return s
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -196,11 +196,17 @@
 // is refused because the target cannot be met. The error is errGiveUp.
 func (r *Relay) reserve(ctx context.Context, g *generation) (scheduling.Demand, scheduling.Grant, error) {
 	for {
+		r.awaitListed(ctx, g)
+		limited, listed, stop := r.untilListed(ctx, g)
 		demand := r.demand(g)
-		grant, err := r.options.Reserver.Reserve(ctx, demand)
+		grant, err := r.options.Reserver.Reserve(limited, demand)
+		stop()
 		if err == nil {
 			return demand, grant, nil
 		}
+		if listed() && ctx.Err() == nil {
+			continue
+		}
 		if err = r.handleRefusal(g, err); !errors.Is(err, errRetry) {
 			return demand, grant, err
 		}
@@ -245,7 +251,7 @@
 		r.returnRetry(g.exchange)
 		return r.discardGrant(g, id, grant)
 	}
-	if !g.permits(decode.Build) {
+	if !r.mayContinue(g, decode) {
 		r.returnRetry(g.exchange)
 		return r.discardWrongBuild(g, decode)
 	}
@@ -278,7 +284,7 @@
 		r.free(source)
 		return r.discardGrant(g, id, grant)
 	}
-	if !g.permits(decode.Build) {
+	if !r.mayContinue(g, decode) {
 		r.Counters.PrefillsLost.Add(1)
 		r.free(source)
 		return r.discardWrongBuild(g, decode)
@@ -333,7 +339,12 @@
 // decode engine may continue the stream.
 func (r *Relay) usable(view *fleet.View, g *generation, grant scheduling.Grant) bool {
 	decode := view.Instance(grant.Decode)
-	return r.mayUse(view.Instance(grant.Prefill)) && r.mayUse(decode) && g.permits(decode.Build)
+	return r.mayUse(view.Instance(grant.Prefill)) && r.mayUse(decode) && r.mayContinue(g, decode)
+}
+
+// mayContinue reports whether an engine's build may serve the stream.
+func (r *Relay) mayContinue(g *generation, decode *fleet.Instance) bool {
+	return g.permits(decode.Build) && !r.heldBuild(g, decode.Service, decode.Build)
 }
 
 // buildOf returns the build of an engine, empty if it is not known.
@@ -378,9 +389,12 @@
 }
 
 // discardWrongBuild excludes an engine that must not continue the stream. Owners of
-// releases that do not know of builds grant such engines.
+// releases that do not know of builds grant such engines. An engine that may not begin the
+// stream yet is excluded by each demand until it may.
 func (r *Relay) discardWrongBuild(g *generation, decode *fleet.Instance) error {
-	g.exclude = append(g.exclude, decode.Name)
+	if !g.permits(decode.Build) {
+		g.exclude = append(g.exclude, decode.Name)
+	}
 	g.refusal = "no engine of the stream's build was granted"
 	r.decide(g.exchange, "grant not used", logrus.Fields{"endpoint": decode.Name, "build": decode.Build, "required_build": g.build})
 	return errRetry
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
@@ -15,17 +18,28 @@
 	// confirmTimeout limits the wait for the holders of a stream's record before its first
 	// event, if the build has changed since the record was first sent.
 	confirmTimeout = 300 * time.Millisecond
+	// confirmArchivedTimeout limits the wait for the archive in the same case: a VM collects
+	// records for 50 ms, the archiver for 200 ms, and the store takes some.
+	confirmArchivedTimeout = 600 * time.Millisecond
 	// findShare is the share of the time that callers wait for an event that a search for
-	// their stream's build may take. The rest is for the engine.
-	findShare = 0.5
+	// their stream's build at other VMs may take, archiveShare the share that has passed when
+	// the search in the archive ends as well. The rest is for the engine.
+	findShare    = 0.5
+	archiveShare = 0.75
 	// soleBuildMaxAge is the age of the registrations from which on they do not tell that a
 	// service has a single build.
 	soleBuildMaxAge = 3 * time.Second
 	// unansweredRetryAfter is the retry delay sent to a caller whose stream's build could not
-	// be found because VMs did not respond.
+	// be found because VMs or the store did not respond.
 	unansweredRetryAfter = time.Second
+	// unlistedPoll is the time between two checks whether engines of a new build may begin
+	// streams.
+	unlistedPoll = 50 * time.Millisecond
 )
 
+// errListed means that engines of a new build may begin streams now.
+var errListed = errors.New("a build was listed")
+
 // Origins remembers which build of an engine's software began a stream. It is
 // implemented by origin.Service.
 type Origins interface {
@@ -33,6 +47,16 @@
 	End(stream string, complete bool)
 	Confirm(ctx context.Context, stream string) error
 	Find(ctx context.Context, stream string) (origin.Origin, error)
+	FindArchived(ctx context.Context, stream string) (origin.Origin, error)
+	ConfirmArchived(ctx context.Context, stream string) error
+}
+
+// Builds is the history of the builds of services. It is implemented by builds.History.
+type Builds interface {
+	// Sole returns the only build that can have begun a stream of a service, if it is proved.
+	Sole(now time.Time, service string) (string, bool)
+	// Held reports whether engines of a build may not begin streams that can be resumed yet.
+	Held(now time.Time, service, build string) bool
 }
 
 // lineage is what ties a stream that may be resumed to the build that began it.
@@ -81,24 +105,20 @@
 	if resumes := g.request.Generation.Resumes; resumes != "" {
 		g.stream = resumes
 	}
-	found, err := r.findOrigin(ctx, g)
 	fields := logrus.Fields{"stream": g.stream, "last_event": g.lastEventID}
-	if err == nil {
+	found, outcome, err := r.findBuild(ctx, g)
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	if outcome != "" {
 		g.build, g.revision = found.Build, found.Revision
 		fields["build"] = g.build
-		r.decide(g.exchange, "stream taken up", fields)
+		r.decide(g.exchange, outcome, fields)
 		return true
 	}
 	if ctx.Err() != nil {
 		return true
 	}
-	fields["error"] = err.Error()
-	if sole, ok := r.soleBuild(g.service.Name); ok {
-		g.build = sole
-		fields["build"] = sole
-		r.decide(g.exchange, "stream taken up at the only build", fields)
-		return true
-	}
 	r.Counters.Untraced.Add(1)
 	r.decide(g.exchange, "stream not traced", fields)
 	refusal := Refusal{Reason: "the build that began the stream is not known"}
@@ -109,6 +129,31 @@
 	return false
 }
 
+// findBuild determines the build that began a stream: by the record that VMs have, by the
+// proof that there has been one build only, or by the record in the archive. The outcome is
+// empty if it is not known; the error then is Unknown if all VMs and the archive responded.
+func (r *Relay) findBuild(ctx context.Context, g *generation) (found origin.Origin, outcome string, err error) {
+	found, err = r.findOrigin(ctx, g)
+	if err == nil {
+		return found, "stream taken up", nil
+	}
+	if ctx.Err() != nil {
+		return origin.Origin{}, "", err
+	}
+	if sole, ok := r.soleBuild(g.service.Name); ok {
+		return origin.Origin{Build: sole}, "stream taken up at the only build", err
+	}
+	found, archiveErr := r.findArchived(ctx, g)
+	if archiveErr == nil {
+		r.Counters.TracedByArchive.Add(1)
+		return found, "stream taken up by its record in the store", err
+	}
+	if !errorx.IsOfType(archiveErr, origin.Unknown) {
+		err = archiveErr
+	}
+	return origin.Origin{}, "", err
+}
+
 // findOrigin searches for the record of the stream that a caller takes up.
 func (r *Relay) findOrigin(ctx context.Context, g *generation) (origin.Origin, error) {
 	if wait := g.request.EventTimeout; wait > 0 {
@@ -119,13 +164,89 @@
 	return r.options.Origins.Find(ctx, g.stream)
 }
 
+// findArchived searches for the record of the stream in the archive.
+func (r *Relay) findArchived(ctx context.Context, g *generation) (origin.Origin, error) {
+	if wait := g.request.EventTimeout; wait > 0 {
+		limited, cancel := context.WithDeadline(ctx, g.request.Arrived.Add(time.Duration(archiveShare*float64(wait))))
+		defer cancel()
+		ctx = limited
+	}
+	return r.options.Origins.FindArchived(ctx, g.stream)
+}
+
 // soleBuild returns the only build that may have begun a stream of a service, false if
-// there are several or the registrations are too old to tell.
+// there are several, if that is not proved or if the registrations are too old to tell.
 func (r *Relay) soleBuild(service string) (string, bool) {
 	if r.options.EndpointsAge() > soleBuildMaxAge {
 		return "", false
 	}
-	return r.options.Fleet.SoleBuild(service, time.Now())
+	return r.options.Builds.Sole(time.Now(), service)
+}
+
+// heldBuild reports whether an engine may not begin the stream yet, because a VM that starts
+// would not know of its build.
+func (r *Relay) heldBuild(g *generation, service, build string) bool {
+	return g.stream != "" && !g.begun && r.options.Builds.Held(time.Now(), service, build)
+}
+
+// unlisted returns the decode engines that may not begin the stream yet, and whether no other
+// one can.
+func (r *Relay) unlisted(g *generation) (held []string, all bool) {
+	if g.stream == "" || g.begun {
+		return nil, false
+	}
+	view := r.options.Fleet.View()
+	all = true
+	for _, e := range view.Engines(g.service.Name, configuration.RoleDecode, "") {
+		switch {
+		case !r.mayUse(view.Instance(e.Name)):
+		case r.heldBuild(g, e.Service, e.Build):
+			held = append(held, e.Name)
+		default:
+			all = false
+		}
+	}
+	return held, all && len(held) > 0
+}
+
+// awaitListed waits while only engines of unlisted builds could begin the stream.
+func (r *Relay) awaitListed(ctx context.Context, g *generation) {
+	_, all := r.unlisted(g)
+	if all {
+		r.Counters.HeldForBuilds.Add(1)
+		r.decide(g.exchange, "stream waits for its build to be listed", nil)
+	}
+	for all && ctx.Err() == nil {
+		background.Pause(ctx, unlistedPoll)
+		_, all = r.unlisted(g)
+	}
+}
+
+// untilListed returns a context that ends when the number of engines that may not begin the
+// stream falls below that of a demand, so that the demand can name them. The second function
+// reports whether it has ended for that.
+func (r *Relay) untilListed(ctx context.Context, g *generation) (limited context.Context, listed func() bool, stop func()) {
+	held, _ := r.unlisted(g)
+	if len(held) == 0 {
+		return ctx, func() bool { return false }, func() {}
+	}
+	limited, cancel := context.WithCancelCause(ctx)
+	watched := g.detached()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for limited.Err() == nil {
+			background.Pause(limited, unlistedPoll)
+			if now, _ := r.unlisted(watched); len(now) < len(held) {
+				cancel(errListed)
+			}
+		}
+	}()
+	listed = func() bool { return errors.Is(context.Cause(limited), errListed) }
+	return limited, listed, func() {
+		cancel(nil)
+		<-done
+	}
 }
 
 // recordOrigin records the build of an engine before the request is sent to it.
@@ -146,9 +267,15 @@
 		return
 	}
 	g.begun = true
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	limited, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if err := r.options.Origins.Confirm(ctx, g.stream); err != nil {
+	err := r.options.Origins.Confirm(limited, g.stream)
+	limited, cancelArchived := context.WithTimeout(ctx, confirmArchivedTimeout)
+	defer cancelArchived()
+	if archiveErr := r.options.Origins.ConfirmArchived(limited, g.stream); archiveErr != nil {
+		err = archiveErr
+	}
+	if err != nil {
 		r.decide(g.exchange, "build of the stream not confirmed", logrus.Fields{"stream": g.stream, "build": g.build, "error": err.Error()})
 	}
 }
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -66,30 +66,98 @@
 	assert.DeepEqual(t, s.origins.ended, []string{"r0:true"})
 }
 
-// A stream whose build nobody knows could get events of two builds.
+// A stream whose build nobody knows could get events of two builds. A process that had just
+// started took the only registered build for the only one that could have begun it.
 func TestUntracedStreamGoesOnOnlyIfThereIsOneBuild(t *testing.T) {
+	const refused = "refused: the build that began the stream is not known"
+	unknown, late := origin.Unknown.New("none"), origin.Incomplete.New("late")
 	for _, c := range []struct {
-		name       string
-		builds     map[string]string
-		age        time.Duration
-		err        error
-		outcome    string
-		retryAfter time.Duration
+		name              string
+		builds            map[string]string
+		sole              string
+		age               time.Duration
+		found, inArchive  error
+		outcome           string
+		retryAfter        time.Duration
+		searchesInArchive int
 	}{
-		{"one build", oneBuild, 0, origin.Unknown.New("none"), "stream", 0},
-		{"one build, outdated endpoints", oneBuild, soleBuildMaxAge + 1, origin.Unknown.New("none"), "refused: the build that began the stream is not known", 0},
-		{"two builds", twoBuilds, 0, origin.Unknown.New("none"), "refused: the build that began the stream is not known", 0},
-		{"two builds, VMs did not respond", twoBuilds, 0, origin.Incomplete.New("late"), "refused: the build that began the stream is not known", unansweredRetryAfter},
+		{"one build", oneBuild, "v1", 0, unknown, unknown, "stream", 0, 0},
+		{"one build, VMs and store did not respond", oneBuild, "v1", 0, late, late, "stream", 0, 0},
+		{"one build, not proved", oneBuild, "", 0, unknown, unknown, refused, 0, 1},
+		{"one build, outdated endpoints", oneBuild, "v1", soleBuildMaxAge + 1, unknown, unknown, refused, 0, 1},
+		{"two builds", twoBuilds, "", 0, unknown, unknown, refused, 0, 1},
+		{"two builds, VMs did not respond", twoBuilds, "", 0, late, unknown, refused, unansweredRetryAfter, 1},
+		{"two builds, store did not respond", twoBuilds, "", 0, unknown, late, refused, unansweredRetryAfter, 1},
+		{"two builds, in the archive", twoBuilds, "", 0, late, nil, "stream", 0, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newFixture(t, grant("p1", "e1"))
 			s.engines(answers(http.StatusOK, "h1"), events(3))
 			s.setBuilds(c.builds)
-			s.origins.err = c.err
+			s.builds.sole = c.sole
+			s.origins.err, s.origins.archiveErr = c.found, c.inArchive
+			s.origins.inArchive = origin.Origin{Stream: "r0", Build: "v1", Revision: 2}
 			s.endpointsAge = c.age
 			caller := s.serve(check, takenUp)
 			assert.Equal(t, caller.outcome, c.outcome)
 			assert.Equal(t, caller.retryAfter, c.retryAfter)
+			assert.Equal(t, s.origins.archiveSearches, c.searchesInArchive)
+		})
+	}
+}
+
+// A stream that the archive names must go on at the build that began it.
+func TestStreamGoesOnAtTheBuildOfTheArchive(t *testing.T) {
+	s := newFixture(t, grant("p2", "e2"))
+	s.engines(answers(http.StatusOK, "h1"), events(3))
+	s.setBuilds(twoBuilds)
+	s.origins.inArchive, s.origins.archiveErr = origin.Origin{Stream: "r0", Build: "v2", Revision: 3}, nil
+	assert.Equal(t, s.serve(check, takenUp).outcome, "stream")
+	assert.Equal(t, s.reserver.demands[0].Build, "v2")
+	assert.DeepEqual(t, s.origins.recorded, []origin.Origin{{Stream: "r0", Service: "pool", Build: "v2", Revision: 3}})
+}
+
+// A VM that started after a kill of all VMs would not know of a build that no record lists.
+func TestEngineOfAnUnlistedBuildBeginsNoStream(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), events(3))
+	s.setBuilds(twoBuilds)
+	s.builds.held = map[string]bool{"v2": true}
+	assert.Equal(t, s.serve(check, work).outcome, "stream")
+	assert.DeepEqual(t, s.reserver.demands[0].Exclude, []string{"e2"})
+}
+
+// A grant may name an engine that was registered after the demand was made.
+func TestGrantOfAnUnlistedBuildIsNotUsed(t *testing.T) {
+	s := newFixture(t, grant("p2", "e2"), grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), events(3))
+	s.setBuilds(twoBuilds)
+	s.builds.held = map[string]bool{"v2": true}
+	assert.Equal(t, s.serve(check, work).outcome, "stream")
+	assert.Assert(t, !strings.Contains(s.callLog(), "e2:"), s.callLog())
+}
+
+// Streams must not be refused, nor wait in the queue of the last engine of the former build,
+// when engines of a new build may serve a moment later.
+func TestStreamsWaitForABuildToBeListed(t *testing.T) {
+	for name, held := range map[string][]string{"all builds": {"v1", "v2"}, "new build": {"v2"}} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, nil, grant("p2", "e2"))
+			if len(held) == 2 {
+				s = newFixture(t, grant("p2", "e2"))
+			}
+			s.engines(answers(http.StatusOK, "h1"), events(3))
+			s.setBuilds(twoBuilds)
+			s.builds.held = make(map[string]bool)
+			for _, build := range held {
+				s.builds.held[build] = true
+			}
+			go func() {
+				s.reserver.awaitDemands(2 - len(held))
+				s.builds.list("v2")
+			}()
+			assert.Equal(t, s.serve(check, work).outcome, "stream")
+			assert.Equal(t, strings.Contains(s.callLog(), "e2:"), true, s.callLog())
 		})
 	}
 }
@@ -182,6 +250,7 @@
 	s := newImpatientFixture(t, grant("p1", "e1"))
 	s.engines(answers(http.StatusOK, "h1"), events(3))
 	s.setBuilds(oneBuild)
+	s.builds.sole = "v1"
 	s.relay.options.Origins = silentOrigins{s.origins}
 	assert.Equal(t, s.serve(check, takenUp).outcome, "stream")
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,6 +91,7 @@
 	Budget       Budget
 	Client       *upstream.Client
 	Origins      Origins
+	Builds       Builds
 	Quarantine   Quarantine
 	Dialect      Dialect
 	Log          *decisionlog.Log
@@ -123,6 +124,12 @@
 	Resumed, Broken atomic.Int64
 	// Untraced counts streams that callers took up and whose build is not known.
 	Untraced atomic.Int64
+	// TracedByArchive counts streams that callers took up and whose build was found in the
+	// archive.
+	TracedByArchive atomic.Int64
+	// HeldForBuilds counts streams that waited because no engine of a listed build could
+	// begin them.
+	HeldForBuilds atomic.Int64
 	// AtLimit counts endpoints that were not chosen because of the limit that they name.
 	AtLimit atomic.Int64
 	// HeldBack counts requests that were not sent because engines crash on a part of their
