--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -20,6 +20,7 @@
 	storeAnswersGroup,
 	feedGroup,
 	originGroup,
+	buildsGroup,
 	quarantineGroup,
 	quarantineShareGroup,
 	quarantineArchiveGroup,
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -107,6 +107,7 @@
 		Budget:       p.Budgets,
 		Client:       p.Client,
 		Origins:      p.Origins,
+		Builds:       p.Options.Builds.History,
 		Quarantine:   p.Quarantine,
 		Quotas:       p.Quotas,
 		Dialect:      p.Options.Dialect,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,6 +94,7 @@
 	Budget       Budget
 	Client       *upstream.Client
 	Origins      Origins
+	Builds       Builds
 	Quarantine   Quarantine
 	// Quotas may be nil if no request has a team with a limit.
 	Quotas  Quotas
@@ -128,6 +129,12 @@
 	Resumed, Broken atomic.Int64
 	// Untraced counts streams that callers took up and whose build is not known.
 	Untraced atomic.Int64
+	// TracedByArchive counts streams that callers took up and whose build was found in the
+	// archive.
+	TracedByArchive atomic.Int64
+	// HeldForBuilds counts streams that waited because no engine of a listed build could
+	// begin them.
+	HeldForBuilds atomic.Int64
 	// AtLimit counts endpoints that were not chosen because of the limit that they name.
 	AtLimit atomic.Int64
 	// Overfull counts endpoints that were not chosen because they probably had declined the request.
