Bound the memory that is held for callers and endpoints

Cause: bodies, buffered answers and events were held without a common bound, and a caller that takes a few bytes now and then could hold an answer for as long as its stream lasted.

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -265,6 +265,13 @@
 	b.serveWaiting()
 }
 
+// CountPassedOn counts an answer that is passed on because it does not fit.
+func (h *Holder) CountPassedOn() {
+	if h != nil {
+		h.budget.Counters.PassedOn.Add(1)
+	}
+}
+
 // Close returns all that the holder has. Later reservations fail.
 func (h *Holder) Close() {
 	if h == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
@@ -44,9 +45,11 @@
 	// entry VMs.
 	RetryRatio, RetrySlack float64
 	// Fleet is the state of the fleet, updated by the adapter.
-	Fleet   *fleet.Store
-	Dialect relay.Dialect
-	Log     *decisionlog.Log
+	Fleet *fleet.Store
+	// InFlight bounds the bytes of requests that endpoints hold; nil sets no bound.
+	InFlight *membudget.Endpoints
+	Dialect  relay.Dialect
+	Log      *decisionlog.Log
 	// Ingress returns the adapter's handler for callers.
 	Ingress func(*relay.Relay, *feed.Service) Ingress
 	// EndpointTopic is the name of the topic of the endpoints' registrations.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -18,6 +18,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
 	"github.com/ospreyshed/ospreyshed/internal/roles"
@@ -68,6 +69,7 @@
 	// The adapter supplies these groups.
 	options.Vars = map[string]*expvar.Map{
 		"store": new(expvar.Map), "store_answers": metrics.NewLatency().Vars(), "team": metrics.Fields(new(team.Counters)),
+		"membudget": metrics.Fields(new(membudget.Counters)),
 	}
 	n := New(options)
 	assert.NilError(t, n.Start(t.Context()))
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -104,6 +104,7 @@
 		Admission:    p.Reservations,
 		Budget:       p.Budgets,
 		Client:       p.Client,
+		InFlight:     p.Options.InFlight,
 		Origins:      p.Origins,
 		Quarantine:   p.Quarantine,
 		Dialect:      p.Options.Dialect,
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -53,7 +53,7 @@
 	}
 	g.mayHaveRun = true
 	if response.Status != http.StatusOK {
-		return true, r.handleErrorStatus(g, to, response)
+		return true, r.handleErrorStatus(ctx, g, to, response)
 	}
 	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started, attempt: attempt}
 	return true, stream.forward(ctx, response)
@@ -138,12 +138,16 @@
 }
 
 // handleErrorStatus handles an error response of an engine and keeps it for the caller.
-func (r *Relay) handleErrorStatus(g *generation, to *configuration.Endpoint, response *upstream.Response) error {
+func (r *Relay) handleErrorStatus(ctx context.Context, g *generation, to *configuration.Endpoint, response *upstream.Response) error {
 	r.observe(g, to, false)
-	body, err := readWhole(response)
+	buffer := &answerBuffer{memory: g.request.Memory}
+	err := buffer.read(response, waitForMemory(ctx, g.request.Memory))
 	r.decide(g.exchange, "engine failed the request", logrus.Fields{"endpoint": to.Name, "status": response.Status})
 	if err == nil && !g.headerSent {
-		g.answer = &Answer{Status: response.Status, Header: response.Header, Body: body}
+		g.answer.release()
+		g.answer = &Answer{Status: response.Status, Header: response.Header, Body: buffer.bytes, buffer: buffer}
+	} else {
+		buffer.release()
 	}
 	g.exclude = append(g.exclude, to.Name)
 	return g.retryUnlessSingleRun()
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
+	"sync/atomic"
+
+	"github.com/ospreyshed/ospreyshed/internal/membudget"
 )
 
 const (
@@ -21,10 +25,23 @@
 	lastID string
 	// events counts the events that were returned since the last call of takeEventCount.
 	events int
+	// memory counts the buffer; nil sets no bound. A wait for memory ends with ctx.
+	memory *membudget.Holder
+	ctx    context.Context
+	// size is the size of the buffer's array.
+	size int
+	// waiting is set while the reader waits for memory.
+	waiting atomic.Bool
 }
 
 func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: source, buffer: make([]byte, 0, eventBufferBytes)}
+	return &eventReader{source: source, ctx: context.Background()}
+}
+
+// release returns the memory of the buffer.
+func (e *eventReader) release() {
+	e.memory.Release(int64(e.size))
+	e.size = 0
 }
 
 // next returns all complete events that have arrived, at least one. It returns io.EOF
@@ -49,10 +66,14 @@
 
 // fill reads more bytes into the buffer.
 func (e *eventReader) fill() error {
-	if cap(e.buffer)-len(e.buffer) < eventBufferBytes/4 {
-		grown := make([]byte, len(e.buffer), max(eventBufferBytes, 2*len(e.buffer)+eventBufferBytes))
-		copy(grown, e.buffer)
-		e.buffer = grown
+	if cap(e.buffer)-len(e.buffer) < eventBufferBytes/4 || e.oversized() {
+		if e.oversized() {
+			// The smaller array fits into the guaranteed part, so that there is no wait.
+			e.release()
+		}
+		if err := e.resize(min(2*len(e.buffer)+eventBufferBytes, maxEventBytes+2*eventBufferBytes)); err != nil {
+			return err
+		}
 	}
 	n, err := e.source.Read(e.buffer[len(e.buffer):cap(e.buffer)])
 	e.buffer = e.buffer[:len(e.buffer)+n]
@@ -65,6 +86,27 @@
 	return err
 }
 
+// oversized reports whether the buffer holds memory beyond the guaranteed part that it no longer
+// needs.
+func (e *eventReader) oversized() bool {
+	return e.memory != nil && e.size > membudget.AnswerBytes && len(e.buffer) <= eventBufferBytes
+}
+
+// resize moves the bytes into an array of another size. It waits until there is memory for it.
+func (e *eventReader) resize(size int) error {
+	e.waiting.Store(true)
+	err := e.memory.Reserve(e.ctx, int64(size))
+	e.waiting.Store(false)
+	if err != nil {
+		return err
+	}
+	moved := make([]byte, len(e.buffer), size)
+	copy(moved, e.buffer)
+	e.release()
+	e.buffer, e.size = moved, size
+	return nil
+}
+
 // lastEventEnd returns the end of the last complete event, 0 if there is none.
 func lastEventEnd(b []byte) int {
 	end := 0
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -138,6 +138,8 @@
 // concludePlain gives the final answer after the last attempt.
 func (r *Relay) concludePlain(x *exchange) {
 	switch {
+	case x.passage != nil:
+		r.concludePassage(x)
 	case x.answer != nil:
 		r.deliver(x, x.answer)
 	case x.mayHaveRun:
@@ -172,7 +174,7 @@
 		attempt.Settle(ctx)
 	}
 	if err != nil {
-		return r.handlePlainError(x, to, err)
+		return r.handlePlainError(x, to, err) || x.passage != nil
 	}
 	if verdict.OtherInstance {
 		x.sends--
@@ -185,6 +187,10 @@
 	}
 	x.mayHaveRun = true
 	attempt.Answer()
+	if x.passage != nil {
+		return true
+	}
+	x.answer.release()
 	x.answer = answer
 	return answer.Status < http.StatusInternalServerError || x.route.RunsOnce()
 }
@@ -226,31 +232,37 @@
 // call sends the request to an endpoint and returns its complete response. A response
 // that belongs to another request yields an InDoubt error.
 func (r *Relay) call(ctx context.Context, x *exchange, to *configuration.Endpoint, call *Call, timeout time.Duration) (*Answer, Verdict, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
 	response, verdict, err := r.open(ctx, x, to, call)
 	if err != nil {
 		return nil, verdict, err
 	}
 	defer response.Close()
-	body, err := readWhole(response)
-	if err != nil && ctx.Err() != nil {
-		return nil, verdict, upstream.GivenUp.Wrap(err, "answer of %s", to.Name)
+	buffer := &answerBuffer{memory: x.request.Memory}
+	if call.Stage == Prefill {
+		err = buffer.read(response, waitForMemory(ctx, x.request.Memory))
+	} else {
+		err = buffer.read(response, tryForMemory(x.request.Memory))
+	}
+	if errors.Is(err, errNoMemory) {
+		if !verdict.NotRun && timer.Reset(x.timeLeft()+lateDelivery) {
+			err = r.passOn(ctx, x, response, buffer)
+		}
+		buffer.release()
 	}
-	if err != nil {
-		return nil, verdict, upstream.InDoubt.Wrap(err, "answer of %s", to.Name)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		err = upstream.GivenUp.Wrap(err, "answer of %s", to.Name)
+	case err != nil && !errors.Is(err, errNoMemory):
+		err = upstream.InDoubt.Wrap(err, "answer of %s", to.Name)
+	default:
+		return &Answer{Status: response.Status, Header: response.Header, Body: buffer.bytes, buffer: buffer}, verdict, nil
 	}
-	return &Answer{Status: response.Status, Header: response.Header, Body: body}, verdict, nil
-}
-
-// readWhole reads a response to its end. The error is io.ErrShortBuffer if it is longer
-// than maxAnswerBytes.
-func readWhole(response *upstream.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		return nil, io.ErrShortBuffer
-	}
-	return body, err
+	buffer.release()
+	return nil, verdict, err
 }
 
 // open sends the request to an endpoint and returns its response, which must be
@@ -267,6 +279,10 @@
 	if err := r.permit(to.Name); err != nil {
 		return nil, Verdict{}, err
 	}
+	end, ok := r.options.InFlight.Begin(to.Name, int64(len(x.request.Body)), r.options.Fleet.View().VMCount())
+	if !ok {
+		return nil, Verdict{}, upstream.Withheld.New("%s has as many bytes of requests as it may", to.Name)
+	}
 	call.InstanceID = instance.ID
 	call.Timeout = x.timeLeft()
 	if call.Stage != Prefill {
@@ -289,10 +305,12 @@
 	})
 	if err != nil {
 		if ctx.Err() != nil && errorx.IsOfType(err, upstream.InDoubt) {
-			r.decide(x, "answer not awaited", logrus.Fields{"endpoint": to.Name, "waited_ms": time.Since(sent).Milliseconds(), "reason": ctx.Err().Error()})
+			r.decide(x, "answer not awaited", logrus.Fields{"endpoint": to.Name, "waited_ms": time.Since(sent).Milliseconds(), "reason": context.Cause(ctx).Error()})
 		}
+		end()
 		return nil, Verdict{}, err
 	}
+	response.OnClose = end
 	verdict := r.options.Dialect.Judge(x.request, call, response)
 	r.observeVerdict(x, to, &verdict, sent)
 	if verdict.Foreign {
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -42,6 +42,7 @@
 	r.reportLeaving(id, to, verdict)
 	r.reportLimit(g, id, to, verdict, started)
 	result, err := r.prefillResult(answer, verdict, err)
+	answer.release()
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
@@ -90,10 +91,12 @@
 	Admission    Admission
 	Budget       Budget
 	Client       *upstream.Client
-	Origins      Origins
-	Quarantine   Quarantine
-	Dialect      Dialect
-	Log          *decisionlog.Log
+	// InFlight bounds the bytes of requests that endpoints hold; nil sets no bound.
+	InFlight   *membudget.Endpoints
+	Origins    Origins
+	Quarantine Quarantine
+	Dialect    Dialect
+	Log        *decisionlog.Log
 }
 
 // Counters count requests and attempts. The zero value is ready to use.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/team"
@@ -45,6 +46,8 @@
 	EventTimeout time.Duration
 	// Generation is nil for requests that are not served by a model.
 	Generation *Generation
+	// Memory counts what is held of answers; nil if there is no bound.
+	Memory *membudget.Holder
 }
 
 // Generation describes the work of a request that is served by a model.
@@ -88,6 +91,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// buffer is what holds the body, nil if its memory is not counted.
+	buffer *answerBuffer
 }
 
 // Caller receives the final answer to one request.
@@ -201,6 +206,9 @@
 	// answer is the last complete response of an endpoint; an error response is
 	// delivered only if no further attempt yields a better one.
 	answer *Answer
+	// passage is set if an answer was passed on to the caller while it was read; no other
+	// answer may follow.
+	passage *passage
 	// refusal is the reason why the request did not run. It stems from the last
 	// endpoint tried, if there was one.
 	refusal string
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -55,8 +55,15 @@
 func (s *stream) forward(ctx context.Context, response *upstream.Response) error {
 	events := newEventReader(response)
 	events.lastID = s.generation.lastEventID
+	reading, stopReading := context.WithCancel(ctx)
+	defer stopReading()
+	events.memory, events.ctx = s.generation.request.Memory, reading
+	defer events.release()
 	pump := startEventPump(events)
-	defer pump.close(response.Abort)
+	defer pump.close(func() {
+		stopReading()
+		response.Abort()
+	})
 	defer func() { s.sought.withdraw() }()
 	silence := newSilenceTimer(silenceLimit(s.generation.request))
 	defer silence.timer.Stop()
@@ -73,7 +80,7 @@
 			silence.reset(silence.limit)
 			pump.resume()
 		case <-silence.timer.C:
-			if silence.paused() {
+			if silence.paused() || events.waiting.Load() {
 				silence.reset(silence.tolerance())
 			} else if s.handleSilence(ctx); s.sought == nil && s.mayMoveLater() {
 				silence.reset(seekInterval)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -225,6 +225,8 @@
 	Header http.Header
 	// Framed is set if a length or chunks distinguish the body's end from a truncation.
 	Framed bool
+	// OnClose is called once by Close, unless it is nil.
+	OnClose func()
 
 	conn    *conn
 	head    *http.Response
@@ -262,6 +264,9 @@
 		return
 	}
 	r.closed = true
+	if r.OnClose != nil {
+		defer r.OnClose()
+	}
 	active := r.stop()
 	if !active || !r.sawEOF || !r.reusable() || r.conn.endLongBody() != nil {
 		r.conn.close()
