--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -21,6 +21,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
@@ -293,6 +294,9 @@
 	instances    []fleet.Instance
 	// eventTimeout is how long callers wait for an event.
 	eventTimeout time.Duration
+	// body is that of requests; memory counts their answers, nil if there is no bound.
+	body   []byte
+	memory *membudget.Holder
 	// served counts the requests, no two of which are the same but for their IDs.
 	served atomic.Int64
 	mu     sync.Mutex
@@ -407,6 +411,7 @@
 	request := &Request{
 		ID: "r1", Method: http.MethodPost, Target: "/x/" + strconv.FormatInt(s.served.Add(1), 10), Host: "a.example", Header: http.Header{},
 		Arrived: time.Now(), Timeout: time.Minute, EventTimeout: s.eventTimeout, Generation: generation,
+		Body: s.body, Memory: s.memory,
 	}
 	s.relay.Serve(ctx, request, &route, s.fleet.Table().Service(service), caller)
 }
