--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -106,6 +106,7 @@
 		Admission:    p.Reservations,
 		Budget:       p.Budgets,
 		Client:       p.Client,
+		InFlight:     p.Options.InFlight,
 		Origins:      p.Origins,
 		Builds:       p.Options.Builds.History,
 		Quarantine:   p.Quarantine,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
@@ -93,9 +94,11 @@
 	Admission    Admission
 	Budget       Budget
 	Client       *upstream.Client
-	Origins      Origins
-	Builds       Builds
-	Quarantine   Quarantine
+	// InFlight bounds the bytes of requests that endpoints hold; nil sets no bound.
+	InFlight   *membudget.Endpoints
+	Origins    Origins
+	Builds     Builds
+	Quarantine Quarantine
 	// Quotas may be nil if no request has a team with a limit.
 	Quotas  Quotas
 	Dialect Dialect
