Order anonymous requests like those of teams

Cause: on a deployment with teams a request without a key made a demand without strict order, which could pass a blocked urgent one for up to 250 ms. Change: where keys are checked, all demands are strict. Measured: the relay's tests of demands, retry delays and keys pass.

--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -70,7 +70,10 @@
 
 // strict reports whether urgency precedes everything else in the order of service. Without
 // teams a request is ordered by priority, waiting time and the time that its caller has left.
-func (g *generation) strict() bool { return g.request.Team != nil }
+// A request without a key on an anonymous route competes with those of teams.
+func (g *generation) strict() bool {
+	return g.request.Team != nil || g.request.Reauthenticate != nil
+}
 
 // retryWithin returns the longest retry delay that the caller heeds.
 func (g *generation) retryWithin() time.Duration {
