Send late repeatable plain requests to a second endpoint

Change: the relay runs the attempts of a repeatable request on copies of its state and starts a second one after the route's quantile. The first good answer wins and the other call is cancelled. A hedge takes from the operator's limit and the retry budget, counts toward maxAttempts and passes the checks before any call. The check of a request's key may now be asked by two attempts at once. A call that is cancelled while its connection is opened no longer marks the endpoint as unreachable, and returns its retry.

Measured: go test -race of hedge, endpoint, node, metrics, docs and cmd/ospreyshedd passes. In internal/relay TestSilentStreamIsLeftOnlyOnceAnotherEngineTakesIt fails, as it did before this change (10 runs each, all failed, load average 23); all others pass.

--- a/cmd/ospreyshedd/main.go
+++ b/cmd/ospreyshedd/main.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ospreyshed/ospreyshed/internal/daemon"
+	"github.com/ospreyshed/ospreyshed/internal/hedge"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
 	"github.com/ospreyshed/ospreyshed/internal/version"
 	"github.com/ospreyshed/ospreyshed/platform"
@@ -25,18 +26,32 @@
 	exitUsage  = 2
 )
 
+// maxHedgeBurst limits the burst of hedges to one second of the requests of 400 VMs with a margin of five.
+const maxHedgeBurst = 10_000
+
 // options are the daemon's command-line options.
 type options struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings in JSON with comments; see docs/operations/settings.md"`
 	Version  bool   `long:"version" description:"print the version and exit"`
+
+	HedgeShare float64 `long:"hedge-share" value-name:"SHARE" description:"hedges per request of a service, from 0 (off) to 1, over all entry VMs; on the platform only"`
+	HedgeBurst int     `long:"hedge-burst" value-name:"CALLS" default:"100" description:"hedges of a service on top of the share, over all entry VMs; at least their number, so that each may hedge"`
+}
+
+// hedging checks and returns the limit on hedges.
+func (o *options) hedging() (hedge.Settings, error) {
+	if !(o.HedgeShare >= 0 && o.HedgeShare <= 1) {
+		return hedge.Settings{}, fmt.Errorf("--hedge-share: %v is not between 0 and 1", o.HedgeShare)
+	}
+	if o.HedgeBurst < 1 || o.HedgeBurst > maxHedgeBurst {
+		return hedge.Settings{}, fmt.Errorf("--hedge-burst: %d is not between 1 and %d calls", o.HedgeBurst, maxHedgeBurst)
+	}
+	return hedge.Settings{Share: o.HedgeShare, Burst: o.HedgeBurst}, nil
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if file, ok := platform.SettingsFile(); ok && len(args) == 0 {
-		return servePlatform(file)
-	}
 	var opts options
 	parser := flags.NewNamedParser("ospreyshedd", flags.HelpFlag)
 	parser.ShortDescription = "Serves callers on an entry VM"
@@ -44,25 +59,47 @@
 		return fail(err)
 	}
 	rest, err := parser.ParseArgs(args)
+	platformFile, onPlatform := platform.SettingsFile()
+	onPlatform = onPlatform && opts.Settings == ""
 	var flagsErr *flags.Error
 	switch {
 	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
 		fmt.Println(flagsErr.Message)
 		return exitOK
-	case err != nil || len(rest) > 0 || (opts.Settings == "" && !opts.Version):
-		fmt.Fprintln(os.Stderr, "usage: ospreyshedd --settings FILE")
-		return exitUsage
+	case err != nil:
+		return usage(err.Error())
+	case len(rest) > 0 || (opts.Settings == "" && !onPlatform && !opts.Version):
+		return usage("")
 	case opts.Version:
 		fmt.Println(version.Version)
 		return exitOK
 	}
+	hedging, err := opts.hedging()
+	if err != nil {
+		return usage(err.Error())
+	}
+	if onPlatform {
+		return servePlatform(platformFile, hedging)
+	}
+	if hedging.Enabled() {
+		return usage("--hedge-share: requests are hedged on the users' platform only, not with --settings")
+	}
 	return serve(opts.Settings)
 }
 
+// usage reports a problem with the command line, if it is not empty, and how the command is used.
+func usage(problem string) int {
+	if problem != "" {
+		fmt.Fprintln(os.Stderr, problem)
+	}
+	fmt.Fprintln(os.Stderr, "usage: ospreyshedd --settings FILE")
+	return exitUsage
+}
+
 // servePlatform runs the daemon with the settings file of the hosting platform until
 // SIGTERM.
-func servePlatform(settingsFile string) int {
-	if err := platform.Run(settingsFile); err != nil {
+func servePlatform(settingsFile string, hedging hedge.Settings) int {
+	if err := platform.Run(settingsFile, hedging); err != nil {
 		return fail(err)
 	}
 	return exitOK
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -15,6 +15,7 @@
 	relayFirstEventsGroup,
 	relayQueuesGroup,
 	teamGroup,
+	hedgeGroup,
 	upstreamGroup,
 	storeGroup,
 	storeAnswersGroup,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/hedge"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/relay"
@@ -43,6 +44,9 @@
 	// RetryRatio and RetrySlack are the retry budget of a service, summed over all
 	// entry VMs.
 	RetryRatio, RetrySlack float64
+	// Hedging is the limit on hedges of a service, summed over all entry VMs; it is off in
+	// the zero value.
+	Hedging hedge.Settings
 	// Fleet is the state of the fleet, updated by the adapter.
 	Fleet   *fleet.Store
 	Dialect relay.Dialect
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -15,6 +15,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/hedge"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
@@ -120,8 +121,8 @@
 
 // newFeed returns the service by which the entry VMs of a zone share what one of them
 // reads from the platform's store.
-func newFeed(lifecycle fx.Lifecycle, options *Options, members *swim.Service, dialer *peer.HTTPDialer, budgets *retry.Shared, registry *metrics.Registry) *feed.Service {
-	events := Events{EntryVMs: func(vms []fleet.EntryVM) { applyEntryVMs(options, members, budgets, vms) }}
+func newFeed(lifecycle fx.Lifecycle, options *Options, members *swim.Service, dialer *peer.HTTPDialer, budgets *retry.Shared, hedger *hedge.Hedger, registry *metrics.Registry) *feed.Service {
+	events := Events{EntryVMs: func(vms []fleet.EntryVM) { applyEntryVMs(options, members, budgets, hedger, vms) }}
 	service := feed.New(feed.Params{
 		View:    members,
 		Store:   options.Store,
@@ -229,14 +230,17 @@
 }
 
 // applyEntryVMs applies a new list of entry VMs that have announced themselves.
-func applyEntryVMs(options *Options, members *swim.Service, budgets *retry.Shared, vms []fleet.EntryVM) {
+func applyEntryVMs(options *Options, members *swim.Service, budgets *retry.Shared, hedger *hedge.Hedger, vms []fleet.EntryVM) {
 	options.Fleet.SetEntryVMs(vms)
 	budgets.Divide(max(len(vms), len(members.Members())))
+	names := make([]string, len(vms))
 	addresses := make(map[string]string, len(vms))
-	for _, vm := range vms {
+	for i, vm := range vms {
+		names[i] = vm.Name
 		if vm.Name != options.VM {
 			addresses[vm.Name] = vm.Address
 		}
 	}
+	hedger.SetVMs(names)
 	members.SetCandidates(addresses)
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -12,6 +12,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/hedge"
 	"github.com/ospreyshed/ospreyshed/internal/membership"
 	"github.com/ospreyshed/ospreyshed/internal/membership/swim"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
@@ -43,7 +44,7 @@
 // relayModule provides the request path, and runs the balancer of engine roles and
 // the adapter's background work.
 var relayModule = fx.Module("relay",
-	fx.Provide(newClient, newBudgets, newRelay, newIngress),
+	fx.Provide(newClient, newBudgets, newHedger, newRelay, newIngress),
 	fx.Invoke(runBackground, runBalancer),
 )
 
@@ -78,6 +79,13 @@
 	return retry.NewShared(options.RetryRatio, options.RetrySlack)
 }
 
+// newHedger returns what is needed to hedge requests; the relay gets it only if the operator allows hedges.
+func newHedger(options *Options, registry *metrics.Registry) *hedge.Hedger {
+	hedger := hedge.New(options.VM, options.Hedging, nil)
+	registry.Mount("hedge", metrics.Fields(&hedger.Counters))
+	return hedger
+}
+
 // relayParams are the dependencies of the relay.
 type relayParams struct {
 	fx.In
@@ -85,6 +93,7 @@
 	Endpoints    *endpoint.Registry
 	Reservations *reservation.Service
 	Budgets      *retry.Shared
+	Hedger       *hedge.Hedger
 	Client       *upstream.Client
 	Registry     *metrics.Registry
 	Origins      *origin.Service
@@ -93,6 +102,10 @@
 }
 
 func newRelay(p relayParams) *relay.Relay {
+	hedger := p.Hedger
+	if !p.Options.Hedging.Enabled() {
+		hedger = nil
+	}
 	r := relay.New(relay.Options{
 		VM:           p.Options.VM,
 		Incarnation:  p.Options.Incarnation,
@@ -106,6 +119,7 @@
 		Client:       p.Client,
 		Origins:      p.Origins,
 		Quarantine:   p.Quarantine,
+		Hedger:       hedger,
 		Dialect:      p.Options.Dialect,
 		Log:          p.Options.Log,
 	})
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -14,6 +14,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
+	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
@@ -53,7 +54,7 @@
 		}
 		r.logChoice(x, chosen)
 		x.exclude = append(x.exclude, chosen.Name)
-		final := r.tryPlain(ctx, x, chosen, candidates)
+		final := r.tryHedged(ctx, x, chosen, candidates)
 		if ctx.Err() != nil {
 			r.callerGone(x)
 			return
@@ -150,9 +151,15 @@
 // tryPlain sends the request to one endpoint. It returns true if no other endpoint
 // may be tried.
 func (r *Relay) tryPlain(ctx context.Context, x *exchange, to *configuration.Endpoint, group []*configuration.Endpoint) bool {
+	return r.runPlain(ctx, x, to, group, x.suspect.Begin(to.Name, to.Address))
+}
+
+// runPlain is tryPlain with the quarantine's record of the attempt.
+func (r *Relay) runPlain(
+	ctx context.Context, x *exchange, to *configuration.Endpoint, group []*configuration.Endpoint, attempt *quarantine.Attempt,
+) bool {
 	defer r.options.Endpoints.Begin(to.Name)()
 	started := time.Now()
-	attempt := x.suspect.Begin(to.Name, to.Address)
 	answer, verdict, err := r.call(ctx, x, to, &Call{Stage: Whole}, r.attemptTimeout(x))
 	if verdict.Load != nil {
 		r.options.Endpoints.ObserveLoad(to.Name, verdict.Load.Running+verdict.Load.Waiting)
@@ -171,6 +178,12 @@
 	if err != nil && !x.route.RunsOnce() {
 		attempt.Settle(ctx)
 	}
+	if err != nil && ctx.Err() != nil && errorx.IsOfType(err, upstream.NotSent) {
+		// The attempt was cancelled while its connection was opened, which says nothing of the endpoint.
+		x.sends--
+		r.returnRetry(x)
+		return false
+	}
 	if err != nil {
 		return r.handlePlainError(x, to, err)
 	}
@@ -285,6 +298,9 @@
 		Late: func(response *upstream.Response) {
 			verdict := r.options.Dialect.Judge(x.request, call, response)
 			r.observeVerdict(x, to, &verdict, sent)
+			if verdict.Load != nil && call.Stage == Whole {
+				r.options.Endpoints.ObserveLoad(to.Name, verdict.Load.Running+verdict.Load.Waiting)
+			}
 		},
 	})
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/hedge"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
@@ -44,6 +45,10 @@
 	// Stats returns the figures on which the choice of an endpoint is based.
 	Stats(name string) endpoint.Stats
 	Observe(name string, group []string, ok bool, latency time.Duration)
+	// Available reports whether an endpoint may get a hedge.
+	Available(name string) bool
+	// ObserveOvertaken records that a hedge was answered before a call to the endpoint.
+	ObserveOvertaken(name string)
 }
 
 // Reserver assigns engines to generation requests.
@@ -92,8 +97,10 @@
 	Client       *upstream.Client
 	Origins      Origins
 	Quarantine   Quarantine
-	Dialect      Dialect
-	Log          *decisionlog.Log
+	// Hedger is nil if requests are not hedged.
+	Hedger  *hedge.Hedger
+	Dialect Dialect
+	Log     *decisionlog.Log
 }
 
 // Counters count requests and attempts. The zero value is ready to use.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -29,7 +29,7 @@
 	Team *team.Team
 	// Reauthenticate returns the team of the request's key by the configuration in force, or why the
 	// request must not be sent. It is asked until an endpoint may have run the request; nil if
-	// requests need no key.
+	// requests need no key. It is safe for concurrent use.
 	Reauthenticate func() (*team.Team, *Refusal)
 	// Target and Host are sent to endpoints unchanged.
 	Target string
