--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -4,12 +4,20 @@
 // reasons.
 package hedge
 
-import "sync/atomic"
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
 
 // maxUtilization is the share of slots in use from which no request is hedged. Hedges take at most the
 // operator's share of the rest, and queues grow steeply only beyond it.
 const maxUtilization = 0.7
 
+// loadAveraging is the time constant of the average of the utilization.
+const loadAveraging = 5 * time.Second
+
 // Counters count hedges. The zero value is ready to use.
 type Counters struct {
 	// Sent counts hedges that were sent, Won those whose answer was the first good one, Wasted the
@@ -26,11 +34,40 @@
 	*Tracker
 	// Counters are read by the metrics.
 	Counters Counters
+
+	mu    sync.Mutex
+	loads map[string]averageLoad
 }
 
 // New returns the hedger of a VM. Speeds may be nil.
 func New(vm string, settings Settings, speeds Speeds) *Hedger {
-	return &Hedger{Limiter: NewLimiter(vm, settings), Tracker: NewTracker(settings, speeds)}
+	return &Hedger{
+		Limiter: NewLimiter(vm, settings), Tracker: NewTracker(settings, speeds), loads: make(map[string]averageLoad),
+	}
+}
+
+// Loaded reports whether the endpoints of a service are too busy for hedges. It is asked for each request that
+// is late. The utilization is averaged: at 90 %, a moment at which a third of the slots seem free is chance.
+func (h *Hedger) Loaded(now time.Time, service string, endpoints []Candidate) bool {
+	current := utilization(endpoints)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	load, known := h.loads[service]
+	if !known {
+		// A single moment does not show that there is room.
+		load = averageLoad{now, 1}
+	}
+	weight := 1 - math.Exp(-float64(now.Sub(load.at))/float64(loadAveraging))
+	load.utilization += weight * (current - load.utilization)
+	load.at = now
+	h.loads[service] = load
+	return load.utilization >= maxUtilization
+}
+
+// averageLoad is the averaged utilization of a service's endpoints as of a time.
+type averageLoad struct {
+	at          time.Time
+	utilization float64
 }
 
 // Candidate is an endpoint that may get a hedge.
@@ -45,14 +82,16 @@
 	Speed float64
 }
 
-// Loaded reports whether the endpoints of a service are too busy for hedges.
-func Loaded(endpoints []Candidate) bool {
-	requests, slots := 0.0, 0
+// utilization returns the share of the slots that are in use.
+func utilization(endpoints []Candidate) float64 {
+	busy, slots := 0.0, 0.0
 	for i := range endpoints {
-		requests += endpoints[i].Requests
-		slots += max(1, endpoints[i].Slots)
+		of := float64(max(1, endpoints[i].Slots))
+		slots += of
+		// A long queue at one slow endpoint does not use the slots of others.
+		busy += min(of, endpoints[i].Requests)
 	}
-	return requests >= maxUtilization*float64(slots)
+	return busy / max(1, slots)
 }
 
 // shared returns a measure of what an endpoint shares with another. A machine is the most likely cause of
--- a/internal/hedge/tracker.go
+++ b/internal/hedge/tracker.go
@@ -97,11 +97,12 @@
 	pruned    time.Time
 }
 
-// NewTracker returns a tracker for a limit. Requests are hedged after the quantile that as many
-// requests exceed as the limit allows hedges. Speeds may be nil; the tracker then estimates them.
+// NewTracker returns a tracker for a limit. Requests are hedged after the quantile that half of the share that
+// the limit allows exceed at usual endpoints; the other half is left for slow endpoints, most of whose requests
+// exceed it. Speeds may be nil; the tracker then estimates them.
 func NewTracker(settings Settings, speeds Speeds) *Tracker {
 	return &Tracker{
-		quantile:  min(maxQuantile, max(minQuantile, percent*(1-settings.Share))),
+		quantile:  min(maxQuantile, max(minQuantile, percent*(1-settings.Share/2))),
 		speeds:    speeds,
 		routes:    make(map[string]*latencies),
 		endpoints: make(map[string]*recent),
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -227,7 +227,7 @@
 	if _, held := x.suspect.Held(); held {
 		return nil
 	}
-	if hedge.Loaded(r.hedgeCandidates(r.options.Fleet.View().Plain(x.service.Name))) {
+	if h.Loaded(time.Now(), x.service.Name, r.hedgeCandidates(r.options.Fleet.View().Plain(x.service.Name))) {
 		h.Counters.HeldByLoad.Add(1)
 		return nil
 	}
