Tell a cancelled call from one that has timed out in the hedge test

Cause: with the deliberate fault 'loser not cancelled' the test passed after 30 s, because the attempt's own time limit ended the call at that time.

Change: the test waits 10 s, a third of that limit.

--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -73,7 +73,7 @@
 	assert.Equal(t, s.serve(lookup, nil).body, "quick")
 	select {
 	case <-cancelled:
-	case <-time.After(30 * time.Second):
+	case <-time.After(10 * time.Second): // The attempt by itself would end after 30 s.
 		t.Fatal("the call that lost was not cancelled")
 	}
 	c := &s.relay.options.Hedger.Counters
