Merge hedging, and read the answers of hedged requests whole

Late repeatable plain requests are sent to a second endpoint within the operator's limit; it is off by default. With the memory budget of the part on slow readers, two attempts of one request could both have passed a large answer on to the caller while they read it; answers of hedged requests are now read whole.

--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -16,6 +16,7 @@
 	relayQueuesGroup,
 	teamGroup,
 	membudgetGroup,
+	hedgeGroup,
 	upstreamGroup,
 	storeGroup,
 	storeAnswersGroup,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/hedge"
 	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
@@ -46,6 +47,9 @@
 	// RetryRatio and RetrySlack are the retry budget of a service, summed over all
 	// entry VMs.
 	RetryRatio, RetrySlack float64
+	// Hedging is the limit on hedges of a service, summed over all entry VMs; it is off in
+	// the zero value.
+	Hedging hedge.Settings
 	// Fleet is the state of the fleet, updated by the adapter.
 	Fleet *fleet.Store
 	// InFlight bounds the bytes of requests that endpoints hold; nil sets no bound.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/fleet"
+	"github.com/ospreyshed/ospreyshed/internal/hedge"
 	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/metrics"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
@@ -48,6 +49,10 @@
 	// Stats returns the figures on which the choice of an endpoint is based.
 	Stats(name string) endpoint.Stats
 	Observe(name string, group []string, ok bool, latency time.Duration)
+	// Available reports whether an endpoint may get a hedge.
+	Available(name string) bool
+	// ObserveOvertaken records that a hedge was answered before a call to the endpoint.
+	ObserveOvertaken(name string)
 }
 
 // Reserver assigns engines to generation requests.
@@ -100,7 +105,9 @@
 	Builds     Builds
 	Quarantine Quarantine
 	// Quotas may be nil if no request has a team with a limit.
-	Quotas  Quotas
+	Quotas Quotas
+	// Hedger is nil if requests are not hedged.
+	Hedger  *hedge.Hedger
 	Dialect Dialect
 	Log     *decisionlog.Log
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -30,7 +30,7 @@
 	Team *team.Team
 	// Reauthenticate returns the team of the request's key by the configuration in force, or why the
 	// request must not be sent. It is asked until an endpoint may have run the request; nil if
-	// requests need no key.
+	// requests need no key. It is safe for concurrent use.
 	Reauthenticate func() (*team.Team, *Refusal)
 	// Target and Host are sent to endpoints unchanged.
 	Target string
@@ -212,6 +212,9 @@
 	// answer is the last complete response of an endpoint; an error response is
 	// delivered only if no further attempt yields a better one.
 	answer *Answer
+	// buffered is set while another attempt of the request may run: an answer must then be read
+	// whole before it is used, since only one of two may reach the caller.
+	buffered bool
 	// passage is set if an answer was passed on to the caller while it was read; no other
 	// answer may follow.
 	passage *passage
