--- a/cmd/ospreyshedd/main_test.go
+++ b/cmd/ospreyshedd/main_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/jessevdk/go-flags"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -269,3 +270,23 @@
 		assert.Assert(t, strings.Contains(string(output), want), "%q is missing in\n%s", want, output)
 	}
 }
+
+// A limit that is out of range, or asked for where it has no effect, must be refused and not ignored.
+func TestLimitOnHedgesIsChecked(t *testing.T) {
+	for _, c := range []struct {
+		arguments []string
+		want      string
+	}{
+		{[]string{"--hedge-share", "1.5"}, "--hedge-share: 1.5 is not between 0 and 1"},
+		{[]string{"--hedge-share", "NaN"}, "--hedge-share: NaN is not between 0 and 1"},
+		{[]string{"--hedge-share", "-0.1"}, "--hedge-share: -0.1 is not between 0 and 1"},
+		{[]string{"--hedge-share", "0.1", "--hedge-burst", "0"}, "--hedge-burst: 0 is not between 1 and 10000 calls"},
+	} {
+		var opts options
+		_, err := flags.NewParser(&opts, flags.None).ParseArgs(c.arguments)
+		assert.NilError(t, err)
+		_, err = opts.hedging()
+		assert.Error(t, err, c.want)
+	}
+	assert.Equal(t, run([]string{"--settings", "any", "--hedge-share", "0.1"}), exitUsage)
+}
