--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -117,13 +117,14 @@
 	other, _ := budget.Open(membudget.AnswerBytes)
 	assert.NilError(t, other.Reserve(t.Context(), 20<<10))
 	s.engines(answers(http.StatusOK, "h"), answers(http.StatusOK, largeEvent))
-	done := make(chan *recorder)
+	done := make(chan *recorder, 1)
 	go func() {
 		caller := &recorder{}
 		s.serveTo(context.Background(), caller, check, work)
 		done <- caller
 	}()
 	for counters.Waits.Load() < 2 {
+		assert.Equal(t, len(done), 0, "the stream did not wait for memory")
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(2 * s.eventTimeout)
