Let each next VM wait longer before it writes the record of builds

Cause: after a change of the store's era two VMs wrote the record in 5 of 21 runs of TestOneVMWritesEachChange beside load: the second VM in the order may notice the change up to 200 ms before the first, and the first one's record takes 0.9 s to arrive, together more than the 1 s between two VMs. Change: 1.5 s. A VM that the store turns away is followed within the 2 s for which engines of an unlisted build wait. Measured: 25 runs of the test and of TestNextVMWritesIfTheFirstCannot with -race pass.

--- a/internal/builds/service.go
+++ b/internal/builds/service.go
@@ -23,8 +23,9 @@
 	// writeTimeout bounds a write.
 	writeTimeout = 2 * time.Second
 	// rankDelay is the time by which each VM in the order waits longer than the one before
-	// it. The first VM's record is read within about this time.
-	rankDelay = time.Second
+	// it. The first VM notices a change up to checkPeriod after the second one, and its record
+	// takes nearly a second to reach all VMs.
+	rankDelay = 1500 * time.Millisecond
 	// startDelay and firstDelay are the times after its start for which a VM writes no
 	// record, or none for a service without one, because it may not know all members.
 	startDelay, firstDelay = time.Second, 2 * time.Second
