Count the silence of an engine anew after a wait for memory

Cause: TestWaitForMemoryIsNoSilence failed once beside load: an engine that could not be read for want of memory counted as silent if the limit passed between the end of the wait and the delivery of its event. The test's limit of 50 ms also passed before the wait on a busy machine.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/ospreyshed/ospreyshed/internal/membudget"
 )
@@ -14,6 +15,9 @@
 	eventBufferBytes = 2 << 10
 	// maxEventBytes limits the size of one event.
 	maxEventBytes = 1 << 20
+	// minMemoryWait is the time from which on a reservation counts as a wait for memory. One that
+	// is granted at once takes far less.
+	minMemoryWait = 10 * time.Millisecond
 )
 
 // eventReader splits a text/event-stream into complete events. Bytes after the last
@@ -30,8 +34,10 @@
 	ctx    context.Context
 	// size is the size of the buffer's array.
 	size int
-	// waiting is set while the reader waits for memory.
+	// waiting is set while the reader waits for memory, waits counts the waits of minMemoryWait
+	// or more that have ended.
 	waiting atomic.Bool
+	waits   atomic.Int64
 }
 
 func newEventReader(source io.Reader) *eventReader {
@@ -95,7 +101,11 @@
 // resize moves the bytes into an array of another size. It waits until there is memory for it.
 func (e *eventReader) resize(size int) error {
 	e.waiting.Store(true)
+	began := time.Now()
 	err := e.memory.Reserve(e.ctx, int64(size))
+	if time.Since(began) >= minMemoryWait {
+		e.waits.Add(1)
+	}
 	e.waiting.Store(false)
 	if err != nil {
 		return err
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -110,7 +110,9 @@
 // A stream that waits for memory is not one of a silent engine; to prepare others would cost a
 // prefill and a retry for nothing.
 func TestWaitForMemoryIsNoSilence(t *testing.T) {
-	s := newImpatientFixture(t, grant("p1", "e1"))
+	s := newFixture(t, grant("p1", "e1"))
+	// Long enough for the start of the stream on a busy machine, which is no wait for memory.
+	s.eventTimeout = time.Second
 	counters := new(membudget.Counters)
 	budget := membudget.New(membudget.Limits{Guaranteed: 2 * membudget.AnswerBytes, Turn: 1 << 20}, counters)
 	s.memory, _ = budget.Open(membudget.AnswerBytes)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -69,6 +69,7 @@
 	defer func() { s.sought.withdraw() }()
 	silence := newSilenceTimer(silenceLimit(s.generation.request))
 	defer silence.timer.Stop()
+	waits := events.waits.Load()
 	for {
 		select {
 		case b := <-pump.batches:
@@ -84,6 +85,10 @@
 		case <-silence.timer.C:
 			if silence.paused() || events.waiting.Load() {
 				silence.reset(silence.tolerance())
+			} else if ended := events.waits.Load(); ended != waits {
+				// The engine could not be read for a while. It has the whole time from now on.
+				waits = ended
+				silence.reset(silence.limit)
 			} else if s.handleSilence(ctx); s.sought == nil && s.mayMoveLater() {
 				silence.reset(seekInterval)
 			}
