--- a/internal/builds/doc.go
+++ b/internal/builds/doc.go
@@ -3,7 +3,7 @@
 // software.
 //
 // A History merges the registrations that this VM observes with the record that the VMs
-// keep in the platform's store, and says what may be concluded at a time: whether one build
+// keep in the platform's store, and decides what may be concluded at a time: whether one build
 // alone can have begun the streams of a service, and whether an engine may begin a stream
 // that can be resumed. A Service writes the record: the first VM by rendezvous hashing does,
 // the others after a delay.
--- a/internal/builds/history.go
+++ b/internal/builds/history.go
@@ -13,7 +13,7 @@
 // within this time unless the store is down; then no new registration arrives either.
 const HoldTime = 2 * time.Second
 
-// History is what this VM knows of the builds of services. It is safe for concurrent use.
+// History is what this VM holds about the builds of services. It is safe for concurrent use.
 // Times are those of time.Now; differences between own observations are monotonic.
 type History struct {
 	// era returns the latest known era of the store.
@@ -262,7 +262,7 @@
 }
 
 // Sole returns the build of all engines of a service, if no other can have begun a stream
-// that is still taken up: this VM has observed the service for Memory, or the record says
+// that is still taken up: this VM has observed the service for Memory, or the record shows
 // so. It returns false if there is no engine.
 func (h *History) Sole(now time.Time, name string) (string, bool) {
 	h.mu.Lock()
@@ -296,7 +296,7 @@
 }
 
 // Held reports whether engines of a build get no streams that may be resumed yet: a VM that
-// starts would not know of the build.
+// starts would hold no trace of the build.
 func (h *History) Held(now time.Time, name, build string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -342,7 +342,7 @@
 	Urgent, First bool
 }
 
-// Changes returns the records that are to be written, sorted by service. Beginning says that
+// Changes returns the records that are to be written, sorted by service. Beginning means that
 // no VM has run for longer than Memory, so that a service without a record has just begun.
 func (h *History) Changes(now time.Time, beginning bool) []Change {
 	h.mu.Lock()
--- a/internal/builds/history_test.go
+++ b/internal/builds/history_test.go
@@ -14,7 +14,7 @@
 	builds []string
 }
 
-// A stream whose record nobody has may go on only if no other build can have begun it.
+// A stream whose record no VM has may go on only if no other build can have begun it.
 func TestSoleBuildIsTheOnlyOneThatMayHaveBegunAStream(t *testing.T) {
 	start := time.Now()
 	ago := func(d time.Duration) time.Time { return start.Add(-d) }
@@ -90,7 +90,7 @@
 	assert.Assert(t, ok)
 }
 
-// A VM that starts after a kill of all VMs would not know of a build that no record lists.
+// A VM that starts after a kill of all VMs would have no trace of a build that no record lists.
 func TestUnlistedBuildIsHeldForALimitedTime(t *testing.T) {
 	start := time.Now()
 	one, both := map[string][]string{"pool": {"v1"}}, map[string][]string{"pool": {"v1", "v2"}}
--- a/internal/builds/service.go
+++ b/internal/builds/service.go
@@ -27,7 +27,7 @@
 	// takes nearly a second to reach all VMs.
 	rankDelay = 1500 * time.Millisecond
 	// startDelay and firstDelay are the times after its start for which a VM writes no
-	// record, or none for a service without one, because it may not know all members.
+	// record, or none for a service without one, because its view may lack members.
 	startDelay, firstDelay = time.Second, 2 * time.Second
 	// leftDelay is the time for which a record must have differed if it lacks no build that
 	// serves. The registrations of this VM may be a moment older than the record.
--- a/internal/endpoint/facts.go
+++ b/internal/endpoint/facts.go
@@ -22,7 +22,7 @@
 	Load     Load
 	// ServiceTime is the usual service time; 0 if not known.
 	ServiceTime time.Duration
-	// QueueKnown says that the endpoint declined requests while QueueLength others waited.
+	// QueueKnown means that the endpoint declined requests while QueueLength others waited.
 	QueueKnown  bool
 	QueueLength int
 	// Age is the time since the endpoint stated the load.
--- a/internal/endpoint/overfill.go
+++ b/internal/endpoint/overfill.go
@@ -17,7 +17,7 @@
 	// its slots; it falls with the square of the length. Such a queue runs empty between two
 	// renewals, and a slot that is idle costs more than a decline.
 	shortQueueExcess = 1.4
-	// minSending is the least share of requests that is sent, so that answers go on to tell
+	// minSending is the least share of requests that is sent, so that answers go on to show
 	// whether the endpoint is still full.
 	minSending = 0.05
 	// zoneSumsAge is the age up to which the sums of the zone are used.
@@ -29,7 +29,7 @@
 	// minSum is the least number of requests in a sum from which a ratio is derived.
 	minSum = 8
 	// minExpectedWait and maxExpectedWait bound the time after which a request that was not
-	// sent is told to return. Bursts last for seconds.
+	// sent is asked to return. Bursts last for seconds.
 	minExpectedWait = 50 * time.Millisecond
 	maxExpectedWait = time.Second
 )
--- a/internal/endpoint/overfill_sim_test.go
+++ b/internal/endpoint/overfill_sim_test.go
@@ -39,12 +39,12 @@
 	vms int
 	// peaks lets the demand of each zone in turn be three times that of the others, for 4 s.
 	peaks bool
-	// remaining is the part of the declines that may remain; 0 says that there are hardly any.
+	// remaining is the part of the declines that may remain; 0 means that there are hardly any.
 	remaining float64
 	// perSecond returns the arrivals per second of all callers.
 	perSecond func(at time.Duration) float64
 	// slow is the factor by which the first server is slower than the others; statesSlowdown
-	// says that endpoints state their slowdowns.
+	// is set if endpoints state their slowdowns.
 	slow           float64
 	statesSlowdown bool
 	// alone makes VMs choose by what they observe themselves and send all requests.
@@ -375,7 +375,7 @@
 }
 
 // Guards against figures that grow old with the number of VMs. It also reports what
-// docs/CAPACITY.md says of messages: each VM sends four renewals a second, as it does anyway.
+// docs/CAPACITY.md states about messages: each VM sends four renewals a second, as it does anyway.
 func TestAgeOfFiguresDoesNotGrowWithTheVMs(t *testing.T) {
 	for _, vms := range []int{30, 100, 300} {
 		load := poolLoad{servers: 6, queue: 24, perSecond: steady(6, 0.7), vms: vms}
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -40,7 +40,7 @@
 	// did not send them, and those that the endpoint ran. demandAt is the time of the last change.
 	offered, accepted float64
 	demandAt          time.Time
-	// own are the sums of this VM, zone those of its zone as this VM last learned them.
+	// own are the sums of this VM, zone those of its zone as this VM last received them.
 	own, zone sums
 	// quietUntil is the time until which the endpoint wants no requests of this VM.
 	quietUntil       time.Time
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -12,7 +12,7 @@
 )
 
 // maxUtilization is the share of slots in use from which no request is hedged. Hedges take at most the
-// operator's share of the rest, and queues grow steeply only beyond it.
+// operator's share of the remainder, and queues grow steeply only beyond it.
 const maxUtilization = 0.7
 
 // loadAveraging is the time constant of the average of the utilization.
--- a/internal/hedge/limiter_test.go
+++ b/internal/hedge/limiter_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// vms returns limiters of VMs that know each other.
+// vms returns limiters of VMs that are in each other's lists.
 func vms(count int, settings Settings) []*Limiter {
 	names := make([]string, count)
 	for i := range names {
@@ -73,7 +73,7 @@
 	assert.Equal(t, hedges, 60*10)
 }
 
-// A process that does not know its part, or was removed from the list, must not add to the sum.
+// A process that has no part, or was removed from the list, must not add to the sum.
 func TestUnlistedVMHedgesNothing(t *testing.T) {
 	l := NewLimiter("a", Settings{1, 10})
 	assert.Equal(t, demand([]*Limiter{l}, 10), 0)
--- a/internal/hedge/simulation_test.go
+++ b/internal/hedge/simulation_test.go
@@ -73,7 +73,7 @@
 	return f.rate * math.Exp(-float64(now-f.at)/float64(5*time.Second))
 }
 
-// simulation drives the decisions of this package over VMs that know the load of endpoints from answers only.
+// simulation drives the decisions of this package over VMs that receive the load of endpoints with answers only.
 type simulation struct {
 	random    *rand.Rand
 	now       time.Duration
--- a/internal/hedge/tracker.go
+++ b/internal/hedge/tracker.go
@@ -13,7 +13,7 @@
 	// A VM gets 4 to 5 requests a second; this gives the quantile of a route at least 30 of them.
 	window  = 15 * time.Second
 	windows = 2
-	// minRouteSamples is the number of latencies below which a route has no quantile. 30 tell
+	// minRouteSamples is the number of latencies below which a route has no quantile. 30 show
 	// a quantile of 95 % from the longest value.
 	minRouteSamples = 30
 	// minSpeedSamples is the number of latencies below which an endpoint counts as usual.
@@ -26,13 +26,13 @@
 	// ratioUnit is the resolution of speeds, maxRatio the largest that is recorded.
 	ratioUnit, maxRatio = 0.01, 100
 	// minQuantile and maxQuantile bound the quantile in percent. Below 80, hedges would mostly go
-	// to requests whose answer is due; above 99, the samples do not tell it.
+	// to requests whose answer is due; above 99, the samples do not show it.
 	minQuantile, maxQuantile = 80.0, 99.0
 	median                   = 50.0
 	percent                  = 100
 )
 
-// Speeds tells the speed of endpoints.
+// Speeds returns the speed of endpoints.
 type Speeds interface {
 	// Speed returns the usual time of work at an endpoint, divided by that at the usual endpoint; 0 if it is
 	// not known.
@@ -134,7 +134,7 @@
 
 // ObserveAtLeast records that an endpoint had not answered after a time. It counts as an answer at that
 // time if it is longer than the route's median: without it, an endpoint whose slow answers are all
-// cancelled would seem as fast as others. A shorter one tells nothing.
+// cancelled would seem as fast as others. A shorter one carries no information.
 func (t *Tracker) ObserveAtLeast(now time.Time, route, endpoint string, waited time.Duration) {
 	t.mu.Lock()
 	l := t.routes[route]
--- a/internal/origin/archive_send.go
+++ b/internal/origin/archive_send.go
@@ -34,7 +34,7 @@
 	archivePauses = cooldown.Bounds{First: 200 * time.Millisecond, Longest: 2 * time.Second}
 )
 
-// archiveSender is what a VM knows of the archivers of its zone. The service's lock guards it.
+// archiveSender is what a VM holds about the archivers of its zone. The service's lock guards it.
 type archiveSender struct {
 	// due are the streams whose records wait to be sent.
 	due []string
--- a/internal/origin/archive_test.go
+++ b/internal/origin/archive_test.go
@@ -194,7 +194,7 @@
 func TestArchiveUnderFaultsOfTheStore(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// fault begins before the record is made, mend ends it; lost says what a search ends
+		// fault begins before the record is made, mend ends it; lost is what a search ends
 		// with after that, nil if it finds the record.
 		fault, mend func(a *simArchive)
 		lost        *errorx.Type
--- a/internal/origin/sim_test.go
+++ b/internal/origin/sim_test.go
@@ -39,7 +39,7 @@
 
 // simVM is one VM of a simulation. Times are zero while they do not apply.
 type simVM struct {
-	// earlier says that the VM is of a version that archives nothing.
+	// earlier is set if the VM is of a version that archives nothing.
 	earlier     bool
 	name, zone  string
 	incarnation uint64
@@ -81,7 +81,7 @@
 	streams int
 
 	archive *simArchive
-	// archived says that the records of streams are archived.
+	// archived is set if the records of streams are archived.
 	archived atomic.Bool
 }
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -53,7 +53,7 @@
 	heldUntil, creditAt time.Time
 	heldCost            int64
 	heldYields          bool
-	// owner is the VM that answered last, established what it said of itself.
+	// owner is the VM that answered last, established what it reported of itself.
 	owner       string
 	established bool
 	// next is the VM to be asked, as of a revision of the order.
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -10,13 +10,13 @@
 
 const (
 	// askWindow is the time for which a VM that asked counts as one that asks. VMs without
-	// requests tell an owner of themselves every presencePeriod.
+	// requests report to an owner every presencePeriod.
 	askWindow = 1500 * time.Millisecond
 	// longestRefusal bounds how long a VM refuses requests without asking, and the time over
 	// which the times named to VMs are spread.
 	longestRefusal = 500 * time.Millisecond
 	// reservationGrace is how long credit is kept for a request that does not ask again at the
-	// time that it was told. It covers a call between zones and a pause of its VM.
+	// time that it was given. It covers a call between zones and a pause of its VM.
 	reservationGrace = 100 * time.Millisecond
 	// minWait is added to the times that are named, so that rounding makes no request ask too
 	// early.
@@ -32,7 +32,7 @@
 	// defaultBurst is the burst of a quota without one, as time at its rate. A bucket that holds
 	// nothing would admit nothing.
 	defaultBurst = time.Second
-	// unknownWait is named if an owner has no credit to give and cannot tell when it will.
+	// unknownWait is named if an owner has no credit to give and cannot predict when it will.
 	unknownWait = 500 * time.Millisecond
 )
 
--- a/internal/quota/check.go
+++ b/internal/quota/check.go
@@ -93,13 +93,13 @@
 	}
 }
 
-// delivery is what one VM is to be told.
+// delivery is what is to be sent to one VM.
 type delivery struct {
 	request *quotav1.TakeRequest
 	teams   []string
 }
 
-// deliver gives credit back to its lenders, and tells owners that are not established that this
+// deliver gives credit back to its lenders, and reports to owners that are not established that this
 // VM would ask them.
 func (s *Service) deliver(ctx context.Context) {
 	s.mu.Lock()
@@ -134,7 +134,7 @@
 	}
 }
 
-// presenceDue reports whether an owner is to be told that this VM would ask it.
+// presenceDue reports whether this VM is to report its presence to an owner.
 func (s *Service) presenceDue(now time.Time, a *account, next string) bool {
 	if a.owner == next && a.established || now.Sub(a.used) > accountIdleTime {
 		return false
@@ -148,7 +148,7 @@
 	return &quotav1.Return{Team: name, Units: l.units, LeasedBy: l.incarnation}
 }
 
-// send tells a VM in the background. What cannot be sent is lost: it must not arrive twice. The
+// send calls a VM in the background. What cannot be sent is lost: it must not arrive twice. The
 // lock must be held.
 func (s *Service) send(ctx context.Context, members []membership.Member, vm string, d *delivery) {
 	if vm == s.params.VM {
@@ -173,7 +173,7 @@
 	})
 }
 
-// noteOwners notes what an owner said of itself in the answer to empty claims. The lock must be
+// noteOwners notes what an owner reported of itself in the answer to empty claims. The lock must be
 // held.
 func (s *Service) noteOwners(vm string, teams []string, response *quotav1.TakeResponse) {
 	leases := response.GetLeases()
--- a/internal/quota/claim.go
+++ b/internal/quota/claim.go
@@ -18,7 +18,7 @@
 	maxSilent, maxCalls = 2, 4
 )
 
-// answer is what an owner said to a claim.
+// answer is the response of an owner to a claim.
 type answer struct {
 	units int64
 	// lender is the process that leased the units, taken the time from which they count.
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -11,7 +11,7 @@
 	// pauseLimit is the time without observations after which an owner begins anew: it was held
 	// up, and VMs have asked the next owner meanwhile.
 	pauseLimit = time.Second
-	// bucketIdleTime is the time after which a bucket is dropped that nobody asks for.
+	// bucketIdleTime is the time after which an unused bucket is dropped.
 	bucketIdleTime = time.Minute
 )
 
@@ -115,7 +115,7 @@
 	return min(1, float64(b.askers(now))/float64(vmCount(members, announced)))
 }
 
-// take decides a claim for a team with a quota. The second result tells whether this owner is
+// take decides a claim for a team with a quota. The second result is whether this owner is
 // established for the team.
 func (l *ledger) take(now time.Time, name string, quota team.Quota, c claim, announced Announced) (decision, bool) {
 	l.observed = now
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -115,7 +115,7 @@
 	assert.Equal(t, b.askers(start.Add(2*askWindow+1)), 0)
 }
 
-// Two sides of a cut must not both have the whole quota, and a process that knows of no
+// Two sides of a cut must not both have the whole quota, and a process with no
 // announcements must not take itself for the only VM.
 func TestWeightsOfTheSidesOfACut(t *testing.T) {
 	members, all := fleetOf(map[string]int{"a": 10, "b": 10, "c": 20})
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -18,14 +18,14 @@
 	checkPeriod = 120 * time.Millisecond
 	// refundDelay is the time for which refunds are collected before they are sent.
 	refundDelay = 20 * time.Millisecond
-	// presencePeriod is the time after which a VM tells an owner that is not established of
-	// itself again. A lost call leaves it within askWindow.
+	// presencePeriod is the time after which a VM reports itself again to an owner that is not
+	// established. A lost call leaves it within askWindow.
 	presencePeriod = 700 * time.Millisecond
-	// maxPresenceVMs is the number of VMs above which owners are not told: the calls of all VMs
+	// maxPresenceVMs is the number of VMs above which presence is not reported: the calls of all VMs
 	// within seconds would hold up a small one.
 	maxPresenceVMs = 150
-	// maxKnownTeams is the number of teams up to which a VM tells the owners of all of them of
-	// itself, also of those that sent it no requests.
+	// maxKnownTeams is the number of teams up to which a VM reports itself to the owners of all of
+	// them, also of those that sent it no requests.
 	maxKnownTeams = 32
 	// accountIdleTime is the time after its last request for which a team's account is kept.
 	accountIdleTime = time.Minute
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -46,7 +46,7 @@
 	upAt, downAt time.Time
 	side         int
 	frozen       bool
-	// members is the view once it has come to rest after the last event, nil before.
+	// members is the view once it has settled after the last event, nil before.
 	members []membership.Member
 	// quotas override those of the fleet.
 	quotas map[string]team.Quota
--- a/internal/relay/contention_test.go
+++ b/internal/relay/contention_test.go
@@ -18,7 +18,7 @@
 	}
 }
 
-// TestRetryAfterOfATeamIsThePrediction covers a caller that is told a fixed time, at which its
+// TestRetryAfterOfATeamIsThePrediction covers a caller that is given a fixed time, at which its
 // turn has not come, or one longer than a third of its time, before which it comes back.
 func TestRetryAfterOfATeamIsThePrediction(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -305,7 +305,7 @@
 	body         string
 	retryAfter   time.Duration
 	disconnected bool
-	// unauthenticated says that a refusal is for the key.
+	// unauthenticated is set if a refusal is for the key.
 	unauthenticated bool
 }
 
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -401,7 +401,7 @@
 }
 
 // discardWrongBuild excludes an engine that must not continue the stream. Owners of
-// releases that do not know of builds grant such engines. An engine that may not begin the
+// releases without builds grant such engines. An engine that may not begin the
 // stream yet is excluded by each demand until it may.
 func (r *Relay) discardWrongBuild(g *generation, decode *fleet.Instance) error {
 	if !g.permits(decode.Build) {
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -99,7 +99,7 @@
 	assert.DeepEqual(t, reports(), []scheduling.Progress{p1, e1})
 }
 
-// The owner of a grant must learn the slowdowns that its engines state.
+// The owner of a grant must receive the slowdowns that its engines state.
 func TestSlowdownsOfEnginesAreReportedToTheOwner(t *testing.T) {
 	states := func(slowdown string, serve http.HandlerFunc) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -89,7 +89,7 @@
 	assert.Equal(t, s.relay.Counters.Broken.Load(), int64(1))
 }
 
-// A reader that does not get memory must leave the rest of its answer with the endpoint.
+// A reader that does not get memory must leave the remainder of its answer with the endpoint.
 func TestReaderWithoutMemoryReadsNothingMore(t *testing.T) {
 	s := newFixture(t)
 	s.shortMemory(0)
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -23,7 +23,7 @@
 	confirmArchivedTimeout = 600 * time.Millisecond
 	// findShare is the share of the time that callers wait for an event that a search for
 	// their stream's build at other VMs may take, archiveShare the share that has passed when
-	// the search in the archive ends as well. The rest is for the engine.
+	// the search in the archive ends as well. The remainder is for the engine.
 	findShare    = 0.5
 	archiveShare = 0.75
 	// soleBuildMaxAge is the age of the registrations from which on they do not tell that a
@@ -175,7 +175,7 @@
 }
 
 // soleBuild returns the only build that may have begun a stream of a service, false if
-// there are several, if that is not proved or if the registrations are too old to tell.
+// there are several, if that is not proved or if the registrations are too old.
 func (r *Relay) soleBuild(service string) (string, bool) {
 	if r.options.EndpointsAge() > soleBuildMaxAge {
 		return "", false
@@ -184,7 +184,7 @@
 }
 
 // heldBuild reports whether an engine may not begin the stream yet, because a VM that starts
-// would not know of its build.
+// would have no record of its build.
 func (r *Relay) heldBuild(g *generation, service, build string) bool {
 	return g.stream != "" && !g.begun && r.options.Builds.Held(time.Now(), service, build)
 }
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -66,7 +66,7 @@
 	assert.DeepEqual(t, s.origins.ended, []string{"r0:true"})
 }
 
-// A stream whose build nobody knows could get events of two builds. A process that had just
+// A stream whose build no VM holds could get events of two builds. A process that had just
 // started took the only registered build for the only one that could have begun it.
 func TestUntracedStreamGoesOnOnlyIfThereIsOneBuild(t *testing.T) {
 	const refused = "refused: the build that began the stream is not known"
@@ -117,7 +117,7 @@
 	assert.DeepEqual(t, s.origins.recorded, []origin.Origin{{Stream: "r0", Service: "pool", Build: "v2", Revision: 3}})
 }
 
-// A VM that started after a kill of all VMs would not know of a build that no record lists.
+// A VM that started after a kill of all VMs would have no trace of a build that no record lists.
 func TestEngineOfAnUnlistedBuildBeginsNoStream(t *testing.T) {
 	s := newFixture(t, grant("p1", "e1"))
 	s.engines(answers(http.StatusOK, "h1"), events(3))
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -200,7 +200,7 @@
 		attempt.Settle(ctx)
 	}
 	if err != nil && ctx.Err() != nil && errorx.IsOfType(err, upstream.NotSent) {
-		// The attempt was cancelled while its connection was opened, which says nothing of the endpoint.
+		// The attempt was cancelled while its connection was opened, which is no evidence about the endpoint.
 		x.sends--
 		r.returnRetry(x)
 		return false
--- a/internal/relay/quota_test.go
+++ b/internal/relay/quota_test.go
@@ -61,7 +61,7 @@
 	return caller
 }
 
-// A request over the quota must reach no endpoint, and its caller must learn when to come back.
+// A request over the quota must reach no endpoint, and its caller must get the time to come back.
 func TestRequestOverTheQuotaIsRefusedBeforeAnythingIsSent(t *testing.T) {
 	s := newFixture(t, grant("p1", "e1"))
 	s.engines(answers(http.StatusOK, "h1"), events(3))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -73,9 +73,9 @@
 	Reason string
 	// RetryAfter is the delay after which a retry may succeed; 0 if none is expected to.
 	RetryAfter time.Duration
-	// OverQuota says that the quota of the caller's team is used up.
+	// OverQuota is set if the quota of the caller's team is used up.
 	OverQuota bool
-	// Unauthenticated says that the caller's key is no longer known.
+	// Unauthenticated is set if the caller's key is no longer known.
 	Unauthenticated bool
 }
 
--- a/internal/reservation/facts.go
+++ b/internal/reservation/facts.go
@@ -9,7 +9,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 )
 
-// Facts holds what a VM knows of plain endpoints.
+// Facts holds what a VM has observed of plain endpoints.
 type Facts interface {
 	// OwnFacts returns what this VM observed lately and the totals of what it offered.
 	OwnFacts() ([]endpoint.Fact, []endpoint.Demand)
--- a/internal/reservation/service.go
+++ b/internal/reservation/service.go
@@ -43,7 +43,7 @@
 	Scheduling scheduling.Options
 	// Limits are the limits that endpoints name; nil if endpoints name none.
 	Limits Limits
-	// Facts holds what this VM knows of plain endpoints, which it shares with the VMs of its
+	// Facts holds what this VM has observed of plain endpoints, which it shares with the VMs of its
 	// zone; nil if nothing is shared.
 	Facts Facts
 	// VMCount returns the number of entry VMs in all zones that have announced themselves.
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -46,7 +46,7 @@
 	GapObjective time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
-	// Anonymous says that requests need no key, if the configuration has teams.
+	// Anonymous means that requests need no key, if the configuration has teams.
 	Anonymous bool
 }
 
--- a/internal/scheduling/contention.go
+++ b/internal/scheduling/contention.go
@@ -32,8 +32,8 @@
 // background reports whether the demand uses only what others of its urgency leave.
 func (d *Demand) background() bool { return d.Priority <= BackgroundPriority }
 
-// level returns the level of a demand; asTold says that its caller was refused and waited
-// for as long as it was told.
+// level returns the level of a demand; asTold is set if its caller was refused and waited
+// for as long as it was asked to.
 func (d *Demand) level(asTold bool) int {
 	if !d.Strict {
 		return levelsPerUrgency * d.Priority
@@ -131,28 +131,28 @@
 	// turns out to be longer than predicted goes on in the line of late ones, so that nothing is
 	// lost by admitting it; 0.7 served 0.4 to 0.7 % fewer in time at 1.2 and 2 times capacity.
 	strictAdmissionShare = 1.0
-	// minTold is the shortest time that a caller of a full pool is told to wait. A caller that
+	// minTold is the shortest time that a caller of a full pool is asked to wait. A caller that
 	// comes back within a second meets the same burst.
 	minTold = 3 * time.Second
-	// recallTolerance is how far the time at which a caller says its first attempt began may
+	// recallTolerance is how far the stated time at which a caller's first attempt began may
 	// differ from the owner's record: a call between VMs of two zones and back, with reserve.
 	recallTolerance = 60 * time.Millisecond
 	// recallLimit bounds the recorded callers.
 	recallLimit = 4096
-	// recallTTL is how long the record of a caller is kept after the time that it was told. Its
+	// recallTTL is how long the record of a caller is kept after the time that it was given. Its
 	// second attempt may ask for engines several times until the caller gives up.
 	recallTTL = 10 * time.Second
 )
 
-// recall is a caller that was told to come back.
+// recall is a caller that was asked to come back.
 type recall struct {
 	team    string
 	urgency int
-	// first is when its first attempt began, due the time that it was told.
+	// first is when its first attempt began, due the time that it was given.
 	first, due time.Time
 }
 
-// recalls are the callers that were told to come back, in the order of refusal.
+// recalls are the callers that were asked to come back, in the order of refusal.
 type recalls struct {
 	all []recall
 }
@@ -166,9 +166,9 @@
 }
 
 // waitedAsTold reports whether a caller that comes back, whose first attempt began at the
-// given time, waited for as long as it was told. An owner that has no record, because
-// another zone or an earlier owner refused the caller, knows only the longest time that it
-// can have been told.
+// given time, waited for as long as it was asked to. An owner that has no record, because
+// another zone or an earlier owner refused the caller, has only the longest time that it
+// can have been given.
 func (r *recalls) waitedAsTold(now time.Time, d *Demand, first time.Time) bool {
 	var found *recall
 	distance := recallTolerance
--- a/internal/scheduling/contention_sim_test.go
+++ b/internal/scheduling/contention_sim_test.go
@@ -27,7 +27,7 @@
 	// saturated queues served requests.
 	contendedCapacity = 21.5
 	contendedDeadline = 14 * time.Second
-	// hurriedPause is after how long an impatient caller comes back, whatever it was told.
+	// hurriedPause is after how long an impatient caller comes back, whatever it was given.
 	hurriedPause = 500 * time.Millisecond
 )
 
@@ -53,7 +53,7 @@
 	output  int
 	hurried bool
 	first   time.Duration
-	// returned is set on the second attempt, due is the time it was told.
+	// returned is set on the second attempt, due is the time it was given.
 	returned      bool
 	due           time.Duration
 	relaxed, late bool
@@ -73,7 +73,7 @@
 	callers []*caller
 	nextID  uint64
 	// declines, preempted and wasted count declined decodes, preempted answers and the
-	// prompt tokens that were prefilled in vain.
+	// prompt tokens whose prefill was wasted.
 	declines, preempted, wasted int
 	// overtaken counts grants of routine requests while an urgent one waited.
 	overtaken int
@@ -286,7 +286,7 @@
 	}
 }
 
-// leave ends an attempt whose caller waited in vain for its first event.
+// leave ends an attempt whose caller got no first event in time.
 func (s *poolSim) leave(r *simRequest) {
 	if r.firstToken > 0 || r.refused || r.gone {
 		return
@@ -300,7 +300,7 @@
 	s.contention.wasted += r.spent
 }
 
-// startGranted starts the prefill, on the decode engine itself if the grant says so.
+// startGranted starts the prefill, on the decode engine itself if the grant names it.
 func (s *poolSim) startGranted(r *simRequest) {
 	if r.held.Prefill != r.held.Decode {
 		s.prefill(r)
@@ -414,7 +414,7 @@
 	largeRatio float64
 	wasted     float64
 	// patientLost and hurriedLost are the shares of returned callers that got nothing, by
-	// whether they waited as told.
+	// whether they waited as asked.
 	patientLost, hurriedLost float64
 	value                    float64
 }
--- a/internal/scheduling/contention_test.go
+++ b/internal/scheduling/contention_test.go
@@ -177,7 +177,7 @@
 	}
 	for n := range uint64(1100) {
 		d := strictDemand(n, fmt.Sprint("team", n/10), 0)
-		// Each is smaller than the one before, so that no earlier failure says anything of it.
+		// Each is smaller than the one before, so that no earlier failure covers it.
 		d.PromptTokens, d.OutputTokens = 8000-int(n), 1000
 		assert.Assert(t, c.Submit(start, d).Waiting())
 	}
@@ -226,7 +226,7 @@
 }
 
 // TestOnlyCallersThatWaitedAsToldPrecedeOthers covers impatient callers, which would
-// otherwise push back those that do as they are told.
+// otherwise push back those that wait as asked.
 func TestOnlyCallersThatWaitedAsToldPrecedeOthers(t *testing.T) {
 	const told = 4 * time.Second
 	for _, test := range []struct {
@@ -293,7 +293,7 @@
 }
 
 // TestEngineThatDeclinesGetsFewerAnswers covers an engine that holds what the ledger does not
-// know, as after leases of a VM that was held up have lapsed: each grant on it is a prompt
+// hold, as after leases of a VM that was held up have lapsed: each grant on it is a prompt
 // that is prefilled for no answer.
 func TestEngineThatDeclinesGetsFewerAnswers(t *testing.T) {
 	for _, strict := range []bool{false, true} {
--- a/internal/scheduling/memory.go
+++ b/internal/scheduling/memory.go
@@ -8,7 +8,7 @@
 
 const (
 	// declineMemory is how long an engine that declined an answer counts as holding a request
-	// more than the ledger knows, for example one of a VM that was held up and renewed nothing.
+	// more than the ledger holds, for example one of a VM that was held up and renewed nothing.
 	// With an eighth of the VMs held up for 3 s, 4 s more than halve the prompts that are
 	// prefilled for no answer; 8 s hardly gain, and cost answers at 1.2 times capacity.
 	declineMemory = 4 * time.Second
@@ -65,7 +65,7 @@
 	}
 	unknown := 0
 	if d.Strict {
-		// What the ledger does not know is about as large as a demand.
+		// What the ledger lacks is about as large as a demand.
 		unknown = size * e.recentDeclines(now)
 	}
 	return unknown+c.peakWith(now, e, growth{d.PromptTokens, d.OutputTokens}) <= grantableTokens(e)
--- a/internal/scheduling/slowdown_test.go
+++ b/internal/scheduling/slowdown_test.go
@@ -8,7 +8,7 @@
 )
 
 // observePrefills grants and finishes prefills on an engine, each stating a slowdown and taking as
-// long as that says.
+// long as that states.
 func observePrefills(t *testing.T, c *Coordinator, count int, stated, actual float64) time.Time {
 	t.Helper()
 	now := start
@@ -25,7 +25,7 @@
 	return now
 }
 
-// Guards against a slowdown that is learned as the engine's own speed, that does not change the
+// Guards against a slowdown that is taken for the engine's own speed, that does not change the
 // predictions, or that still does when it is old.
 func TestPredictionsFollowTheStatedSlowdown(t *testing.T) {
 	engines := []EngineState{smallPool()[0], smallPool()[2]}
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -53,7 +53,7 @@
 	// waste. Resumed demands are admitted before new ones.
 	Resumed bool
 	// Strict orders the demand by Urgency before anything else, see contention.go.
-	// Priority then only tells whether the demand is a background one.
+	// Priority then only states whether the demand is a background one.
 	Strict bool
 	// Urgency is the urgency of a strict demand; higher is more urgent.
 	Urgency int
--- a/internal/team/rules.go
+++ b/internal/team/rules.go
@@ -14,7 +14,7 @@
 	Key Digest
 }
 
-// Reason says why the key of a request was not accepted.
+// Reason is why the key of a request was not accepted.
 type Reason string
 
 // The reasons.
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -1,5 +1,5 @@
 // Package team identifies the team that sends a request by its API key, and holds what the
-// configuration says of teams: their priorities and quotas.
+// configuration states about teams: their priorities and quotas.
 //
 // Keys are kept and compared as digests only. A Directory is immutable: a new configuration
 // brings a new one, so that a removed key is unknown as soon as its configuration is in force.
--- a/internal/team/team_test.go
+++ b/internal/team/team_test.go
@@ -15,7 +15,7 @@
 	return e
 }
 
-// A key listed for two teams must not run requests as either of them, and the operator must learn
+// A key listed for two teams must not run requests as either of them, and the operator must see
 // which teams are affected. A key listed twice for one team is sound.
 func TestKeyOfSeveralTeamsBelongsToNone(t *testing.T) {
 	d := NewDirectory([]Entry{
