--- a/internal/scheduling/contention.go
+++ b/internal/scheduling/contention.go
@@ -236,63 +236,85 @@
 	return r
 }
 
-// dropUnservableStrict refuses late strict demands that, at the present rate, can no longer
-// be served before their latest start. Demands of one level are served in turn by team, so a
-// demand's place follows from its place in its team and from the team's part.
-func (c *Coordinator) dropUnservableStrict(now time.Time) {
-	type team struct {
-		level int
-		name  string
+// lateTeam identifies the late demands of a team in one level.
+type lateTeam struct {
+	level int
+	name  string
+}
+
+// lateDemands are the waiting late strict demands, with what decides when they are served.
+type lateDemands struct {
+	waiting map[lateTeam][]*waiter
+	// ahead is the number of demands that precede a level, counts that of the level itself.
+	ahead, counts map[int]int
+	// shares are the sums of the shares of the teams in a level.
+	shares map[int]float64
+}
+
+// lateDemands collects the waiting late strict demands.
+func (c *Coordinator) lateDemands() *lateDemands {
+	late := &lateDemands{
+		waiting: make(map[lateTeam][]*waiter),
+		ahead:   make(map[int]int), counts: make(map[int]int), shares: make(map[int]float64),
 	}
-	ahead := make(map[int]int)
-	levels := make(map[int]bool)
-	waiting := make(map[team][]*waiter)
 	for _, w := range c.queue.byID {
 		if w.demand.Strict && w.demand.background() && !w.demand.Resumed {
-			levels[w.level] = true
-			key := team{w.level, w.demand.Team}
-			waiting[key] = append(waiting[key], w)
+			key := lateTeam{w.level, w.demand.Team}
+			late.waiting[key] = append(late.waiting[key], w)
 		}
 	}
-	for level, r := range c.lateRates {
-		r.setWaiting(now, levels[level])
+	for key, list := range late.waiting {
+		late.counts[key.level] += len(list)
+		late.shares[key.level] += c.queue.usage.effective(list[0].demand.Share)
 	}
 	for _, l := range c.queue.list {
-		for level := range levels {
+		for level := range late.counts {
 			if l.level() > level && !l.waitsForBuild {
-				ahead[level] += len(l.waiters)
+				late.ahead[level] += len(l.waiters)
 			}
 		}
 	}
-	shares := make(map[int]float64)
-	counts := make(map[int]int)
-	for key, list := range waiting {
-		shares[key.level] += c.queue.usage.effective(list[0].demand.Share)
-		counts[key.level] += len(list)
+	return late
+}
+
+// dropUnservableStrict refuses late strict demands that, at the present rate, can no longer
+// be served before their latest start. Demands of one level are served in turn by team, so a
+// demand's place follows from its place in its team and from the team's part.
+func (c *Coordinator) dropUnservableStrict(now time.Time) {
+	late := c.lateDemands()
+	for level, r := range c.lateRates {
+		r.setWaiting(now, late.counts[level] > 0)
 	}
-	var hopeless []*waiter
-	for key, list := range waiting {
-		slices.SortFunc(list, func(x, y *waiter) int {
-			return cmp.Or(x.latestStart.Compare(y.latestStart), compareIDs(x.demand.ID, y.demand.ID))
-		})
-		rate := c.lateRate(list[0]).rate(now, c.slotReleaseRate())
-		part := c.queue.usage.effective(list[0].demand.Share) / shares[key.level]
-		kept := 0
-		for _, w := range list {
-			place := ahead[key.level] + min(counts[key.level]-1, int(float64(kept)/part))
-			if w.latestStart.IsZero() || !now.Add(backgroundWait(place, rate)).After(w.latestStart) {
-				kept++
-				continue
-			}
-			hopeless = append(hopeless, w)
-		}
+	var unservable []*waiter
+	for key, list := range late.waiting {
+		unservable = append(unservable, c.unservable(now, late, key, list)...)
 	}
-	slices.SortFunc(hopeless, func(x, y *waiter) int { return compareIDs(x.demand.ID, y.demand.ID) })
-	for _, w := range hopeless {
+	slices.SortFunc(unservable, func(x, y *waiter) int { return compareIDs(x.demand.ID, y.demand.ID) })
+	for _, w := range unservable {
 		c.queue.remove(w)
 		c.counters.Dropped++
-		c.refuseWaiter(now, w, RefusedTarget, backgroundWait(ahead[w.level], c.lateRate(w).rate(now, c.slotReleaseRate())))
+		c.refuseWaiter(now, w, RefusedTarget, backgroundWait(late.ahead[w.level], c.lateRate(w).rate(now, c.slotReleaseRate())))
+	}
+}
+
+// unservable returns those late demands of a team that can no longer be served in time.
+func (c *Coordinator) unservable(now time.Time, late *lateDemands, key lateTeam, list []*waiter) []*waiter {
+	slices.SortFunc(list, func(x, y *waiter) int {
+		return cmp.Or(x.latestStart.Compare(y.latestStart), compareIDs(x.demand.ID, y.demand.ID))
+	})
+	rate := c.lateRate(list[0]).rate(now, c.slotReleaseRate())
+	part := c.queue.usage.effective(list[0].demand.Share) / late.shares[key.level]
+	kept := 0
+	var unservable []*waiter
+	for _, w := range list {
+		place := late.ahead[key.level] + min(late.counts[key.level]-1, int(float64(kept)/part))
+		if w.latestStart.IsZero() || !now.Add(backgroundWait(place, rate)).After(w.latestStart) {
+			kept++
+			continue
+		}
+		unservable = append(unservable, w)
 	}
+	return unservable
 }
 
 // refuseWaiter refuses a demand that was waiting.
