--- a/internal/scheduling/contention.go
+++ b/internal/scheduling/contention.go
@@ -12,8 +12,8 @@
 // 1,100 teams in several urgencies.
 //
 // Of strict demands, the more urgent ones come first, whatever else holds. Within an urgency
-// the order is: callers in time; late callers that were refused and come back as they were
-// told; other late callers. Within these levels the team that used least of its share comes
+// the order is: callers in time; late callers that were refused and waited as they were
+// asked to; other late callers. Within these levels the team that used least of its share comes
 // first.
 
 const (
@@ -196,7 +196,7 @@
 	return d.level(asTold)
 }
 
-// tell returns when the caller of a refused strict demand should come back: when the demands
+// tell returns the time until a refused strict caller should come back: when the demands
 // before it have been served, but no later than it heeds.
 func (c *Coordinator) tell(now time.Time, w *waiter, wait time.Duration) time.Duration {
 	d := &w.demand
