Match responses of endpoints to their requests in the upstream client

Cause: nothing kept an earlier response from being taken for that of a later call on the same connection, unless each caller of the client compared IDs itself; calls with the same ID, or with none, could not be told apart at all.

Change: with Options.IDHeader, a response must name its request (otherwise Foreign, a kind of InDoubt), calls with the same ID use different connections, and a call without an ID has a connection of its own. A connection ends after 256 requests, which bounds the memory for their IDs. No caller of the client sets the option yet.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -5,13 +5,19 @@
 // is not safe for a request that may run at most once. This client sends each
 // request once, reports whether the endpoint may have received it, and closes any
 // connection that carries unsolicited bytes.
+//
+// An endpoint may write an earlier response once more, where the next one is due. If the
+// client has the name of the header that identifies requests, it takes no response for that
+// of another call: see Options.IDHeader.
 package upstream
 
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,6 +39,12 @@
 	IdleTimeout time.Duration
 	// MaxIdle limits the number of idle connections to one address.
 	MaxIdle int
+	// IDHeader is the header that identifies a request and that endpoints return in its
+	// response. A response with another ID fails the exchange with an error of type Foreign.
+	// Calls with the same ID use different connections, and a call without an ID has a connection
+	// of its own, since an earlier response could be taken for theirs. If it is empty,
+	// responses are not matched.
+	IDHeader string
 }
 
 // Counters count exchanges. The zero value is ready to use.
@@ -45,6 +57,8 @@
 	Stale atomic.Int64
 	// Late counts responses that arrived after their requests had been given up.
 	Late atomic.Int64
+	// Foreign counts responses that did not name the request they were due for.
+	Foreign atomic.Int64
 }
 
 // Client sends requests to endpoints. It is safe for concurrent use.
@@ -58,13 +72,16 @@
 	late      sync.WaitGroup
 	lateCount atomic.Int64
 
+	// idSeed is the seed of the hashes of IDs.
+	idSeed maphash.Seed
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
 // NewClient returns a client with an empty connection pool.
 func NewClient(options Options) *Client {
-	return &Client{options: options, idle: make(map[string][]*conn)}
+	return &Client{options: options, idSeed: maphash.MakeSeed(), idle: make(map[string][]*conn)}
 }
 
 // Request is one message to an endpoint.
@@ -80,6 +97,9 @@
 	// MaxIdle limits how long a pooled connection may have been idle to be used
 	// for this request; 0 sets no limit.
 	MaxIdle time.Duration
+	// IDOptional permits a response without the request's ID if the connection has carried no
+	// other request. The connection is then not used again.
+	IDOptional bool
 	// Permit is asked once a connection is open, right before the request is sent; its error
 	// prevents that. If it is nil, the request is sent.
 	Permit func() error
@@ -90,9 +110,10 @@
 
 // Do sends a request and returns once the response's header has arrived. Cancelling
 // ctx ends the exchange at once, also while the body is read. The error is of type
-// NotSent, of which Withheld is a kind, or InDoubt. The response must be closed.
+// NotSent, of which Withheld is a kind, or InDoubt, of which GivenUp and Foreign are kinds. The
+// response must be closed.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
-	connection, err := c.connection(ctx, address, request.MaxIdle)
+	connection, err := c.connection(ctx, address, request)
 	if err != nil {
 		return nil, NotSent.Wrap(err, "connection to %s", address)
 	}
@@ -105,9 +126,14 @@
 	return connection.exchange(ctx, request)
 }
 
-// connection returns a pooled connection or a new one.
-func (c *Client) connection(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
-	for pooled := c.takeIdle(address, maxIdle); pooled != nil; pooled = c.takeIdle(address, maxIdle) {
+// connection returns a pooled connection on which no earlier response can be taken for that of the
+// request, or a new one.
+func (c *Client) connection(ctx context.Context, address string, request *Request) (*conn, error) {
+	id := c.idOf(request)
+	if c.options.IDHeader != "" && id == "" {
+		return c.dial(ctx, address)
+	}
+	for pooled := c.takeIdle(address, request.MaxIdle, id); pooled != nil; pooled = c.takeIdle(address, request.MaxIdle, id) {
 		if pooled.usable() {
 			c.Counters.Reused.Add(1)
 			return pooled, nil
@@ -118,6 +144,14 @@
 	return c.dial(ctx, address)
 }
 
+// idOf returns the ID by which the response to a request is recognized, empty if it has none.
+func (c *Client) idOf(request *Request) string {
+	if c.options.IDHeader == "" {
+		return ""
+	}
+	return request.Header.Get(c.options.IDHeader)
+}
+
 // Refuses reports whether nothing listens at an address. A connection that is opened to
 // find out is pooled.
 func (c *Client) Refuses(ctx context.Context, address string) bool {
@@ -154,31 +188,45 @@
 	return net.KeepAliveConfig{Enable: period > 0, Idle: period, Interval: period, Count: unansweredProbes}
 }
 
-// takeIdle removes the most recently used connection from the pool. It returns nil
-// if no connection has been idle for a short enough time, and closes those that it
-// rejects.
-func (c *Client) takeIdle(address string, maxIdle time.Duration) *conn {
+// takeIdle removes the most recently used connection from the pool that has carried no
+// request with the ID. It returns nil if none of those has been idle for a short enough time, and
+// closes those that have been idle for too long.
+func (c *Client) takeIdle(address string, maxIdle time.Duration, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for pooled := c.idle[address]; len(pooled) > 0; pooled = c.idle[address] {
-		last := pooled[len(pooled)-1]
-		c.idle[address] = pooled[:len(pooled)-1]
-		if now.Before(last.expires) && (maxIdle == 0 || now.Sub(last.idleSince) <= maxIdle) {
-			return last
+	pooled := c.idle[address]
+	for i, k := range slices.Backward(pooled) {
+		switch {
+		case !now.Before(k.expires) || maxIdle > 0 && now.Sub(k.idleSince) > maxIdle:
+			k.close()
+		case k.carried(id):
+			continue
+		default:
+			c.setIdle(address, slices.Delete(pooled, i, i+1))
+			return k
 		}
-		last.close()
+		pooled = slices.Delete(pooled, i, i+1)
 	}
-	delete(c.idle, address)
+	c.setIdle(address, pooled)
 	return nil
 }
 
-// putIdle returns a connection to the pool. It closes the connection if the pool is
-// full or the connection must not stay idle.
+// setIdle replaces the pool of an address. The lock must be held.
+func (c *Client) setIdle(address string, pooled []*conn) {
+	if len(pooled) == 0 {
+		delete(c.idle, address)
+		return
+	}
+	c.idle[address] = pooled
+}
+
+// putIdle returns a connection to the pool. It closes the connection if the pool is full, or if the
+// connection must not stay idle or has carried maxCarried requests.
 func (c *Client) putIdle(k *conn, idleTimeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[k.address]) >= c.options.MaxIdle || idleTimeout <= 0 {
+	if len(c.idle[k.address]) >= c.options.MaxIdle || idleTimeout <= 0 || len(k.ids) >= maxCarried {
 		k.close()
 		return
 	}
@@ -200,10 +248,7 @@
 			}
 			k.close()
 		}
-		c.idle[address] = live
-		if len(live) == 0 {
-			delete(c.idle, address)
-		}
+		c.setIdle(address, live)
 	}
 }
 
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -231,7 +231,7 @@
 	assert.Equal(t, pooled.expires.Sub(pooled.idleSince), 6*time.Second)
 
 	pooled.idleSince = pooled.idleSince.Add(-time.Second)
-	assert.Assert(t, client.takeIdle(address, 500*time.Millisecond) == nil, "idle for too long for this request")
+	assert.Assert(t, client.takeIdle(address, 500*time.Millisecond, "") == nil, "idle for too long for this request")
 }
 
 // A pending read does not detect that a connection was cut without notice; only
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"cmp"
 	"context"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +39,9 @@
 	lateTimeout = 100 * time.Millisecond
 	// maxLate limits the connections on which such responses are awaited.
 	maxLate = 256
+	// maxCarried is the number of requests with an ID after which a connection is closed. It bounds
+	// the memory for their IDs to 2 KiB a connection.
+	maxCarried = 256
 )
 
 // conn is one connection to an endpoint. It carries one exchange at a time.
@@ -51,6 +56,8 @@
 	closing            sync.Once
 	// longBody is set while the exchange has a body that may stay unread for long.
 	longBody bool
+	// ids are hashes of the IDs of the requests that the connection has carried.
+	ids []uint64
 }
 
 func newConn(client *Client, address string, socket net.Conn) *conn {
@@ -71,8 +78,26 @@
 	return k.reader.Buffered() == 0 && !Readable(k.socket)
 }
 
+// carried reports whether a request with the ID may have been sent on the connection.
+func (k *conn) carried(id string) bool {
+	return id != "" && slices.Contains(k.ids, maphash.String(k.client.idSeed, id))
+}
+
+// matches reports whether a response names the request.
+func (k *conn) matches(request *Request, head *http.Response) bool {
+	id := k.client.idOf(request)
+	if id == "" {
+		return true
+	}
+	named := head.Header.Get(k.client.options.IDHeader)
+	return named == id || named == "" && request.IDOptional && len(k.ids) == 1
+}
+
 // exchange sends the request and reads the response's header.
 func (k *conn) exchange(ctx context.Context, request *Request) (*Response, error) {
+	if id := k.client.idOf(request); id != "" {
+		k.ids = append(k.ids, maphash.String(k.client.idSeed, id))
+	}
 	interrupted := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(interrupted)
@@ -92,6 +117,11 @@
 		k.giveUp(request, ctx.Err() != nil)
 		return nil, inDoubt(ctx).Wrap(err, "response of %s", k.address)
 	}
+	if !k.matches(request, head) {
+		k.close()
+		k.client.Counters.Foreign.Add(1)
+		return nil, Foreign.New("%s answered another request", k.address)
+	}
 	return newResponse(k, head, written, context.AfterFunc(ctx, k.close)), nil
 }
 
@@ -138,7 +168,7 @@
 		return
 	}
 	head, err := k.readHead(request.Method) //nolint:bodyclose // The connection is closed in its place.
-	if err != nil {
+	if err != nil || !k.matches(request, head) {
 		return
 	}
 	k.client.Counters.Late.Add(1)
@@ -280,7 +310,7 @@
 
 // reusable reports whether the connection may carry another exchange.
 func (r *Response) reusable() bool {
-	if r.head.Close || !r.Framed || r.conn.reader.Buffered() > 0 {
+	if r.head.Close || !r.Framed || !r.identified() || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.written == nil {
@@ -294,6 +324,13 @@
 	}
 }
 
+// identified reports whether the next response on the connection can be told from this one, if responses
+// are matched.
+func (r *Response) identified() bool {
+	name := r.conn.client.options.IDHeader
+	return name == "" || len(r.conn.ids) > 0 && r.Header.Get(name) != ""
+}
+
 // idleTimeout returns how long the connection may stay in the pool.
 func (r *Response) idleTimeout() time.Duration {
 	timeout := r.conn.client.options.IdleTimeout
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -14,4 +14,6 @@
 	// GivenUp is an InDoubt because the context of the exchange has ended. It says nothing about
 	// the endpoint.
 	GivenUp = InDoubt.NewSubtype("given_up")
+	// Foreign is an InDoubt because the response did not name the request.
+	Foreign = InDoubt.NewSubtype("foreign")
 )
