Take no response that names a request for that to a call without an ID

Cause: the client compared IDs only if the call had one. A response that names another request was taken for that to a request without an ID, which the relay's own comparison does not allow; the relay is to rely on the client's. Responses to requests that were given up were dropped without being counted. The counter upstream.foreign was not documented, so that TestEveryCounterIsDocumentedAndPublished (internal/node) failed.

Change: the response to a call without an ID must name none. All dropped responses are counted, and the counter is documented.

Result: on the former code TestLateResponseToAnotherRequestIsDropped: 0 (int64) != 1 (int64) TestResponseWithAnIDIsNotThatToACallWithoutOne: expression is false: errorx.IsOfType(err, Foreign): <nil>

--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -70,6 +70,8 @@
 		{"stale", Counter, Connections, "Idle connections that had been closed or had received unexpected bytes.",
 			"A steady rise: endpoints close connections early or send bytes after the end of a response."},
 		{"late", Counter, Calls, "Responses that arrived after their requests had been given up; what endpoints say of themselves in them is kept to.", noAction},
+		{"foreign", Counter, Answers, "Responses to all kinds of calls that were dropped because they belonged to another call, late ones included; `relay.foreign` counts the calls for requests that this failed.",
+			"Any rise: take the endpoint that log lines with `answered another request` name out of service."},
 	},
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -57,7 +57,7 @@
 	Stale atomic.Int64
 	// Late counts responses that arrived after their requests had been given up.
 	Late atomic.Int64
-	// Foreign counts responses that did not name the request they were due for.
+	// Foreign counts responses that did not name the request they were due for, also late ones.
 	Foreign atomic.Int64
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -83,14 +83,15 @@
 	return id != "" && slices.Contains(k.ids, maphash.String(k.client.idSeed, id))
 }
 
-// matches reports whether a response names the request.
+// matches reports whether a response names the request, or none if the request has no ID. It counts those that
+// do not.
 func (k *conn) matches(request *Request, head *http.Response) bool {
-	id := k.client.idOf(request)
-	if id == "" {
+	named := head.Header.Get(k.client.options.IDHeader)
+	if named == k.client.idOf(request) || named == "" && request.IDOptional && len(k.ids) == 1 {
 		return true
 	}
-	named := head.Header.Get(k.client.options.IDHeader)
-	return named == id || named == "" && request.IDOptional && len(k.ids) == 1
+	k.client.Counters.Foreign.Add(1)
+	return false
 }
 
 // exchange sends the request and reads the response's header.
@@ -119,7 +120,6 @@
 	}
 	if !k.matches(request, head) {
 		k.close()
-		k.client.Counters.Foreign.Add(1)
 		return nil, Foreign.New("%s answered another request", k.address)
 	}
 	return newResponse(k, head, written, context.AfterFunc(ctx, k.close)), nil
--- a/internal/upstream/identity_test.go
+++ b/internal/upstream/identity_test.go
@@ -187,4 +187,13 @@
 	close(given)
 	client.Close()
 	assert.Equal(t, client.Counters.Late.Load(), int64(0))
+	assert.Equal(t, client.Counters.Foreign.Load(), int64(1))
+}
+
+// A response that names a request could be taken for that to a call without an ID.
+func TestResponseWithAnIDIsNotThatToACallWithoutOne(t *testing.T) {
+	address := serve(t, always(message(http.StatusOK, "1")))
+	client := newMatchingClient(t)
+	_, err := call(t.Context(), client, address, "", false)
+	assert.Assert(t, errorx.IsOfType(err, Foreign), "%v", err)
 }
