Match answers of engines to the requests of the users' platform

Cause: the connections to engines did not tell an earlier refusal that an engine wrote once more from the answer to a later call with the same ID, such as a request that its caller sends again. The caller was told "not run" for a request that the engine ran, sent it again, and it ran twice. An answer with another ID was rejected, but what it said of its endpoint (Retry-After, leaving, limit, load) had been recorded before. Calls that free KV caches, reports and orders bear no ID and shared connections with requests: they took an earlier refusal for their answer.

Change: the adapter names the header of IDs (node.Options.IDHeader), the client to endpoints matches by it, and relay.Verdict.Foreign with its two copies of the rule is gone; relay.foreign counts errors of type upstream.Foreign. The assertion on Verdict.Foreign in TestVerdicts is replaced by the request at foreignPath in TestRequestThatRanIsNotRefusedAfterARefusalThatWasWrittenAgain, which goes through a whole VM. The stand-in internal/standin/repeated writes refusals once more, before or instead of the next answer. The client of the store gets no header: the store is no engine, PROTOCOL.md gives its answers no ID and says that a connection on which one is lost returns nothing further.

A call without an ID costs a connection. A VM makes one free for each prefill that no decode used (relay.prefills_lost). A free did not read the body of its answer, which closed the kept connection that it took, so the number of connections is about the same. A change of a role costs two.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,8 @@
 	// InFlight bounds the bytes of requests that endpoints hold; nil sets no bound.
 	InFlight *membudget.Endpoints
 	Dialect  relay.Dialect
+	// IDHeader is the header by which endpoints name the request that they answer.
+	IDHeader string
 	Log      *decisionlog.Log
 	// Ingress returns the adapter's handler for callers.
 	Ingress func(*relay.Relay, *feed.Service) Ingress
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -49,12 +49,13 @@
 	fx.Invoke(runBackground, runBalancer),
 )
 
-func newClient(lifecycle fx.Lifecycle, registry *metrics.Registry) *upstream.Client {
+func newClient(lifecycle fx.Lifecycle, options *Options, registry *metrics.Registry) *upstream.Client {
 	client := upstream.NewClient(upstream.Options{
 		DialTimeout:    dialTimeout,
 		UnackedTimeout: unackedTimeout,
 		IdleTimeout:    idleTimeout,
 		MaxIdle:        maxIdleConnections,
+		IDHeader:       options.IDHeader,
 	})
 	registry.Mount("upstream", metrics.Fields(&client.Counters))
 	background.Run(lifecycle, func(ctx context.Context) { sweepIdleConnections(ctx, client) })
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -58,9 +58,8 @@
 	return header
 }
 
-func (testDialect) Judge(request *Request, _ *Call, response *upstream.Response) Verdict {
+func (testDialect) Judge(_ *Request, _ *Call, response *upstream.Response) Verdict {
 	return Verdict{
-		Foreign:       response.Header.Get(idHeader) != request.ID,
 		NotRun:        response.Header.Get(declinedHeader) != "",
 		OtherInstance: response.Status == http.StatusMisdirectedRequest,
 		Announcement:  testAnnouncement(response),
@@ -346,6 +345,10 @@
 	memory *membudget.Holder
 	// served counts the requests, no two of which are the same but for their IDs.
 	served atomic.Int64
+	// requestID is the ID of requests.
+	requestID string
+	// listen wraps the listeners of endpoints, nil if it does not.
+	listen func(net.Listener) net.Listener
 	mu     sync.Mutex
 	// calls are the calls that endpoints received: name, stage, source and last event.
 	calls []string
@@ -354,7 +357,7 @@
 func newFixture(t *testing.T, answers ...func(scheduling.Demand) (scheduling.Grant, error)) *fixture {
 	t.Helper()
 	client := upstream.NewClient(upstream.Options{
-		DialTimeout: time.Minute, UnackedTimeout: time.Minute, IdleTimeout: time.Minute, MaxIdle: 4,
+		DialTimeout: time.Minute, UnackedTimeout: time.Minute, IdleTimeout: time.Minute, MaxIdle: 4, IDHeader: idHeader,
 	})
 	t.Cleanup(client.Close)
 	log := decisionlog.Discard()
@@ -368,6 +371,7 @@
 		builds:    &fakeBuilds{},
 
 		eventTimeout: time.Minute,
+		requestID:    "r1",
 	}
 	s.fleet.SetTable(routing.NewTable(1, routing.Limits{}, nil, []routing.Service{
 		{Name: "desk"},
@@ -386,7 +390,7 @@
 // endpoint adds an endpoint whose requests are handled by a function.
 func (s *fixture) endpoint(name, service string, role configuration.Role, serve func(w http.ResponseWriter, r *http.Request)) {
 	s.t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		call := name + ":" + r.Header.Get(stageHeader)
 		for _, part := range []string{r.Header.Get(sourceHeader), r.Header.Get(lastHeader)} {
@@ -399,6 +403,10 @@
 		w.Header().Set(idHeader, r.Header.Get(idHeader))
 		serve(w, r)
 	}))
+	if s.listen != nil {
+		server.Listener = s.listen(server.Listener)
+	}
+	server.Start()
 	s.t.Cleanup(server.Close)
 	s.add(name, service, role, server.Listener.Addr().String())
 }
@@ -457,7 +465,7 @@
 		service = "pool"
 	}
 	request := &Request{
-		ID: "r1", Method: http.MethodPost, Target: "/x/" + strconv.FormatInt(s.served.Add(1), 10), Host: "a.example", Header: http.Header{},
+		ID: s.requestID, Method: http.MethodPost, Target: "/x/" + strconv.FormatInt(s.served.Add(1), 10), Host: "a.example", Header: http.Header{},
 		Arrived: time.Now(), Timeout: time.Minute, EventTimeout: s.eventTimeout, Generation: generation,
 		Body: s.body, Memory: s.memory,
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -261,8 +261,7 @@
 	return min(left, max(x.route.Objective, time.Duration(float64(left)*firstAttemptShare)))
 }
 
-// call sends the request to an endpoint and returns its complete response. A response
-// that belongs to another request yields an InDoubt error.
+// call sends the request to an endpoint and returns its complete response.
 func (r *Relay) call(ctx context.Context, x *exchange, to *configuration.Endpoint, call *Call, timeout time.Duration) (*Answer, Verdict, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -339,6 +338,9 @@
 		},
 	})
 	if err != nil {
+		if errorx.IsOfType(err, upstream.Foreign) {
+			r.Counters.Foreign.Add(1)
+		}
 		if ctx.Err() != nil && errorx.IsOfType(err, upstream.InDoubt) {
 			r.decide(x, "answer not awaited", logrus.Fields{"endpoint": to.Name, "waited_ms": time.Since(sent).Milliseconds(), "reason": context.Cause(ctx).Error()})
 		}
@@ -348,11 +350,6 @@
 	response.OnClose = end
 	verdict := r.options.Dialect.Judge(x.request, call, response)
 	r.observeVerdict(x, to, &verdict, sent)
-	if verdict.Foreign {
-		r.Counters.Foreign.Add(1)
-		response.Close()
-		return nil, verdict, upstream.InDoubt.New("%s answered another request", to.Name)
-	}
 	return response, verdict, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -98,7 +98,8 @@
 	Reserver     Reserver
 	Admission    Admission
 	Budget       Budget
-	Client       *upstream.Client
+	// Client must match responses to requests, see upstream.Options.IDHeader.
+	Client *upstream.Client
 	// InFlight bounds the bytes of requests that endpoints hold; nil sets no bound.
 	InFlight   *membudget.Endpoints
 	Origins    Origins
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -147,8 +147,6 @@
 
 // Verdict is the classification of a response by its header.
 type Verdict struct {
-	// Foreign is set if the response belongs to another request.
-	Foreign bool
 	// NotRun is set if the endpoint did not run the request and never will.
 	NotRun bool
 	// OtherInstance is set if another endpoint has taken over the address.
@@ -185,7 +183,7 @@
 type Dialect interface {
 	// Header returns the header of a call.
 	Header(request *Request, call *Call) http.Header
-	// Judge classifies a response by its header.
+	// Judge classifies a response to the request by its header.
 	Judge(request *Request, call *Call, response *upstream.Response) Verdict
 	// DecodePrefill decodes the body of the response to a prefill call.
 	DecodePrefill(body []byte) (PrefillResult, error)
