Test a whole request at the engine that refused its prefill

Cause: the relay reads the whole answer to a prefill and keeps its connection. If the engine is granted again for the same request, such as after a change of its role once exclusions are cleared, the refusal of the prefill, written once more, was taken for a decline of the request that the engine ran. That needs no caller that sends an ID again.

Change: a case of TestRefusalWrittenAgainIsNoPromise.

--- a/internal/relay/kept_connection_test.go
+++ b/internal/relay/kept_connection_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -36,6 +37,15 @@
 	}
 }
 
+// prefillOrEvents answers a prefill, and any other call with three events.
+func prefillOrEvents(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(stageHeader) == strconv.Itoa(int(Prefill)) {
+		answers(http.StatusOK, "h1")(w, r)
+		return
+	}
+	events(3)(w, r)
+}
+
 // noEngine refuses a demand.
 func noEngine(scheduling.Demand) (scheduling.Grant, error) {
 	return scheduling.Grant{}, &scheduling.Refusal{Reason: scheduling.RefusedNoEngine}
@@ -66,6 +76,8 @@
 		{"request that is sent again", booking, 1, nil, false, []string{"r1", "r1"}, []string{declined, "answer"}, "d1:0 d1:0"},
 		{"prefill that is sent again", dossier, 1, answersOf{grant("p1", "e1"), noEngine, grant("p1", "e1")}, true,
 			[]string{"r1", "r1"}, []string{"refused: no-engine", "stream"}, "p1:1 p1:1 e1:2/h1"},
+		{"whole request after its prefill", dossier, 1, answersOf{grant("p1", "e1"), grant("p1", "p1")}, true,
+			[]string{"r1"}, []string{"stream"}, "p1:1 p1:0"},
 		{"second call of a single run", dossier, 1, answersOf{grant("p1", "e1")}, false,
 			[]string{"r1"}, []string{"stream"}, "p1:1 e1:2/h1 p1: e1:0"},
 		{"second call of a resumable stream", check, 1, answersOf{grant("p1", "e1"), grant("p2", "e2")}, false,
@@ -86,7 +98,7 @@
 						generation = nil
 						s.endpoint("d1", "desk", "", refuses(c.refused, status, "", answers(http.StatusOK, "done")))
 					case c.prefill:
-						s.engines(refuses(c.refused, status, "", answers(http.StatusOK, "h1")), events(3))
+						s.engines(refuses(c.refused, status, "", prefillOrEvents), events(3))
 					default:
 						s.engines(answers(http.StatusOK, "h1"), refuses(c.refused, status, "", events(3)))
 					}
