Wait for the calls in tests of repeated refusals

Cause: a repeated refusal ends a call before its endpoint has handled it, so the tests could compare the calls too early: 3 of 20 runs failed with "d1:0 != d1:0 d1:0" or "1 (int) != 2 (int)".

Change: the tests wait for the number of calls that they expect. The comparison is unchanged.

Result: 100 runs with the race detector pass.

--- a/internal/relay/kept_connection_test.go
+++ b/internal/relay/kept_connection_test.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// awaitCalls waits until endpoints have received a number of calls. A call may end with a repeated refusal before
+// its endpoint has received it.
+func (s *fixture) awaitCalls(count int) {
+	for s.callCount() < count {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // prefillOrEvents answers a prefill, and any other call with three events.
 func prefillOrEvents(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get(stageHeader) == strconv.Itoa(int(Prefill)) {
@@ -110,6 +118,7 @@
 							assert.Equal(t, caller.body, eventText(3))
 						}
 					}
+					s.awaitCalls(len(strings.Fields(c.calls)))
 					assert.Equal(t, s.callLog(), c.calls)
 				})
 			}
@@ -162,6 +171,7 @@
 			s.add("new", "desk", configuration.Role(""), address)
 			s.requestID = "r2"
 			call(s)
+			s.awaitCalls(2)
 			assert.Equal(t, s.callCount(), 2)
 			assert.Equal(t, s.endpoints.QuietFor("new"), time.Duration(0))
 		})
