Take no refusal that breaks off for a promise that nothing ran

A status of 404, 409, 410, 429 or 503 counted as a refusal once its header had arrived, although the engine stopped within the answer. It counts only if the response is whole now; one without length or chunks never is, as its end cannot be told from a cut.

TestAnswerCutAtAnyByteIsNone cuts the answer to each kind of call at every byte, with each framing, and closes or resets the connection.

--- /dev/null
+++ b/internal/engine/openai/broken_answer_test.go
@@ -0,0 +1,75 @@
+package openai
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/engine"
+)
+
+// An engine that stops within its answer must not be taken to have answered, refused or confirmed,
+// wherever that is and whether its machine closes or resets the connection.
+func TestAnswerCutAtAnyByteIsNone(t *testing.T) {
+	for _, call := range engineCalls(1) {
+		for _, status := range []int{http.StatusOK, http.StatusConflict, http.StatusServiceUnavailable} {
+			for _, framing := range []string{byLength, byChunks, byClose} {
+				for _, reset := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s %d by %s, reset %t", call.name, status, framing, reset), func(t *testing.T) {
+						t.Parallel()
+						cutEverywhere(t, call, status, framing, reset)
+					})
+				}
+			}
+		}
+	}
+}
+
+func cutEverywhere(t *testing.T, call engineCall, status int, framing string, reset bool) {
+	t.Helper()
+	body := call.answer
+	if status != http.StatusOK {
+		body = `{"error":"refused"}`
+	}
+	// Each call gets one byte more than the one before.
+	var cut, end atomic.Int64
+	address := serveRaw(t, func(_ int, requests *bufio.Reader, conn net.Conn) {
+		request := readRequest(requests)
+		if request == nil {
+			return
+		}
+		answer := message(status, request.Header.Get(requestIDHeader), framing, body)
+		whole := len(answer)
+		switch {
+		case call.name == "decode" && status == http.StatusOK:
+			whole = strings.Index(answer, "[DONE]") + len("[DONE]")
+		case framing == byClose && status == http.StatusOK:
+			whole = strings.LastIndexByte(answer, '}')
+		case framing == byClose:
+			// The end of such a refusal cannot be told from a cut.
+			whole++
+		}
+		end.Store(int64(whole))
+		_, _ = io.WriteString(conn, answer[:min(int(cut.Load()), len(answer))])
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	client := newClient(t, address)
+	for ; ; cut.Add(1) {
+		err := call.do(t.Context(), client)
+		if cut.Load() >= end.Load() {
+			return
+		}
+		assert.Assert(t, err != nil, "cut at byte %d of %d", cut.Load(), end.Load())
+		assert.Assert(t, !errorx.HasTrait(err, engine.NotRun), "cut at byte %d of %d: %v", cut.Load(), end.Load(), err)
+	}
+}
--- a/internal/engine/openai/client.go
+++ b/internal/engine/openai/client.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -33,14 +34,16 @@
 
 	// maxResponseBytes bounds a non-streamed response of an engine, in bytes.
 	maxResponseBytes = 1 << 20
-	// maxDetailBytes bounds what is read of a refusal, and what may follow the last event of a
-	// stream, in bytes.
+	// maxDetailBytes bounds what an error shows of a refusal, and what may follow the last event
+	// of a stream, in bytes.
 	maxDetailBytes = 512
 	// bodyEndTimeout bounds the wait for the end of the body after the last event of a stream. The
 	// caller's answer ends after it.
 	bodyEndTimeout = 20 * time.Millisecond
 )
 
+var errTooLong = errors.New("the response is longer than allowed")
+
 // Client calls one engine. It is safe for concurrent use.
 type Client struct {
 	address  string
@@ -216,11 +219,17 @@
 }
 
 // statusError converts a status other than 200 to a typed error. A status that says that nothing
-// runs counts only if the response names the attempt; it could be meant for another one.
+// runs counts only if the response is whole and names the attempt: it could be meant for another
+// one, and an engine that stops within a response is not known to have refused the call.
 func statusError(response *upstream.Response, attempt string) error {
-	detail, _ := io.ReadAll(io.LimitReader(response, maxDetailBytes))
-	text := string(bytes.TrimSpace(detail))
-	if attempt != "" && response.Header.Get(requestIDHeader) != attempt {
+	detail, err := readWhole(response)
+	text := string(bytes.TrimSpace(detail[:min(len(detail), maxDetailBytes)]))
+	switch {
+	case err != nil:
+		return engine.Unavailable.Wrap(err, "status %d: %s", response.Status, text)
+	case !response.Framed:
+		return engine.Unavailable.New("status %d without length or chunks: %s", response.Status, text)
+	case attempt != "" && response.Header.Get(requestIDHeader) != attempt:
 		return engine.Unavailable.New("status %d without the attempt %s: %s", response.Status, attempt, text)
 	}
 	switch response.Status {
@@ -247,9 +256,19 @@
 	return completionsPath
 }
 
-// decodeJSON decodes a whole body.
+// readWhole reads a body to its end and returns an error if it is cut or too long.
+func readWhole(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
+	if err == nil && len(text) > maxResponseBytes {
+		err = errTooLong
+	}
+	return text, err
+}
+
+// decodeJSON decodes a whole body. Only a body that ends with its value is whole, also without
+// length or chunks.
 func decodeJSON(body io.Reader, into any) error {
-	text, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+	text, err := readWhole(body)
 	if err != nil {
 		return err
 	}
