Take no error under status 200 for an answer of an engine

A body without the members that say what was done or found is no answer any more, nor one with anything behind its value. An error that an engine sent with status 200 was taken for a confirmed cancel, so that the slot was released while the engine held it, for a load report without slots, for the state of an engine without a role, and for a restart of an engine's prefix cache. A cancel must also name its attempt and one of the three states.

--- a/internal/engine/openai/broken_answer_test.go
+++ b/internal/engine/openai/broken_answer_test.go
@@ -73,3 +73,25 @@
 		assert.Assert(t, !errorx.HasTrait(err, engine.NotRun), "cut at byte %d of %d: %v", cut.Load(), end.Load(), err)
 	}
 }
+
+// An error that an engine sends with status 200 was taken for a load report without slots, for a
+// confirmed cancel or for the state of an engine without a role.
+func TestOtherBodyUnderStatus200IsNoAnswer(t *testing.T) {
+	for _, call := range engineCalls(1) {
+		for _, body := range []string{
+			"", "null", "{}", `{"error":"internal"}`, "<html></html>", `{"id":"vm-1.7.3.1"}`, `{"id":"vm-1.7.3.2","state":"cancelled","held_pieces":0}`,
+			`{"id":"vm-1.7.3.1","state":"failed","held_pieces":0}`, call.answer + "HTTP/1.1 500 Internal Server Error\r\n\r\n",
+		} {
+			if call.name == "decode" && strings.HasPrefix(body, call.answer) {
+				continue
+			}
+			address := serveRaw(t, func(_ int, requests *bufio.Reader, conn net.Conn) {
+				if request := readRequest(requests); request != nil {
+					_, _ = io.WriteString(conn, message(http.StatusOK, request.Header.Get(requestIDHeader), byLength, body))
+				}
+			})
+			err := call.do(t.Context(), newClient(t, address))
+			assert.Check(t, err != nil && !errorx.HasTrait(err, engine.NotRun), "%s took %q: %v", call.name, body, err)
+		}
+	}
+}
--- a/internal/engine/openai/cacheevents.go
+++ b/internal/engine/openai/cacheevents.go
@@ -24,7 +24,7 @@
 // the result is below from, the engine was restarted.
 func (c *Client) CacheEvents(ctx context.Context, from uint64) (engine.CacheEvents, error) {
 	var response cacheEventsResponse
-	if err := c.get(ctx, "/v1/cache/events?from="+strconv.FormatUint(from, 10), &response); err != nil {
+	if err := c.get(ctx, "/v1/cache/events?from="+strconv.FormatUint(from, 10), &response, "next"); err != nil {
 		return engine.CacheEvents{}, err
 	}
 	page := engine.CacheEvents{Next: response.Next}
--- a/internal/engine/openai/client.go
+++ b/internal/engine/openai/client.go
@@ -13,9 +13,11 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -42,7 +44,12 @@
 	bodyEndTimeout = 20 * time.Millisecond
 )
 
-var errTooLong = errors.New("the response is longer than allowed")
+var (
+	errTooLong = errors.New("the response is longer than allowed")
+	errMissing = errors.New("the response has no member")
+
+	jsonNull = []byte("null")
+)
 
 // Client calls one engine. It is safe for concurrent use.
 type Client struct {
@@ -86,7 +93,7 @@
 
 func readPrefill(body io.Reader, id engine.AttemptID) (engine.PrefillResult, error) {
 	var response prefillResponse
-	if err := decodeJSON(body, &response); err != nil {
+	if err := decodeJSON(body, &response, "id", "kv_transfer_params"); err != nil {
 		return engine.PrefillResult{}, engine.Unavailable.Wrap(err, "prefill answer")
 	}
 	if response.ID != id.String() {
@@ -117,32 +124,49 @@
 	return s, nil
 }
 
-// cancelResponse is an engine's acknowledgement of a cancel.
+// cancelResponse is an engine's acknowledgement of a cancel. ID and State are set if it is that of
+// one attempt.
 type cancelResponse struct {
-	HeldPieces int `json:"held_pieces"`
+	ID         string `json:"id"`
+	State      string `json:"state"`
+	HeldPieces int    `json:"held_pieces"`
 }
 
+// cancelStates are the states of an attempt after a cancel.
+var cancelStates = []string{"cancelled", "unknown", "finished"}
+
 // Cancel implements engine.Client.
 func (c *Client) Cancel(ctx context.Context, id engine.AttemptID) (engine.CancelResult, error) {
-	return c.cancel(ctx, "/v1/requests/"+url.PathEscape(id.String())+"/cancel")
+	result, err := c.cancel(ctx, "/v1/requests/"+url.PathEscape(id.String())+"/cancel", "id", "state", "held_pieces")
+	switch {
+	case err != nil:
+		return engine.CancelResult{}, err
+	case result.ID != id.String():
+		return engine.CancelResult{}, engine.Crossed.New("cancel of %s answered for %s", id, result.ID)
+	case !slices.Contains(cancelStates, result.State):
+		return engine.CancelResult{}, engine.Unavailable.New("cancel of %s answered %q", id, result.State)
+	}
+	return engine.CancelResult{HeldPieces: result.HeldPieces}, nil
 }
 
 // CancelIncarnation implements engine.Client.
 func (c *Client) CancelIncarnation(ctx context.Context, vm string, incarnation uint64) (engine.CancelResult, error) {
-	return c.cancel(ctx, "/v1/incarnations/"+url.PathEscape(vm)+"/"+strconv.FormatUint(incarnation, 10)+"/cancel")
+	path := "/v1/incarnations/" + url.PathEscape(vm) + "/" + strconv.FormatUint(incarnation, 10) + "/cancel"
+	result, err := c.cancel(ctx, path, "cancelled", "held_pieces")
+	return engine.CancelResult{HeldPieces: result.HeldPieces}, err
 }
 
-func (c *Client) cancel(ctx context.Context, path string) (engine.CancelResult, error) {
+func (c *Client) cancel(ctx context.Context, path string, required ...string) (cancelResponse, error) {
 	response, err := c.post(ctx, path, "", nil)
 	if err != nil {
-		return engine.CancelResult{}, err
+		return cancelResponse{}, err
 	}
 	defer response.Close()
 	var result cancelResponse
-	if err := decodeJSON(response, &result); err != nil {
-		return engine.CancelResult{}, engine.Unavailable.Wrap(err, "cancel answer")
+	if err := decodeJSON(response, &result, required...); err != nil {
+		return cancelResponse{}, engine.Unavailable.Wrap(err, "cancel answer")
 	}
-	return engine.CancelResult{HeldPieces: result.HeldPieces}, nil
+	return result, nil
 }
 
 // loadResponse is an engine's load report.
@@ -159,20 +183,20 @@
 // Load implements engine.Client.
 func (c *Client) Load(ctx context.Context) (engine.LoadReport, error) {
 	var response loadResponse
-	if err := c.get(ctx, "/v1/load", &response); err != nil {
+	if err := c.get(ctx, "/v1/load", &response, "slots", "active"); err != nil {
 		return engine.LoadReport{}, err
 	}
 	return engine.LoadReport(response), nil
 }
 
 // get sends a GET request and decodes the JSON response.
-func (c *Client) get(ctx context.Context, path string, into any) error {
+func (c *Client) get(ctx context.Context, path string, into any, required ...string) error {
 	response, err := c.do(ctx, &upstream.Request{Method: http.MethodGet, Target: path, Header: http.Header{}}, "")
 	if err != nil {
 		return err
 	}
 	defer response.Close()
-	if err := decodeJSON(response, into); err != nil {
+	if err := decodeJSON(response, into, required...); err != nil {
 		return engine.Unavailable.Wrap(err, "GET %s", path)
 	}
 	return nil
@@ -266,12 +290,22 @@
 }
 
 // decodeJSON decodes a whole body. Only a body that ends with its value is whole, also without
-// length or chunks.
-func decodeJSON(body io.Reader, into any) error {
+// length or chunks. An object without the required members is no answer: an engine may send
+// an error with status 200.
+func decodeJSON(body io.Reader, into any, required ...string) error {
 	text, err := readWhole(body)
 	if err != nil {
 		return err
 	}
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(text, &members); err != nil {
+		return err
+	}
+	for _, name := range required {
+		if value := members[name]; value == nil || bytes.Equal(value, jsonNull) {
+			return fmt.Errorf("%w %q: %s", errMissing, name, text[:min(len(text), maxDetailBytes)])
+		}
+	}
 	return json.Unmarshal(text, into)
 }
 
--- a/internal/engine/openai/orders.go
+++ b/internal/engine/openai/orders.go
@@ -61,7 +61,7 @@
 	}
 	defer response.Close()
 	var result wireOrderResponse
-	if err := decodeJSON(response, &result); err != nil {
+	if err := decodeJSON(response, &result, "state"); err != nil {
 		return "", engine.Unavailable.Wrap(err, "answer to order %s", order.ID)
 	}
 	if !slices.Contains([]engine.OrderResult{engine.OrderAccepted, engine.OrderInForce}, result.State) {
@@ -73,7 +73,7 @@
 // State reads the engine's state in force.
 func (c *Client) State(ctx context.Context) (engine.State, error) {
 	var wire wireState
-	if err := c.get(ctx, statePath, &wire); err != nil {
+	if err := c.get(ctx, statePath, &wire, "role", "model"); err != nil {
 		return engine.State{}, err
 	}
 	return engine.State{
