Pass on no event in which an engine reports its own failure

An event of the attempt itself with an error, without a token index or with a finish reason other than stop and length was a token, and with [DONE] behind it the answer was complete. Such an event ends the stream with an error now, so that the answer goes on elsewhere or is interrupted.

It requires an error there now, which an index kept from the event before would hide, and has events with an index for the other fields.

--- a/internal/engine/openai/broken_answer_test.go
+++ b/internal/engine/openai/broken_answer_test.go
@@ -95,3 +95,21 @@
 		}
 	}
 }
+
+// An event of the attempt in which the engine reports its own failure was passed on as a token, or
+// ended the answer as if it were complete.
+func TestEventThatIsNoTokenEndsTheStream(t *testing.T) {
+	for _, event := range []string{
+		`"token_index":1,"choices":[{"text":"boom","finish_reason":"error"}]`,
+		`"token_index":1,"choices":[{"text":"boom","finish_reason":"abort"}]`,
+		`"token_index":1,"choices":[{"text":"boom","finish_reason":"stop"}],"error":{"code":500}`,
+		`"token_index":1,"choices":[{"text":"boom"}],"error":"boom"`,
+		`"choices":[{"text":"boom","finish_reason":"stop"}]`,
+		`"token_index":null,"choices":[{"text":"boom","finish_reason":"stop"}]`,
+		`"token_index":1,"choices":[]`,
+	} {
+		text, err := readAll(strings.SplitAfter(wholeStream, "null}]}\n\n")[0] + `data: {"id":"vm-1.7.3.1",` + event + "}\n\ndata: [DONE]\n\n")
+		assert.Check(t, errorx.IsOfType(err, engine.Unavailable), "%s: %v", event, err)
+		assert.Check(t, text == `a "b" `, "%s: %q", event, text)
+	}
+}
--- a/internal/engine/openai/client_test.go
+++ b/internal/engine/openai/client_test.go
@@ -139,6 +139,8 @@
 func TestEventKeepsNoFieldOfThePreviousEvent(t *testing.T) {
 	s := newStream(strings.NewReader(
 		`data: {"id":"vm-1.7.3.1","token_index":4,"choices":[{"text":"a","delta":{"content":"b"},"finish_reason":"stop"}]}`+"\n\n"+
+			`data: {"id":"vm-1.7.3.1","token_index":0,"choices":[{}]}`+"\n\n"+
+			`data: {"id":"vm-1.7.3.1","token_index":4,"choices":[{}]}`+"\n\n"+
 			`data: {"id":"vm-1.7.3.1","choices":[{}]}`+"\n\n"+
 			`data: {"choices":[{"text":"c"}]}`+"\n\n"), attempt, func(bool) {})
 	token, err := s.Next()
@@ -151,6 +153,10 @@
 	assert.Equal(t, token.Index, 0)
 	assert.Equal(t, string(token.Text), "")
 	assert.Equal(t, token.FinishReason, "")
+	_, err = s.Next()
+	assert.NilError(t, err)
+	_, err = s.Next()
+	assert.Assert(t, errorx.IsOfType(err, engine.Unavailable), "an event without an index was taken: %v", err)
 	token, err = s.Next()
 	assert.Assert(t, errorx.IsOfType(err, engine.CutShort), "%v", err)
 	assert.Equal(t, token.Foreign, 1, "an event without an id was taken")
--- a/internal/engine/openai/stream.go
+++ b/internal/engine/openai/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"slices"
 
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 )
@@ -25,8 +26,16 @@
 	ID         string   `json:"id"`
 	TokenIndex int      `json:"token_index"`
 	Choices    []choice `json:"choices"`
+	// Error is set if the engine reports an error in an event.
+	Error json.RawMessage `json:"error"`
 }
 
+// noTokenIndex is the index of an event without one.
+const noTokenIndex = -1
+
+// finishReasons are the reasons with which an answer is complete.
+var finishReasons = []string{"stop", "length"}
+
 type choice struct {
 	Text  string `json:"text"`
 	Delta struct {
@@ -125,8 +134,8 @@
 	if c.ID != s.id {
 		return engine.Token{}, false, nil
 	}
-	if len(c.Choices) != 1 {
-		return engine.Token{}, false, engine.Unavailable.New("stream event of %s has %d choices", s.id, len(c.Choices))
+	if err := s.check(c); err != nil {
+		return engine.Token{}, false, err
 	}
 	only := &c.Choices[0]
 	s.text = append(s.text[:0], only.Text...)
@@ -139,12 +148,30 @@
 	return token, true, nil
 }
 
+// check returns an error if an event of this attempt is not a token: an engine may report its own
+// failure in an event, and name it as the reason why the answer ended.
+func (s *stream) check(c *chunk) error {
+	switch {
+	case len(c.Error) > 0 && !bytes.Equal(c.Error, jsonNull):
+		return engine.Unavailable.New("stream of %s reports %s", s.id, c.Error)
+	case len(c.Choices) != 1:
+		return engine.Unavailable.New("stream event of %s has %d choices", s.id, len(c.Choices))
+	case c.TokenIndex < 0:
+		return engine.Unavailable.New("stream event of %s has no token index", s.id)
+	}
+	reason := c.Choices[0].FinishReason
+	if reason != nil && *reason != "" && !slices.Contains(finishReasons, *reason) {
+		return engine.Unavailable.New("stream of %s ended for %q", s.id, *reason)
+	}
+	return nil
+}
+
 // emptyEvent clears the reused event and returns it. json.Unmarshal keeps old values
 // of slice elements within the capacity, so these are cleared as well.
 func (s *stream) emptyEvent() *chunk {
 	choices := s.event.Choices[:cap(s.event.Choices)]
 	clear(choices)
-	s.event = chunk{Choices: choices[:0]}
+	s.event = chunk{Choices: choices[:0], TokenIndex: noTokenIndex}
 	return &s.event
 }
 
