End no answer at a token that its caller already has

The last event of a resumed stream counted as the end of the answer whatever its index: one below the caller's next token was dropped as a duplicate, and the answer was complete without its rest. That is an error of the engine now, after which the answer goes on elsewhere or is interrupted. A later index was an error before.

TestErrorInPlaceOfTheRestOfAStreamReachesNoCaller has a stream break off in five ways and the next engine answer with ten statuses, three framings, four types, with and without its ID, and thirteen bodies.

No other status, framing or type ended a stream or reached a caller, before or after.

--- a/internal/completion/stream.go
+++ b/internal/completion/stream.go
@@ -43,6 +43,10 @@
 
 // deliverLast delivers the final token once the terminal event has confirmed it.
 func (a *attempt) deliverLast(stream engine.Stream, token engine.Token, started time.Time) error {
+	if token.Index != a.next {
+		// An answer that ends at a token that the caller already has is another answer.
+		return protocolError.New("token %d ends the answer after token %d", token.Index, a.next-1)
+	}
 	token.Text = append([]byte(nil), token.Text...)
 	if _, err := stream.Next(); !errors.Is(err, io.EOF) {
 		return engine.CutShort.New("stream of %s ended without its terminal event", a.id)
