Match replies of plain services to their calls

A reply that an endpoint wrote once more on a kept connection was passed on as that to the next call, which may be another caller's; one that named another call was passed on too. forward uses the shared client of package upstream in place of net/http, with X-Request-Id as the ID, and a reply that names another call leaves the outcome of its call in doubt. Calls that may run once still have a connection of their own, which upstream.Request can ask for now. Those that may be repeated share connections if the endpoint repeats the ID; otherwise each has its own, which costs a dial a call.

As for engines, net/http's own repetition of a call on a connection that had just been closed is gone: it goes to another endpoint, if there is one. The permission to run a call is asked once the connection is open, so that the time to dial does not age it, and only calls that were sent are counted and recorded as sent. A path with a space in its query is refused as not run. Connections are counted under plain_connections.

--- a/internal/daemon/path.go
+++ b/internal/daemon/path.go
@@ -138,7 +138,8 @@
 func newForwarder(lifecycle fx.Lifecycle, id Identity, endpoints *endpoint.Registry, store *configuration.Store, events timeline.Recorder, registry *metrics.Registry) *forward.Forwarder {
 	forwarder := forward.New(id.Zone, endpoints, store, events)
 	registry.Mount("forward", metrics.Fields(&forwarder.Counters))
-	onStop(lifecycle, func(context.Context) { forwarder.Close() })
+	registry.Mount("plain_connections", metrics.Fields(&forwarder.Upstream.Counters))
+	background.Run(lifecycle, forwarder.Run)
 	return forwarder
 }
 
--- /dev/null
+++ b/internal/forward/faulty_endpoint_test.go
@@ -0,0 +1,143 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+)
+
+// anyEndpoint picks the first endpoint whatever is known of it.
+type anyEndpoint struct{}
+
+func (anyEndpoint) PickLeastLoaded(candidates []*configuration.Endpoint, _ string, exclude []string) *configuration.Endpoint {
+	if len(exclude) > 0 {
+		return nil
+	}
+	return candidates[0]
+}
+func (anyEndpoint) Begin(string) func()                           { return func() {} }
+func (anyEndpoint) MarkLeaving(string)                            {}
+func (anyEndpoint) Observe(string, []string, bool, time.Duration) {}
+
+// newRawForwarder returns a forwarder to an endpoint that answers each request of a connection with
+// what reply returns; earlier is what it wrote last on the connection.
+func newRawForwarder(t *testing.T, reply func(id, earlier string) (text string, closing bool)) *Forwarder {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var serving sync.WaitGroup
+	t.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() {
+				defer func() { _ = conn.Close() }()
+				requests, earlier, closing := bufio.NewReader(conn), "", false
+				for !closing {
+					request, err := http.ReadRequest(requests)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					earlier, closing = reply(request.Header.Get(requestIDHeader), earlier)
+					_, _ = io.WriteString(conn, earlier)
+				}
+			})
+		}
+	})
+	f := newForwarder(t, listener.Addr().String())
+	f.endpoints = anyEndpoint{}
+	return f
+}
+
+// replyTo returns a reply whose body is the ID of its request, by which it is also named if set.
+func replyTo(id string, status int, named bool, framing string) string {
+	head := fmt.Sprintf("HTTP/1.1 %d Status\r\n", status)
+	if named {
+		head += requestIDHeader + ": " + id + "\r\n"
+	}
+	if status == http.StatusServiceUnavailable {
+		head += leavingHeader + ": true\r\n"
+	}
+	switch framing {
+	case "length":
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(id), id)
+	case "chunks":
+		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(id), id)
+	default:
+		return head + "\r\n" + id
+	}
+}
+
+// An endpoint wrote the reply to one call once more on the kept connection, where it was taken for
+// that to the next call: of another caller, and as a promise that a call had not run which had.
+func TestReplyWrittenAgainIsNotThatToTheNextCall(t *testing.T) {
+	for _, repeat := range []configuration.RepeatRule{configuration.Repeatable, configuration.NeverRepeat} {
+		for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+			for _, named := range []bool{true, false} {
+				for _, second := range []string{"vm.1.1", "vm.1.2"} {
+					t.Run(fmt.Sprintf("%s %d, named %t, then %s", repeat, status, named, second), func(t *testing.T) {
+						var received atomic.Int64
+						f := newRawForwarder(t, func(id, earlier string) (string, bool) {
+							if received.Add(1) == 1 {
+								return replyTo(id, status, named, "length"), false
+							}
+							return earlier + replyTo(id, http.StatusOK, named, "length"), false
+						})
+						_, _ = f.Do(t.Context(), callOf(repeat))
+						call := callOf(repeat)
+						call.RequestID = second
+						reply, err := f.Do(t.Context(), call)
+						assert.Equal(t, received.Load(), int64(2))
+						assert.Assert(t, !errorx.HasTrait(err, NotRun), "the call ran: %v", err)
+						if err == nil {
+							assert.Equal(t, reply.Status, http.StatusOK)
+							assert.Equal(t, string(reply.Body), second)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// A reply that names another call belongs to that, whatever the connection.
+func TestReplyThatNamesAnotherCallIsNotPassedOn(t *testing.T) {
+	for _, repeat := range []configuration.RepeatRule{configuration.Repeatable, configuration.NeverRepeat} {
+		f := newRawForwarder(t, func(string, string) (string, bool) { return replyTo("vm.1.7", http.StatusOK, true, "length"), false })
+		_, err := f.Do(t.Context(), callOf(repeat))
+		assert.Assert(t, errorx.IsOfType(err, InDoubt), "%v", err)
+	}
+}
+
+// A target that a caller wrote must not end the request line early.
+func TestTargetThatIsNoPathIsNotSent(t *testing.T) {
+	f := newRawForwarder(t, func(string, string) (string, bool) {
+		t.Error("the call was sent")
+		return "", true
+	})
+	for _, path := range []string{"/book?a b", "/book?x HTTP/1.1\r\nHost: y", "/%zz", "/" + strings.Repeat("\x00", 2)} {
+		call := callOf(configuration.Repeatable)
+		call.Path = path
+		_, err := f.Do(t.Context(), call)
+		assert.Assert(t, errorx.IsOfType(err, BadRequest), "%q: %v", path, err)
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,17 +1,14 @@
 // Package forward sends requests of plain classes to plain services.
 //
-// A call that must not be retried is sent at most once: it uses a new connection,
-// since net/http retries requests on reused connections by itself, and another
-// endpoint is tried only if no connection was obtained. A reply that cannot be
-// checked for completeness is not forwarded.
+// A call that must not be retried is sent at most once, on a connection of its own, and
+// another endpoint is tried only if nothing was sent. A reply that names another call, or
+// that cannot be checked for completeness, is not forwarded.
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +18,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/httpheader"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
 const (
@@ -72,8 +70,8 @@
 	Body   []byte
 	// Key is the caller's idempotency key, empty if there is none.
 	Key string
-	// MayExecute is called immediately before the request is sent and reports
-	// whether it may be sent; nil always permits it.
+	// MayExecute is called once a connection is open, immediately before the request is
+	// sent, and reports whether it may be sent; nil always permits it.
 	MayExecute func() bool
 }
 
@@ -99,34 +97,33 @@
 type Forwarder struct {
 	// Counters are read by the metrics.
 	Counters Counters
+	// Upstream holds the connections to all endpoints.
+	Upstream *upstream.Client
 
 	zone          string
 	endpoints     Endpoints
 	configuration Configuration
 	events        timeline.Recorder
 	budget        *retry.Budget
-	pooled        *http.Client
-	single        *http.Client
 }
 
 // New returns a forwarder for an entry VM in a zone.
 func New(zone string, endpoints Endpoints, conf Configuration, events timeline.Recorder) *Forwarder {
 	return &Forwarder{
+		Upstream:      newUpstream(),
 		zone:          zone,
 		endpoints:     endpoints,
 		configuration: conf,
 		events:        events,
 		budget:        retry.NewBudget(retryRatio, retryBurst),
-		pooled:        newClient(false),
-		single:        newClient(true),
 	}
 }
 
+// Run closes connections that were idle for too long until ctx ends, then all idle ones.
+func (f *Forwarder) Run(ctx context.Context) { f.Upstream.Run(ctx) }
+
 // Close closes idle connections.
-func (f *Forwarder) Close() {
-	f.pooled.CloseIdleConnections()
-	f.single.CloseIdleConnections()
-}
+func (f *Forwarder) Close() { f.Upstream.Close() }
 
 // Do sends the call and returns a complete reply. The error is of a type of this
 // package; only those with the trait NotRun guarantee that the call did not run.
@@ -192,49 +189,60 @@
 
 // exchange performs one HTTP exchange.
 func (f *Forwarder) exchange(ctx context.Context, call *Call, to *configuration.Endpoint) (*Reply, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call, to.Address)
+	request, err := newRequest(call, to.Address)
 	if err != nil {
 		return nil, err
 	}
-	if call.MayExecute != nil && !call.MayExecute() {
-		return nil, GivenUp.New("%s", call.RequestID)
-	}
-	f.Counters.Sent.Add(1)
-	f.events.Record(timeline.PlainSent, call.RequestID, to.Name)
-	resp, err := f.client(call.Class).Do(req)
-	if err != nil && !connected.Load() {
+	request.Permit = func() error { return f.permit(call, to) }
+	response, err := f.Upstream.Do(ctx, to.Address, request)
+	switch {
+	case errorx.IsOfType(err, upstream.Withheld):
+		return nil, GivenUp.Wrap(err, "%s", call.RequestID)
+	case errorx.IsOfType(err, upstream.NotSent):
 		return nil, Unreachable.Wrap(err, "%s", to.Name)
-	}
-	if err != nil {
+	case err != nil:
 		return nil, InDoubt.Wrap(err, "%s", to.Name)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	return f.read(resp, to.Name)
+	defer response.Close()
+	return f.read(response, to.Name)
 }
 
-// client returns the HTTP client for the class's repeat rule.
-func (f *Forwarder) client(class *configuration.Class) *http.Client {
-	if class.Repeat == configuration.NeverRepeat {
-		return f.single
+// permit records that a call is being sent, or returns an error if it must not be.
+func (f *Forwarder) permit(call *Call, to *configuration.Endpoint) error {
+	if call.MayExecute != nil && !call.MayExecute() {
+		return GivenUp.New("%s", call.RequestID)
 	}
-	return f.pooled
+	f.Counters.Sent.Add(1)
+	f.events.Record(timeline.PlainSent, call.RequestID, to.Name)
+	return nil
 }
 
 // read reads a complete reply.
-func (f *Forwarder) read(resp *http.Response, name string) (*Reply, error) {
-	if resp.Header.Get(leavingHeader) == "true" {
+func (f *Forwarder) read(response *upstream.Response, name string) (*Reply, error) {
+	if response.Status == http.StatusSwitchingProtocols {
+		response.Abort()
+		return nil, InDoubt.New("%s left HTTP", name)
+	}
+	if response.Header.Get(leavingHeader) == "true" {
 		f.endpoints.MarkLeaving(name)
-		if resp.StatusCode == http.StatusServiceUnavailable {
+		if response.Status == http.StatusServiceUnavailable {
 			return nil, Leaving.New("%s", name)
 		}
 	}
-	if !framed(resp) {
+	body, err := f.readBody(response, name)
+	if err != nil {
+		return nil, err
+	}
+	return &Reply{Status: response.Status, Header: httpheader.EndToEnd(response.Header), Body: body}, nil
+}
+
+// readBody reads a complete body.
+func (f *Forwarder) readBody(response *upstream.Response, name string) ([]byte, error) {
+	if !response.Framed {
 		f.Counters.CutShort.Add(1)
 		return nil, CutShort.New("reply of %s has neither length nor chunks", name)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(response, maxReplyBytes+1))
 	if err != nil {
 		f.Counters.CutShort.Add(1)
 		return nil, CutShort.Wrap(err, "reply of %s", name)
@@ -242,39 +250,7 @@
 	if len(body) > maxReplyBytes {
 		return nil, CutShort.New("reply of %s is longer than %d bytes", name, maxReplyBytes)
 	}
-	return &Reply{Status: resp.StatusCode, Header: httpheader.EndToEnd(resp.Header), Body: body}, nil
-}
-
-// framed reports whether the end of the reply can be distinguished from a truncation.
-func framed(resp *http.Response) bool {
-	if resp.ContentLength >= 0 || resp.ProtoMajor > 1 {
-		return true
-	}
-	return len(resp.TransferEncoding) > 0 || !bodyAllowed(resp)
-}
-
-func bodyAllowed(resp *http.Response) bool {
-	return resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified
-}
-
-// newRequest builds the request to an endpoint.
-func newRequest(ctx context.Context, call *Call, address string) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Class.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
-	if err != nil {
-		return nil, BadRequest.Wrap(err, "%s", call.RequestID)
-	}
-	if call.Class.Repeat == configuration.NeverRepeat {
-		// Without GetBody net/http cannot send the body a second time.
-		req.GetBody = nil
-	}
-	req.Header = httpheader.EndToEnd(call.Header)
-	req.Header.Del("Authorization")
-	req.Header.Set(requestIDHeader, call.RequestID)
-	req.Header.Del(keyHeader)
-	if call.Key != "" {
-		req.Header.Set(keyHeader, call.Key)
-	}
-	return req, nil
+	return body, nil
 }
 
 func deadline(class *configuration.Class) time.Duration {
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -53,6 +53,7 @@
 		completionGroup,
 		engineConnectionsGroup,
 		forwardGroup,
+		plainConnectionsGroup,
 		reservationGroup,
 		schedulingGroup,
 		cancellerGroup,
--- a/internal/metrics/catalog_requests.go
+++ b/internal/metrics/catalog_requests.go
@@ -77,6 +77,12 @@
 	},
 }
 
+var plainConnectionsGroup = Group{
+	Name:   "plain_connections",
+	Help:   "Connections to plain services.",
+	Values: connectionValues,
+}
+
 var schedulingGroup = Group{
 	Name: "scheduling",
 	Help: "Decisions about engines for model-backed requests, for the models whose reservations this VM currently owns. When the ownership of a model moves to another VM, the values of that model are removed, so the totals can decrease; see `reservation.ownership_lost`.",
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -104,6 +104,8 @@
 	// MaxIdle limits how long a pooled connection may have been idle to be used
 	// for this request; 0 sets no limit.
 	MaxIdle time.Duration
+	// NewConnection sends the request on a new connection, which carries no other request.
+	NewConnection bool
 	// IDOptional permits a response without the request's ID if the connection has carried no
 	// other request. The connection is then not used again.
 	IDOptional bool
@@ -137,7 +139,7 @@
 // request, or a new one.
 func (c *Client) connection(ctx context.Context, address string, request *Request) (*conn, error) {
 	id := c.idOf(request)
-	if c.options.IDHeader != "" && id == "" {
+	if request.NewConnection || c.options.IDHeader != "" && id == "" {
 		return c.dial(ctx, address)
 	}
 	for pooled := c.takeIdle(address, request.MaxIdle, id); pooled != nil; pooled = c.takeIdle(address, request.MaxIdle, id) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -56,6 +56,8 @@
 	closing            sync.Once
 	// longBody is set while the exchange has a body that may stay unread for long.
 	longBody bool
+	// single is set if the connection must not carry another exchange.
+	single bool
 	// ids are hashes of the IDs of the requests that the connection has carried.
 	ids []uint64
 }
@@ -98,6 +100,7 @@
 	if id := k.client.idOf(request); id != "" {
 		k.ids = append(k.ids, maphash.String(k.client.idSeed, id))
 	}
+	k.single = request.NewConnection
 	interrupted := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(interrupted)
@@ -310,7 +313,7 @@
 
 // reusable reports whether the connection may carry another exchange.
 func (r *Response) reusable() bool {
-	if r.head.Close || !r.Framed || !r.identified() || r.conn.reader.Buffered() > 0 {
+	if r.head.Close || r.conn.single || !r.Framed || !r.identified() || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.written == nil {
