Take no refusal of a plain service that breaks off for a promise

A 503 with Ospreyshed-Leaving counted as "not run" once its header had arrived. It must be whole now; otherwise the outcome is in doubt.

No reply that breaks off was passed on as a whole one, nor a header that breaks off taken for one, before or after.

--- a/internal/forward/faulty_endpoint_test.go
+++ b/internal/forward/faulty_endpoint_test.go
@@ -128,6 +128,29 @@
 	}
 }
 
+// An endpoint that stops within its reply must not be taken to have replied or refused.
+func TestReplyCutAtAnyByteIsNone(t *testing.T) {
+	for _, repeat := range []configuration.RepeatRule{configuration.Repeatable, configuration.NeverRepeat} {
+		for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+			for _, framing := range []string{"length", "chunks", "close"} {
+				t.Run(fmt.Sprintf("%s %d by %s", repeat, status, framing), func(t *testing.T) {
+					whole := replyTo("vm.1.1", status, true, framing)
+					var cut atomic.Int64
+					f := newRawForwarder(t, func(string, string) (string, bool) { return whole[:cut.Load()], true })
+					for ; int(cut.Load()) < len(whole); cut.Add(1) {
+						reply, err := f.Do(t.Context(), callOf(repeat))
+						assert.Assert(t, err != nil, "cut at byte %d of %d: %+v", cut.Load(), len(whole), reply)
+						assert.Assert(t, !errorx.HasTrait(err, NotRun), "cut at byte %d of %d: %v", cut.Load(), len(whole), err)
+						if status == http.StatusServiceUnavailable {
+							assert.Assert(t, errorx.IsOfType(err, InDoubt), "cut at byte %d of %d: %v", cut.Load(), len(whole), err)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // A target that a caller wrote must not end the request line early.
 func TestTargetThatIsNoPathIsNotSent(t *testing.T) {
 	f := newRawForwarder(t, func(string, string) (string, bool) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -223,14 +223,19 @@
 		response.Abort()
 		return nil, InDoubt.New("%s left HTTP", name)
 	}
-	if response.Header.Get(leavingHeader) == "true" {
+	leaving := response.Header.Get(leavingHeader) == "true"
+	if leaving {
 		f.endpoints.MarkLeaving(name)
-		if response.Status == http.StatusServiceUnavailable {
-			return nil, Leaving.New("%s", name)
-		}
 	}
+	refused := leaving && response.Status == http.StatusServiceUnavailable
 	body, err := f.readBody(response, name)
-	if err != nil {
+	switch {
+	case refused && err != nil:
+		// Whether the endpoint ran the call is not known from a refusal that breaks off.
+		return nil, InDoubt.Wrap(err, "refusal of %s", name)
+	case refused:
+		return nil, Leaving.New("%s", name)
+	case err != nil:
 		return nil, err
 	}
 	return &Reply{Status: response.Status, Header: httpheader.EndToEnd(response.Header), Body: body}, nil
