Tell no caller that an attempt which was cancelled while it ran had not run

Engines answer 409 to an attempt that was cancelled, also to one that they were running, as docs/PROTOCOLS.md says under "Cancel" and the stand-ins do. The status counted as "not run". A VM whose peers take it for gone while it is paused has its attempts cancelled on the engines; if the retries end so as well, its caller was told that nothing had run. engine.Cancelled lacks the trait engine.NotRun now.

TestAttemptThatWasCancelledWhileItRanMayHaveRun on the former code:

refused.Outcome is completion.OutcomeNotRun: 4 prefills were executed: refused: engine-failed, retry after 1s: engine.cancelled: status 409: {"error":"attempt vm-1.1.1.5 was cancelled"}

TestStatusSaysWhetherAnythingRan required the trait for 409, which was the fault; it requires its absence now.

--- a/internal/completion/broken_stream_test.go
+++ b/internal/completion/broken_stream_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -21,6 +22,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/engine/openai"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
+	standin "github.com/ospreyshed/ospreyshed/internal/standin/engine"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 )
 
@@ -192,3 +194,32 @@
 	assert.NilError(t, err)
 	return staticConfiguration{snapshot}
 }
+
+// Peers that took this VM for gone cancelled its attempts on the engines, which answered the
+// prefills in progress with 409. The caller was told that nothing had run.
+func TestAttemptThatWasCancelledWhileItRanMayHaveRun(t *testing.T) {
+	p := startPool(t, 4)
+	p.setFaults("p", standin.Faults{IgnoreClose: true, Slow: stallingSlowdown})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := p.runner.Run(t.Context(), p.request("cancelled"), &textSink{})
+		ended <- err
+	}()
+	for {
+		select {
+		case err := <-ended:
+			var refused *completion.RefusedError
+			assert.Assert(t, errors.As(err, &refused), "%v", err)
+			executed := 0
+			for _, name := range []string{"p1", "p2"} {
+				executed += len(p.engines[name].Counts().Executions)
+			}
+			assert.Assert(t, executed > 0)
+			assert.Assert(t, refused.Outcome != completion.OutcomeNotRun, "%d prefills were executed: %v", executed, err)
+			return
+		case <-time.After(time.Millisecond):
+			p.engines["p1"].CancelIncarnation("vm-1", 1)
+			p.engines["p2"].CancelIncarnation("vm-1", 1)
+		}
+	}
+}
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -20,8 +20,9 @@
 	// BadRequest means that the engine rejected the request body; a retry would fail
 	// again.
 	BadRequest = namespace.NewType("bad-request", NotRun)
-	// Cancelled means that the attempt was cancelled before the call arrived.
-	Cancelled = namespace.NewType("cancelled", NotRun)
+	// Cancelled means that the attempt was cancelled, before the call arrived or while it
+	// ran. Nothing is left running.
+	Cancelled = namespace.NewType("cancelled")
 	// Unreachable means that no connection could be made, so no byte was sent.
 	Unreachable = namespace.NewType("unreachable", NotRun)
 	// Unavailable means that the engine failed after bytes may have reached it.
--- a/internal/engine/openai/client.go
+++ b/internal/engine/openai/client.go
@@ -264,6 +264,7 @@
 	case http.StatusTooManyRequests:
 		return engine.Busy.New("status %d: %s", response.Status, text)
 	case http.StatusConflict:
+		// The engine answers so, too, if it ran the attempt until it was cancelled.
 		return engine.Cancelled.New("status %d: %s", response.Status, text)
 	case http.StatusServiceUnavailable:
 		if response.Header.Get(leavingHeader) == "true" {
--- a/internal/engine/openai/client_test.go
+++ b/internal/engine/openai/client_test.go
@@ -85,7 +85,7 @@
 		{http.StatusBadRequest, false, engine.BadRequest, true},
 		{http.StatusGone, false, engine.Evicted, true},
 		{http.StatusTooManyRequests, false, engine.Busy, true},
-		{http.StatusConflict, false, engine.Cancelled, true},
+		{http.StatusConflict, false, engine.Cancelled, false},
 		{http.StatusServiceUnavailable, true, engine.Leaving, true},
 		{http.StatusServiceUnavailable, false, engine.Unavailable, false},
 		{http.StatusInternalServerError, false, engine.Unavailable, false},
--- a/internal/engine/openai/faulty_engine_test.go
+++ b/internal/engine/openai/faulty_engine_test.go
@@ -141,7 +141,7 @@
 	}
 }
 
-// refusals are the statuses that promise that nothing ran.
+// refusals are the statuses with which engines refuse calls.
 var refusals = []int{http.StatusNotFound, http.StatusConflict, http.StatusGone, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
 // An engine refused one call and wrote the refusal once more on the kept connection, where it was
