Keep a call in doubt that one endpoint may have run when another one refuses it

The error of the last endpoint that was tried counted for the whole call: after one that may have run a repeatable call, one that was leaving or could not be reached made the answer "not run". An error that says so replaces none any more that does not.

TestCallThatAnEndpointMayHaveRunStaysInDoubt, before:

leaving: expression is false: errorx.IsOfType(err, InDoubt): forward.leaving: b unreachable: expression is false: errorx.IsOfType(err, InDoubt): forward.unreachable: b

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,9 +144,9 @@
 		if err == nil {
 			return reply, nil
 		}
-		last = err
+		last = joined(last, err)
 		if !f.mayRetry(ctx, call, err) {
-			return nil, err
+			break
 		}
 	}
 	if last != nil {
@@ -155,6 +155,15 @@
 	return nil, NoEndpoint.New("service %s", call.Class.Service)
 }
 
+// joined returns the error of a call after another endpoint has failed: that one endpoint did not
+// run the call says nothing of an earlier one.
+func joined(earlier, err error) error {
+	if earlier != nil && !errorx.HasTrait(earlier, NotRun) && errorx.HasTrait(err, NotRun) {
+		return earlier
+	}
+	return err
+}
+
 // mayRetry reports whether another endpoint may be tried.
 func (f *Forwarder) mayRetry(ctx context.Context, call *Call, err error) bool {
 	if ctx.Err() != nil || errorx.IsOfType(err, GivenUp) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -181,3 +181,37 @@
 	assert.Equal(t, seen.Get("X-End"), "2")
 	assert.Equal(t, seen.Get("Authorization"), "", "the team's bearer key went to an endpoint")
 }
+
+// After a call that one endpoint may have run, another endpoint refused it or could not be reached.
+// The caller was told that nothing had run.
+func TestCallThatAnEndpointMayHaveRunStaysInDoubt(t *testing.T) {
+	var executions atomic.Int64
+	ran := func(w http.ResponseWriter, r *http.Request) {
+		executions.Add(1)
+		dropConnection(w, r)
+	}
+	refusal := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(leavingHeader, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	for name, second := range map[string]string{"unreachable": closedAddress(t), "leaving": serve(t, refusal)} {
+		t.Run(name, func(t *testing.T) {
+			executions.Store(0)
+			f := newForwarder(t, serve(t, ran), second)
+			f.endpoints = inOrder{}
+			_, err := f.Do(context.Background(), callOf(configuration.Repeatable))
+			assert.Equal(t, executions.Load(), int64(1))
+			assert.Assert(t, errorx.IsOfType(err, InDoubt), "%v", err)
+		})
+	}
+}
+
+// inOrder picks the endpoints in their order.
+type inOrder struct{ anyEndpoint }
+
+func (inOrder) PickLeastLoaded(candidates []*configuration.Endpoint, _ string, exclude []string) *configuration.Endpoint {
+	if len(exclude) == len(candidates) {
+		return nil
+	}
+	return candidates[len(exclude)]
+}
