Pass on no statement of a plain service that the request did not run

A reply's Ospreyshed-Outcome went to the caller, for whom it is the router's own promise. A plain service that is behind another router, or repeats headers of others, could so promise "not-run" for a call that it got. The header is dropped.

TestOutcomeThatAServiceStatesIsNotPassedOn, before: not-run (string) != (string)

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/httpheader"
+	"github.com/ospreyshed/ospreyshed/internal/problem"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
@@ -247,7 +248,10 @@
 	case err != nil:
 		return nil, err
 	}
-	return &Reply{Status: response.Status, Header: httpheader.EndToEnd(response.Header), Body: body}, nil
+	header := httpheader.EndToEnd(response.Header)
+	// Only this router states whether the caller's request ran.
+	header.Del(problem.OutcomeHeader)
+	return &Reply{Status: response.Status, Header: header, Body: body}, nil
 }
 
 // readBody reads a complete body.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -215,3 +215,16 @@
 	}
 	return candidates[len(exclude)]
 }
+
+// A service that answers with the router's own statement of an outcome, as another router does,
+// states it of another call than that of the caller.
+func TestOutcomeThatAServiceStatesIsNotPassedOn(t *testing.T) {
+	f := newForwarder(t, serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Ospreyshed-Outcome", "not-run")
+		w.WriteHeader(http.StatusTooManyRequests)
+	}))
+	reply, err := f.Do(context.Background(), callOf(configuration.NeverRepeat))
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, http.StatusTooManyRequests)
+	assert.Equal(t, reply.Header.Get("Ospreyshed-Outcome"), "")
+}
