--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -26,7 +27,7 @@
 func (f staticConfiguration) Snapshot() *configuration.Snapshot { return f.snapshot }
 
 // newForwarder returns a forwarder to the given addresses of one service.
-func newForwarder(t *testing.T, addresses ...string) *Forwarder {
+func newForwarder(t testing.TB, addresses ...string) *Forwarder {
 	t.Helper()
 	bundle := configuration.Bundle{Format: configuration.Format}
 	bundle.Fleet.Zones = []configuration.Zone{{Name: "z"}}
@@ -59,7 +60,7 @@
 }
 
 // serve starts a server on loopback and returns its address.
-func serve(t *testing.T, handler http.HandlerFunc) string {
+func serve(t testing.TB, handler http.HandlerFunc) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -228,3 +229,27 @@
 	assert.Equal(t, reply.Status, http.StatusTooManyRequests)
 	assert.Equal(t, reply.Header.Get("Ospreyshed-Outcome"), "")
 }
+
+// BenchmarkRepeatableCall shows what a service that does not repeat the call's ID costs: a
+// connection for each call.
+func BenchmarkRepeatableCall(b *testing.B) {
+	for _, named := range []bool{true, false} {
+		b.Run(fmt.Sprintf("named=%t", named), func(b *testing.B) {
+			f := newForwarder(b, serve(b, func(w http.ResponseWriter, r *http.Request) {
+				if named {
+					w.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
+				}
+				_, _ = w.Write([]byte("balance"))
+			}))
+			call := callOf(configuration.Repeatable)
+			number := 0
+			for b.Loop() {
+				number++
+				call.RequestID = fmt.Sprint("vm.1.", number)
+				_, err := f.Do(b.Context(), call)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(f.Upstream.Counters.Dialed.Load())/float64(number), "connections/call")
+		})
+	}
+}
