--- a/internal/daemon/path.go
+++ b/internal/daemon/path.go
@@ -45,9 +45,10 @@
 	fx.Invoke(runLoadPoller),
 )
 
-func newPool(lifecycle fx.Lifecycle, store *configuration.Store) *openai.Pool {
+func newPool(lifecycle fx.Lifecycle, store *configuration.Store, registry *metrics.Registry) *openai.Pool {
 	pool := openai.NewPool(store)
-	onStop(lifecycle, func(context.Context) { pool.Close() })
+	registry.Mount("engine_connections", metrics.Fields(&pool.Upstream.Counters))
+	background.Run(lifecycle, pool.Run)
 	return pool
 }
 
@@ -137,7 +138,8 @@
 func newForwarder(lifecycle fx.Lifecycle, id Identity, endpoints *endpoint.Registry, store *configuration.Store, events timeline.Recorder, registry *metrics.Registry) *forward.Forwarder {
 	forwarder := forward.New(id.Zone, endpoints, store, events)
 	registry.Mount("forward", metrics.Fields(&forwarder.Counters))
-	onStop(lifecycle, func(context.Context) { forwarder.Close() })
+	registry.Mount("plain_connections", metrics.Fields(&forwarder.Upstream.Counters))
+	background.Run(lifecycle, forwarder.Run)
 	return forwarder
 }
 
--- a/internal/engine/openai/client.go
+++ b/internal/engine/openai/client.go
@@ -1,8 +1,8 @@
 // Package openai implements engine.Client for the OpenAI-compatible wire format
 // with KV transfer parameters that docs/PROTOCOLS.md specifies.
 //
-// Every response is checked for the attempt id of its call. A prefill response for
-// another attempt yields engine.Crossed. Events of other attempts in a stream are
+// Every response is checked for the id of its call, which is that of the attempt if there is
+// one. A response to another call yields engine.Crossed. Events of other attempts in a stream are
 // dropped and counted; the token index then shows whether one of the stream's own
 // events is missing.
 package openai
@@ -10,15 +10,21 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
-	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
 
 	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
 const (
@@ -30,20 +36,33 @@
 
 	// maxResponseBytes bounds a non-streamed response of an engine, in bytes.
 	maxResponseBytes = 1 << 20
+	// maxDetailBytes bounds what an error shows of a refusal, and what may follow the last event
+	// of a stream, in bytes.
+	maxDetailBytes = 512
+	// bodyEndTimeout bounds the wait for the end of the body after the last event of a stream. The
+	// caller's answer ends after it.
+	bodyEndTimeout = 20 * time.Millisecond
+)
+
+var (
+	errTooLong = errors.New("the response is longer than allowed")
+	errMissing = errors.New("the response has no member")
+
+	jsonNull = []byte("null")
 )
 
 // Client calls one engine. It is safe for concurrent use.
 type Client struct {
-	base string
-	http *http.Client
+	address  string
+	upstream *upstream.Client
 }
 
 var _ engine.Client = (*Client)(nil)
 
 // New returns a client for the engine at address, an IP number and port. The
-// HTTP client must not bound the whole call, since decode streams are long.
-func New(address string, client *http.Client) *Client {
-	return &Client{base: "http://" + address, http: client}
+// upstream client is one of NewUpstream; several engines may share it.
+func New(address string, client *upstream.Client) *Client {
+	return &Client{address: address, upstream: client}
 }
 
 // Prefill implements engine.Client.
@@ -52,12 +71,12 @@
 	if err != nil {
 		return engine.PrefillResult{}, err
 	}
-	resp, err := c.post(ctx, completionPath(call.Prompt), call.Attempt.String(), body)
+	response, err := c.post(ctx, completionPath(call.Prompt), call.Attempt.String(), body)
 	if err != nil {
 		return engine.PrefillResult{}, err
 	}
-	defer closeBody(resp)
-	return readPrefill(resp, call.Attempt)
+	defer response.Close()
+	return readPrefill(response, call.Attempt)
 }
 
 // prefillResponse is the part of a prefill's response that the router reads.
@@ -72,9 +91,9 @@
 	KVTransferParams json.RawMessage `json:"kv_transfer_params"`
 }
 
-func readPrefill(resp *http.Response, id engine.AttemptID) (engine.PrefillResult, error) {
+func readPrefill(body io.Reader, id engine.AttemptID) (engine.PrefillResult, error) {
 	var response prefillResponse
-	if err := decodeJSON(resp.Body, &response); err != nil {
+	if err := decodeJSON(body, &response, "id", "kv_transfer_params"); err != nil {
 		return engine.PrefillResult{}, engine.Unavailable.Wrap(err, "prefill answer")
 	}
 	if response.ID != id.String() {
@@ -93,11 +112,11 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.post(ctx, completionPath(call.Prompt), call.Attempt.String(), body) //nolint:bodyclose // the stream closes it
+	response, err := c.post(ctx, completionPath(call.Prompt), call.Attempt.String(), body)
 	if err != nil {
 		return nil, err
 	}
-	s := newStream(resp.Body, call.Attempt)
+	s := newStream(response, call.Attempt, func(complete bool) { closeStream(response, complete) })
 	if err := s.awaitImport(); err != nil {
 		_ = s.Close()
 		return nil, err
@@ -105,32 +124,49 @@
 	return s, nil
 }
 
-// cancelResponse is an engine's acknowledgement of a cancel.
+// cancelResponse is an engine's acknowledgement of a cancel. ID and State are set if it is that of
+// one attempt.
 type cancelResponse struct {
-	HeldPieces int `json:"held_pieces"`
+	ID         string `json:"id"`
+	State      string `json:"state"`
+	HeldPieces int    `json:"held_pieces"`
 }
 
+// cancelStates are the states of an attempt after a cancel.
+var cancelStates = []string{"cancelled", "unknown", "finished"}
+
 // Cancel implements engine.Client.
 func (c *Client) Cancel(ctx context.Context, id engine.AttemptID) (engine.CancelResult, error) {
-	return c.cancel(ctx, "/v1/requests/"+url.PathEscape(id.String())+"/cancel")
+	result, err := c.cancel(ctx, "/v1/requests/"+url.PathEscape(id.String())+"/cancel", "id", "state", "held_pieces")
+	switch {
+	case err != nil:
+		return engine.CancelResult{}, err
+	case result.ID != id.String():
+		return engine.CancelResult{}, engine.Crossed.New("cancel of %s answered for %s", id, result.ID)
+	case !slices.Contains(cancelStates, result.State):
+		return engine.CancelResult{}, engine.Unavailable.New("cancel of %s answered %q", id, result.State)
+	}
+	return engine.CancelResult{HeldPieces: result.HeldPieces}, nil
 }
 
 // CancelIncarnation implements engine.Client.
 func (c *Client) CancelIncarnation(ctx context.Context, vm string, incarnation uint64) (engine.CancelResult, error) {
-	return c.cancel(ctx, "/v1/incarnations/"+url.PathEscape(vm)+"/"+strconv.FormatUint(incarnation, 10)+"/cancel")
+	path := "/v1/incarnations/" + url.PathEscape(vm) + "/" + strconv.FormatUint(incarnation, 10) + "/cancel"
+	result, err := c.cancel(ctx, path, "cancelled", "held_pieces")
+	return engine.CancelResult{HeldPieces: result.HeldPieces}, err
 }
 
-func (c *Client) cancel(ctx context.Context, path string) (engine.CancelResult, error) {
-	resp, err := c.post(ctx, path, "", nil)
+func (c *Client) cancel(ctx context.Context, path string, required ...string) (cancelResponse, error) {
+	response, err := c.post(ctx, path, "", nil)
 	if err != nil {
-		return engine.CancelResult{}, err
+		return cancelResponse{}, err
 	}
-	defer closeBody(resp)
-	var response cancelResponse
-	if err := decodeJSON(resp.Body, &response); err != nil {
-		return engine.CancelResult{}, engine.Unavailable.Wrap(err, "cancel answer")
+	defer response.Close()
+	var result cancelResponse
+	if err := decodeJSON(response, &result, required...); err != nil {
+		return cancelResponse{}, engine.Unavailable.Wrap(err, "cancel answer")
 	}
-	return engine.CancelResult{HeldPieces: response.HeldPieces}, nil
+	return result, nil
 }
 
 // loadResponse is an engine's load report.
@@ -147,82 +183,95 @@
 // Load implements engine.Client.
 func (c *Client) Load(ctx context.Context) (engine.LoadReport, error) {
 	var response loadResponse
-	if err := c.get(ctx, "/v1/load", &response); err != nil {
+	if err := c.get(ctx, "/v1/load", &response, "slots", "active"); err != nil {
 		return engine.LoadReport{}, err
 	}
 	return engine.LoadReport(response), nil
 }
 
 // get sends a GET request and decodes the JSON response.
-func (c *Client) get(ctx context.Context, path string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
-	if err != nil {
-		return engine.BadRequest.Wrap(err, "GET %s", path)
-	}
-	resp, err := c.do(req)
+func (c *Client) get(ctx context.Context, path string, into any, required ...string) error {
+	response, err := c.do(ctx, &upstream.Request{Method: http.MethodGet, Target: path, Header: http.Header{}}, "")
 	if err != nil {
 		return err
 	}
-	defer closeBody(resp)
-	if err := decodeJSON(resp.Body, into); err != nil {
+	defer response.Close()
+	if err := decodeJSON(response, into, required...); err != nil {
 		return engine.Unavailable.Wrap(err, "GET %s", path)
 	}
 	return nil
 }
 
-// post sends a JSON body and returns the response if its status is 200.
-func (c *Client) post(ctx context.Context, path, requestID string, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, engine.BadRequest.Wrap(err, "POST %s", path)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	if requestID != "" {
-		req.Header.Set(requestIDHeader, requestID)
-	}
-	return c.do(req)
+// post sends a JSON body and returns the response if its status is 200. The attempt is empty
+// for calls that belong to none.
+func (c *Client) post(ctx context.Context, path, attempt string, body []byte) (*upstream.Response, error) {
+	header := http.Header{"Content-Type": {"application/json"}}
+	return c.do(ctx, &upstream.Request{Method: http.MethodPost, Target: path, Header: header, Body: body}, attempt)
 }
 
-// do sends a request. An error has the trait engine.NotRun only if no
-// connection was obtained or the engine's status says so.
-func (c *Client) do(req *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	}
-	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil && !connected.Load() {
-		return nil, engine.Unreachable.Wrap(err, "%s %s", req.Method, req.URL.Path)
+// do sends a request. An error has the trait engine.NotRun only if no byte was sent or the
+// engine's refusal says so.
+func (c *Client) do(ctx context.Context, request *upstream.Request, attempt string) (*upstream.Response, error) {
+	// A call that belongs to no attempt has an ID of its own, so that its response is recognized.
+	id := attempt
+	if id == "" {
+		id = rand.Text()
 	}
+	request.Header.Set(requestIDHeader, id)
+	request.IDOptional = true
+	response, err := c.upstream.Do(ctx, c.address, request)
 	if err != nil {
-		return nil, engine.Unavailable.Wrap(err, "%s %s", req.Method, req.URL.Path)
+		return nil, errorType(err).Wrap(err, "%s %s", request.Method, request.Target)
 	}
-	if resp.StatusCode == http.StatusOK {
-		return resp, nil
+	if response.Status == http.StatusOK {
+		return response, nil
 	}
-	defer closeBody(resp)
-	return nil, statusError(resp)
+	defer response.Close()
+	return nil, statusError(response, attempt)
 }
 
-// statusError converts a status other than 200 to a typed error.
-func statusError(resp *http.Response) error {
-	detail, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
-	text := string(bytes.TrimSpace(detail))
-	switch resp.StatusCode {
+// errorType returns the type of the error of an exchange without a response.
+func errorType(err error) *errorx.Type {
+	switch {
+	case errorx.IsOfType(err, upstream.NotSent):
+		return engine.Unreachable
+	case errorx.IsOfType(err, upstream.Foreign):
+		return engine.Crossed
+	default:
+		return engine.Unavailable
+	}
+}
+
+// statusError converts a status other than 200 to a typed error. A status that says that nothing
+// runs counts only if the response is whole and names the attempt: it could be meant for another
+// one, and an engine that stops within a response is not known to have refused the call.
+func statusError(response *upstream.Response, attempt string) error {
+	detail, err := readWhole(response)
+	text := string(bytes.TrimSpace(detail[:min(len(detail), maxDetailBytes)]))
+	switch {
+	case err != nil:
+		return engine.Unavailable.Wrap(err, "status %d: %s", response.Status, text)
+	case !response.Framed:
+		return engine.Unavailable.New("status %d without length or chunks: %s", response.Status, text)
+	case attempt != "" && response.Header.Get(requestIDHeader) != attempt:
+		return engine.Unavailable.New("status %d without the attempt %s: %s", response.Status, attempt, text)
+	}
+	switch response.Status {
 	case http.StatusBadRequest, http.StatusNotFound:
-		return engine.BadRequest.New("status %d: %s", resp.StatusCode, text)
+		return engine.BadRequest.New("status %d: %s", response.Status, text)
 	case http.StatusGone:
-		return engine.Evicted.New("status %d: %s", resp.StatusCode, text)
+		return engine.Evicted.New("status %d: %s", response.Status, text)
 	case http.StatusTooManyRequests:
-		return engine.Busy.New("status %d: %s", resp.StatusCode, text)
+		return engine.Busy.New("status %d: %s", response.Status, text)
 	case http.StatusConflict:
-		return engine.Cancelled.New("status %d: %s", resp.StatusCode, text)
+		// The engine answers so, too, if it ran the attempt until it was cancelled.
+		return engine.Cancelled.New("status %d: %s", response.Status, text)
 	case http.StatusServiceUnavailable:
-		if resp.Header.Get(leavingHeader) == "true" {
-			return engine.Leaving.New("status %d: %s", resp.StatusCode, text)
+		if response.Header.Get(leavingHeader) == "true" {
+			return engine.Leaving.New("status %d: %s", response.Status, text)
 		}
 	}
-	return engine.Unavailable.New("status %d: %s", resp.StatusCode, text)
+	return engine.Unavailable.New("status %d: %s", response.Status, text)
 }
 
 func completionPath(p *engine.Prompt) string {
@@ -232,13 +281,42 @@
 	return completionsPath
 }
 
-func decodeJSON(r io.Reader, into any) error {
-	return json.NewDecoder(io.LimitReader(r, maxResponseBytes)).Decode(into)
+// readWhole reads a body to its end and returns an error if it is cut or too long.
+func readWhole(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
+	if err == nil && len(text) > maxResponseBytes {
+		err = errTooLong
+	}
+	return text, err
+}
+
+// decodeJSON decodes a whole body. Only a body that ends with its value is whole, also without
+// length or chunks. An object without the required members is no answer: an engine may send
+// an error with status 200.
+func decodeJSON(body io.Reader, into any, required ...string) error {
+	text, err := readWhole(body)
+	if err != nil {
+		return err
+	}
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(text, &members); err != nil {
+		return err
+	}
+	for _, name := range required {
+		if value := members[name]; value == nil || bytes.Equal(value, jsonNull) {
+			return fmt.Errorf("%w %q: %s", errMissing, name, text[:min(len(text), maxDetailBytes)])
+		}
+	}
+	return json.Unmarshal(text, into)
 }
 
-// closeBody drains a short remainder of the body, so that the connection can be
-// reused, and closes it.
-func closeBody(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, 4096)
-	_ = resp.Body.Close()
+// closeStream closes the response of a stream. The end of the body follows the last event of a
+// complete stream at once; only after it the connection can be used again.
+func closeStream(response *upstream.Response, complete bool) {
+	if complete {
+		timer := time.AfterFunc(bodyEndTimeout, response.Abort)
+		_, _ = io.CopyN(io.Discard, response, maxDetailBytes)
+		timer.Stop()
+	}
+	response.Close()
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -26,7 +27,7 @@
 func (f staticConfiguration) Snapshot() *configuration.Snapshot { return f.snapshot }
 
 // newForwarder returns a forwarder to the given addresses of one service.
-func newForwarder(t *testing.T, addresses ...string) *Forwarder {
+func newForwarder(t testing.TB, addresses ...string) *Forwarder {
 	t.Helper()
 	bundle := configuration.Bundle{Format: configuration.Format}
 	bundle.Fleet.Zones = []configuration.Zone{{Name: "z"}}
@@ -59,7 +60,7 @@
 }
 
 // serve starts a server on loopback and returns its address.
-func serve(t *testing.T, handler http.HandlerFunc) string {
+func serve(t testing.TB, handler http.HandlerFunc) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -181,3 +182,74 @@
 	assert.Equal(t, seen.Get("X-End"), "2")
 	assert.Equal(t, seen.Get("Authorization"), "", "the team's bearer key went to an endpoint")
 }
+
+// After a call that one endpoint may have run, another endpoint refused it or could not be reached.
+// The caller was told that nothing had run.
+func TestCallThatAnEndpointMayHaveRunStaysInDoubt(t *testing.T) {
+	var executions atomic.Int64
+	ran := func(w http.ResponseWriter, r *http.Request) {
+		executions.Add(1)
+		dropConnection(w, r)
+	}
+	refusal := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(leavingHeader, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	for name, second := range map[string]string{"unreachable": closedAddress(t), "leaving": serve(t, refusal)} {
+		t.Run(name, func(t *testing.T) {
+			executions.Store(0)
+			f := newForwarder(t, serve(t, ran), second)
+			f.endpoints = inOrder{}
+			_, err := f.Do(context.Background(), callOf(configuration.Repeatable))
+			assert.Equal(t, executions.Load(), int64(1))
+			assert.Assert(t, errorx.IsOfType(err, InDoubt), "%v", err)
+		})
+	}
+}
+
+// inOrder picks the endpoints in their order.
+type inOrder struct{ anyEndpoint }
+
+func (inOrder) PickLeastLoaded(candidates []*configuration.Endpoint, _ string, exclude []string) *configuration.Endpoint {
+	if len(exclude) == len(candidates) {
+		return nil
+	}
+	return candidates[len(exclude)]
+}
+
+// A service that answers with the router's own statement of an outcome, as another router does,
+// states it of another call than that of the caller.
+func TestOutcomeThatAServiceStatesIsNotPassedOn(t *testing.T) {
+	f := newForwarder(t, serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Ospreyshed-Outcome", "not-run")
+		w.WriteHeader(http.StatusTooManyRequests)
+	}))
+	reply, err := f.Do(context.Background(), callOf(configuration.NeverRepeat))
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, http.StatusTooManyRequests)
+	assert.Equal(t, reply.Header.Get("Ospreyshed-Outcome"), "")
+}
+
+// BenchmarkRepeatableCall shows what a service that does not repeat the call's ID costs: a
+// connection for each call.
+func BenchmarkRepeatableCall(b *testing.B) {
+	for _, named := range []bool{true, false} {
+		b.Run(fmt.Sprintf("named=%t", named), func(b *testing.B) {
+			f := newForwarder(b, serve(b, func(w http.ResponseWriter, r *http.Request) {
+				if named {
+					w.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
+				}
+				_, _ = w.Write([]byte("balance"))
+			}))
+			call := callOf(configuration.Repeatable)
+			number := 0
+			for b.Loop() {
+				number++
+				call.RequestID = fmt.Sprint("vm.1.", number)
+				_, err := f.Do(b.Context(), call)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(f.Upstream.Counters.Dialed.Load())/float64(number), "connections/call")
+		})
+	}
+}
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -51,7 +51,9 @@
 	return []Group{
 		gatewayGroup,
 		completionGroup,
+		engineConnectionsGroup,
 		forwardGroup,
+		plainConnectionsGroup,
 		reservationGroup,
 		schedulingGroup,
 		cancellerGroup,
