Serve services that make request IDs of their own

Cause: the client for plain services dropped each reply whose X-Request-Id was not the call's, so that a service which makes its own IDs, as it could before, lost all its replies with an unknown outcome.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -106,8 +106,9 @@
 	MaxIdle time.Duration
 	// NewConnection sends the request on a new connection, which carries no other request.
 	NewConnection bool
-	// IDOptional permits a response without the request's ID if the connection has carried no
-	// other request. The connection is then not used again.
+	// IDOptional permits a response that does not name the request if the connection has carried no
+	// other one: some services name none, or make IDs of their own. The connection is then not
+	// used again.
 	IDOptional bool
 	// Permit is asked once a connection is open, right before the request is sent; its error
 	// prevents that. If it is nil, the request is sent.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -58,6 +58,8 @@
 	longBody bool
 	// single is set if the connection must not carry another exchange.
 	single bool
+	// named is set if the last response named its request.
+	named bool
 	// ids are hashes of the IDs of the requests that the connection has carried.
 	ids []uint64
 }
@@ -88,8 +90,8 @@
 // matches reports whether a response names the request, or none if the request has no ID. It counts those that
 // do not.
 func (k *conn) matches(request *Request, head *http.Response) bool {
-	named := head.Header.Get(k.client.options.IDHeader)
-	if named == k.client.idOf(request) || named == "" && request.IDOptional && len(k.ids) == 1 {
+	k.named = head.Header.Get(k.client.options.IDHeader) == k.client.idOf(request)
+	if k.named || request.IDOptional && len(k.ids) == 1 {
 		return true
 	}
 	k.client.Counters.Foreign.Add(1)
@@ -330,8 +332,7 @@
 // identified reports whether the next response on the connection can be told from this one, if responses
 // are matched.
 func (r *Response) identified() bool {
-	name := r.conn.client.options.IDHeader
-	return name == "" || len(r.conn.ids) > 0 && r.Header.Get(name) != ""
+	return r.conn.client.options.IDHeader == "" || len(r.conn.ids) > 0 && r.conn.named
 }
 
 // idleTimeout returns how long the connection may stay in the pool.
