Count and log answers that look like more than their endpoint stated

An endpoint's answer may have a status that callers take as a promise that the request has not run, although the endpoint does not state it, or be a success without its signature. Answers are still delivered.

--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -53,7 +53,7 @@
 	}
 	g.mayHaveRun = true
 	if response.Status != http.StatusOK {
-		return true, r.handleErrorStatus(ctx, g, to, response)
+		return true, r.handleErrorStatus(ctx, g, to, response, &verdict)
 	}
 	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started, attempt: attempt, slowdown: verdict.slowdown()}
 	return true, stream.forward(ctx, response)
@@ -138,8 +138,9 @@
 }
 
 // handleErrorStatus handles an error response of an engine and keeps it for the caller.
-func (r *Relay) handleErrorStatus(ctx context.Context, g *generation, to *configuration.Endpoint, response *upstream.Response) error {
+func (r *Relay) handleErrorStatus(ctx context.Context, g *generation, to *configuration.Endpoint, response *upstream.Response, verdict *Verdict) error {
 	r.observe(g, to, false)
+	r.checkTrust(g.exchange, to, response, verdict)
 	buffer := &answerBuffer{memory: g.request.Memory}
 	err := buffer.read(response, waitForMemory(ctx, g.request.Memory))
 	r.decide(g.exchange, "engine failed the request", logrus.Fields{"endpoint": to.Name, "status": response.Status})
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -42,6 +42,7 @@
 	limitHeader    = "Test-Limit"
 	quietHeader    = "Test-Quiet"
 	slowHeader     = "Test-Slowdown"
+	unsignedHeader = "Test-Unsigned"
 )
 
 // testDialect implements Dialect.
@@ -60,12 +61,14 @@
 
 func (testDialect) Judge(request *Request, _ *Call, response *upstream.Response) Verdict {
 	return Verdict{
-		Foreign:       response.Header.Get(idHeader) != request.ID,
-		NotRun:        response.Header.Get(declinedHeader) != "",
-		OtherInstance: response.Status == http.StatusMisdirectedRequest,
-		Announcement:  testAnnouncement(response),
-		Limit:         testLimit(response),
-		Load:          testLoad(response),
+		Foreign:        response.Header.Get(idHeader) != request.ID,
+		NotRun:         response.Header.Get(declinedHeader) != "",
+		Unsigned:       response.Header.Get(unsignedHeader) != "",
+		PromisesNotRun: response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests,
+		OtherInstance:  response.Status == http.StatusMisdirectedRequest,
+		Announcement:   testAnnouncement(response),
+		Limit:          testLimit(response),
+		Load:           testLoad(response),
 	}
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -273,6 +273,9 @@
 		return nil, verdict, err
 	}
 	defer response.Close()
+	if call.Stage != Prefill {
+		r.checkTrust(x, to, response, &verdict)
+	}
 	buffer := &answerBuffer{memory: x.request.Memory}
 	if call.Stage == Prefill || x.buffered {
 		err = buffer.read(response, waitForMemory(ctx, x.request.Memory))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -128,6 +128,10 @@
 	RepeatsDenied atomic.Int64
 	// Foreign counts responses that belonged to another request.
 	Foreign atomic.Int64
+	// Promises counts answers to requests that may run only once whose status promises that they
+	// have not run, which the endpoint does not state; Unsigned those that are successes without
+	// the endpoint's signature.
+	Promises, Unsigned atomic.Int64
 	// Prefills counts successful prefills, PrefillsLost those whose KV cache was not
 	// used by a decode engine.
 	Prefills, PrefillsLost atomic.Int64
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -151,6 +151,12 @@
 	Foreign bool
 	// NotRun is set if the endpoint did not run the request and never will.
 	NotRun bool
+	// PromisesNotRun is set if callers take the status as a promise that the request has not run,
+	// whether or not the endpoint states it.
+	PromisesNotRun bool
+	// Unsigned is set if the response is a success to a request itself that lacks what proves it to
+	// be the endpoint's own, or whose body was changed on the way.
+	Unsigned bool
 	// OtherInstance is set if another endpoint has taken over the address.
 	OtherInstance bool
 	// Announcement is what the endpoint says of itself.
