Do not pass on a promise that the endpoint did not state

An endpoint that had run a request and answered 503, 429 or 408 without X-Not-Executed had its answer passed on as it was. Callers take these statuses as a promise that the request has not run, and send it again.

Such an answer to a request that may run only once now ends as a failure without a promise (502), also if the answer would be passed on piecewise and in place of a stream. Requests that may run again are answered as before: their callers retry after any failure and read Retry-After.

--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -140,9 +140,11 @@
 // handleErrorStatus handles an error response of an engine and keeps it for the caller.
 func (r *Relay) handleErrorStatus(ctx context.Context, g *generation, to *configuration.Endpoint, response *upstream.Response, verdict *Verdict) error {
 	r.observe(g, to, false)
-	r.checkTrust(g.exchange, to, response, verdict)
 	buffer := &answerBuffer{memory: g.request.Memory}
-	err := buffer.read(response, waitForMemory(ctx, g.request.Memory))
+	err := r.checkTrust(g.exchange, to, response, verdict)
+	if err == nil {
+		err = buffer.read(response, waitForMemory(ctx, g.request.Memory))
+	}
 	r.decide(g.exchange, "engine failed the request", logrus.Fields{"endpoint": to.Name, "status": response.Status})
 	if err == nil && !g.headerSent {
 		g.answer.release()
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -229,7 +229,7 @@
 
 // brokenOff reports whether an endpoint broke off a request that it may have run.
 func brokenOff(err error) bool {
-	return errorx.IsOfType(err, upstream.InDoubt) && !errorx.IsOfType(err, upstream.GivenUp)
+	return errorx.IsOfType(err, upstream.InDoubt) && !errorx.IsOfType(err, upstream.GivenUp) && !errorx.IsOfType(err, untrusted)
 }
 
 // handlePlainError handles an attempt that got no response. It returns true if no
@@ -274,7 +274,9 @@
 	}
 	defer response.Close()
 	if call.Stage != Prefill {
-		r.checkTrust(x, to, response, &verdict)
+		if err := r.checkTrust(x, to, response, &verdict); err != nil {
+			return nil, verdict, err
+		}
 	}
 	buffer := &answerBuffer{memory: x.request.Memory}
 	if call.Stage == Prefill || x.buffered {
--- a/internal/relay/trust.go
+++ b/internal/relay/trust.go
@@ -13,6 +13,9 @@
 	reasonUnsigned = "a success without the endpoint's signature or with an encoded body"
 )
 
+// untrusted is an InDoubt because the response must not reach the caller.
+var untrusted = upstream.InDoubt.NewSubtype("untrusted")
+
 // distrust returns why a response must not reach the caller, empty if it may. A request that may run
 // again is answered with any status: nothing follows from the promise, and the caller reads when to retry.
 func (x *exchange) distrust(verdict *Verdict) string {
@@ -27,11 +30,11 @@
 	return ""
 }
 
-// checkTrust counts and logs a response that must not reach the caller, and returns why.
-func (r *Relay) checkTrust(x *exchange, from *configuration.Endpoint, response *upstream.Response, verdict *Verdict) string {
+// checkTrust counts and logs a response that must not reach the caller. The error then is untrusted.
+func (r *Relay) checkTrust(x *exchange, from *configuration.Endpoint, response *upstream.Response, verdict *Verdict) error {
 	reason := x.distrust(verdict)
 	if reason == "" {
-		return ""
+		return nil
 	}
 	counter := &r.Counters.Promises
 	if reason == reasonUnsigned {
@@ -39,5 +42,8 @@
 	}
 	counter.Add(1)
 	r.decide(x, "answer not trusted", logrus.Fields{"endpoint": from.Name, "status": response.Status, "reason": reason})
-	return reason
+	if reason == reasonUnsigned {
+		return nil
+	}
+	return untrusted.New("%s answered with status %d: %s", from.Name, response.Status, reason)
 }
