Do not deliver a success without the endpoint's signature

A 2xx answer to a plain request without X-Response-Stamp, or with a Content-Encoding, was delivered as a success (rule MIXED). It is now no answer: the request may have run, and is sent again only if it may run again. A stream is concerned only if the status is 2xx but not 200.

On the former code TestUnsignedSuccessIsNotDelivered fails in all its cases: single_run: answer != failed: no endpoint answered passed_on_piecewise: stream != failed: no endpoint answered may_run_again,_once_unsigned: 1 call instead of 2

--- a/internal/relay/trust.go
+++ b/internal/relay/trust.go
@@ -42,8 +42,5 @@
 	}
 	counter.Add(1)
 	r.decide(x, "answer not trusted", logrus.Fields{"endpoint": from.Name, "status": response.Status, "reason": reason})
-	if reason == reasonUnsigned {
-		return nil
-	}
 	return untrusted.New("%s answered with status %d: %s", from.Name, response.Status, reason)
 }
--- a/internal/relay/trust_test.go
+++ b/internal/relay/trust_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -58,3 +59,45 @@
 		})
 	}
 }
+
+// A success of something other than the endpoint, or whose body was changed on the way, reached the
+// caller, whose request may not have run.
+func TestUnsignedSuccessIsNotDelivered(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		route     routing.Route
+		status    int
+		body      string
+		outcome   string
+		calls     int
+		onlyFirst bool
+	}{
+		{"single run", booking, http.StatusOK, "yes", lost, 1, false},
+		{"passed on piecewise", booking, http.StatusOK, strings.Repeat("x", 100<<10), lost, 1, false},
+		{"may run again", lookup, http.StatusOK, "yes", lost, 2, false},
+		{"may run again, once unsigned", lookup, http.StatusOK, "yes", "answer", 2, true},
+		{"in place of a stream", dossier, http.StatusCreated, "yes", lost, 2, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFixture(t, grant("p1", "e1"))
+			s.shortMemory(0)
+			var answered atomic.Bool
+			unsigned := func(w http.ResponseWriter, r *http.Request) {
+				if !answered.Swap(true) || !c.onlyFirst {
+					w.Header().Set(unsignedHeader, "1")
+				}
+				answers(c.status, c.body)(w, r)
+			}
+			s.endpoint("d1", "desk", "", unsigned)
+			s.endpoint("d2", "desk", "", unsigned)
+			s.engines(answers(http.StatusOK, "h"), unsigned)
+			generation := work
+			if c.route.Kind != routing.Streaming {
+				generation = nil
+			}
+			assert.Equal(t, s.serve(c.route, generation).outcome, c.outcome)
+			assert.Equal(t, s.callCount(), c.calls, s.callLog())
+			assert.Assert(t, s.relay.Counters.Unsigned.Load() > 0)
+		})
+	}
+}
