Do not deliver an empty body for an answer whose time has ended

An answer that does not fit into the memory budget is passed on, and its timer is set anew. Found by reading.

TestAnswerWithoutMemoryIsNotDeliveredAfterItsTime brings this state about with a timer that has ended. With the former outcome put back it fails: error is nil, not "no memory for the answer" (errNoMemory)

--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/membudget"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
 // shortMemory gives the requests of the fixture a budget of the guaranteed parts and what is lent.
@@ -155,3 +156,20 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, s.serve(booking, nil).body, "1")
 }
+
+// An answer that does not fit into the memory budget while its time ends was delivered as a whole one
+// with an empty body, if the process was paused between the timer's end and its effect.
+func TestAnswerWithoutMemoryIsNotDeliveredAfterItsTime(t *testing.T) {
+	s := newFixture(t)
+	s.shortMemory(0)
+	s.endpoint("d1", "desk", "", answers(http.StatusOK, strings.Repeat("x", 100<<10)))
+	response, err := s.relay.options.Client.Do(t.Context(), s.instances[0].Address, &upstream.Request{Method: http.MethodGet, Target: "/", Header: http.Header{}})
+	assert.NilError(t, err)
+	defer response.Close()
+	ended := time.AfterFunc(time.Hour, func() {})
+	ended.Stop()
+	x := &exchange{request: &Request{Memory: s.memory}, route: &booking, caller: new(recorder)}
+	_, err = s.relay.readAnswer(t.Context(), x, &Call{}, response, &Verdict{}, ended)
+	assert.ErrorIs(t, err, errNoMemory)
+	assert.Assert(t, x.passage == nil)
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -278,28 +278,39 @@
 			return nil, verdict, err
 		}
 	}
+	buffer, err := r.readAnswer(ctx, x, call, response, &verdict, timer)
+	switch {
+	case err == nil:
+		return &Answer{Status: response.Status, Header: response.Header, Body: buffer.bytes, buffer: buffer}, verdict, nil
+	case ctx.Err() != nil:
+		return nil, verdict, upstream.GivenUp.Wrap(err, "answer of %s", to.Name)
+	default:
+		return nil, verdict, upstream.InDoubt.Wrap(err, "answer of %s", to.Name)
+	}
+}
+
+// readAnswer reads the body of a response, or passes it on if it does not fit into the memory budget. The
+// timer ends ctx.
+func (r *Relay) readAnswer(
+	ctx context.Context, x *exchange, call *Call, response *upstream.Response, verdict *Verdict, timer *time.Timer,
+) (*answerBuffer, error) {
 	buffer := &answerBuffer{memory: x.request.Memory}
+	reserve := tryForMemory(x.request.Memory)
 	if call.Stage == Prefill || x.buffered {
-		err = buffer.read(response, waitForMemory(ctx, x.request.Memory))
-	} else {
-		err = buffer.read(response, tryForMemory(x.request.Memory))
-	}
-	if errors.Is(err, errNoMemory) {
-		if !verdict.NotRun && timer.Reset(x.timeLeft()+lateDelivery) {
-			err = r.passOn(ctx, x, response, buffer)
-		}
-		buffer.release()
+		reserve = waitForMemory(ctx, x.request.Memory)
 	}
+	err := buffer.read(response, reserve)
 	switch {
-	case err != nil && ctx.Err() != nil:
-		err = upstream.GivenUp.Wrap(err, "answer of %s", to.Name)
-	case err != nil && !errors.Is(err, errNoMemory):
-		err = upstream.InDoubt.Wrap(err, "answer of %s", to.Name)
-	default:
-		return &Answer{Status: response.Status, Header: response.Header, Body: buffer.bytes, buffer: buffer}, verdict, nil
+	case err == nil:
+		return buffer, nil
+	case errors.Is(err, errNoMemory) && verdict.NotRun:
+		// The header states it; the body adds nothing.
+		err = nil
+	case errors.Is(err, errNoMemory) && timer.Reset(x.timeLeft()+lateDelivery):
+		err = r.passOn(ctx, x, response, buffer)
 	}
 	buffer.release()
-	return nil, verdict, err
+	return buffer, err
 }
 
 // open sends the request to an endpoint and returns its response, which must be
