Record in one place that a request may have run, and refuse in one place

Whether an endpoint may have run a request was recorded by five callers of Relay.open, each from its own reading of error and verdict. Now open records it, and Relay.refuse, the only way to a refusal by the relay, turns into a failure if it is set: this would be a defect, which relay.refusals_prevented counts and the log line `refusal prevented` names.

--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -34,6 +34,8 @@
 			"Any rise: log lines `answer not trusted` name the endpoint; the requests may have run."},
 		{"unsigned", Counter, Answers, "Successes without the endpoint's signature or with an encoded body.",
 			"Any rise: log lines `answer not trusted` name the endpoint; find out what answers in its place."},
+		{"refusals_prevented", Counter, Requests, "Requests that were to be refused although they may have run, and failed instead.",
+			"Any rise is a defect of this program: log lines `refusal prevented` name the requests; report it."},
 		{"prefills", Counter, Calls, "Prefills completed on a prefill engine.", noAction},
 		{"prefills_lost", Counter, Calls, "Prefills wasted because their KV cache was not used for decode.",
 			"A steady rise: engines evict KV caches early or lack memory."},
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -25,7 +25,6 @@
 	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID})
 	if ctx.Err() != nil {
 		closeResponse(response)
-		g.mayHaveRun = g.mayHaveRun || !errorx.IsOfType(err, upstream.NotSent)
 		return true, ctx.Err()
 	}
 	if err != nil {
@@ -51,7 +50,6 @@
 		r.decide(g.exchange, "engine declined", logrus.Fields{"endpoint": to.Name, "status": response.Status})
 		return false, errDeclined
 	}
-	g.mayHaveRun = true
 	if response.Status != http.StatusOK {
 		return true, r.handleErrorStatus(ctx, g, to, response, &verdict)
 	}
@@ -124,7 +122,6 @@
 		g.refusal = "the engine is not reachable"
 		return false, r.retryOrGiveUp(g)
 	}
-	g.mayHaveRun = true
 	return true, g.retryUnlessSingleRun()
 }
 
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -455,15 +455,23 @@
 }
 
 func (s *fixture) serveTo(ctx context.Context, caller *recorder, route routing.Route, generation *Generation) {
-	service := "desk"
-	if generation != nil {
-		service = "pool"
-	}
-	request := &Request{
+	s.serveRequest(ctx, caller, route, s.request(generation))
+}
+
+// request returns a new request.
+func (s *fixture) request(generation *Generation) *Request {
+	return &Request{
 		ID: "r1", Method: http.MethodPost, Target: "/x/" + strconv.FormatInt(s.served.Add(1), 10), Host: "a.example", Header: http.Header{},
 		Arrived: time.Now(), Timeout: time.Minute, EventTimeout: s.eventTimeout, Generation: generation,
 		Body: s.body, Memory: s.memory,
 	}
+}
+
+func (s *fixture) serveRequest(ctx context.Context, caller *recorder, route routing.Route, request *Request) {
+	service := "desk"
+	if request.Generation != nil {
+		service = "pool"
+	}
 	s.relay.Serve(ctx, request, &route, s.fleet.Table().Service(service), caller)
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -217,7 +217,6 @@
 		r.decide(x, "endpoint declined", logrus.Fields{"endpoint": to.Name, "status": answer.Status})
 		return false
 	}
-	x.mayHaveRun = true
 	attempt.Answer()
 	if x.passage != nil {
 		return true
@@ -248,7 +247,6 @@
 		x.refusal = "the endpoint is not reachable"
 		return false
 	}
-	x.mayHaveRun = true
 	return x.route.RunsOnce()
 }
 
@@ -314,7 +312,7 @@
 }
 
 // open sends the request to an endpoint and returns its response, which must be
-// closed.
+// closed. Only here is it recorded that the endpoint may have run the request.
 func (r *Relay) open(ctx context.Context, x *exchange, to *configuration.Endpoint, call *Call) (*upstream.Response, Verdict, error) {
 	// Callers take back the count of a call that was not sent.
 	if call.Stage != Prefill {
@@ -355,6 +353,7 @@
 		},
 	})
 	if err != nil {
+		x.mayHaveRun = x.mayHaveRun || call.Stage != Prefill && !errorx.IsOfType(err, upstream.NotSent)
 		if ctx.Err() != nil && errorx.IsOfType(err, upstream.InDoubt) {
 			r.decide(x, "answer not awaited", logrus.Fields{"endpoint": to.Name, "waited_ms": time.Since(sent).Milliseconds(), "reason": context.Cause(ctx).Error()})
 		}
@@ -363,6 +362,7 @@
 	}
 	response.OnClose = end
 	verdict := r.options.Dialect.Judge(x.request, call, response)
+	x.mayHaveRun = x.mayHaveRun || call.Stage != Prefill && (verdict.Foreign || !verdict.NotRun)
 	r.observeVerdict(x, to, &verdict, sent)
 	if verdict.Foreign {
 		r.Counters.Foreign.Add(1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -132,6 +132,8 @@
 	// have not run, which the endpoint does not state; Unsigned those that are successes without
 	// the endpoint's signature.
 	Promises, Unsigned atomic.Int64
+	// RefusalsPrevented counts requests that were to be refused although they may have run.
+	RefusalsPrevented atomic.Int64
 	// Prefills counts successful prefills, PrefillsLost those whose KV cache was not
 	// used by a decode engine.
 	Prefills, PrefillsLost atomic.Int64
@@ -253,8 +255,15 @@
 	return request.Arrived.Add(wait)
 }
 
-// refuse ends a request that did not run with a refusal.
+// refuse ends a request that did not run with a refusal. A refusal is a promise, so a request that may
+// have run ends as a failure: the decision to refuse it was a defect of this program.
 func (r *Relay) refuse(x *exchange, refusal Refusal) {
+	if x.mayHaveRun {
+		r.Counters.RefusalsPrevented.Add(1)
+		r.decide(x, "refusal prevented", logrus.Fields{"reason": refusal.Reason})
+		r.fail(x, Failure{Reason: refusal.Reason, Timeout: x.timeLeft() <= 0})
+		return
+	}
 	r.Counters.Refused.Add(1)
 	r.decide(x, "request refused", logrus.Fields{"reason": refusal.Reason, "retry_after_ms": refusal.RetryAfter.Milliseconds()})
 	x.caller.Refuse(refusal)
