Judge a refusal of a plain request by its header, as that of a stream

If the body of an endpoint's refusal broke off, the statement in its header was not used: the endpoint counted as one that may have crashed on the request, and no other endpoint got a request that may run only once.

On the former code TestNothingThatRanIsRefused fails: booking/declines_and_breaks_off/breaks_off/nothing: 0 != 1: the second endpoint did not get the request

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -301,7 +301,7 @@
 	switch {
 	case err == nil:
 		return buffer, nil
-	case errors.Is(err, errNoMemory) && verdict.NotRun:
+	case verdict.NotRun:
 		// The header states it; the body adds nothing.
 		err = nil
 	case errors.Is(err, errNoMemory) && timer.Reset(x.timeLeft()+lateDelivery):
--- a/internal/relay/refusal_test.go
+++ b/internal/relay/refusal_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,10 +35,13 @@
 		}
 	}
 	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
-	truncated := func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", "100")
-		_, _ = w.Write([]byte("id: 1\ndata: t\n\nid"))
-		panic(http.ErrAbortHandler)
+	truncated := func(status int) func(http.ResponseWriter, *http.Request) {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			answers(status, "id: 1\ndata: t\n\nid")(w, r)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
 	}
 	declinesCache := func(then func(http.ResponseWriter, *http.Request)) func(http.ResponseWriter, *http.Request) {
 		return func(w http.ResponseWriter, r *http.Request) {
@@ -48,6 +52,13 @@
 			then(w, r)
 		}
 	}
+	declinesUnframed := func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\n"+declinedHeader+": 1\r\n"+idHeader+": "+r.Header.Get(idHeader)+"\r\n\r\n")
+			_ = conn.Close()
+		}
+	}
 	return []conduct{
 		{"answers", true, false, events(2)},
 		{"fails", true, false, answers(http.StatusInternalServerError, "no")},
@@ -55,7 +66,7 @@
 		{"limits", true, false, answers(http.StatusTooManyRequests, "no")},
 		{"answers unsigned", true, false, with(unsignedHeader, "1", answers(http.StatusOK, "yes"))},
 		{"answers another request", true, false, with(idHeader, "other", declines)},
-		{"breaks off", true, false, truncated},
+		{"breaks off", true, false, truncated(http.StatusOK)},
 		{"resets after the run", true, false, reset},
 		{"is silent and runs", true, false, silent},
 		{"declines the cache and resets", true, false, declinesCache(reset)},
@@ -63,6 +74,8 @@
 		{"is silent", false, false, silent},
 		{"declines", false, true, declines},
 		{"declines the cache, then all", false, true, declinesCache(declines)},
+		{"declines and breaks off", false, true, with(declinedHeader, "1", truncated(http.StatusServiceUnavailable))},
+		{"declines without framing", false, true, declinesUnframed},
 		{"is replaced", false, true, with(declinedHeader, "1", answers(http.StatusMisdirectedRequest, ""))},
 		{"is unreachable", false, true, nil},
 	}
@@ -96,14 +109,14 @@
 						var runs atomic.Int64
 						var keyRemoved atomic.Bool
 						var once atomic.Bool
-						name, service, generation := "d", "desk", (*Generation)(nil)
+						prefix, service, generation := "d", "desk", (*Generation)(nil)
 						if route.Kind == routing.Streaming {
-							name, service, generation = "e", "pool", work
+							prefix, service, generation = "e", "pool", work
 							s.endpoint("p1", service, "prefill", answers(http.StatusOK, "h"))
 							s.endpoint("p2", service, "prefill", answers(http.StatusOK, "h"))
 						}
 						for i, c := range []conduct{first, second} {
-							name := name + strconv.Itoa(i+1)
+							name := prefix + strconv.Itoa(i+1)
 							if c.serve == nil {
 								s.add(name, service, "decode", nobody)
 								continue
@@ -124,6 +137,9 @@
 							route.Timeout = 100 * time.Millisecond
 						}
 						caller := s.serveWithKey(route, generation, &keyRemoved)
+						if first.states && second.runs && name == "nothing" && route.Timeout >= time.Minute {
+							assert.Equal(t, runs.Load(), int64(1), "the second endpoint did not get the request")
+						}
 						switch {
 						case runs.Load() > 0:
 							assert.Assert(t, !strings.HasPrefix(caller.outcome, "refused"), caller.outcome)
