Take no response for whole that has neither framing nor body

A response without length or chunks ends with its connection. One that was closed right after its header was delivered as a whole one with an empty body, framed by Content-Length: 0. The endpoint may have broken off there, so that Read now reports an unexpected end; 204, 304 and HEAD have no body. An endpoint's refusal counts by its header, so it is not concerned.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -249,7 +249,8 @@
 }
 
 // Response is an endpoint's response. Read returns io.EOF only after a body that
-// is complete according to its framing.
+// is complete according to its framing. A body that ends with the connection has at least one
+// byte: without any, the endpoint may have broken off after the header.
 type Response struct {
 	Status int
 	Header http.Header
@@ -262,6 +263,8 @@
 	head    *http.Response
 	written <-chan error
 	stop    func() bool
+	// sawBody is set once a byte of the body was read, sawEOF once it was read to its end.
+	sawBody bool
 	sawEOF  bool
 	closed  bool
 }
@@ -281,10 +284,15 @@
 // Read implements io.Reader.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.head.Body.Read(p)
-	if err == io.EOF {
-		r.sawEOF = true
+	r.sawBody = r.sawBody || n > 0
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if !r.Framed && !r.sawBody && r.head.Body != http.NoBody {
+		return 0, io.ErrUnexpectedEOF
+	}
+	r.sawEOF = true
+	return n, io.EOF
 }
 
 // Close ends the exchange. The connection returns to the pool if the response was
