Take a switch of protocols for a failure of the endpoint

No request asks an endpoint for another protocol, but a response with status 101 ended the header and was delivered as an answer, which a caller's client reads as informational or as the start of another protocol.

On the former code TestSwitchOfProtocolsIsNoResponse fails: expected an error, got nil

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"hash/maphash"
 	"io"
 	"math"
@@ -44,6 +45,9 @@
 	maxCarried = 256
 )
 
+// errSwitched means that an endpoint switches to another protocol, which no request asks for.
+var errSwitched = errors.New("status 101 without a request for another protocol")
+
 // conn is one connection to an endpoint. It carries one exchange at a time.
 type conn struct {
 	client        *Client
@@ -241,7 +245,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
+		if head.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
+		if head.StatusCode >= http.StatusOK {
 			k.limitedReader.N = math.MaxInt64
 			return head, nil
 		}
--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,3 +116,9 @@
 		}
 	}
 }
+
+// An endpoint that switches to another protocol, which no request asks for, has not answered.
+func TestSwitchOfProtocolsIsNoResponse(t *testing.T) {
+	header, _, _ := receive(t, http.MethodPost, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"+strings.TrimSpace(okAnswer))
+	assert.ErrorContains(t, header, "101")
+}
