--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -64,7 +64,11 @@
 }
 
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		// Its answer to OPTIONS * would be a success that no endpoint gave.
+		DisableGeneralOptionsHandler: true,
+	}
 }
 
 // serve runs a server from the start of the process to its stop.
