--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -35,14 +35,7 @@
 func hedged(t *testing.T, late, second func(http.ResponseWriter, *http.Request)) *fixture {
 	t.Helper()
 	s := newFixture(t)
-	h := hedge.New("vm", hedge.Settings{Share: 1, Burst: 8}, nil)
-	h.SetVMs([]string{"vm"})
-	for range 40 {
-		h.Observe(time.Now(), lookup.Name+"\x00desk", "d1", time.Millisecond)
-		h.Observe(time.Now(), booking.Name+"\x00desk", "d1", time.Millisecond)
-	}
-	h.Loaded(time.Now().Add(-time.Minute), "desk", nil) // The average of the load starts at its highest.
-	s.relay.options.Hedger = h
+	s.hedge()
 	first := &firstChoice{Admission: &s.admission}
 	s.relay.options.Admission = first
 	for _, name := range []string{"d1", "d2"} {
@@ -57,6 +50,18 @@
 	return s
 }
 
+// hedge lets the relay hedge requests after a quantile of 1 ms.
+func (s *fixture) hedge() {
+	h := hedge.New("vm", hedge.Settings{Share: 1, Burst: 8}, nil)
+	h.SetVMs([]string{"vm"})
+	for range 40 {
+		h.Observe(time.Now(), lookup.Name+"\x00desk", "d1", time.Millisecond)
+		h.Observe(time.Now(), booking.Name+"\x00desk", "d1", time.Millisecond)
+	}
+	h.Loaded(time.Now().Add(-time.Minute), "desk", nil) // The average of the load starts at its highest.
+	s.relay.options.Hedger = h
+}
+
 // untilCancelled handles a call until its connection is closed.
 func untilCancelled(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
