--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,10 +100,10 @@
 
 // A reset is no end of a response, not even of one that ends with its connection.
 func TestResponseThatIsResetIsNotComplete(t *testing.T) {
-	var text string
+	var text atomic.Value
 	address := serve(t, func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
 		readRequest(requests)
-		writeReply(conn, text)
+		writeReply(conn, text.Load().(string))
 		time.Sleep(time.Millisecond)
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	})
@@ -110,9 +111,9 @@
 	for _, w := range responses()[:6] {
 		whole := w.head + w.body
 		for cut := range len(whole) {
-			text = whole[:cut]
+			text.Store(whole[:cut])
 			_, err := get(t.Context(), client, address)
-			assert.Assert(t, err != nil, "%s: %q", w.name, text)
+			assert.Assert(t, err != nil, "%s: %q", w.name, whole[:cut])
 		}
 	}
 }
