--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -25,7 +25,6 @@
 	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID})
 	if ctx.Err() != nil {
 		closeResponse(response)
-		g.mayHaveRun = g.mayHaveRun || !errorx.IsOfType(err, upstream.NotSent)
 		return true, ctx.Err()
 	}
 	if err != nil {
@@ -51,9 +50,8 @@
 		r.decide(g.exchange, "engine declined", logrus.Fields{"endpoint": to.Name, "status": response.Status})
 		return false, errDeclined
 	}
-	g.mayHaveRun = true
 	if response.Status != http.StatusOK {
-		return true, r.handleErrorStatus(ctx, g, to, response)
+		return true, r.handleErrorStatus(ctx, g, to, response, &verdict)
 	}
 	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started, attempt: attempt, slowdown: verdict.slowdown()}
 	return true, stream.forward(ctx, response)
@@ -124,7 +122,6 @@
 		g.refusal = "the engine is not reachable"
 		return false, r.retryOrGiveUp(g)
 	}
-	g.mayHaveRun = true
 	return true, g.retryUnlessSingleRun()
 }
 
@@ -138,10 +135,13 @@
 }
 
 // handleErrorStatus handles an error response of an engine and keeps it for the caller.
-func (r *Relay) handleErrorStatus(ctx context.Context, g *generation, to *configuration.Endpoint, response *upstream.Response) error {
+func (r *Relay) handleErrorStatus(ctx context.Context, g *generation, to *configuration.Endpoint, response *upstream.Response, verdict *Verdict) error {
 	r.observe(g, to, false)
 	buffer := &answerBuffer{memory: g.request.Memory}
-	err := buffer.read(response, waitForMemory(ctx, g.request.Memory))
+	err := r.checkTrust(g.exchange, to, response, verdict)
+	if err == nil {
+		err = buffer.read(response, waitForMemory(ctx, g.request.Memory))
+	}
 	r.decide(g.exchange, "engine failed the request", logrus.Fields{"endpoint": to.Name, "status": response.Status})
 	if err == nil && !g.headerSent {
 		g.answer.release()
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -42,6 +42,7 @@
 	limitHeader    = "Test-Limit"
 	quietHeader    = "Test-Quiet"
 	slowHeader     = "Test-Slowdown"
+	unsignedHeader = "Test-Unsigned"
 )
 
 // testDialect implements Dialect.
@@ -60,11 +61,13 @@
 
 func (testDialect) Judge(_ *Request, _ *Call, response *upstream.Response) Verdict {
 	return Verdict{
-		NotRun:        response.Header.Get(declinedHeader) != "",
-		OtherInstance: response.Status == http.StatusMisdirectedRequest,
-		Announcement:  testAnnouncement(response),
-		Limit:         testLimit(response),
-		Load:          testLoad(response),
+		NotRun:         response.Header.Get(declinedHeader) != "",
+		Unsigned:       response.Header.Get(unsignedHeader) != "",
+		PromisesNotRun: response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests,
+		OtherInstance:  response.Status == http.StatusMisdirectedRequest,
+		Announcement:   testAnnouncement(response),
+		Limit:          testLimit(response),
+		Load:           testLoad(response),
 	}
 }
 
@@ -460,15 +463,23 @@
 }
 
 func (s *fixture) serveTo(ctx context.Context, caller *recorder, route routing.Route, generation *Generation) {
-	service := "desk"
-	if generation != nil {
-		service = "pool"
-	}
-	request := &Request{
+	s.serveRequest(ctx, caller, route, s.request(generation))
+}
+
+// request returns a new request.
+func (s *fixture) request(generation *Generation) *Request {
+	return &Request{
 		ID: s.requestID, Method: http.MethodPost, Target: "/x/" + strconv.FormatInt(s.served.Add(1), 10), Host: "a.example", Header: http.Header{},
 		Arrived: time.Now(), Timeout: time.Minute, EventTimeout: s.eventTimeout, Generation: generation,
 		Body: s.body, Memory: s.memory,
 	}
+}
+
+func (s *fixture) serveRequest(ctx context.Context, caller *recorder, route routing.Route, request *Request) {
+	service := "desk"
+	if request.Generation != nil {
+		service = "pool"
+	}
 	s.relay.Serve(ctx, request, &route, s.fleet.Table().Service(service), caller)
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -217,7 +217,6 @@
 		r.decide(x, "endpoint declined", logrus.Fields{"endpoint": to.Name, "status": answer.Status})
 		return false
 	}
-	x.mayHaveRun = true
 	attempt.Answer()
 	if x.passage != nil {
 		return true
@@ -229,7 +228,7 @@
 
 // brokenOff reports whether an endpoint broke off a request that it may have run.
 func brokenOff(err error) bool {
-	return errorx.IsOfType(err, upstream.InDoubt) && !errorx.IsOfType(err, upstream.GivenUp)
+	return errorx.IsOfType(err, upstream.InDoubt) && !errorx.IsOfType(err, upstream.GivenUp) && !errorx.IsOfType(err, untrusted)
 }
 
 // handlePlainError handles an attempt that got no response. It returns true if no
@@ -248,7 +247,6 @@
 		x.refusal = "the endpoint is not reachable"
 		return false
 	}
-	x.mayHaveRun = true
 	return x.route.RunsOnce()
 }
 
@@ -272,32 +270,48 @@
 		return nil, verdict, err
 	}
 	defer response.Close()
-	buffer := &answerBuffer{memory: x.request.Memory}
-	if call.Stage == Prefill || x.buffered {
-		err = buffer.read(response, waitForMemory(ctx, x.request.Memory))
-	} else {
-		err = buffer.read(response, tryForMemory(x.request.Memory))
-	}
-	if errors.Is(err, errNoMemory) {
-		if !verdict.NotRun && timer.Reset(x.timeLeft()+lateDelivery) {
-			err = r.passOn(ctx, x, response, buffer)
+	if call.Stage != Prefill {
+		if err := r.checkTrust(x, to, response, &verdict); err != nil {
+			return nil, verdict, err
 		}
-		buffer.release()
 	}
+	buffer, err := r.readAnswer(ctx, x, call, response, &verdict, timer)
 	switch {
-	case err != nil && ctx.Err() != nil:
-		err = upstream.GivenUp.Wrap(err, "answer of %s", to.Name)
-	case err != nil && !errors.Is(err, errNoMemory):
-		err = upstream.InDoubt.Wrap(err, "answer of %s", to.Name)
-	default:
+	case err == nil:
 		return &Answer{Status: response.Status, Header: response.Header, Body: buffer.bytes, buffer: buffer}, verdict, nil
+	case ctx.Err() != nil:
+		return nil, verdict, upstream.GivenUp.Wrap(err, "answer of %s", to.Name)
+	default:
+		return nil, verdict, upstream.InDoubt.Wrap(err, "answer of %s", to.Name)
+	}
+}
+
+// readAnswer reads the body of a response, or passes it on if it does not fit into the memory budget. The
+// timer ends ctx.
+func (r *Relay) readAnswer(
+	ctx context.Context, x *exchange, call *Call, response *upstream.Response, verdict *Verdict, timer *time.Timer,
+) (*answerBuffer, error) {
+	buffer := &answerBuffer{memory: x.request.Memory}
+	reserve := tryForMemory(x.request.Memory)
+	if call.Stage == Prefill || x.buffered {
+		reserve = waitForMemory(ctx, x.request.Memory)
+	}
+	err := buffer.read(response, reserve)
+	switch {
+	case err == nil:
+		return buffer, nil
+	case verdict.NotRun:
+		// The header states it; the body adds nothing.
+		err = nil
+	case errors.Is(err, errNoMemory) && timer.Reset(x.timeLeft()+lateDelivery):
+		err = r.passOn(ctx, x, response, buffer)
 	}
 	buffer.release()
-	return nil, verdict, err
+	return buffer, err
 }
 
 // open sends the request to an endpoint and returns its response, which must be
-// closed.
+// closed. Only here is it recorded that the endpoint may have run the request.
 func (r *Relay) open(ctx context.Context, x *exchange, to *configuration.Endpoint, call *Call) (*upstream.Response, Verdict, error) {
 	// Callers take back the count of a call that was not sent.
 	if call.Stage != Prefill {
@@ -341,6 +355,7 @@
 		if errorx.IsOfType(err, upstream.Foreign) {
 			r.Counters.Foreign.Add(1)
 		}
+		x.mayHaveRun = x.mayHaveRun || call.Stage != Prefill && !errorx.IsOfType(err, upstream.NotSent)
 		if ctx.Err() != nil && errorx.IsOfType(err, upstream.InDoubt) {
 			r.decide(x, "answer not awaited", logrus.Fields{"endpoint": to.Name, "waited_ms": time.Since(sent).Milliseconds(), "reason": context.Cause(ctx).Error()})
 		}
@@ -349,6 +364,7 @@
 	}
 	response.OnClose = end
 	verdict := r.options.Dialect.Judge(x.request, call, response)
+	x.mayHaveRun = x.mayHaveRun || call.Stage != Prefill && !verdict.NotRun
 	r.observeVerdict(x, to, &verdict, sent)
 	return response, verdict, nil
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -149,8 +149,14 @@
 type Verdict struct {
 	// NotRun is set if the endpoint did not run the request and never will.
 	NotRun bool
+	// PromisesNotRun is set if callers take the status as a promise that the request has not run,
+	// whether or not the endpoint states it.
+	PromisesNotRun bool
 	// OtherInstance is set if another endpoint has taken over the address.
 	OtherInstance bool
+	// Unsigned is set if the response claims a success without the mark that makes it the endpoint's
+	// own answer.
+	Unsigned bool
 	// Announcement is what the endpoint says of itself.
 	endpoint.Announcement
 	// Load is the load that the endpoint reports; nil if it reports none.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"hash/maphash"
 	"io"
 	"math"
@@ -44,6 +45,9 @@
 	maxCarried = 256
 )
 
+// errSwitched means that an endpoint switches to another protocol, which no request asks for.
+var errSwitched = errors.New("status 101 without a request for another protocol")
+
 // conn is one connection to an endpoint. It carries one exchange at a time.
 type conn struct {
 	client        *Client
@@ -246,7 +250,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
+		if head.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
+		if head.StatusCode >= http.StatusOK {
 			k.limitedReader.N = math.MaxInt64
 			return head, nil
 		}
@@ -254,7 +261,8 @@
 }
 
 // Response is an endpoint's response. Read returns io.EOF only after a body that
-// is complete according to its framing.
+// is complete according to its framing. A body that ends with the connection has at least one
+// byte: without any, the endpoint may have broken off after the header.
 type Response struct {
 	Status int
 	Header http.Header
@@ -267,6 +275,8 @@
 	head    *http.Response
 	written <-chan error
 	stop    func() bool
+	// sawBody is set once a byte of the body was read, sawEOF once it was read to its end.
+	sawBody bool
 	sawEOF  bool
 	closed  bool
 }
@@ -286,10 +296,15 @@
 // Read implements io.Reader.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.head.Body.Read(p)
-	if err == io.EOF {
-		r.sawEOF = true
+	r.sawBody = r.sawBody || n > 0
+	if err != io.EOF {
+		return n, err
+	}
+	if !r.Framed && !r.sawBody && r.head.Body != http.NoBody {
+		return 0, io.ErrUnexpectedEOF
 	}
-	return n, err
+	r.sawEOF = true
+	return n, io.EOF
 }
 
 // Close ends the exchange. The connection returns to the pool if the response was
