Log which events each engine sent of a stream and how its answer is framed

"stream cut", "stream complete" and "stream broken" did not tell whether the last engine sent any event, whether its events followed those of the engine before, nor whether the end of its answer can be told from a truncation.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"sync/atomic"
@@ -25,8 +26,9 @@
 type eventReader struct {
 	source io.Reader
 	buffer []byte
-	// lastID is the ID of the last event that was returned.
-	lastID string
+	// lastID is the ID of the last event that was returned, firstID that of the first event of
+	// the latest call of next.
+	firstID, lastID string
 	// events counts the events that were returned since the last call of takeEventCount.
 	events int
 	// memory counts the buffer; nil sets no bound. A wait for memory ends with ctx.
@@ -130,6 +132,7 @@
 
 // recordEvents counts events and stores the last event ID.
 func (e *eventReader) recordEvents(complete []byte) {
+	e.firstID = ""
 	for line := range bytes.Lines(complete) {
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
@@ -138,6 +141,7 @@
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.lastID = string(bytes.TrimPrefix(id, []byte(" ")))
+			e.firstID = cmp.Or(e.firstID, e.lastID)
 		}
 	}
 }
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -54,6 +54,8 @@
 	headerSent bool
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
+	// part is what the latest engine sent of the stream.
+	part enginePart
 	// delivered is the number of tokens delivered to the caller, deliveredBefore the
 	// number that had been delivered when the current attempt began.
 	delivered, deliveredBefore int
@@ -96,10 +98,10 @@
 		if err == nil {
 			complete = true
 			r.Counters.Answered.Add(1)
-			r.decide(x, "stream complete", logrus.Fields{
+			r.decide(x, "stream complete", g.part.addTo(logrus.Fields{
 				"tokens": g.delivered, "late": g.late, "first_event_ms": g.firstEvent.Sub(x.request.Arrived).Milliseconds(),
 				"longest_pause_ms": g.longestPause.Milliseconds(),
-			})
+			}))
 			return
 		}
 		if errors.Is(err, context.Canceled) || ctx.Err() != nil || errors.Is(err, errGiveUp) {
@@ -119,7 +121,9 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			g.obstacle = obstacleDeadline
 		}
-		r.decide(g.exchange, "stream broken", logrus.Fields{"tokens": g.delivered, "last_event": g.lastEventID, "reason": g.obstacle})
+		r.decide(g.exchange, "stream broken", g.part.addTo(logrus.Fields{
+			"tokens": g.delivered, "last_event": g.lastEventID, "reason": g.obstacle,
+		}))
 		g.caller.Abort()
 	default:
 		r.concludePlain(g.exchange)
--- a/internal/relay/pump.go
+++ b/internal/relay/pump.go
@@ -4,9 +4,9 @@
 type batch struct {
 	// events are valid until the next call of eventPump.resume.
 	events []byte
-	// lastID is the ID of the last event.
-	lastID string
-	count  int
+	// firstID and lastID are the IDs of the first and the last event.
+	firstID, lastID string
+	count           int
 	// err is set at the end of the stream, where there are no events.
 	err error
 }
@@ -38,7 +38,7 @@
 	for {
 		complete, err := events.next()
 		select {
-		case p.batches <- batch{events: complete, lastID: events.lastID, count: events.takeEventCount(), err: err}:
+		case p.batches <- batch{events: complete, firstID: events.firstID, lastID: events.lastID, count: events.takeEventCount(), err: err}:
 		case <-p.closing:
 			return
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -30,6 +30,31 @@
 	pauseShare = 0.25
 )
 
+// enginePart is what one engine sent of a stream.
+type enginePart struct {
+	// framing is how the end of the engine's answer is marked.
+	framing string
+	// events counts the events that were forwarded; firstID and lastID are the IDs of the first
+	// and the last one.
+	events          int
+	firstID, lastID string
+}
+
+// record records a batch of events that was forwarded.
+func (p *enginePart) record(b batch) {
+	if p.events == 0 {
+		p.firstID = b.firstID
+	}
+	p.events += b.count
+	p.lastID = b.lastID
+}
+
+// addTo adds the part to the fields of a log line.
+func (p *enginePart) addTo(fields logrus.Fields) logrus.Fields {
+	fields["framing"], fields["part_events"], fields["part_first"], fields["part_last"] = p.framing, p.events, p.firstID, p.lastID
+	return fields
+}
+
 // stream forwards the events of one engine to the caller.
 type stream struct {
 	relay      *Relay
@@ -55,6 +80,7 @@
 // An engine that is silent may only be pausing, so its stream stays open until other
 // engines are ready to continue it.
 func (s *stream) forward(ctx context.Context, response *upstream.Response) error {
+	s.generation.part = enginePart{framing: response.Framing()}
 	events := newEventReader(response)
 	events.lastID = s.generation.lastEventID
 	reading, stopReading := context.WithCancel(ctx)
@@ -159,6 +185,7 @@
 	s.batches++
 	s.attempt.Event()
 	g.lastEventID = b.lastID
+	g.part.record(b)
 	g.recordEventTime(time.Now())
 	if first && g.deliveredBefore == 0 {
 		s.relay.FirstEvents.Observe(g.firstEvent.Sub(g.request.Arrived))
@@ -227,10 +254,10 @@
 	if !s.silent {
 		s.relay.observe(g, s.endpoint, false)
 	}
-	s.relay.decide(g.exchange, "stream cut", logrus.Fields{
+	s.relay.decide(g.exchange, "stream cut", g.part.addTo(logrus.Fields{
 		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": g.lastEventID, "error": cause.Error(),
 		"silent": errors.Is(cause, errSilent), "resumable": g.route.Resumable,
-	})
+	}))
 	g.exclude = append(g.exclude, s.endpoint.Name)
 }
 
