Forward an answer as a stream only if its header states that it is one

Cause: every answer with status 200 to a request for a stream was forwarded, whatever its type and without the engine's signature, as the first answer or in the middle of a stream that another engine began. Any other success was delivered as the whole answer.

Verdict.checkStream is the only place that decides. An answer that is neither an error (300 and above) nor a stream is treated like one that broke off before its first event: observed as a failure, retried where the route allows it, otherwise the caller gets 502 or, in the middle of a stream, a broken one. "answer rejected" names status, type, framing and reason, relay.rejected_answers counts.

--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -36,6 +36,8 @@
 		{"silences", Counter, Requests, "Times that an engine sent no event of a stream for the silence limit.",
 			"A rise: engines pause or hang; log lines `stream cut` with `silent` name them."},
 		{"resumed", Counter, Requests, "Streams that were resumed on another engine.", "A rise: engines interrupt streams; log lines `stream cut` name them."},
+		{"rejected_answers", Counter, Answers, "Answers of engines that were dropped because they are no streams: by their status, their type or a missing signature.",
+			"Any rise: an engine or something before it answers in its place; log lines `answer rejected` name it."},
 		{"untraced", Counter, Requests, "Streams that callers took up and whose build is not known.",
 			"A rise without many VMs lost at once: see the `origin` counters; log lines `stream not traced` name the streams."},
 		{"traced_by_archive", Counter, Requests, "Streams that callers took up at the build that the store's record names, because no VM had one.",
--- /dev/null
+++ b/internal/relay/answer_test.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// answersAs returns a handler that answers with a status, a body and, unless it is empty, a field of testDialect.
+func answersAs(status int, mark, body string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if mark != "" {
+			w.Header().Set(mark, "1")
+		}
+		answers(status, body)(w, nil)
+	}
+}
+
+// notStreams are answers of an engine that must not be taken for a stream.
+var notStreams = []struct {
+	name   string
+	answer func(http.ResponseWriter, *http.Request)
+	logged string
+}{
+	{"other type", answersAs(http.StatusOK, notEventsHeader, eventText(3)), "200 its type is not that of events"},
+	{"no signature", answersAs(http.StatusOK, unsignedHeader, eventText(3)), "200 it is not signed as the engine's own"},
+	{"other success", answersAs(http.StatusCreated, "", eventText(3)), "201 its status is not that of a stream"},
+	{"part of a body", answersAs(http.StatusPartialContent, "", eventText(3)), "206 its status is not that of a stream"},
+	{"no content", answersAs(http.StatusNoContent, "", ""), "204 its status is not that of a stream"},
+	{"other protocol", switchesProtocols, "101 its status is not that of a stream"},
+}
+
+// switchesProtocols answers as if the connection had another protocol from then on.
+func switchesProtocols(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 101 Switching Protocols\r\n%s: %s\r\n\r\n%s", idHeader, r.Header.Get(idHeader), eventText(3))
+	_ = conn.Close()
+}
+
+// Guards against an answer that is no stream of the engine and reaches the caller as one, as the first answer
+// or in the middle of a stream that another engine began.
+func TestAnswerThatIsNoStreamIsNotForwarded(t *testing.T) {
+	for _, c := range notStreams {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFixture(t, grant("p1", "e1"))
+			logged := s.captureLog()
+			s.engines(answers(http.StatusOK, "h1"), c.answer)
+			caller := s.serve(dossier, work)
+			assert.Equal(t, caller.outcome, "failed: no endpoint answered")
+			assert.Equal(t, caller.body, "")
+			assert.Equal(t, s.relay.Counters.RejectedAnswers.Load(), int64(1))
+			assert.DeepEqual(t, logged("answer rejected", "status", "reason"), []string{c.logged})
+
+			s = newFixture(t, grant("p1", "e1"), grant("p2", "e2"))
+			s.engines(answers(http.StatusOK, "h1"), c.answer)
+			caller = s.serve(check, work)
+			assert.Equal(t, caller.outcome, "stream")
+			assert.Equal(t, caller.body, eventText(3))
+
+			s = newFixture(t, grant("p1", "e2"), grant("p2", "e1"))
+			s.endpoint("p1", "pool", "prefill", answers(http.StatusOK, "h1"))
+			s.endpoint("p2", "pool", "prefill", answers(http.StatusOK, "h2"))
+			s.endpoint("e2", "pool", "decode", cutAfter(2))
+			s.endpoint("e1", "pool", "decode", c.answer)
+			caller = s.serve(check, work)
+			assert.Equal(t, caller.outcome, "aborted")
+			assert.Equal(t, caller.body, eventText(2))
+			assert.Assert(t, strings.HasSuffix(s.callLog(), "e1:2/h2/2"), s.callLog())
+		})
+	}
+}
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -52,10 +52,13 @@
 		return false, errDeclined
 	}
 	g.mayHaveRun = true
-	if response.Status != http.StatusOK {
+	if response.Status >= http.StatusMultipleChoices {
 		return true, r.handleErrorStatus(ctx, g, to, response)
 	}
 	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started, attempt: attempt, slowdown: verdict.slowdown()}
+	if err := verdict.checkStream(response.Status); err != nil {
+		return true, stream.reject(ctx, response, err)
+	}
 	return true, stream.forward(ctx, response)
 }
 
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -42,6 +42,9 @@
 	limitHeader    = "Test-Limit"
 	quietHeader    = "Test-Quiet"
 	slowHeader     = "Test-Slowdown"
+	// notEventsHeader and unsignedHeader mark a response that testDialect judges so.
+	notEventsHeader = "Test-Not-Events"
+	unsignedHeader  = "Test-Unsigned"
 )
 
 // testDialect implements Dialect.
@@ -63,6 +66,8 @@
 		Foreign:       response.Header.Get(idHeader) != request.ID,
 		NotRun:        response.Header.Get(declinedHeader) != "",
 		OtherInstance: response.Status == http.StatusMisdirectedRequest,
+		NotEvents:     response.Header.Get(notEventsHeader) != "",
+		Unsigned:      response.Header.Get(unsignedHeader) != "",
 		Announcement:  testAnnouncement(response),
 		Limit:         testLimit(response),
 		Load:          testLoad(response),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -137,6 +137,8 @@
 	// Resumed counts streams that were cut and may continue on another engine, Broken
 	// those that were aborted before their end.
 	Resumed, Broken atomic.Int64
+	// RejectedAnswers counts answers of engines that were not forwarded because they are no streams.
+	RejectedAnswers atomic.Int64
 	// Untraced counts streams that callers took up and whose build is not known.
 	Untraced atomic.Int64
 	// TracedByArchive counts streams that callers took up and whose build was found in the
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -153,6 +153,11 @@
 	NotRun bool
 	// OtherInstance is set if another endpoint has taken over the address.
 	OtherInstance bool
+	// Unsigned is set if the response claims a success without the mark that makes it the endpoint's
+	// own answer.
+	Unsigned bool
+	// NotEvents is set if the response claims a success whose body is not a series of events.
+	NotEvents bool
 	// Announcement is what the endpoint says of itself.
 	endpoint.Announcement
 	// Load is the load that the endpoint reports; nil if it reports none.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -74,6 +75,39 @@
 	sought *continuation
 }
 
+// The reasons why an answer is no stream of its engine.
+var (
+	errNotStreamStatus = errors.New("its status is not that of a stream")
+	errUnsigned        = errors.New("it is not signed as the engine's own")
+	errNotEvents       = errors.New("its type is not that of events")
+)
+
+// checkStream returns why an answer that is no error of its engine is no stream either, nil if it is one.
+func (v *Verdict) checkStream(status int) error {
+	switch {
+	case status != http.StatusOK:
+		return errNotStreamStatus
+	case v.Unsigned:
+		return errUnsigned
+	case v.NotEvents:
+		return errNotEvents
+	default:
+		return nil
+	}
+}
+
+// reject handles an answer that is no stream of its engine, like a stream that broke off before its first
+// event: nothing of it reaches the caller.
+func (s *stream) reject(ctx context.Context, response *upstream.Response, reason error) error {
+	s.generation.part = enginePart{framing: response.Framing()}
+	s.relay.Counters.RejectedAnswers.Add(1)
+	s.relay.decide(s.generation.exchange, "answer rejected", logrus.Fields{
+		"endpoint": s.endpoint.Name, "status": response.Status, "type": response.Header.Get("Content-Type"),
+		"framing": response.Framing(), "reason": reason.Error(),
+	})
+	return s.handleEnd(ctx, reason)
+}
+
 // forward sends events to the caller as they arrive. It returns nil if the stream was
 // complete according to its framing.
 //
