Do not take a continuation without events for the end of its stream

Cause: the end of an engine's answer was the end of the whole stream as soon as any engine had sent an event, so that an empty answer with status 200 completed a stream that had broken off.

Change: an answer is complete only if it has an event itself. Otherwise it is treated like one that broke off.

Result: TestContinuationWithoutEventsIsNotTheEndOfTheStream, on the former code: length, chunks, connection: stream != aborted

--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -7,6 +7,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/routing"
 )
 
 // answersAs returns a handler that answers with a status, a body and, unless it is empty, a field of testDialect.
@@ -64,10 +67,10 @@
 			assert.Equal(t, caller.body, eventText(3))
 
 			s = newFixture(t, grant("p1", "e2"), grant("p2", "e1"))
-			s.endpoint("p1", "pool", "prefill", answers(http.StatusOK, "h1"))
-			s.endpoint("p2", "pool", "prefill", answers(http.StatusOK, "h2"))
-			s.endpoint("e2", "pool", "decode", cutAfter(2))
-			s.endpoint("e1", "pool", "decode", c.answer)
+			s.endpoint("p1", "pool", configuration.RolePrefill, answers(http.StatusOK, "h1"))
+			s.endpoint("p2", "pool", configuration.RolePrefill, answers(http.StatusOK, "h2"))
+			s.endpoint("e2", "pool", configuration.RoleDecode, cutAfter(2))
+			s.endpoint("e1", "pool", configuration.RoleDecode, c.answer)
 			caller = s.serve(check, work)
 			assert.Equal(t, caller.outcome, "aborted")
 			assert.Equal(t, caller.body, eventText(2))
@@ -75,3 +78,35 @@
 		})
 	}
 }
+
+// Guards against a stream that broke off and ends as if it were complete, because the next engine's answer has no
+// events.
+func TestContinuationWithoutEventsIsNotTheEndOfTheStream(t *testing.T) {
+	flushed := func(w http.ResponseWriter, _ *http.Request) { _ = http.NewResponseController(w).Flush() }
+	thrice := check
+	thrice.MaxAttempts = 3
+	for _, c := range []struct {
+		name  string
+		empty func(s *fixture) func(http.ResponseWriter, *http.Request)
+	}{
+		{"length", func(*fixture) func(http.ResponseWriter, *http.Request) { return answers(http.StatusOK, "") }},
+		{"chunks", func(*fixture) func(http.ResponseWriter, *http.Request) { return flushed }},
+		{"connection", func(s *fixture) func(http.ResponseWriter, *http.Request) { return s.unframed("", closed) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, route := range []routing.Route{check, thrice} {
+				s := newFixture(t, grant("e1", "e1"), grant("e3", "e3"), grant("e2", "e2"))
+				s.engines(reset, cutAfter(2))
+				s.endpoint("e3", "pool", configuration.RoleDecode, c.empty(s))
+				caller := s.serve(route, work)
+				if route.MaxAttempts == 2 {
+					assert.Equal(t, caller.outcome, "aborted")
+					assert.Equal(t, caller.body, eventText(2))
+					continue
+				}
+				assert.Equal(t, caller.outcome, "stream")
+				assert.Equal(t, caller.body, eventText(3))
+			}
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -82,6 +82,9 @@
 	errNotEvents       = errors.New("its type is not that of events")
 )
 
+// errNoEvents is the cause of a cut if the engine's answer ended before its first event.
+var errNoEvents = errors.New("the answer ended without any event")
+
 // checkStream returns why an answer that is no error of its engine is no stream either, nil if it is one.
 func (v *Verdict) checkStream(status int) error {
 	switch {
@@ -307,13 +310,16 @@
 
 // handleEnd handles the end of an engine's stream. It returns nil if the answer is
 // complete, errRetry if another attempt may follow, and otherwise errGiveUp or the
-// error of ctx.
+// error of ctx. An answer without any event is not complete, whatever other engines sent.
 func (s *stream) handleEnd(ctx context.Context, err error) error {
 	r, g := s.relay, s.generation
-	if errors.Is(err, io.EOF) && g.headerSent {
-		r.observe(g, s.endpoint, true)
-		s.attempt.Complete()
-		return nil
+	if errors.Is(err, io.EOF) {
+		if g.part.events > 0 {
+			r.observe(g, s.endpoint, true)
+			s.attempt.Complete()
+			return nil
+		}
+		err = errNoEvents
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
