Forward only events that continue the caller's stream

If the caller's Last-Event-Id is no number, the first event may have any. blockFormat says what an event is: lines of text/event-stream or of Dialect.EventFields (x-weight-versions), one ID, and one line ending in the whole answer. Unknown fields, which clients ignore, are an error here: a failure's text reads like them. Comments, empty lines and a reconnection time are no events; they are forwarded after an engine's first event, do not count and are no sign that a silent engine goes on.

Anything else ends the answer like a connection that breaks off: what follows is dropped, another engine continues the stream if the route allows it, else the caller's stream is aborted. relay.out_of_sequence and relay.malformed_streams count, "stream cut" names the bytes. lastEventEnd is used by FuzzEvents only and moves to it unchanged.

--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -31,6 +31,7 @@
 func (plainDialect) Judge(*relay.Request, *relay.Call, *upstream.Response) relay.Verdict {
 	return relay.Verdict{}
 }
+func (plainDialect) EventFields() []string { return nil }
 func (plainDialect) DecodePrefill([]byte) (relay.PrefillResult, error) {
 	return relay.PrefillResult{}, nil
 }
--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -110,3 +110,42 @@
 		})
 	}
 }
+
+// Guards against events of another run, and bytes that are no event, that reach the caller in the middle of a stream,
+// and against a stream that looks complete after them.
+func TestBytesThatDoNotContinueTheStreamAreNotForwarded(t *testing.T) {
+	const head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 9\r\n\r\nno memory"
+	third := strings.TrimPrefix(eventText(3), eventText(2))
+	for _, c := range []struct {
+		name, body string
+		// forwarded is the number of events that reach the caller.
+		forwarded                int
+		outOfSequence, malformed int64
+	}{
+		{"begins anew", eventText(3), 2, 1, 0},
+		{"skips", "id: 4\ndata: t\n\n", 2, 1, 0},
+		{"goes on and repeats", third + third, 3, 1, 0},
+		{"error's text", "the upstream failed\n\n", 2, 0, 1},
+		{"error's text after an event", third + "the upstream failed\n\n", 3, 0, 1},
+		{"another head", head, 2, 0, 1},
+		{"another head after an event", third + head, 3, 0, 1},
+		{"another head within an event", "id: 3\ndata: " + head, 2, 0, 1},
+	} {
+		for _, framing := range []string{"length", "connection"} {
+			t.Run(c.name+", "+framing, func(t *testing.T) {
+				s := newFixture(t, grant("e1", "e1"), grant("e3", "e3"))
+				s.engines(reset, cutAfter(2))
+				second := answers(http.StatusOK, c.body)
+				if framing == "connection" {
+					second = s.unframed(c.body, closed)
+				}
+				s.endpoint("e3", "pool", configuration.RoleDecode, second)
+				caller := s.serve(check, work)
+				assert.Equal(t, caller.outcome, "aborted")
+				assert.Equal(t, caller.body, eventText(c.forwarded))
+				assert.Equal(t, s.relay.Counters.OutOfSequence.Load(), c.outOfSequence)
+				assert.Equal(t, s.relay.Counters.MalformedStreams.Load(), c.malformed)
+			})
+		}
+	}
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"io"
@@ -21,11 +20,20 @@
 	minMemoryWait = 10 * time.Millisecond
 )
 
-// eventReader splits a text/event-stream into complete events. Bytes after the last
-// complete event are never returned.
+// eventReader splits a text/event-stream into complete events that continue a stream. Bytes after
+// the last such event are never returned.
 type eventReader struct {
 	source io.Reader
 	buffer []byte
+	// checked is the number of the buffer's first bytes that were checked and are held until the first
+	// event, fault what is wrong with the bytes after them.
+	checked int
+	fault   error
+	// sequence and format tell which events continue the stream.
+	sequence sequence
+	format   blockFormat
+	// begun is set once there was an event.
+	begun bool
 	// lastID is the ID of the last event that was returned, firstID that of the first event of
 	// the latest call of next.
 	firstID, lastID string
@@ -52,17 +60,18 @@
 	e.size = 0
 }
 
-// next returns all complete events that have arrived, at least one. It returns io.EOF
-// if the stream ended after a complete event, and io.ErrUnexpectedEOF if it ended
-// within one. The bytes are valid until the next call.
+// next returns all complete events that have arrived, at least one, and what is between them; after
+// the first event it also returns comments without an event. It returns io.EOF if the stream ended after
+// a complete event, io.ErrUnexpectedEOF if it ended within one, and errNoEvent or errOutOfSequence if what
+// follows does not continue the stream. The bytes are valid until the next call.
 func (e *eventReader) next() ([]byte, error) {
 	for {
-		if end := lastEventEnd(e.buffer); end > 0 {
-			complete := e.buffer[:end]
-			e.recordEvents(complete)
-			e.buffer = e.buffer[end:]
+		if complete := e.takeBlocks(); len(complete) > 0 {
 			return complete, nil
 		}
+		if e.fault != nil {
+			return nil, e.fault
+		}
 		if len(e.buffer) > maxEventBytes {
 			return nil, io.ErrShortBuffer
 		}
@@ -72,6 +81,42 @@
 	}
 }
 
+// takeBlocks removes the complete blocks that continue the stream from the buffer. Those before the first
+// event stay in it.
+func (e *eventReader) takeBlocks() []byte {
+	e.firstID = ""
+	for e.fault == nil {
+		n := blockEnd(e.buffer[e.checked:])
+		if n == 0 {
+			break
+		}
+		if e.fault = e.check(e.buffer[e.checked : e.checked+n]); e.fault == nil {
+			e.checked += n
+		}
+	}
+	if !e.begun {
+		return nil
+	}
+	complete := e.buffer[:e.checked]
+	e.buffer, e.checked = e.buffer[e.checked:], 0
+	return complete
+}
+
+// check checks a block, and records the event in it.
+func (e *eventReader) check(block []byte) error {
+	id, err := e.format.parse(block)
+	if err != nil || id == "" {
+		return err
+	}
+	if err := e.sequence.accept(id); err != nil {
+		return err
+	}
+	e.begun = true
+	e.events++
+	e.lastID, e.firstID = id, cmp.Or(e.firstID, id)
+	return nil
+}
+
 // fill reads more bytes into the buffer.
 func (e *eventReader) fill() error {
 	if cap(e.buffer)-len(e.buffer) < eventBufferBytes/4 || e.oversized() {
@@ -88,7 +133,7 @@
 	if n > 0 {
 		return nil
 	}
-	if err == io.EOF && len(e.buffer) > 0 {
+	if err == io.EOF && len(e.buffer) > e.checked {
 		return io.ErrUnexpectedEOF
 	}
 	return err
@@ -119,33 +164,6 @@
 	return nil
 }
 
-// lastEventEnd returns the end of the last complete event, 0 if there is none.
-func lastEventEnd(b []byte) int {
-	end := 0
-	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(b, separator); i >= 0 {
-			end = max(end, i+len(separator))
-		}
-	}
-	return end
-}
-
-// recordEvents counts events and stores the last event ID.
-func (e *eventReader) recordEvents(complete []byte) {
-	e.firstID = ""
-	for line := range bytes.Lines(complete) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			e.events++
-			continue
-		}
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.lastID = string(bytes.TrimPrefix(id, []byte(" ")))
-			e.firstID = cmp.Or(e.firstID, e.lastID)
-		}
-	}
-}
-
 // takeEventCount returns the number of events that were returned since its last call.
 func (e *eventReader) takeEventCount() int {
 	n := e.events
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"strings"
@@ -58,6 +59,17 @@
 	assert.ErrorIs(t, err, io.ErrShortBuffer)
 }
 
+// lastEventEnd returns the end of the last complete event, 0 if there is none.
+func lastEventEnd(b []byte) int {
+	end := 0
+	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
+		if i := bytes.LastIndex(b, separator); i >= 0 {
+			end = max(end, i+len(separator))
+		}
+	}
+	return end
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2", 3)
 	f.Fuzz(func(t *testing.T, stream string, size int) {
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -95,6 +95,8 @@
 	return &endpoint.Limit{Named: err == nil, PerSecond: rate}
 }
 
+func (testDialect) EventFields() []string { return []string{"test-version"} }
+
 func (testDialect) DecodePrefill(body []byte) (PrefillResult, error) {
 	if len(body) == 0 {
 		return PrefillResult{}, errors.New("no handle")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -139,6 +139,9 @@
 	Resumed, Broken atomic.Int64
 	// RejectedAnswers counts answers of engines that were not forwarded because they are no streams.
 	RejectedAnswers atomic.Int64
+	// OutOfSequence counts streams whose engine sent another event than the next one, MalformedStreams
+	// those whose engine sent something else than an event.
+	OutOfSequence, MalformedStreams atomic.Int64
 	// Untraced counts streams that callers took up and whose build is not known.
 	Untraced atomic.Int64
 	// TracedByArchive counts streams that callers took up and whose build was found in the
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -192,6 +192,9 @@
 	Header(request *Request, call *Call) http.Header
 	// Judge classifies a response by its header.
 	Judge(request *Request, call *Call, response *upstream.Response) Verdict
+	// EventFields returns the names of the lines that events of a stream may have besides those of
+	// text/event-stream.
+	EventFields() []string
 	// DecodePrefill decodes the body of the response to a prefill call.
 	DecodePrefill(body []byte) (PrefillResult, error)
 	// Free returns the request that frees a retained KV cache.
--- /dev/null
+++ b/internal/relay/sequence.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+)
+
+var (
+	// errOutOfSequence means that an event does not follow the one that the caller got last.
+	errOutOfSequence = errors.New("event out of sequence")
+	// errNoEvent means that a part of a stream is no event.
+	errNoEvent = errors.New("no event")
+)
+
+// sequence checks that events continue a stream: their IDs are whole numbers, each one above the one before.
+// The zero value accepts any number first.
+type sequence struct {
+	// last is the number of the last event, 0 before the first one.
+	last uint64
+	// known is set unless the number of the last event is not known.
+	known bool
+}
+
+// newSequence returns the sequence after the event with an ID, or that of a whole stream if it is empty. An ID that is
+// no number stems from the caller and cannot be followed.
+func newSequence(lastEventID string) sequence {
+	if lastEventID == "" {
+		return sequence{known: true}
+	}
+	last, err := strconv.ParseUint(lastEventID, 10, 64)
+	return sequence{last: last, known: err == nil}
+}
+
+// accept takes the next event's ID. The error is errOutOfSequence if it does not follow the last one.
+func (s *sequence) accept(id string) error {
+	number, err := strconv.ParseUint(id, 10, 64)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: the ID %.40q is no number", errOutOfSequence, id)
+	case s.known && number != s.last+1:
+		return fmt.Errorf("%w: %d after %d", errOutOfSequence, number, s.last)
+	}
+	s.last, s.known = number, true
+	return nil
+}
+
+// The fields of a text/event-stream.
+const (
+	fieldID    = "id"
+	fieldData  = "data"
+	fieldEvent = "event"
+	fieldRetry = "retry"
+)
+
+// blockFormat is what the blocks of one stream have in common. A block is what an empty line ends: an event, or lines
+// that are none.
+type blockFormat struct {
+	// fields are the names of lines that events may have besides those of text/event-stream.
+	fields []string
+	// ending is how all lines end, nil before the first line.
+	ending []byte
+}
+
+// blockEnd returns the end of the first block, 0 if it has not ended.
+func blockEnd(b []byte) int {
+	for end := 0; ; {
+		i := bytes.IndexByte(b[end:], '\n')
+		if i < 0 {
+			return 0
+		}
+		empty := i == 0 || i == 1 && b[end] == '\r'
+		end += i + 1
+		if empty {
+			return end
+		}
+	}
+}
+
+// parse returns the ID of the event in a block. It returns no ID and no error for comments, empty lines and a
+// reconnection time, which are no events by the rules of text/event-stream.
+//
+// Those rules make clients ignore unknown fields. Here they are an error, since the text of a failure, or the head of
+// another answer on the same connection, reads like such fields; so is a change of the line ending, for lines of an
+// answer's head end with CRLF.
+func (f *blockFormat) parse(block []byte) (id string, err error) {
+	hasID, hasContent := false, false
+	for line := range bytes.Lines(block) {
+		text, err := f.trim(line)
+		if err != nil {
+			return "", err
+		}
+		if len(text) == 0 || text[0] == ':' {
+			continue
+		}
+		name, value, _ := bytes.Cut(text, []byte(":"))
+		switch {
+		case string(name) == fieldID && hasID:
+			return "", fmt.Errorf("%w: several IDs", errNoEvent)
+		case string(name) == fieldID:
+			id, hasID = string(bytes.TrimPrefix(value, []byte(" "))), true
+		case string(name) == fieldRetry:
+		case string(name) == fieldData, string(name) == fieldEvent, slices.Contains(f.fields, string(name)):
+			hasContent = true
+		default:
+			return "", fmt.Errorf("%w: the line %.80q", errNoEvent, text)
+		}
+	}
+	if (hasID || hasContent) && id == "" {
+		return "", fmt.Errorf("%w: no ID", errNoEvent)
+	}
+	return id, nil
+}
+
+// trim returns a line without its ending.
+func (f *blockFormat) trim(line []byte) ([]byte, error) {
+	text := bytes.TrimSuffix(line, []byte("\n"))
+	text = bytes.TrimSuffix(text, []byte("\r"))
+	if f.ending == nil {
+		f.ending = bytes.Clone(line[len(text):])
+	}
+	if !bytes.Equal(line[len(text):], f.ending) || bytes.IndexByte(text, '\r') >= 0 {
+		return nil, fmt.Errorf("%w: the line %.80q ends unlike others", errNoEvent, line)
+	}
+	return text, nil
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -119,7 +119,8 @@
 func (s *stream) forward(ctx context.Context, response *upstream.Response) error {
 	s.generation.part = enginePart{framing: response.Framing()}
 	events := newEventReader(response)
-	events.lastID = s.generation.lastEventID
+	events.sequence = newSequence(s.generation.lastEventID)
+	events.format.fields = s.relay.options.Dialect.EventFields()
 	reading, stopReading := context.WithCancel(ctx)
 	defer stopReading()
 	events.memory, events.ctx = s.generation.request.Memory, reading
@@ -137,13 +138,16 @@
 		select {
 		case b := <-pump.batches:
 			if b.err != nil {
-				pump.ended = true
+				// Whatever follows bytes that do not continue the stream is not read.
+				pump.ended = !isFault(b.err)
 				return s.handleEnd(ctx, b.err)
 			}
 			if err := s.deliver(ctx, response, b); err != nil {
 				return err
 			}
-			silence.reset(silence.limit)
+			if b.count > 0 {
+				silence.reset(silence.limit)
+			}
 			pump.resume()
 		case <-silence.timer.C:
 			if silence.paused() || events.waiting.Load() {
@@ -197,10 +201,19 @@
 	return time.Duration(silenceShare * float64(request.EventTimeout))
 }
 
-// deliver sends a batch of events to the caller. The error is context.Canceled if the
-// caller does not take them.
+// isFault reports whether bytes arrived that do not continue the stream.
+func isFault(err error) bool { return errors.Is(err, errNoEvent) || errors.Is(err, errOutOfSequence) }
+
+// deliver sends a batch to the caller. The error is context.Canceled if the caller does not take it.
+// A batch without events is no sign that the engine goes on.
 func (s *stream) deliver(ctx context.Context, response *upstream.Response, b batch) error {
 	g := s.generation
+	if b.count == 0 {
+		if g.caller.Event(b.events) != nil {
+			return context.Canceled
+		}
+		return nil
+	}
 	s.sought.withdraw()
 	s.sought = nil
 	if !g.headerSent {
@@ -326,6 +339,12 @@
 	}
 	s.attempt.Broken()
 	s.recordCut(err)
+	switch {
+	case errors.Is(err, errOutOfSequence):
+		r.Counters.OutOfSequence.Add(1)
+	case errors.Is(err, errNoEvent):
+		r.Counters.MalformedStreams.Add(1)
+	}
 	if g.route.RunsOnce() {
 		g.obstacle = obstacleSingleRun
 		return errGiveUp
