--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -149,3 +150,51 @@
 		}
 	}
 }
+
+// beginsAnew streams events from the first one, whatever the caller has.
+func beginsAnew(w http.ResponseWriter, _ *http.Request) { eventsBetween(w, 1, 3) }
+
+// hangsAfterTwo streams two events and holds the connection; it sends a comment again and again if alive.
+func hangsAfterTwo(alive bool) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		events(2)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		for alive && r.Context().Err() == nil {
+			_, _ = w.Write([]byte(": alive\n\n"))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+		<-r.Context().Done()
+	}
+}
+
+// Guards against an engine that takes over from a silent or a leaving one, or gets a stream that its caller takes up,
+// and whose answer is not compared with what the caller has; and against comments that keep a stream at a silent engine.
+func TestEventsAreComparedOnEveryWayToAnotherEngine(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		first, second func(http.ResponseWriter, *http.Request)
+		work          *Generation
+		outcome, body string
+	}{
+		{"silent", hangsAfterTwo(false), events(3), work, "stream", eventText(3)},
+		{"silent, begins anew", hangsAfterTwo(false), beginsAnew, work, "aborted", eventText(2)},
+		{"silent with comments", hangsAfterTwo(true), events(3), work, "stream", eventText(3)},
+		{"leaving", leaves(cutAfter(2)), events(3), work, "stream", eventText(3)},
+		{"leaving, begins anew", leaves(cutAfter(2)), beginsAnew, work, "aborted", eventText(2)},
+		{"taken up", reset, events(3), takenUp, "stream", strings.TrimPrefix(eventText(3), eventText(2))},
+		{"taken up, begins anew", reset, beginsAnew, takenUp, "failed: no endpoint answered", ""},
+		{"taken up, no events", reset, events(2), takenUp, "failed: no endpoint answered", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newImpatientFixture(t, grant("e1", "e1"), grant("e3", "e3"))
+			s.builds.sole = "v1"
+			s.engines(reset, c.first)
+			s.endpoint("e3", "pool", configuration.RoleDecode, c.second)
+			s.setBuilds(map[string]string{"e1": "v1", "e3": "v1", "p1": "v1", "p2": "v1", "e2": "v1"})
+			caller := s.serve(check, c.work)
+			assert.Equal(t, caller.outcome, c.outcome)
+			assert.Equal(t, strings.ReplaceAll(caller.body, ": alive\n\n", ""), c.body)
+		})
+	}
+}
