Do not take the end of a killed engine for that of its stream

Cause: an answer without a length or chunks is complete once its connection is closed in order.

Change: the rule stays. But before such an end completes a stream, its engine is asked whether it still listens; if it refuses the connection, the stream counts as cut. An engine that is known to leave is not asked, since it may complete its streams after it ceased to listen. Left open: an engine that starts again at its address within 50 ms, one that leaves without a word and no longer listens (its complete stream counts as cut), and one whose machine does not answer (complete, as before).

TestStreamWithoutFramingIsCompleteOnlyIfItEndsAfterAnEvent is unchanged.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
@@ -29,6 +30,13 @@
 	// pauseShare is the share of the silence limit by which its timer may be late. If it
 	// is later, this process was paused, and events may have arrived meanwhile.
 	pauseShare = 0.25
+	// endCheckDelay is the time from the end of a connection until its engine is asked whether it still
+	// listens. The kernel may close the socket of a killed process that listens after its connections: asked
+	// at once, 1 of 10 killed processes still listened.
+	endCheckDelay = 50 * time.Millisecond
+	// endCheckTimeout bounds the time to find out, for which the end of a stream is held back. The answer takes
+	// one round trip.
+	endCheckTimeout = 250 * time.Millisecond
 )
 
 // enginePart is what one engine sent of a stream.
@@ -82,8 +90,12 @@
 	errNotEvents       = errors.New("its type is not that of events")
 )
 
-// errNoEvents is the cause of a cut if the engine's answer ended before its first event.
-var errNoEvents = errors.New("the answer ended without any event")
+var (
+	// errNoEvents is the cause of a cut if the engine's answer ended before its first event.
+	errNoEvents = errors.New("the answer ended without any event")
+	// errEngineEnded is the cause of a cut if nothing tells the answer's end from that of its engine's process.
+	errEngineEnded = errors.New("the answer without framing ended with its engine")
+)
 
 // checkStream returns why an answer that is no error of its engine is no stream either, nil if it is one.
 func (v *Verdict) checkStream(status int) error {
@@ -140,7 +152,7 @@
 			if b.err != nil {
 				// Whatever follows bytes that do not continue the stream is not read.
 				pump.ended = !isFault(b.err)
-				return s.handleEnd(ctx, b.err)
+				return s.handleEnd(ctx, s.judgeEnd(ctx, response, b.err))
 			}
 			if err := s.deliver(ctx, response, b); err != nil {
 				return err
@@ -168,6 +180,24 @@
 	}
 }
 
+// judgeEnd returns the error of an answer's end, or errEngineEnded in place of io.EOF. An answer without framing is
+// complete if its connection is closed in order, but the kernel closes the connections of a killed process like
+// that, too. Such a process no longer listens. Neither may an engine that leaves while it completes its streams, so
+// that one that is known to leave is not asked.
+func (s *stream) judgeEnd(ctx context.Context, response *upstream.Response, err error) error {
+	if !errors.Is(err, io.EOF) || response.Framed || s.generation.part.events == 0 ||
+		!s.relay.available(s.relay.options.Fleet.View().Instance(s.endpoint.Name)) {
+		return err
+	}
+	background.Pause(ctx, endCheckDelay)
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	if s.relay.options.Client.Refuses(ctx, s.endpoint.Address) {
+		return errEngineEnded
+	}
+	return err
+}
+
 // silenceTimer measures the time without events.
 type silenceTimer struct {
 	limit time.Duration
--- a/internal/relay/unframed_test.go
+++ b/internal/relay/unframed_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 )
 
@@ -112,3 +114,47 @@
 		})
 	}
 }
+
+// A killed process ends its connections like one that has written its whole answer. Guards against a stream that looks
+// complete although its engine was killed, and against one that is given up because its engine, which leaves, accepts
+// no more connections.
+func TestStreamWithoutFramingIsNotCompleteIfItsEngineHasEnded(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		route         routing.Route
+		leaving       bool
+		outcome, body string
+	}{
+		{"resumable", check, false, "stream", eventText(3)},
+		{"single run", dossier, false, "aborted", eventText(2)},
+		{"leaving", check, true, "stream", eventText(2)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFixture(t, grant("e1", "e1"), grant("e2", "e2"))
+			ended := newEndingServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if c.leaving {
+					s.endpoints.MarkLeaving("e1")
+				}
+				s.unframed(eventText(2), closed)(w, r)
+			})
+			s.add("e1", "pool", configuration.RoleDecode, ended)
+			s.endpoint("e2", "pool", configuration.RoleDecode, events(3))
+			caller := s.serve(c.route, work)
+			assert.Equal(t, caller.outcome, c.outcome)
+			assert.Equal(t, caller.body, c.body)
+		})
+	}
+}
+
+// newEndingServer starts a server that accepts no further connection once it got a request, and returns its address.
+func newEndingServer(t *testing.T, serve http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = server.Listener.Close()
+		serve(w, r)
+	})
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
