Reset connections of HTTP/1.0 callers if their streams are broken off

Cause: to a caller of HTTP/1.0 an answer of unknown length is sent without chunks and ends with its connection. The server closes the connection in order when a stream is aborted or cut off by a stop, so that it looked complete. Callers of HTTP/1.1 get chunks and notice.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -126,6 +126,7 @@
 	serve(lifecycle, options, "readiness", options.ReadinessAddress, readiness)
 	s := &callerServer{options: options, ingress: ingress, members: members, relay: r, origins: origins, server: newServer(ingress), connections: callerconn.New()}
 	s.server.ConnState = s.connections.Observe
+	s.server.ConnContext = callerconn.NewContext
 	lifecycle.Append(fx.Hook{
 		OnStart: s.open,
 		OnStop:  s.stop,
