Merge the check of streams

A switch of protocols is rejected by the upstream client for all paths, so that the stream's own check and that of package forward give way to it.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -229,10 +229,6 @@
 
 // read reads a complete reply.
 func (f *Forwarder) read(response *upstream.Response, name string) (*Reply, error) {
-	if response.Status == http.StatusSwitchingProtocols {
-		response.Abort()
-		return nil, InDoubt.New("%s left HTTP", name)
-	}
 	leaving := response.Header.Get(leavingHeader) == "true"
 	if leaving {
 		f.endpoints.MarkLeaving(name)
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -42,7 +42,9 @@
 	limitHeader    = "Test-Limit"
 	quietHeader    = "Test-Quiet"
 	slowHeader     = "Test-Slowdown"
-	unsignedHeader = "Test-Unsigned"
+	// notEventsHeader and unsignedHeader mark a response that testDialect judges so.
+	notEventsHeader = "Test-Not-Events"
+	unsignedHeader  = "Test-Unsigned"
 )
 
 // testDialect implements Dialect.
@@ -62,6 +64,7 @@
 func (testDialect) Judge(_ *Request, _ *Call, response *upstream.Response) Verdict {
 	return Verdict{
 		NotRun:         response.Header.Get(declinedHeader) != "",
+		NotEvents:      response.Header.Get(notEventsHeader) != "",
 		Unsigned:       response.Header.Get(unsignedHeader) != "",
 		PromisesNotRun: response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests,
 		OtherInstance:  response.Status == http.StatusMisdirectedRequest,
@@ -92,6 +95,8 @@
 	return &endpoint.Limit{Named: err == nil, PerSecond: rate}
 }
 
+func (testDialect) EventFields() []string { return []string{"test-version"} }
+
 func (testDialect) DecodePrefill(body []byte) (PrefillResult, error) {
 	if len(body) == 0 {
 		return PrefillResult{}, errors.New("no handle")
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -157,6 +157,8 @@
 	// Unsigned is set if the response claims a success without the mark that makes it the endpoint's
 	// own answer.
 	Unsigned bool
+	// NotEvents is set if the response claims a success whose body is not a series of events.
+	NotEvents bool
 	// Announcement is what the endpoint says of itself.
 	endpoint.Announcement
 	// Load is the load that the endpoint reports; nil if it reports none.
@@ -191,6 +193,9 @@
 	Header(request *Request, call *Call) http.Header
 	// Judge classifies a response to the request by its header.
 	Judge(request *Request, call *Call, response *upstream.Response) Verdict
+	// EventFields returns the names of the lines that events of a stream may have besides those of
+	// text/event-stream.
+	EventFields() []string
 	// DecodePrefill decodes the body of the response to a prefill call.
 	DecodePrefill(body []byte) (PrefillResult, error)
 	// Free returns the request that frees a retained KV cache.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/ospreyshed/ospreyshed/internal/background"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
 	"github.com/ospreyshed/ospreyshed/internal/quarantine"
@@ -28,8 +30,40 @@
 	// pauseShare is the share of the silence limit by which its timer may be late. If it
 	// is later, this process was paused, and events may have arrived meanwhile.
 	pauseShare = 0.25
+	// endCheckDelay is the time from the end of a connection until its engine is asked whether it still
+	// listens. The kernel may close the socket of a killed process that listens after its connections: asked
+	// at once, 1 of 10 killed processes still listened.
+	endCheckDelay = 50 * time.Millisecond
+	// endCheckTimeout bounds the time to find out, for which the end of a stream is held back. The answer takes
+	// one round trip.
+	endCheckTimeout = 250 * time.Millisecond
 )
 
+// enginePart is what one engine sent of a stream.
+type enginePart struct {
+	// framing is how the end of the engine's answer is marked.
+	framing string
+	// events counts the events that were forwarded; firstID and lastID are the IDs of the first
+	// and the last one.
+	events          int
+	firstID, lastID string
+}
+
+// record records a batch of events that was forwarded.
+func (p *enginePart) record(b batch) {
+	if p.events == 0 {
+		p.firstID = b.firstID
+	}
+	p.events += b.count
+	p.lastID = b.lastID
+}
+
+// addTo adds the part to the fields of a log line.
+func (p *enginePart) addTo(fields logrus.Fields) logrus.Fields {
+	fields["framing"], fields["part_events"], fields["part_first"], fields["part_last"] = p.framing, p.events, p.firstID, p.lastID
+	return fields
+}
+
 // stream forwards the events of one engine to the caller.
 type stream struct {
 	relay      *Relay
@@ -49,14 +83,56 @@
 	sought *continuation
 }
 
+// The reasons why an answer is no stream of its engine.
+var (
+	errNotStreamStatus = errors.New("its status is not that of a stream")
+	errUnsigned        = errors.New("it is not signed as the engine's own")
+	errNotEvents       = errors.New("its type is not that of events")
+)
+
+var (
+	// errNoEvents is the cause of a cut if the engine's answer ended before its first event.
+	errNoEvents = errors.New("the answer ended without any event")
+	// errEngineEnded is the cause of a cut if nothing tells the answer's end from that of its engine's process.
+	errEngineEnded = errors.New("the answer without framing ended with its engine")
+)
+
+// checkStream returns why an answer that is no error of its engine is no stream either, nil if it is one.
+func (v *Verdict) checkStream(status int) error {
+	switch {
+	case status != http.StatusOK:
+		return errNotStreamStatus
+	case v.Unsigned:
+		return errUnsigned
+	case v.NotEvents:
+		return errNotEvents
+	default:
+		return nil
+	}
+}
+
+// reject handles an answer that is no stream of its engine, like a stream that broke off before its first
+// event: nothing of it reaches the caller.
+func (s *stream) reject(ctx context.Context, response *upstream.Response, reason error) error {
+	s.generation.part = enginePart{framing: response.Framing()}
+	s.relay.Counters.RejectedAnswers.Add(1)
+	s.relay.decide(s.generation.exchange, "answer rejected", logrus.Fields{
+		"endpoint": s.endpoint.Name, "status": response.Status, "type": response.Header.Get("Content-Type"),
+		"framing": response.Framing(), "reason": reason.Error(),
+	})
+	return s.handleEnd(ctx, reason)
+}
+
 // forward sends events to the caller as they arrive. It returns nil if the stream was
 // complete according to its framing.
 //
 // An engine that is silent may only be pausing, so its stream stays open until other
 // engines are ready to continue it.
 func (s *stream) forward(ctx context.Context, response *upstream.Response) error {
+	s.generation.part = enginePart{framing: response.Framing()}
 	events := newEventReader(response)
-	events.lastID = s.generation.lastEventID
+	events.sequence = newSequence(s.generation.lastEventID)
+	events.format.fields = s.relay.options.Dialect.EventFields()
 	reading, stopReading := context.WithCancel(ctx)
 	defer stopReading()
 	events.memory, events.ctx = s.generation.request.Memory, reading
@@ -74,13 +150,16 @@
 		select {
 		case b := <-pump.batches:
 			if b.err != nil {
-				pump.ended = true
-				return s.handleEnd(ctx, b.err)
+				// Whatever follows bytes that do not continue the stream is not read.
+				pump.ended = !isFault(b.err)
+				return s.handleEnd(ctx, s.judgeEnd(ctx, response, b.err))
 			}
 			if err := s.deliver(ctx, response, b); err != nil {
 				return err
 			}
-			silence.reset(silence.limit)
+			if b.count > 0 {
+				silence.reset(silence.limit)
+			}
 			pump.resume()
 		case <-silence.timer.C:
 			if silence.paused() || events.waiting.Load() {
@@ -101,6 +180,24 @@
 	}
 }
 
+// judgeEnd returns the error of an answer's end, or errEngineEnded in place of io.EOF. An answer without framing is
+// complete if its connection is closed in order, but the kernel closes the connections of a killed process like
+// that, too. Such a process no longer listens. Neither may an engine that leaves while it completes its streams, so
+// that one that is known to leave is not asked.
+func (s *stream) judgeEnd(ctx context.Context, response *upstream.Response, err error) error {
+	if !errors.Is(err, io.EOF) || response.Framed || s.generation.part.events == 0 ||
+		!s.relay.available(s.relay.options.Fleet.View().Instance(s.endpoint.Name)) {
+		return err
+	}
+	background.Pause(ctx, endCheckDelay)
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	if s.relay.options.Client.Refuses(ctx, s.endpoint.Address) {
+		return errEngineEnded
+	}
+	return err
+}
+
 // silenceTimer measures the time without events.
 type silenceTimer struct {
 	limit time.Duration
@@ -134,10 +231,19 @@
 	return time.Duration(silenceShare * float64(request.EventTimeout))
 }
 
-// deliver sends a batch of events to the caller. The error is context.Canceled if the
-// caller does not take them.
+// isFault reports whether bytes arrived that do not continue the stream.
+func isFault(err error) bool { return errors.Is(err, errNoEvent) || errors.Is(err, errOutOfSequence) }
+
+// deliver sends a batch to the caller. The error is context.Canceled if the caller does not take it.
+// A batch without events is no sign that the engine goes on.
 func (s *stream) deliver(ctx context.Context, response *upstream.Response, b batch) error {
 	g := s.generation
+	if b.count == 0 {
+		if g.caller.Event(b.events) != nil {
+			return context.Canceled
+		}
+		return nil
+	}
 	s.sought.withdraw()
 	s.sought = nil
 	if !g.headerSent {
@@ -159,6 +265,7 @@
 	s.batches++
 	s.attempt.Event()
 	g.lastEventID = b.lastID
+	g.part.record(b)
 	g.recordEventTime(time.Now())
 	if first && g.deliveredBefore == 0 {
 		s.relay.FirstEvents.Observe(g.firstEvent.Sub(g.request.Arrived))
@@ -227,10 +334,10 @@
 	if !s.silent {
 		s.relay.observe(g, s.endpoint, false)
 	}
-	s.relay.decide(g.exchange, "stream cut", logrus.Fields{
+	s.relay.decide(g.exchange, "stream cut", g.part.addTo(logrus.Fields{
 		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": g.lastEventID, "error": cause.Error(),
 		"silent": errors.Is(cause, errSilent), "resumable": g.route.Resumable,
-	})
+	}))
 	g.exclude = append(g.exclude, s.endpoint.Name)
 }
 
@@ -246,19 +353,28 @@
 
 // handleEnd handles the end of an engine's stream. It returns nil if the answer is
 // complete, errRetry if another attempt may follow, and otherwise errGiveUp or the
-// error of ctx.
+// error of ctx. An answer without any event is not complete, whatever other engines sent.
 func (s *stream) handleEnd(ctx context.Context, err error) error {
 	r, g := s.relay, s.generation
-	if errors.Is(err, io.EOF) && g.headerSent {
-		r.observe(g, s.endpoint, true)
-		s.attempt.Complete()
-		return nil
+	if errors.Is(err, io.EOF) {
+		if g.part.events > 0 {
+			r.observe(g, s.endpoint, true)
+			s.attempt.Complete()
+			return nil
+		}
+		err = errNoEvents
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
 	s.attempt.Broken()
 	s.recordCut(err)
+	switch {
+	case errors.Is(err, errOutOfSequence):
+		r.Counters.OutOfSequence.Add(1)
+	case errors.Is(err, errNoEvent):
+		r.Counters.MalformedStreams.Add(1)
+	}
 	if g.route.RunsOnce() {
 		g.obstacle = obstacleSingleRun
 		return errGiveUp
