Do not read the failure of an engine in the middle of a stream

Cause: the body of an engine's failure was read to its end although the caller had the beginning of a stream, so that a failure which does not end held the stream up until its deadline.

Change: handleErrorStatus reads the body only if the caller may get it.

Result: TestFailureInTheMiddleOfAStreamIsNotRead, on the former code: aborted != stream, after 60 s.

--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -117,6 +117,22 @@
 	}
 }
 
+// Guards against a stream that is held up by the body of a failure that nobody gets.
+func TestFailureInTheMiddleOfAStreamIsNotRead(t *testing.T) {
+	thrice := check
+	thrice.MaxAttempts = 3
+	s := newFixture(t, grant("e1", "e1"), grant("e3", "e3"), grant("e2", "e2"))
+	s.engines(reset, cutAfter(2))
+	s.endpoint("e3", "pool", configuration.RoleDecode, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	caller := s.serve(thrice, work)
+	assert.Equal(t, caller.outcome, "stream")
+	assert.Equal(t, caller.body, eventText(3))
+}
+
 // Guards against events of another run, and bytes that are no event, that reach the caller in the middle of a stream,
 // and against a stream that looks complete after them.
 func TestBytesThatDoNotContinueTheStreamAreNotForwarded(t *testing.T) {
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -137,25 +137,29 @@
 	return errRetry
 }
 
-// handleErrorStatus handles an error response of an engine and keeps it for the caller.
+// handleErrorStatus handles an error response of an engine. It keeps the response for the caller unless the
+// caller has the beginning of a stream.
 func (r *Relay) handleErrorStatus(ctx context.Context, g *generation, to *configuration.Endpoint, response *upstream.Response, verdict *Verdict) error {
 	r.observe(g, to, false)
-	buffer := &answerBuffer{memory: g.request.Memory}
-	err := r.checkTrust(g.exchange, to, response, verdict)
-	if err == nil {
-		err = buffer.read(response, waitForMemory(ctx, g.request.Memory))
-	}
 	r.decide(g.exchange, "engine failed the request", logrus.Fields{"endpoint": to.Name, "status": response.Status})
-	if err == nil && !g.headerSent {
-		g.answer.release()
-		g.answer = &Answer{Status: response.Status, Header: response.Header, Body: buffer.bytes, buffer: buffer}
-	} else {
-		buffer.release()
+	if !g.headerSent && r.checkTrust(g.exchange, to, response, verdict) == nil {
+		r.keepAnswer(ctx, g, response)
 	}
 	g.exclude = append(g.exclude, to.Name)
 	return g.retryUnlessSingleRun()
 }
 
+// keepAnswer reads a response and keeps it as the request's answer if it is complete.
+func (r *Relay) keepAnswer(ctx context.Context, g *generation, response *upstream.Response) {
+	buffer := &answerBuffer{memory: g.request.Memory}
+	if buffer.read(response, waitForMemory(ctx, g.request.Memory)) != nil {
+		buffer.release()
+		return
+	}
+	g.answer.release()
+	g.answer = &Answer{Status: response.Status, Header: response.Header, Body: buffer.bytes, buffer: buffer}
+}
+
 func closeResponse(response *upstream.Response) {
 	if response != nil {
 		response.Close()
