Await no late response once the upstream client is closed

A hedge that was cancelled outlives its request, and its wait for a late response could begin while Close waited for the others: a misuse of sync.WaitGroup that the race detector reports, and a goroutine and a connection that outlived the client. Connections of exchanges that end after Close are closed, too.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -73,9 +73,8 @@
 
 	options Options
 
-	// late are the waits for responses to requests that were given up, lateCount their number.
-	late      sync.WaitGroup
-	lateCount atomic.Int64
+	// late are the waits for responses to requests that were given up.
+	late sync.WaitGroup
 
 	// idSeed is the seed of the hashes of IDs.
 	idSeed maphash.Seed
@@ -84,6 +83,10 @@
 	idle map[string][]*conn
 	// idleTotal is the number of connections in idle.
 	idleTotal int
+	// lateCount is the number of waits in late.
+	lateCount int
+	// closed is set once Close was called: no connection is pooled and no late response awaited from then on.
+	closed bool
 }
 
 // NewClient returns a client with an empty connection pool.
@@ -238,7 +241,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	full := len(c.idle[k.address]) >= c.options.MaxIdle || c.options.MaxIdleTotal > 0 && c.idleTotal >= c.options.MaxIdleTotal
-	if full || idleTimeout <= 0 || len(k.ids) >= maxCarried {
+	if c.closed || full || idleTimeout <= 0 || len(k.ids) >= maxCarried {
 		k.close()
 		return
 	}
@@ -279,8 +282,32 @@
 	}
 }
 
-// Close closes all pooled connections and waits for late responses.
+// beginLate counts a wait for a late response. It returns false if there are maxLate already or the client is closed,
+// since a wait that begins during late.Wait is a misuse of sync.WaitGroup.
+func (c *Client) beginLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.lateCount >= maxLate {
+		return false
+	}
+	c.lateCount++
+	c.late.Add(1)
+	return true
+}
+
+// endLate ends a wait for a late response.
+func (c *Client) endLate() {
+	c.mu.Lock()
+	c.lateCount--
+	c.mu.Unlock()
+	c.late.Done()
+}
+
+// Close closes all pooled connections and waits for late responses. An exchange that ends later closes its connection.
 func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	c.Sweep(time.Now().Add(time.Hour))
 	c.late.Wait()
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -149,16 +149,14 @@
 		k.close()
 		return
 	}
-	c := k.client
-	if c.lateCount.Add(1) > maxLate {
-		c.lateCount.Add(-1)
+	if !k.client.beginLate() {
 		k.close()
 		return
 	}
-	c.late.Go(func() {
-		defer c.lateCount.Add(-1)
+	go func() {
+		defer k.client.endLate()
 		k.awaitLate(request)
-	})
+	}()
 }
 
 // closeWrite sends the end of the stream; what arrives can still be read.
