Do not take the end of a killed endpoint for that of its plain answer

A plain answer without length or chunks of a process that is killed was delivered with a length as the whole one, like streams before.

--- a/internal/relay/buffer.go
+++ b/internal/relay/buffer.go
@@ -115,6 +115,13 @@
 	return p.failure == nil
 }
 
+// fail records why the answer is not complete. A nil passage is left as it is.
+func (p *passage) fail(err error) {
+	if p != nil && p.failure == nil {
+		p.failure = err
+	}
+}
+
 // passOn passes an answer that does not fit into the memory budget on to the caller. It is read as
 // fast as the caller reads it. The error is that of the endpoint.
 func (r *Relay) passOn(ctx context.Context, x *exchange, response *upstream.Response, buffer *answerBuffer) error {
--- a/internal/relay/killed_engine_test.go
+++ b/internal/relay/killed_engine_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,10 +22,11 @@
 // engineProcessVariable is set in the environment of a process that this test starts as an engine.
 const engineProcessVariable = "RELAY_TEST_ENGINE"
 
-// TestEngineProcess is the engine of TestStreamOfAKilledEngineIsNotComplete, in a process of its own. It sends two
-// events of a stream without a length or chunks and goes on forever.
+// TestEngineProcess is the endpoint of tests that kill it, in a process of its own. It sends a number of events
+// without a length or chunks and goes on forever.
 func TestEngineProcess(t *testing.T) {
-	if os.Getenv(engineProcessVariable) == "" {
+	count, err := strconv.Atoi(os.Getenv(engineProcessVariable))
+	if err != nil {
 		t.Skip("started by another test only")
 	}
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -36,16 +38,17 @@
 		if err != nil {
 			panic(err)
 		}
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", idHeader, r.Header.Get(idHeader), eventText(2))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", idHeader, r.Header.Get(idHeader), eventText(count))
 	})}
 	_ = server.Serve(listener)
 }
 
-// startEngineProcess starts an engine and returns its address and a function that kills it.
-func startEngineProcess(t *testing.T) (address string, kill func()) {
+// startEngineProcess starts an endpoint that sends a number of events, and returns its address and a function that
+// kills it.
+func startEngineProcess(t *testing.T, count int) (address string, kill func()) {
 	t.Helper()
 	process := exec.CommandContext(t.Context(), os.Args[0], "-test.run=^TestEngineProcess$")
-	process.Env = append(os.Environ(), engineProcessVariable+"=1")
+	process.Env = append(os.Environ(), engineProcessVariable+"="+strconv.Itoa(count))
 	output, err := process.StdoutPipe()
 	assert.NilError(t, err)
 	assert.NilError(t, process.Start())
@@ -70,7 +73,7 @@
 func TestStreamOfAKilledEngineIsNotComplete(t *testing.T) {
 	for _, route := range []routing.Route{check, dossier} {
 		s := newFixture(t, grant("e1", "e1"), grant("e2", "e2"))
-		address, kill := startEngineProcess(t)
+		address, kill := startEngineProcess(t, 2)
 		s.add("e1", "pool", configuration.RoleDecode, address)
 		s.endpoint("e2", "pool", configuration.RoleDecode, events(3))
 		go func() {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -276,6 +276,11 @@
 		}
 	}
 	buffer, err := r.readAnswer(ctx, x, call, response, &verdict, timer)
+	if err == nil && !verdict.NotRun && call.Stage != Prefill && r.endedWithEndpoint(ctx, to, response) {
+		err = errEngineEnded
+		buffer.release()
+		x.passage.fail(err)
+	}
 	switch {
 	case err == nil:
 		return &Answer{Status: response.Status, Header: response.Header, Body: buffer.bytes, buffer: buffer}, verdict, nil
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -180,22 +180,26 @@
 	}
 }
 
-// judgeEnd returns the error of an answer's end, or errEngineEnded in place of io.EOF. An answer without framing is
-// complete if its connection is closed in order, but the kernel closes the connections of a killed process like
-// that, too. Such a process no longer listens. Neither may an engine that leaves while it completes its streams, so
-// that one that is known to leave is not asked.
+// judgeEnd returns the error of an answer's end, or errEngineEnded in place of io.EOF.
 func (s *stream) judgeEnd(ctx context.Context, response *upstream.Response, err error) error {
-	if !errors.Is(err, io.EOF) || response.Framed || s.generation.part.events == 0 ||
-		!s.relay.available(s.relay.options.Fleet.View().Instance(s.endpoint.Name)) {
-		return err
+	if errors.Is(err, io.EOF) && s.generation.part.events > 0 && s.relay.endedWithEndpoint(ctx, s.endpoint, response) {
+		return errEngineEnded
+	}
+	return err
+}
+
+// endedWithEndpoint reports whether an answer probably ended because its endpoint's process did. An answer without
+// framing is complete if its connection is closed in order, but the kernel closes the connections of a killed process
+// like that, too. Such a process no longer listens. Neither may an endpoint that leaves while it completes its
+// answers, so that one that is known to leave is not checked.
+func (r *Relay) endedWithEndpoint(ctx context.Context, from *configuration.Endpoint, response *upstream.Response) bool {
+	if response.Framed || !r.available(r.options.Fleet.View().Instance(from.Name)) {
+		return false
 	}
 	background.Pause(ctx, endCheckDelay)
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	if s.relay.options.Client.Refuses(ctx, s.endpoint.Address) {
-		return errEngineEnded
-	}
-	return err
+	return r.options.Client.Refuses(ctx, from.Address)
 }
 
 // silenceTimer measures the time without events.
