Take a response that cannot have a body for a whole one

The response to a HEAD request without a length counted as one that ends with its connection: the own interface rejected it as cut short, and its connection was not used again.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -264,7 +264,8 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Framed is set if a length or chunks distinguish the body's end from a truncation.
+	// Framed is set if a length or chunks distinguish the body's end from a truncation, or if there is no body, as in
+	// the response to a HEAD request.
 	Framed bool
 	// OnClose is called once by Close, unless it is nil.
 	OnClose func()
@@ -283,7 +284,7 @@
 	return &Response{
 		Status:  head.StatusCode,
 		Header:  head.Header,
-		Framed:  head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
+		Framed:  head.ContentLength >= 0 || len(head.TransferEncoding) > 0 || head.Body == http.NoBody,
 		conn:    k,
 		head:    head,
 		written: written,
@@ -298,7 +299,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if !r.Framed && !r.sawBody && r.head.Body != http.NoBody {
+	if !r.Framed && !r.sawBody {
 		return 0, io.ErrUnexpectedEOF
 	}
 	r.sawEOF = true
