--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -31,8 +31,8 @@
 )
 
 func TestMain(m *testing.M) {
-	if os.Getenv(engineProcessVariable) != "" {
-		serveEngineProcess()
+	if events, err := strconv.Atoi(os.Getenv(engineProcessVariable)); err == nil {
+		serveEngineProcess(events)
 		return
 	}
 	goleak.VerifyTestMain(m)
--- a/internal/relay/killed_engine_test.go
+++ b/internal/relay/killed_engine_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -22,9 +23,9 @@
 // engineProcessVariable is set in the environment of a process that this test starts as an engine.
 const engineProcessVariable = "RELAY_TEST_ENGINE"
 
-// serveEngineProcess is the engine of TestStreamOfAKilledEngineIsNotComplete, in a process of its own. It sends two
-// events of a stream without a length or chunks and goes on forever.
-func serveEngineProcess() {
+// serveEngineProcess is the endpoint of tests that kill it, in a process of its own. It sends a number of events
+// without a length or chunks and goes on forever.
+func serveEngineProcess(count int) {
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
@@ -35,16 +36,18 @@
 		if err != nil {
 			panic(err)
 		}
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", idHeader, r.Header.Get(idHeader), eventText(2))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", idHeader, r.Header.Get(idHeader), eventText(count))
+		fmt.Println("sent")
 	})}
 	_ = server.Serve(listener)
 }
 
-// startEngineProcess starts an engine and returns its address and a function that kills it.
-func startEngineProcess(t *testing.T) (address string, kill func()) {
+// startEngineProcess starts an endpoint that sends a number of events, and returns its address and a function that
+// kills it once it has sent them.
+func startEngineProcess(t *testing.T, count int) (address string, kill func()) {
 	t.Helper()
 	process := exec.CommandContext(t.Context(), os.Args[0])
-	process.Env = append(os.Environ(), engineProcessVariable+"=1")
+	process.Env = append(os.Environ(), engineProcessVariable+"="+strconv.Itoa(count))
 	output, err := process.StdoutPipe()
 	assert.NilError(t, err)
 	assert.NilError(t, process.Start())
@@ -57,6 +60,7 @@
 	}
 	assert.Assert(t, address != "", "the engine did not start")
 	kill = sync.OnceFunc(func() {
+		lines.Scan()
 		_ = process.Process.Kill()
 		_ = process.Wait()
 	})
@@ -69,7 +73,7 @@
 func TestStreamOfAKilledEngineIsNotComplete(t *testing.T) {
 	for _, route := range []routing.Route{check, dossier} {
 		s := newFixture(t, grant("e1", "e1"), grant("e2", "e2"))
-		address, kill := startEngineProcess(t)
+		address, kill := startEngineProcess(t, 2)
 		s.add("e1", "pool", configuration.RoleDecode, address)
 		s.endpoint("e2", "pool", configuration.RoleDecode, events(3))
 		go func() {
