--- a/internal/relay/part_test.go
+++ b/internal/relay/part_test.go
@@ -40,7 +40,7 @@
 
 // Guards against log lines that do not name the events of each engine, nor whether the end of its answer
 // differs from a truncation.
-func TestLogTellsThePartOfEachEngine(t *testing.T) {
+func TestLogNamesThePartOfEachEngine(t *testing.T) {
 	fields := []string{"framing", "part_events", "part_first", "part_last"}
 	for _, c := range []struct {
 		name            string
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -30,12 +30,11 @@
 	// pauseShare is the share of the silence limit by which its timer may be late. If it
 	// is later, this process was paused, and events may have arrived meanwhile.
 	pauseShare = 0.25
-	// endCheckDelay is the time from the end of a connection until its engine is asked whether it still
-	// listens. The kernel may close the socket of a killed process that listens after its connections: asked
-	// at once, 1 of 10 killed processes still listened.
+	// endCheckDelay is the time from the end of a connection to the check whether its endpoint still
+	// listens. The kernel may close the listening socket of a killed process after its connections: 1 of 10
+	// killed processes still listened at once.
 	endCheckDelay = 50 * time.Millisecond
-	// endCheckTimeout bounds the time to find out, for which the end of a stream is held back. The answer takes
-	// one round trip.
+	// endCheckTimeout bounds the check, which delays the end of the answer. It takes one round trip.
 	endCheckTimeout = 250 * time.Millisecond
 )
 
