--- a/internal/engine/openai/faulty_engine_test.go
+++ b/internal/engine/openai/faulty_engine_test.go
@@ -9,41 +9,22 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/standin/rawconn"
 )
 
-// connScript serves one connection of an engine. The number counts connections from 0 on.
-type connScript func(number int, requests *bufio.Reader, conn net.Conn)
-
-// serveRaw serves connections beside each other and returns the address.
-func serveRaw(t *testing.T, script connScript) string {
+// serveRaw serves connections concurrently and returns the address.
+func serveRaw(t *testing.T, handle rawconn.Handler) string {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	address, stop, err := rawconn.Serve(t.Context(), handle)
 	assert.NilError(t, err)
-	var serving sync.WaitGroup
-	t.Cleanup(func() {
-		_ = listener.Close()
-		serving.Wait()
-	})
-	serving.Go(func() {
-		for number := 0; ; number++ {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			serving.Go(func() {
-				defer func() { _ = conn.Close() }()
-				script(number, bufio.NewReader(conn), conn)
-			})
-		}
-	})
-	return listener.Addr().String()
+	t.Cleanup(stop)
+	return address
 }
 
 // readRequest reads a whole request and returns nil at the end of the connection.
--- a/internal/forward/faulty_endpoint_test.go
+++ b/internal/forward/faulty_endpoint_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/standin/rawconn"
 )
 
 // anyEndpoint picks the first endpoint whatever is known of it.
@@ -35,35 +35,21 @@
 // what reply returns; earlier is what it wrote last on the connection.
 func newRawForwarder(t *testing.T, reply func(id, earlier string) (text string, closing bool)) *Forwarder {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	var serving sync.WaitGroup
-	t.Cleanup(func() {
-		_ = listener.Close()
-		serving.Wait()
-	})
-	serving.Go(func() {
-		for {
-			conn, err := listener.Accept()
+	address, stop, err := rawconn.Serve(t.Context(), func(_ int, requests *bufio.Reader, conn net.Conn) {
+		earlier, closing := "", false
+		for !closing {
+			request, err := http.ReadRequest(requests)
 			if err != nil {
 				return
 			}
-			serving.Go(func() {
-				defer func() { _ = conn.Close() }()
-				requests, earlier, closing := bufio.NewReader(conn), "", false
-				for !closing {
-					request, err := http.ReadRequest(requests)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					earlier, closing = reply(request.Header.Get(requestIDHeader), earlier)
-					_, _ = io.WriteString(conn, earlier)
-				}
-			})
+			_, _ = io.Copy(io.Discard, request.Body)
+			earlier, closing = reply(request.Header.Get(requestIDHeader), earlier)
+			_, _ = io.WriteString(conn, earlier)
 		}
 	})
-	f := newForwarder(t, listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	f := newForwarder(t, address)
 	f.endpoints = anyEndpoint{}
 	return f
 }
--- a/internal/upstream/identity_test.go
+++ b/internal/upstream/identity_test.go
@@ -7,12 +7,13 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/standin/rawconn"
 )
 
 const testIDHeader = "Test-Id"
@@ -26,29 +27,15 @@
 	return client
 }
 
-// serveBeside is serve with connections that are served beside each other.
+// serveBeside is serve with connections that are served concurrently.
 func serveBeside(t *testing.T, scripts ...script) string {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	var serving sync.WaitGroup
-	t.Cleanup(func() {
-		_ = listener.Close()
-		serving.Wait()
+	address, stop, err := rawconn.Serve(t.Context(), func(number int, requests *bufio.Reader, conn net.Conn) {
+		scripts[min(number, len(scripts)-1)](t, requests, conn)
 	})
-	serving.Go(func() {
-		for accepted := 0; ; accepted++ {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			serving.Go(func() {
-				defer func() { _ = conn.Close() }()
-				scripts[min(accepted, len(scripts)-1)](t, bufio.NewReader(conn), conn)
-			})
-		}
-	})
-	return listener.Addr().String()
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	return address
 }
 
 // call sends a request with an ID, or without one if it is empty, and returns the status.
