--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -38,8 +37,6 @@
 	idleTimeout = 4 * time.Second
 	// maxIdleConnections limits the idle connections to one endpoint.
 	maxIdleConnections = 16
-	// sweepPeriod is the interval at which expired idle connections are closed.
-	sweepPeriod = time.Second
 )
 
 // relayModule provides the request path, and runs the balancer of engine roles and
@@ -58,25 +55,10 @@
 		IDHeader:       options.IDHeader,
 	})
 	registry.Mount("upstream", metrics.Fields(&client.Counters))
-	background.Run(lifecycle, func(ctx context.Context) { sweepIdleConnections(ctx, client) })
+	background.Run(lifecycle, client.Run)
 	return client
 }
 
-// sweepIdleConnections closes expired idle connections periodically.
-func sweepIdleConnections(ctx context.Context, client *upstream.Client) {
-	ticker := time.NewTicker(sweepPeriod)
-	defer ticker.Stop()
-	defer client.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			client.Sweep(now)
-		}
-	}
-}
-
 func newBudgets(options *Options) *retry.Shared {
 	return retry.NewShared(options.RetryRatio, options.RetrySlack)
 }
