Show streams joined from two versions at an engine that restarts under its id

Cause: the router knows the version of an engine by its last entry, and the engine by its id. An engine that crashed and is back with a newer version gets the rest of streams of the former one until its new entry arrives. Change: a second case of the review.

--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -18,7 +18,7 @@
 	id, service, zone, version string
 	address                    string
 	server                     *http.Server
-	listener                   net.Listener
+	conns                      *connections
 
 	mu      sync.Mutex
 	phase   string
@@ -41,14 +41,51 @@
 		site: s, id: id, service: service, zone: zone, version: version, phase: phase,
 		born: time.Now().UnixMilli(), state: "ready", handles: make(map[string]bool),
 	}
-	e.listener = listen("127.0.0.1:0")
-	e.address = e.listener.Addr().String()
-	e.server = &http.Server{Handler: e}
-	go func() { _ = e.server.Serve(e.listener) }()
+	e.open("127.0.0.1:0")
 	go e.beat()
 	return e
 }
 
+// open serves the engine's address.
+func (e *engine) open(address string) {
+	listener := listen(address)
+	e.address = listener.Addr().String()
+	e.conns = &connections{}
+	e.server = &http.Server{Handler: e, ConnState: e.conns.track}
+	go func() { _ = e.server.Serve(listener) }()
+}
+
+// connections are the open connections of a server.
+type connections struct {
+	mu   sync.Mutex
+	open map[net.Conn]bool
+}
+
+func (c *connections) track(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == nil {
+		c.open = make(map[net.Conn]bool)
+	}
+	if state == http.StateClosed {
+		delete(c.open, conn)
+		return
+	}
+	c.open[conn] = true
+}
+
+// reset resets all connections.
+func (c *connections) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
 // beat writes the engine's entry until it is gone.
 func (e *engine) beat() {
 	for e.write() {
@@ -81,6 +118,7 @@
 	e.mu.Lock()
 	e.gone = true
 	e.mu.Unlock()
+	e.conns.reset()
 	_ = e.server.Close()
 	go func() {
 		time.Sleep(3 * heartbeat)
@@ -88,6 +126,27 @@
 	}()
 }
 
+// restart resets all connections of the engine, as a crash does, and starts it again under its id and address with
+// a version, after it was down for a time. Its first entry follows after a delay.
+func (e *engine) restart(version string, down, entry time.Duration) {
+	e.mu.Lock()
+	e.gone = true
+	e.mu.Unlock()
+	e.conns.reset()
+	_ = e.server.Close()
+	time.Sleep(down)
+	e.mu.Lock()
+	e.version, e.seq, e.orders, e.born, e.gone = version, 0, 0, time.Now().UnixMilli(), false
+	e.handles = make(map[string]bool)
+	e.mu.Unlock()
+	e.open(e.address)
+	e.site.record.add("%s is back as %s", e.id, version)
+	go func() {
+		time.Sleep(entry)
+		e.beat()
+	}()
+}
+
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
@@ -165,13 +224,16 @@
 		}
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	e.site.record.add("run %s at %s of %s %s from event %d on", id, e.id, e.service, e.version, after+1)
+	e.mu.Lock()
+	version := e.version
+	e.mu.Unlock()
+	e.site.record.add("run %s at %s of %s %s from event %d on", id, e.id, e.service, version, after+1)
 	e.site.ran(id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Response-Stamp", e.id)
 	control := http.NewResponseController(w)
 	for n := after + 1; n <= streamEvents; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: text of %s %s\n\n", n, e.service, e.version); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: text of %s %s\n\n", n, e.service, version); err != nil {
 			return
 		}
 		if control.Flush() != nil || r.Context().Err() != nil {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -10,6 +10,7 @@
 
 var cases = map[string]func(s *site, trouble string) (broken []string){
 	"joined-services": joinedServices,
+	"same-id":         sameID,
 }
 
 func main() {
--- a/review/standins/stream.go
+++ b/review/standins/stream.go
@@ -24,6 +24,8 @@
 	// complete is set if the last answer ended in order.
 	complete bool
 	statuses []string
+	// retryAfter is the Retry-After of the last answer.
+	retryAfter time.Duration
 }
 
 func (t *stream) last() int {
@@ -35,7 +37,7 @@
 
 // read sends a request for the stream, or for its rest, and reads the answer to its end.
 func (s *site) read(c *caller, v *vm, r request, t *stream) {
-	t.complete = false
+	t.complete, t.retryAfter = false, 0
 	if t.last() > 0 {
 		r.resumes, r.last = t.origin, t.last()
 	} else {
@@ -53,6 +55,8 @@
 	defer func() { _ = response.Body.Close() }()
 	t.statuses = append(t.statuses, strconv.Itoa(response.StatusCode))
 	if response.StatusCode != http.StatusOK {
+		after, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		t.retryAfter = time.Duration(after * float64(time.Second))
 		s.record.add("answered %s: %d, Retry-After %q", r.id, response.StatusCode, response.Header.Get("Retry-After"))
 		return
 	}
@@ -74,7 +78,8 @@
 	s.record.add("answered %s: 200, stamp %s, events %d to %d, complete %v (%v)", r.id, response.Header.Get("X-Response-Stamp"), first, t.last(), t.complete, lines.Err())
 }
 
-// follow reads a stream and takes it up once at other VMs after it broke off.
+// follow reads a stream, and takes it up at another VM when it has broken off. It waits as Retry-After says, up to a
+// third of the time left.
 func (s *site) follow(id string, at, next *vm, r request, deadline time.Duration) *stream {
 	t := &stream{}
 	until := time.Now().Add(deadline)
@@ -82,7 +87,7 @@
 	r.id = id
 	s.read(newCaller(), at, r, t)
 	for n := 1; n <= 3 && !t.complete && t.last() < streamEvents && time.Until(until) > time.Second; n++ {
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(max(100*time.Millisecond, min(t.retryAfter, time.Until(until)/3)))
 		r.id, r.deadlineMs = fmt.Sprintf("%s-%d", id, n), int(time.Until(until).Milliseconds())
 		s.read(newCaller(), next, r, t)
 	}
