Show requests lost by a stop whose SIGTERM is dropped

Cause: SIGHUP and SIGTERM share a channel with room for one signal. A SIGTERM that follows a series of SIGHUPs is dropped, and the process serves until it is killed. Change: a third case of the review.

--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -30,6 +30,9 @@
 	orders  int
 }
 
+// plainWork is the time that a plain server takes for a request.
+const plainWork = 60 * time.Millisecond
+
 // streamEvents is the number of events of a stream, eventGap the time between two.
 const (
 	streamEvents = 120
@@ -182,7 +185,7 @@
 	default:
 		e.site.record.add("run %s at %s of %s: %s %s", id, e.id, e.service, r.Method, r.URL.Path)
 		e.site.ran(id)
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(plainWork)
 		w.Header().Set("X-Response-Stamp", e.id)
 		_, _ = io.WriteString(w, "answer to "+id)
 	}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(s *site, trouble string) (broken []string){
 	"joined-services": joinedServices,
 	"same-id":         sameID,
+	"lost-stop":       lostStop,
 }
 
 func main() {
