Show a truncated stream and joined versions that were known by reasoning

Cause: an answer without length of a killed engine that leaves counts as complete; engines of a version that the store's record lacks are used after two seconds, and the record counts as proof after all VMs were killed.

--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -116,6 +116,21 @@
 	return true
 }
 
+// drain writes that the engine leaves. It goes on serving.
+func (e *engine) drain() {
+	e.mu.Lock()
+	e.state = "draining"
+	e.mu.Unlock()
+	e.write()
+}
+
+// stopBeats ends the engine's entries.
+func (e *engine) stopBeats() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gone = true
+}
+
 // crash ends the engine for good: its connections are reset, its entry lapses after three heartbeats.
 func (e *engine) crash() {
 	e.mu.Lock()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -12,9 +12,15 @@
 	"joined-services": joinedServices,
 	"same-id":         sameID,
 	"lost-stop":       lostStop,
+	"leaving":         killedWhileLeaving,
+	"canary":          joinedCanary,
 }
 
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "engine" {
+		serveUnframed(os.Args[2], os.Args[3], os.Args[4])
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standins CASE FOLDER")
 		os.Exit(2)
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -84,7 +84,10 @@
 }
 
 func (s *site) takeHandle(handle string) bool {
-	for _, e := range s.engines {
+	s.mu.Lock()
+	engines := s.engines
+	s.mu.Unlock()
+	for _, e := range engines {
 		if e.takeHandle(handle) {
 			return true
 		}
--- a/review/standins/stream.go
+++ b/review/standins/stream.go
@@ -26,6 +26,8 @@
 	statuses []string
 	// retryAfter is the Retry-After of the last answer.
 	retryAfter time.Duration
+	// unreachable is set if the last request got no answer.
+	unreachable bool
 }
 
 func (t *stream) last() int {
@@ -37,7 +39,7 @@
 
 // read sends a request for the stream, or for its rest, and reads the answer to its end.
 func (s *site) read(c *caller, v *vm, r request, t *stream) {
-	t.complete, t.retryAfter = false, 0
+	t.complete, t.retryAfter, t.unreachable = false, 0, false
 	if t.last() > 0 {
 		r.resumes, r.last = t.origin, t.last()
 	} else {
@@ -48,6 +50,7 @@
 	s.record.add("sent %s to %s: POST %s, Resumes %q, Last-Event-Id %d", r.id, v.name, r.path, r.resumes, r.last)
 	response, err := c.client.Do(s.newRequest(v, r).WithContext(ctx))
 	if err != nil {
+		t.unreachable = true
 		t.statuses = append(t.statuses, "no answer")
 		s.record.add("answered %s: none (%v)", r.id, err)
 		return
@@ -86,8 +89,12 @@
 	r.deadlineMs = int(deadline.Milliseconds())
 	r.id = id
 	s.read(newCaller(), at, r, t)
-	for n := 1; n <= 3 && !t.complete && t.last() < streamEvents && time.Until(until) > time.Second; n++ {
-		time.Sleep(max(100*time.Millisecond, min(t.retryAfter, time.Until(until)/3)))
+	for n := 1; n <= 5 && !t.complete && t.last() < streamEvents && time.Until(until) > time.Second; n++ {
+		pause := 300 * time.Millisecond
+		if t.unreachable {
+			pause = time.Second
+		}
+		time.Sleep(max(pause, min(t.retryAfter, time.Until(until)/3)))
 		r.id, r.deadlineMs = fmt.Sprintf("%s-%d", id, n), int(time.Until(until).Milliseconds())
 		s.read(newCaller(), next, r, t)
 	}
