--- a/review/standins/lost_stop.go
+++ b/review/standins/lost_stop.go
@@ -64,15 +64,20 @@
 	lost []string
 }
 
-// settingsChanges is the number of changes of the settings file before a stop.
-const settingsChanges = 16
+// settingsChanges is the number of changes of the settings file before a stop, settingsGap the time between two. A
+// sleep would be longer.
+const (
+	settingsChanges = 40
+	settingsGap     = 40 * time.Microsecond
+)
 
 func (l *lostCheck) stop(v *vm, trouble string) {
 	s := l.site
 	if trouble != "0" {
 		for range settingsChanges {
 			v.signal(syscall.SIGHUP)
-			time.Sleep(50 * time.Microsecond)
+			for changed := time.Now(); time.Since(changed) < settingsGap; {
+			}
 		}
 	}
 	v.signal(syscall.SIGTERM)
--- a/review/standins/stream.go
+++ b/review/standins/stream.go
@@ -90,7 +90,7 @@
 	r.id = id
 	s.read(newCaller(), at, r, t)
 	for n := 1; n <= 5 && !t.complete && t.last() < streamEvents && time.Until(until) > time.Second; n++ {
-		pause := 300 * time.Millisecond
+		pause := 100 * time.Millisecond
 		if t.unreachable {
 			pause = time.Second
 		}
