--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start.
 set -euo pipefail
 cd "$(dirname "$0")/standins"
-GOFLAGS= go build -o ../bin/standins .
+GOFLAGS=-buildvcs=false GOPROXY=off GOTOOLCHAIN=local go build -o ../bin/standins .
