--- a/review/.standins/main.go
+++ b/review/.standins/main.go
@@ -21,11 +21,11 @@
 		serveUnframed(os.Args[2], os.Args[3], os.Args[4])
 		return
 	}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: standins CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: standins CASE FOLDER TROUBLE")
 		os.Exit(2)
 	}
-	trouble := os.Getenv("TROUBLE")
+	trouble := os.Args[3]
 	s := newSite(os.Args[2])
 	broken := cases[os.Args[1]](s, trouble)
 	s.end()
