Hold an unlisted build until a record lists it

Cause: History.Held ended by time. A VM that starts cannot know that the others could not correct the record, so that nothing may begin that contradicts it. The hold now ends with the record. Streams that only unlisted builds could begin wait for 4 s and are refused with a Retry-After. Failed writes are repeated after 4 s at the latest, since streams wait for them.

TestUnlistedBuildIsHeldForALimitedTime demanded the fault ("not listed in time": not held); its replacement checks the same rows at once and after an hour.

--- a/internal/builds/history.go
+++ b/internal/builds/history.go
@@ -8,10 +8,11 @@
 	"time"
 )
 
-// HoldTime is how long engines of a build get no streams that may be resumed while the
-// record does not list it. A registration reaches all VMs and the record returns to them
-// within this time unless the store is down; then no new registration arrives either.
-const HoldTime = 2 * time.Second
+const (
+	// unreadHoldTime is how long the only build of a service is held while the records have not
+	// been read.
+	unreadHoldTime = 2 * time.Second
+)
 
 // History is what this VM holds about the builds of services. It is safe for concurrent use.
 // Times are those of time.Now; differences between own observations are monotonic.
@@ -295,8 +296,8 @@
 	return s != nil && len(s.builds(now)) > 1
 }
 
-// Held reports whether engines of a build get no streams that may be resumed yet: a VM that
-// starts would hold no trace of the build.
+// Held reports whether engines of a build get no streams that may be resumed yet. Otherwise a
+// VM that starts could take another build for the only one that can have begun them.
 func (h *History) Held(now time.Time, name, build string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -305,16 +306,27 @@
 		return false
 	}
 	first, serving := s.serving[build]
+	several := len(s.builds(now)) > 1
 	switch {
-	case !serving || now.Sub(first) >= HoldTime:
+	case !serving:
 		return false
 	case !h.recordsKnown:
-		return true
+		return several || now.Sub(first) < unreadHoldTime
 	case s.record == nil:
 		// The first build of a service needs no record: without one nothing is concluded.
-		return len(s.builds(now)) > 1
+		return several && s.recordable(name, now)
+	case !s.record.serves(build):
+		return s.recordable(name, now)
 	}
-	return !s.record.serves(build)
+	return false
+}
+
+// recordable reports whether a record can name all builds of the service. If it cannot, the
+// service has no record or one of so many builds that it proves nothing.
+func (s *service) recordable(name string, now time.Time) bool {
+	record := s.snapshot(now)
+	record.Service = name
+	return record.check() == nil
 }
 
 // Wanted reports whether the records should be read, because they differ from what this VM
--- a/internal/builds/history_test.go
+++ b/internal/builds/history_test.go
@@ -1,6 +1,7 @@
 package builds
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -90,39 +91,61 @@
 	assert.Assert(t, ok)
 }
 
-// A VM that starts after a kill of all VMs would have no trace of a build that no record lists.
-func TestUnlistedBuildIsHeldForALimitedTime(t *testing.T) {
+// A VM that starts after a kill of all VMs would have no trace of a build that no record lists, however
+// long the store has accepted none.
+func TestUnlistedBuildIsHeldUntilARecordListsIt(t *testing.T) {
 	start := time.Now()
+	const long = time.Hour
 	one, both := map[string][]string{"pool": {"v1"}}, map[string][]string{"pool": {"v1", "v2"}}
 	v1, v2 := Record{Service: "pool", Serving: []string{"v1"}}, Record{Service: "pool", Serving: []string{"v1", "v2"}}
 	for _, c := range []struct {
 		name     string
 		records  []Record
 		observed map[string][]string
-		at       time.Duration
 		held     bool
 	}{
-		{"first build of a service", nil, one, 0, false},
-		{"two first builds", nil, both, 0, true},
-		{"unlisted", []Record{v1}, both, HoldTime - 1, true},
-		{"not listed in time", []Record{v1}, both, HoldTime, false},
-		{"listed", []Record{v1, v2}, both, 0, false},
-		{"listed as having left", []Record{{Service: "pool", Serving: []string{"v1"}, Left: []Left{{"v2", start}}}}, both, 0, true},
+		{"first build of a service", nil, one, false},
+		{"two first builds", nil, both, true},
+		{"unlisted", []Record{v1}, both, true},
+		{"listed", []Record{v1, v2}, both, false},
+		{"listed as having left", []Record{{Service: "pool", Serving: []string{"v1"}, Left: []Left{{"v2", start}}}}, both, true},
+		{"alone and unlisted", []Record{{Service: "pool", Serving: []string{"v0"}}}, one, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := NewHistory(func() uint64 { return 0 })
 			h.Observe(start, c.observed)
-			build := c.observed["pool"][len(c.observed["pool"])-1]
-			assert.Equal(t, h.Held(start.Add(c.at), "pool", build), c.at < HoldTime, "while the records are unknown")
+			builds := c.observed["pool"]
+			build := builds[len(builds)-1]
+			assert.Assert(t, h.Held(start, "pool", build), "while the records are unknown")
+			assert.Equal(t, h.Held(start.Add(long), "pool", build), len(builds) > 1, "while the records are unknown")
 			for _, record := range c.records {
 				assert.NilError(t, h.Apply(start, record))
 			}
 			h.RecordsKnown()
-			assert.Equal(t, h.Held(start.Add(c.at), "pool", build), c.held)
+			assert.Equal(t, h.Held(start, "pool", build), c.held)
+			assert.Equal(t, h.Held(start.Add(long), "pool", build), c.held)
 		})
 	}
 }
 
+// Engines of a service whose builds no record can name would get no streams for ever. Nothing is
+// concluded from such a record.
+func TestBuildThatNoRecordCanNameIsNotHeld(t *testing.T) {
+	start := time.Now()
+	var many []string
+	for i := range maxBuilds + 1 {
+		many = append(many, fmt.Sprintf("v%02d", i))
+	}
+	h := NewHistory(func() uint64 { return 0 })
+	h.Observe(start, map[string][]string{"pool": many[:maxBuilds]})
+	h.RecordsKnown()
+	assert.NilError(t, h.Apply(start, Record{Service: "pool", Serving: many[:maxBuilds]}))
+	h.Observe(start.Add(time.Second), map[string][]string{"pool": many})
+	assert.Assert(t, !h.Held(start.Add(time.Second), "pool", many[maxBuilds]))
+	_, sole := h.Sole(start.Add(time.Second), "pool")
+	assert.Assert(t, !sole)
+}
+
 // A record that names no builds, or too many, would be taken for the history of a service.
 func TestUnusableRecordIsReportedWithItsPlaces(t *testing.T) {
 	h := NewHistory(func() uint64 { return 0 })
--- a/internal/builds/service.go
+++ b/internal/builds/service.go
@@ -43,8 +43,8 @@
 	pauseSpread = 0.25
 )
 
-// writePauses bound the pauses between failed writes.
-var writePauses = cooldown.Bounds{First: 500 * time.Millisecond, Longest: 16 * time.Second}
+// writePauses bound the pauses between failed writes. Streams may wait for a record.
+var writePauses = cooldown.Bounds{First: 500 * time.Millisecond, Longest: 4 * time.Second}
 
 // Store keeps the records.
 type Store interface {
--- a/internal/builds/service_test.go
+++ b/internal/builds/service_test.go
@@ -115,7 +115,7 @@
 		assert.Equal(t, len(s.written()), 0, "nothing has changed")
 		changed := time.Now()
 		s.observe("v1", "v2")
-		time.Sleep(HoldTime)
+		time.Sleep(2 * time.Second)
 		written = s.written()
 		assert.Equal(t, len(written), 1)
 		assert.DeepEqual(t, written[0].Serving, []string{"v1", "v2"})
@@ -124,7 +124,7 @@
 		written = s.written()
 		assert.Equal(t, len(written), 1)
 		assert.Equal(t, written[0].Left[0].Build, "v1")
-		assert.Assert(t, written[0].Left[0].At.Sub(changed) >= HoldTime)
+		assert.Assert(t, written[0].Left[0].At.Sub(changed) >= 2*time.Second)
 		s.mu.Lock()
 		s.era++
 		s.mu.Unlock()
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -201,7 +201,9 @@
 // is refused because the target cannot be met. The error is errGiveUp.
 func (r *Relay) reserve(ctx context.Context, g *generation) (scheduling.Demand, scheduling.Grant, error) {
 	for {
-		r.awaitListed(ctx, g)
+		if !r.awaitListed(ctx, g) {
+			return scheduling.Demand{}, scheduling.Grant{}, errGiveUp
+		}
 		limited, listed, stop := r.untilListed(ctx, g)
 		demand := r.demand(g)
 		grant, err := r.options.Reserver.Reserve(limited, demand)
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// soleBuildMaxAge is the age of the registrations from which on they do not tell that a
+	// service has a single build.
+	soleBuildMaxAge = 3 * time.Second
 	// confirmTimeout limits the wait for the holders of a stream's record before its first
 	// event, if the build has changed since the record was first sent.
 	confirmTimeout = 300 * time.Millisecond
@@ -26,12 +29,14 @@
 	// the search in the archive ends as well. The remainder is for the engine.
 	findShare    = 0.5
 	archiveShare = 0.75
-	// soleBuildMaxAge is the age of the registrations from which on they do not tell that a
-	// service has a single build.
-	soleBuildMaxAge = 3 * time.Second
 	// unansweredRetryAfter is the retry delay sent to a caller whose stream's build could not
 	// be found because VMs or the store did not respond.
 	unansweredRetryAfter = time.Second
+	// listWait is how long a stream waits for a build that may begin it. A new build is
+	// listed within 2 s unless the store accepts no writes, which may last long.
+	listWait = 4 * time.Second
+	// unlistedRetryAfter is the retry delay sent to a caller whose stream no build may begin.
+	unlistedRetryAfter = 2 * time.Second
 	// unlistedPoll is the time between two checks whether engines of a new build may begin
 	// streams.
 	unlistedPoll = 50 * time.Millisecond
@@ -209,17 +214,25 @@
 	return held, all && len(held) > 0
 }
 
-// awaitListed waits while only engines of unlisted builds could begin the stream.
-func (r *Relay) awaitListed(ctx context.Context, g *generation) {
+// awaitListed waits while only engines of unlisted builds could begin the stream. It returns false
+// if that lasts for listWait.
+func (r *Relay) awaitListed(ctx context.Context, g *generation) bool {
 	_, all := r.unlisted(g)
-	if all {
-		r.Counters.HeldForBuilds.Add(1)
-		r.decide(g.exchange, "stream waits for its build to be listed", nil)
+	if !all {
+		return true
 	}
-	for all && ctx.Err() == nil {
-		background.Pause(ctx, unlistedPoll)
+	r.Counters.HeldForBuilds.Add(1)
+	r.decide(g.exchange, "stream waits for its build to be listed", nil)
+	limited, cancel := context.WithTimeout(ctx, listWait)
+	defer cancel()
+	for all && limited.Err() == nil {
+		background.Pause(limited, unlistedPoll)
 		_, all = r.unlisted(g)
 	}
+	if all && ctx.Err() == nil {
+		g.refusal, g.retryAfter = "no engine's build is listed yet", unlistedRetryAfter
+	}
+	return !all
 }
 
 // untilListed returns a context that ends when the number of engines that may not begin the
