Let a new build begin no streams before all VMs know it

Another operator's callers got streams joined from two builds in a release: one VM was cut off or stood still for some seconds while engines of a new build joined, and let a stream of theirs go on at the former one.

Cause: engines of a new build began streams as soon as the record listed them, about a second after their registration. A VM whose registrations were up to 3 s old still took the former build for the only one.

Beside other builds, a new build now begins no streams for those 3 s (builds.MaxAge, the same constant in both places): a VM that has not read its registration by then concludes nothing. The record names when a build joined, so that VMs that start hold only those that did so lately; the tolerance covers wall clocks that jump.

Evidence: without the new condition TestVMOutOfStepDoesNotTakeAFormerBuildForTheOnlyOne fails ("after 0s"), with it both VMs' permissions exclude each other at each age up to 6 s.

--- a/internal/builds/history.go
+++ b/internal/builds/history.go
@@ -9,9 +9,16 @@
 )
 
 const (
+	// MaxAge is the age of a VM's registrations from which on nothing may be concluded from them.
+	// Beside other builds, engines of a new build begin no streams for as long: a VM that has not
+	// seen their registration then has registrations that are too old.
+	MaxAge = 3 * time.Second
 	// unreadHoldTime is how long the only build of a service is held while the records have not
 	// been read.
 	unreadHoldTime = 2 * time.Second
+	// clockTolerance is the difference between the wall clocks of two VMs up to which a build
+	// counts as new for a VM that starts.
+	clockTolerance = 12 * time.Second
 )
 
 // History is what this VM holds about the builds of services. It is safe for concurrent use.
@@ -37,6 +44,9 @@
 type service struct {
 	// serving are the builds of registered engines with the time of the first sight.
 	serving map[string]time.Time
+	// inherited are the serving builds that were registered when this VM's observation began.
+	// It has not seen when they joined.
+	inherited map[string]bool
 	// left are builds without a registered engine, with the time at which they left.
 	left map[string]time.Time
 	// record is the newest known record of the store, nil if it has none.
@@ -74,7 +84,7 @@
 func (h *History) service(name string) *service {
 	s := h.services[name]
 	if s == nil {
-		s = &service{serving: make(map[string]time.Time), left: make(map[string]time.Time)}
+		s = &service{serving: make(map[string]time.Time), inherited: make(map[string]bool), left: make(map[string]time.Time)}
 		h.services[name] = s
 	}
 	return s
@@ -84,28 +94,33 @@
 func (h *History) Observe(now time.Time, registered map[string][]string) {
 	h.mu.Lock()
 	defer h.changed()
-	if h.observedSince.IsZero() {
+	first := h.observedSince.IsZero()
+	if first {
 		h.observedSince = now
 	}
 	for name := range registered {
 		h.service(name)
 	}
 	for name, s := range h.services {
-		s.observe(now, registered[name])
+		s.observe(now, registered[name], first)
 		h.settle(now, s)
 	}
 }
 
-func (s *service) observe(now time.Time, registered []string) {
+func (s *service) observe(now time.Time, registered []string, first bool) {
 	for build := range s.serving {
 		if !slices.Contains(registered, build) {
 			delete(s.serving, build)
+			delete(s.inherited, build)
 			s.left[build] = now
 		}
 	}
 	for _, build := range registered {
 		if _, known := s.serving[build]; !known {
 			s.serving[build] = now
+			if first {
+				s.inherited[build] = true
+			}
 		}
 		delete(s.left, build)
 	}
@@ -297,7 +312,8 @@
 }
 
 // Held reports whether engines of a build get no streams that may be resumed yet. Otherwise a
-// VM that starts could take another build for the only one that can have begun them.
+// VM could take another build for the only one that can have begun them: a VM that starts, as the
+// record does not list the build, or one whose registrations are a little older.
 func (h *History) Held(now time.Time, name, build string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -318,7 +334,7 @@
 	case !s.record.serves(build):
 		return s.recordable(name, now)
 	}
-	return false
+	return several && s.isNew(now, build)
 }
 
 // recordable reports whether a record can name all builds of the service. If it cannot, the
@@ -329,6 +345,18 @@
 	return record.check() == nil
 }
 
+// isNew reports whether a VM whose registrations are not older than MaxAge may lack a build.
+func (s *service) isNew(now time.Time, build string) bool {
+	if now.Sub(s.serving[build]) >= MaxAge {
+		return false
+	}
+	if !s.inherited[build] {
+		return true
+	}
+	joined := s.record.joined(build)
+	return !joined.IsZero() && now.Sub(joined) < MaxAge+clockTolerance
+}
+
 // Wanted reports whether the records should be read, because they differ from what this VM
 // has observed or may do so.
 func (h *History) Wanted() bool {
@@ -384,8 +412,25 @@
 	}
 }
 
+// joined returns the time at which a build was first seen, zero if it is not known.
+func (s *service) joined(build string) time.Time {
+	switch {
+	case !s.inherited[build]:
+		return s.serving[build]
+	case s.record != nil:
+		return s.record.joined(build)
+	default:
+		return time.Time{}
+	}
+}
+
 func (s *service) snapshot(now time.Time) Record {
 	record := Record{Serving: slices.Sorted(maps.Keys(s.serving))}
+	for _, build := range record.Serving {
+		if at := s.joined(build); within(now, at) {
+			record.Joined = append(record.Joined, Joined{Build: build, At: at})
+		}
+	}
 	for build, at := range s.left {
 		if within(now, at) {
 			record.Left = append(record.Left, Left{Build: build, At: at})
--- a/internal/builds/history_test.go
+++ b/internal/builds/history_test.go
@@ -146,6 +146,52 @@
 	assert.Assert(t, !sole)
 }
 
+// A VM that was cut off, frozen or slow while engines of a new build joined took the former build for
+// the only one, and let a stream of the new build go on there.
+func TestVMOutOfStepDoesNotTakeAFormerBuildForTheOnlyOne(t *testing.T) {
+	start := time.Now()
+	for age := time.Duration(0); age <= 2*MaxAge; age += 100 * time.Millisecond {
+		inStep, behind := NewHistory(func() uint64 { return 0 }), NewHistory(func() uint64 { return 0 })
+		joined := start.Add(time.Minute)
+		for _, h := range []*History{inStep, behind} {
+			h.Observe(start, map[string][]string{"pool": {"v1"}})
+			h.RecordsKnown()
+			assert.NilError(t, h.Apply(start, Record{Service: "pool", Serving: []string{"v1"}}))
+		}
+		inStep.Observe(joined, map[string][]string{"pool": {"v1", "v2"}})
+		assert.NilError(t, inStep.Apply(joined, Record{
+			Service: "pool", Serving: []string{"v1", "v2"}, Joined: []Joined{{"v2", joined}},
+		}))
+		now := joined.Add(age)
+		// The registrations of the VM behind are of the moment before v2 joined.
+		_, sole := behind.Sole(now, "pool")
+		concludes := sole && now.Sub(joined.Add(-time.Nanosecond)) <= MaxAge
+		begins := !inStep.Held(now, "pool", "v2")
+		assert.Assert(t, !concludes || !begins, "after %v", age)
+		assert.Equal(t, begins, age >= MaxAge)
+		assert.Assert(t, !inStep.Held(now, "pool", "v1"), "the former build serves meanwhile")
+	}
+}
+
+// A VM that starts has not seen when a build joined. It must not begin its streams before the others
+// know the build, nor wait for builds that serve for long.
+func TestVMThatStartsHoldsOnlyBuildsThatJoinedLately(t *testing.T) {
+	start := time.Now()
+	for joined, held := range map[time.Duration]bool{
+		0: true, MaxAge + clockTolerance - 1: true, MaxAge + clockTolerance: false, Memory: false,
+	} {
+		h := NewHistory(func() uint64 { return 0 })
+		assert.NilError(t, h.Apply(start, Record{
+			Service: "pool", Serving: []string{"v1", "v2"}, Joined: []Joined{{"v2", start.Add(-joined)}},
+		}))
+		h.RecordsKnown()
+		h.Observe(start, map[string][]string{"pool": {"v1", "v2"}})
+		assert.Equal(t, h.Held(start, "pool", "v2"), held, "joined %v ago", joined)
+		assert.Assert(t, !h.Held(start, "pool", "v1"))
+		assert.Assert(t, !h.Held(start.Add(MaxAge), "pool", "v2"))
+	}
+}
+
 // A record that names no builds, or too many, would be taken for the history of a service.
 func TestUnusableRecordIsReportedWithItsPlaces(t *testing.T) {
 	h := NewHistory(func() uint64 { return 0 })
--- a/internal/builds/record.go
+++ b/internal/builds/record.go
@@ -23,6 +23,13 @@
 	At time.Time
 }
 
+// Joined is a build that serves and joined lately.
+type Joined struct {
+	Build string
+	// At is the wall-clock time at which its first engine was seen.
+	At time.Time
+}
+
 // Record is the history of a service's builds as it is kept in the store.
 type Record struct {
 	Service string
@@ -30,6 +37,8 @@
 	// Both are sorted by build.
 	Serving []string
 	Left    []Left
+	// Joined are those of the builds in Serving that joined within Memory, sorted by build.
+	Joined []Joined
 	// Since is the time from which on the record has all builds; zero if it has all that
 	// ever served.
 	Since time.Time
@@ -56,6 +65,11 @@
 	for i, build := range r.Serving {
 		name(fmt.Sprintf("serving[%d]", i), build)
 	}
+	for i, joined := range r.Joined {
+		if !r.serves(joined.Build) {
+			report.Addf(fmt.Sprintf("joined[%d].build", i), "%q is not listed as serving", joined.Build)
+		}
+	}
 	for i, left := range r.Left {
 		name(fmt.Sprintf("left[%d].build", i), left.Build)
 		if left.At.IsZero() {
@@ -73,6 +87,16 @@
 	return r.serves(build) || slices.ContainsFunc(r.Left, func(l Left) bool { return l.Build == build })
 }
 
+// joined returns the time at which a build joined, zero if it did so long ago.
+func (r *Record) joined(build string) time.Time {
+	for _, j := range r.Joined {
+		if j.Build == build {
+			return j.At
+		}
+	}
+	return time.Time{}
+}
+
 // sameBuilds reports whether two records of an era list the same builds.
 func (r *Record) sameBuilds(other *Record) bool {
 	return r.Era == other.Era && r.Service == other.Service && slices.Equal(r.Serving, other.Serving) &&
--- a/internal/builds/service.go
+++ b/internal/builds/service.go
@@ -35,9 +35,6 @@
 	// repeatDelay is the time after a write for which this VM does not write the same builds
 	// again. The record arrives within it.
 	repeatDelay = 3 * time.Second
-	// maxGap is the age of the registrations, and the time between two checks, from which on
-	// builds may have come and gone unseen.
-	maxGap = 3 * time.Second
 	// pauseSpread is the largest random part of a pause after a failed write, as a fraction
 	// of the pause.
 	pauseSpread = 0.25
@@ -140,7 +137,7 @@
 	age, held := s.params.RegistrationsAge(), now.Sub(s.checked)
 	s.checked = now
 	switch {
-	case age > maxGap || held > maxGap:
+	case age > MaxAge || held > MaxAge:
 		if !s.params.History.Interrupt(time.Now()) {
 			return
 		}
@@ -207,7 +204,7 @@
 		return
 	}
 	now := s.params.Clock()
-	if now.Sub(began) < maxGap {
+	if now.Sub(began) < MaxAge {
 		// The wait for the store is no interruption.
 		s.checked = now
 	}
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -9,15 +9,13 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ospreyshed/ospreyshed/internal/background"
+	"github.com/ospreyshed/ospreyshed/internal/builds"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
 
 const (
-	// soleBuildMaxAge is the age of the registrations from which on they do not tell that a
-	// service has a single build.
-	soleBuildMaxAge = 3 * time.Second
 	// confirmTimeout limits the wait for the holders of a stream's record before its first
 	// event, if the build has changed since the record was first sent.
 	confirmTimeout = 300 * time.Millisecond
@@ -32,9 +30,9 @@
 	// unansweredRetryAfter is the retry delay sent to a caller whose stream's build could not
 	// be found because VMs or the store did not respond.
 	unansweredRetryAfter = time.Second
-	// listWait is how long a stream waits for a build that may begin it. A new build is
-	// listed within 2 s unless the store accepts no writes, which may last long.
-	listWait = 4 * time.Second
+	// listWait is how long a stream waits for a build that may begin it. A new build may do so
+	// after builds.MaxAge unless the store accepts no writes, which may last long.
+	listWait = builds.MaxAge + time.Second
 	// unlistedRetryAfter is the retry delay sent to a caller whose stream no build may begin.
 	unlistedRetryAfter = 2 * time.Second
 	// unlistedPoll is the time between two checks whether engines of a new build may begin
@@ -182,7 +180,7 @@
 // soleBuild returns the only build that may have begun a stream of a service, false if
 // there are several, if that is not proved or if the registrations are too old.
 func (r *Relay) soleBuild(service string) (string, bool) {
-	if r.options.EndpointsAge() > soleBuildMaxAge {
+	if r.options.EndpointsAge() > builds.MaxAge {
 		return "", false
 	}
 	return r.options.Builds.Sole(time.Now(), service)
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ospreyshed/ospreyshed/internal/builds"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
@@ -84,7 +85,7 @@
 		{"one build", oneBuild, "v1", 0, unknown, unknown, "stream", 0, 0},
 		{"one build, VMs and store did not respond", oneBuild, "v1", 0, late, late, "stream", 0, 0},
 		{"one build, not proved", oneBuild, "", 0, unknown, unknown, refused, 0, 1},
-		{"one build, outdated endpoints", oneBuild, "v1", soleBuildMaxAge + 1, unknown, unknown, refused, 0, 1},
+		{"one build, outdated endpoints", oneBuild, "v1", builds.MaxAge + 1, unknown, unknown, refused, 0, 1},
 		{"two builds", twoBuilds, "", 0, unknown, unknown, refused, 0, 1},
 		{"two builds, VMs did not respond", twoBuilds, "", 0, late, unknown, refused, unansweredRetryAfter, 1},
 		{"two builds, store did not respond", twoBuilds, "", 0, unknown, late, refused, unansweredRetryAfter, 1},
