Begin no stream while a former build of it may be recorded

An engine of one build declined a stream, an engine of another one began it, and a VM that was cut off or stood still, or the archive, kept the former build.

Cause: the relay waited 600 ms for the confirmations and passed the first event on without them. It now ends such a stream before its first event. It waits until three quarters of the time have passed for which its caller waits, since an end costs more than a late beginning.

--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -52,6 +52,8 @@
 			"A rise without many VMs lost at once: see the `origin` counters; log lines `stream not traced` name the streams."},
 		{"traced_by_archive", Counter, Requests, "Streams that callers took up at the build that the store's record names, because no VM had one.",
 			"Expected after many VMs were lost at once while a service had several builds."},
+		{"unconfirmed", Counter, Requests, "Streams that were ended before their first event because a VM or the store may have a former build of theirs.",
+			"Expected while VMs or the store fail in a release. Log lines `build of the stream not confirmed` name the streams."},
 		{"held_for_builds", Counter, Requests, "Streams that waited because all engines that could begin them have a build that the store's record does not list yet.",
 			"A rise outside of releases: records of builds are not written; see the group `builds`."},
 		{"at_limit", Counter, Endpoints, "Plain endpoints that were passed over because of the limit that they name.",
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -205,6 +205,8 @@
 	archiveSearches int
 	recorded        []origin.Origin
 	ended           []string
+	// unconfirmed and unarchived answer Confirm and ConfirmArchived.
+	unconfirmed, unarchived error
 }
 
 func (f *fakeOrigins) Record(o origin.Origin) {
@@ -219,7 +221,7 @@
 	f.ended = append(f.ended, stream+":"+strconv.FormatBool(complete))
 }
 
-func (f *fakeOrigins) Confirm(context.Context, string) error { return nil }
+func (f *fakeOrigins) Confirm(context.Context, string) error { return f.unconfirmed }
 
 func (f *fakeOrigins) Find(_ context.Context, stream string) (origin.Origin, error) {
 	f.mu.Lock()
@@ -235,7 +237,7 @@
 	return f.inArchive, f.archiveErr
 }
 
-func (f *fakeOrigins) ConfirmArchived(context.Context, string) error { return nil }
+func (f *fakeOrigins) ConfirmArchived(context.Context, string) error { return f.unarchived }
 
 // fakeBuilds answers for all services alike.
 type fakeBuilds struct {
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -16,15 +16,14 @@
 )
 
 const (
-	// confirmTimeout limits the wait for the holders of a stream's record before its first
-	// event, if the build has changed since the record was first sent.
-	confirmTimeout = 300 * time.Millisecond
-	// confirmArchivedTimeout limits the wait for the archive in the same case: a VM collects
+	// minConfirmTime is how long a stream at least waits for the confirmation of its record before
+	// its first event, if the build has changed since the record was first sent: a VM collects
 	// records for 50 ms, the archiver for 200 ms, and the store takes some.
-	confirmArchivedTimeout = 600 * time.Millisecond
+	minConfirmTime = 600 * time.Millisecond
 	// findShare is the share of the time that callers wait for an event that a search for
 	// their stream's build at other VMs may take, archiveShare the share that has passed when
-	// the search in the archive ends as well. The remainder is for the engine.
+	// the search in the archive ends as well, or the wait for the confirmation of a record. The
+	// remainder is for the engine, or for a caller that comes back.
 	findShare    = 0.5
 	archiveShare = 0.75
 	// unansweredRetryAfter is the retry delay sent to a caller whose stream's build could not
@@ -272,23 +271,30 @@
 	r.options.Origins.Record(origin.Origin{Stream: g.stream, Service: g.service.Name, Build: g.build, Revision: g.revision})
 }
 
-// beginStream ties the stream to the build that is about to send its first event.
-func (r *Relay) beginStream(ctx context.Context, g *generation) {
+// beginStream ties the stream to the build that is about to send its first event. It returns false
+// if a VM or the archive may have a former build of the stream: a caller that took the stream up
+// would get the remainder from that build.
+func (r *Relay) beginStream(ctx context.Context, g *generation) bool {
 	if g.stream == "" || g.begun {
-		return
+		return true
 	}
-	g.begun = true
-	limited, cancel := context.WithTimeout(ctx, confirmTimeout)
+	until := time.Now().Add(minConfirmTime)
+	if share := g.request.Arrived.Add(time.Duration(archiveShare * float64(g.request.EventTimeout))); share.After(until) {
+		until = share
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	err := r.options.Origins.Confirm(limited, g.stream)
-	limited, cancelArchived := context.WithTimeout(ctx, confirmArchivedTimeout)
-	defer cancelArchived()
-	if archiveErr := r.options.Origins.ConfirmArchived(limited, g.stream); archiveErr != nil {
-		err = archiveErr
+	err := r.options.Origins.Confirm(ctx, g.stream)
+	if err == nil {
+		err = r.options.Origins.ConfirmArchived(ctx, g.stream)
 	}
 	if err != nil {
+		r.Counters.Unconfirmed.Add(1)
 		r.decide(g.exchange, "build of the stream not confirmed", logrus.Fields{"stream": g.stream, "build": g.build, "error": err.Error()})
+		return false
 	}
+	g.begun = true
+	return true
 }
 
 // endStream records that the stream does not run here any more.
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -184,6 +184,28 @@
 	assert.DeepEqual(t, s.origins.ended, []string{"r1:true"})
 }
 
+// An engine of a former build declined, and a VM that was out of step, or the archive, kept that build as
+// the one that began the stream. Once the serving VM was gone, the stream went on there.
+func TestStreamIsNotBegunWhileAVMMayHoldAFormerBuild(t *testing.T) {
+	unconfirmed := origin.Unconfirmed.New("a holder may have a former build")
+	for name, change := range map[string]func(*fakeOrigins){
+		"VM":      func(o *fakeOrigins) { o.unconfirmed = unconfirmed },
+		"archive": func(o *fakeOrigins) { o.unarchived = unconfirmed },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, grant("p1", "e1"))
+			s.engines(answers(http.StatusOK, "h1"), events(3))
+			s.setBuilds(twoBuilds)
+			change(s.origins)
+			caller := s.serve(check, work)
+			assert.Equal(t, caller.outcome, "failed: no endpoint answered")
+			assert.Equal(t, caller.body, "")
+			assert.Equal(t, s.relay.Counters.Unconfirmed.Load(), int64(1))
+			assert.DeepEqual(t, s.origins.ended, []string{"r1:true"})
+		})
+	}
+}
+
 // An engine that failed the stream may be the only one that can continue it.
 func TestOnlyEngineOfTheBuildIsTriedAgain(t *testing.T) {
 	onlyWithoutExclusions := func(d scheduling.Demand) (scheduling.Grant, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -154,6 +154,9 @@
 	// TracedByArchive counts streams that callers took up and whose build was found in the
 	// archive.
 	TracedByArchive atomic.Int64
+	// Unconfirmed counts streams that were ended before their first event because a former build of
+	// theirs may be recorded.
+	Unconfirmed atomic.Int64
 	// HeldForBuilds counts streams that waited because no engine of a listed build could
 	// begin them.
 	HeldForBuilds atomic.Int64
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -237,7 +237,8 @@
 // isFault reports whether bytes arrived that do not continue the stream.
 func isFault(err error) bool { return errors.Is(err, errNoEvent) || errors.Is(err, errOutOfSequence) }
 
-// deliver sends a batch to the caller. The error is context.Canceled if the caller does not take it.
+// deliver sends a batch to the caller. The error is context.Canceled if the caller does not take it, and
+// errGiveUp if the stream must not begin.
 // A batch without events is no sign that the engine goes on.
 func (s *stream) deliver(ctx context.Context, response *upstream.Response, b batch) error {
 	g := s.generation
@@ -250,7 +251,9 @@
 	s.sought.withdraw()
 	s.sought = nil
 	if !g.headerSent {
-		s.relay.beginStream(ctx, g)
+		if !s.relay.beginStream(ctx, g) {
+			return errGiveUp
+		}
 		g.headerSent = true
 		g.caller.Begin(response.Status, response.Header)
 	}
