Let only a first start write a record of all builds that ever served

After an update of all VMs from a release without the record of builds, within a minute of a release of engines, streams of the former build could go on at the new one (row "all VMs updated at once" of docs/design/origins.md). Cause: young VMs were taken for a young service. The record now claims to be complete only if the writing process belongs to the first start of the deployment, as the platform's settings say.

Evidence: TestFirstRecordOfARunningDeploymentProvesNothingYet, "all VMs replaced", failed without the condition ("Since.IsZero() is true").

--- a/internal/builds/service.go
+++ b/internal/builds/service.go
@@ -58,6 +58,9 @@
 	Log     *decisionlog.Log
 	// Clock also advances while the machine is suspended.
 	Clock func() time.Time
+	// FirstStart is set if this process started with the whole deployment for the first time, so
+	// that no service can have had other builds before.
+	FirstStart bool
 	// Started returns the wall-clock time at which a process with an incarnation started.
 	Started func(incarnation uint64) time.Time
 	// RegistrationsAge and RecordsAge return the times since the registrations of endpoints
@@ -167,9 +170,11 @@
 	}
 }
 
-// beginning reports whether no VM in view has run for longer than Memory.
+// beginning reports whether services without a record have just begun: this process belongs to the
+// first start of the deployment and no VM in view has run for longer than Memory. That all VMs are
+// young does not suffice, as they may have been replaced together.
 func (s *Service) beginning(now time.Time) bool {
-	return !slices.ContainsFunc(s.params.View.Members(), func(m membership.Member) bool {
+	return s.params.FirstStart && !slices.ContainsFunc(s.params.View.Members(), func(m membership.Member) bool {
 		return m.Incarnation == 0 || !within(now, s.params.Started(m.Incarnation))
 	})
 }
--- a/internal/builds/service_test.go
+++ b/internal/builds/service_test.go
@@ -56,7 +56,7 @@
 }
 
 // runFleet runs a test beside the services of VMs that start at the same moment.
-func runFleet(t *testing.T, vms int, uptime time.Duration, test func(t *testing.T, s *fleetStore)) {
+func runFleet(t *testing.T, vms int, firstStart bool, uptime time.Duration, test func(t *testing.T, s *fleetStore)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		log := decisionlog.Discard()
@@ -75,7 +75,7 @@
 			s.histories = append(s.histories, h)
 			service := NewService(Params{
 				View: membership.Static{This: members[i], All: members}, History: h, Store: vmStore{s, members[i].VM}, Log: log,
-				Clock: time.Now, Started: func(uint64) time.Time { return started }, Random: rand.New(rand.NewPCG(1, uint64(i))),
+				Clock: time.Now, FirstStart: firstStart, Started: func(uint64) time.Time { return started }, Random: rand.New(rand.NewPCG(1, uint64(i))),
 				RegistrationsAge: func() time.Duration { return 0 }, RecordsAge: func() time.Duration { return 0 },
 			})
 			running.Go(func() { service.Run(ctx) })
@@ -104,7 +104,7 @@
 
 // Each call to the store costs, and 195 VMs see each change of builds at the same time.
 func TestOneVMWritesEachChange(t *testing.T) {
-	runFleet(t, 195, 0, func(t *testing.T, s *fleetStore) {
+	runFleet(t, 195, true, 0, func(t *testing.T, s *fleetStore) {
 		s.observe("v1")
 		time.Sleep(4 * time.Second)
 		written := s.written()
@@ -115,7 +115,7 @@
 		assert.Equal(t, len(s.written()), 0, "nothing has changed")
 		changed := time.Now()
 		s.observe("v1", "v2")
-		time.Sleep(2 * time.Second)
+		time.Sleep(MaxAge)
 		written = s.written()
 		assert.Equal(t, len(written), 1)
 		assert.DeepEqual(t, written[0].Serving, []string{"v1", "v2"})
@@ -124,7 +124,7 @@
 		written = s.written()
 		assert.Equal(t, len(written), 1)
 		assert.Equal(t, written[0].Left[0].Build, "v1")
-		assert.Assert(t, written[0].Left[0].At.Sub(changed) >= 2*time.Second)
+		assert.Assert(t, written[0].Left[0].At.Sub(changed) >= MaxAge)
 		s.mu.Lock()
 		s.era++
 		s.mu.Unlock()
@@ -135,7 +135,7 @@
 
 // The first VM in the order may be cut off from the store.
 func TestNextVMWritesIfTheFirstCannot(t *testing.T) {
-	runFleet(t, 5, 0, func(t *testing.T, s *fleetStore) {
+	runFleet(t, 5, true, 0, func(t *testing.T, s *fleetStore) {
 		for i := range 4 {
 			s.refused[fmt.Sprintf("vm-%d", i)] = true
 		}
@@ -145,24 +145,36 @@
 	})
 }
 
-// A service without a record may have had other builds if VMs have run for long: they are of
-// a release that writes none.
-func TestFirstRecordOfARunningFleetProvesNothingYet(t *testing.T) {
-	runFleet(t, 3, time.Hour, func(t *testing.T, s *fleetStore) {
-		s.observe("v1")
-		time.Sleep(4 * time.Second)
-		written := s.written()
-		assert.Equal(t, len(written), 1)
-		assert.Assert(t, !written[0].Since.IsZero())
-		h := NewHistory(s.latest)
-		h.RecordsKnown()
-		h.Observe(time.Now(), map[string][]string{"pool": {"v1"}})
-		assert.NilError(t, h.Apply(time.Now(), written[0]))
-		_, ok := h.Sole(time.Now(), "pool")
-		assert.Assert(t, !ok)
-		time.Sleep(Memory)
-		_, ok = h.Sole(time.Now(), "pool")
-		assert.Assert(t, ok)
-		assert.Assert(t, !slices.ContainsFunc(s.written(), func(r Record) bool { return len(r.Serving) != 1 }))
-	})
+// A service without a record may have had other builds: VMs that have run for long are of a release
+// that writes none, and all VMs may have been replaced by younger ones.
+func TestFirstRecordOfARunningDeploymentProvesNothingYet(t *testing.T) {
+	for name, c := range map[string]struct {
+		firstStart bool
+		uptime     time.Duration
+	}{
+		"VMs of an earlier release": {true, time.Hour},
+		"all VMs replaced":          {false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 3, c.firstStart, c.uptime, testFirstRecordProvesNothingYet)
+		})
+	}
+}
+
+func testFirstRecordProvesNothingYet(t *testing.T, s *fleetStore) {
+	s.observe("v1")
+	time.Sleep(4 * time.Second)
+	written := s.written()
+	assert.Equal(t, len(written), 1)
+	assert.Assert(t, !written[0].Since.IsZero())
+	h := NewHistory(s.latest)
+	h.RecordsKnown()
+	h.Observe(time.Now(), map[string][]string{"pool": {"v1"}})
+	assert.NilError(t, h.Apply(time.Now(), written[0]))
+	_, ok := h.Sole(time.Now(), "pool")
+	assert.Assert(t, !ok)
+	time.Sleep(Memory)
+	_, ok = h.Sole(time.Now(), "pool")
+	assert.Assert(t, ok)
+	assert.Assert(t, !slices.ContainsFunc(s.written(), func(r Record) bool { return len(r.Serving) != 1 }))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,8 @@
 	// Store keeps the records, Topic is the name of their topic.
 	Store builds.Store
 	Topic string
+	// FirstStart is set if this process started with the whole deployment for the first time.
+	FirstStart bool
 	// Started returns the time at which a process with an incarnation started.
 	Started func(incarnation uint64) time.Time
 }
