Bind a record of builds to the one that it replaces

The store may carry out an append seconds after it got no response. Such a record without the newest build replaced one that listed it; after a kill of all VMs, streams of that build were joined with those of the former one.

Cause: the record was appended without a condition. It is now appended only to the topic as it was read right before, and not if the record there names a build that the new one lacks.

--- a/internal/builds/record.go
+++ b/internal/builds/record.go
@@ -97,6 +97,16 @@
 	return time.Time{}
 }
 
+// Covers reports whether the record names all builds of another one that may have begun a stream.
+func (r *Record) Covers(now time.Time, other *Record) bool {
+	for _, build := range other.Serving {
+		if !r.lists(build) {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(other.Left, func(l Left) bool { return within(now, l.At) && !r.lists(l.Build) })
+}
+
 // sameBuilds reports whether two records of an era list the same builds.
 func (r *Record) sameBuilds(other *Record) bool {
 	return r.Era == other.Era && r.Service == other.Service && slices.Equal(r.Serving, other.Serving) &&
--- a/internal/builds/service.go
+++ b/internal/builds/service.go
@@ -46,7 +46,8 @@
 // Store keeps the records.
 type Store interface {
 	// Put writes the record of a service. The error is not nil if the record may not be kept,
-	// or not in the era that it names.
+	// or not in the era that it names. A record that does not cover the one in the store is not
+	// written, also if the store carries the write out later.
 	Put(ctx context.Context, record Record) error
 }
 
