Send no request that a planned stop may cut off

Another operator's callers lost requests that came during a planned stop, among them some that may not be repeated: they were passed on and cut off at the end of the grace (LOST).

Cause: the relay asked only at the arrival, and only after its listener had closed, whether a plain request's final answer may be due after the end. Requests that may run only once are now refused from SIGTERM on if that is so, others once the listener has closed, and the question is asked again right before each send.

TestPlainRequestThatMayBeCutOffIsNotSent guards the check before a send.

--- a/internal/relay/authentication.go
+++ b/internal/relay/authentication.go
@@ -20,9 +20,12 @@
 	return false
 }
 
-// permitRequest returns why an endpoint must not get the request now. The key may have been removed while
-// the connection was opened.
+// permitRequest returns why an endpoint must not get the request now. The key may have been removed, or a stop
+// have begun, while the connection was opened.
 func (r *Relay) permitRequest(x *exchange, name string) error {
+	if r.mayBeCutOff(x) {
+		return upstream.Withheld.New("%s", stoppingRefusal.Reason)
+	}
 	if err := r.permit(name); err != nil {
 		return err
 	}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -35,6 +35,10 @@
 // heldBack reports whether the request must not be sent to an endpoint, because its key is no longer
 // accepted or engines crash on it. It records the refusal.
 func (r *Relay) heldBack(x *exchange) bool {
+	if r.mayBeCutOff(x) {
+		x.refusal, x.retryAfter = stoppingRefusal.Reason, stoppingRefusal.RetryAfter
+		return true
+	}
 	if r.keyRejected(x) {
 		return true
 	}
--- a/internal/relay/refusal_test.go
+++ b/internal/relay/refusal_test.go
@@ -142,8 +142,12 @@
 // run only once was run again.
 func TestNothingThatRanIsRefused(t *testing.T) {
 	events := map[string]func(s *fixture, keyRemoved *atomic.Bool){
-		"nothing":          func(*fixture, *atomic.Bool) {},
-		"stop":             func(s *fixture, _ *atomic.Bool) { s.relay.RefuseNew(time.Now()); s.relay.RefuseWaiting() },
+		"nothing": func(*fixture, *atomic.Bool) {},
+		"stop": func(s *fixture, _ *atomic.Bool) {
+			s.relay.BeginStop(time.Now())
+			s.relay.RefuseNew()
+			s.relay.RefuseWaiting()
+		},
 		"key is removed":   func(_ *fixture, keyRemoved *atomic.Bool) { keyRemoved.Store(true) },
 		"first one leaves": func(s *fixture, _ *atomic.Bool) { s.endpoints.MarkLeaving("d1"); s.endpoints.MarkLeaving("e1") },
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -187,9 +187,10 @@
 	// stopping ends when waiting requests are to be refused.
 	stopping      context.Context
 	refuseWaiting context.CancelFunc
-	// end is the time at which requests in flight are cut off, nil until new requests are
-	// to be refused.
+	// end is the time at which requests in flight are cut off, nil until the stop begins.
 	end atomic.Pointer[time.Time]
+	// refusesNew is set once other VMs get all new connections.
+	refusesNew atomic.Bool
 }
 
 // New returns a relay.
@@ -226,7 +227,7 @@
 	x.suspect = r.options.Quarantine.Request(service.Name, x.identity, sharedParts(request))
 	defer r.inFlight.begin(x)()
 	generation := service.Engines != nil && request.Generation != nil
-	if end := r.end.Load(); end != nil && (generation || x.deadline.After(*end)) {
+	if r.refusesNew.Load() && generation || r.mayBeCutOff(x) {
 		r.refuse(x, stoppingRefusal)
 		return
 	}
@@ -242,10 +243,24 @@
 	r.servePlain(ctx, x)
 }
 
-// RefuseNew refuses requests that arrive from now on, because this VM stops and other VMs
-// can serve them: generation requests, and others whose final answer may be due only after
-// the end, the time at which requests in flight are cut off.
-func (r *Relay) RefuseNew(end time.Time) { r.end.Store(&end) }
+// BeginStop sets the end of a stop, at which requests in flight are cut off. From now on, plain requests that
+// may run only once are refused, or not sent, if their final answer may be due after that.
+func (r *Relay) BeginStop(end time.Time) { r.end.Store(&end) }
+
+// RefuseNew refuses requests that arrive from now on, because other VMs can serve them: generation requests,
+// and all others whose final answer may be due after the end. Those are not sent any more either.
+func (r *Relay) RefuseNew() { r.refusesNew.Store(true) }
+
+// mayBeCutOff reports whether a request that has not run must not be sent, because this VM stops before its
+// final answer is due. Generation requests that were taken have engines by then, or are refused while they wait.
+func (r *Relay) mayBeCutOff(x *exchange) bool {
+	end := r.end.Load()
+	if end == nil || !x.deadline.After(*end) || x.mayHaveRun {
+		return false
+	}
+	generation := x.service.Engines != nil && x.request.Generation != nil
+	return !generation && (r.refusesNew.Load() || x.route.RunsOnce())
+}
 
 // RefuseWaiting refuses the requests that have no engines yet, because this VM stops and
 // could hardly finish them. Streams that have begun go on.
--- a/internal/relay/stop_plain_test.go
+++ b/internal/relay/stop_plain_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/routing"
+	"github.com/ospreyshed/ospreyshed/internal/team"
 )
 
 // A plain request that reached a VM after its listener had closed was sent to an endpoint
@@ -13,7 +16,8 @@
 func TestPlainRequestThatMayOutliveTheVMIsRefused(t *testing.T) {
 	s := newFixture(t)
 	s.endpoint("d1", "desk", "", answers(http.StatusOK, "done"))
-	s.relay.RefuseNew(time.Now().Add(booking.Timeout / 2))
+	s.relay.BeginStop(time.Now().Add(booking.Timeout / 2))
+	s.relay.RefuseNew()
 	caller := s.serve(booking, nil)
 	assert.Equal(t, caller.outcome, "refused: the VM is stopping")
 	assert.Equal(t, caller.retryAfter, stoppingRetryAfter)
@@ -25,7 +29,8 @@
 func TestPlainRequestThatEndsBeforeTheVMIsServed(t *testing.T) {
 	s := newFixture(t)
 	s.endpoint("d1", "desk", "", answers(http.StatusOK, "done"))
-	s.relay.RefuseNew(time.Now().Add(2 * booking.Timeout))
+	s.relay.BeginStop(time.Now().Add(2 * booking.Timeout))
+	s.relay.RefuseNew()
 	assert.Equal(t, s.serve(booking, nil).body, "done")
 }
 
@@ -33,6 +38,40 @@
 // has: other VMs can serve it to its end.
 func TestGenerationThatComesAfterTheListenerClosedIsRefused(t *testing.T) {
 	s := newFixture(t, grant("p1", "e1"))
-	s.relay.RefuseNew(time.Now().Add(2 * dossier.Timeout))
+	s.relay.BeginStop(time.Now().Add(2 * dossier.Timeout))
+	s.relay.RefuseNew()
 	assert.Equal(t, s.serve(dossier, work).outcome, "refused: the VM is stopping")
 }
+
+// A request that was taken before the listener closed was sent at the end of the grace, after a wait, and was
+// cut off. One that may run only once is refused from the beginning of the stop.
+func TestPlainRequestThatMayBeCutOffIsNotSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		route routing.Route
+		began bool
+		sent  bool
+	}{
+		"single run, stop begins":         {booking, true, false},
+		"repeatable, stop begins":         {lookup, true, true},
+		"single run, listener has closed": {booking, false, false},
+		"repeatable, listener has closed": {lookup, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t)
+			s.endpoint("d1", "desk", "", answers(http.StatusOK, "done"))
+			// The stop goes on while the connection to the endpoint is opened.
+			request := s.request(nil)
+			request.Reauthenticate = func() (*team.Team, *Refusal) {
+				s.relay.BeginStop(time.Now().Add(time.Second))
+				if !c.began {
+					s.relay.RefuseNew()
+				}
+				return nil, nil
+			}
+			caller := &recorder{}
+			s.serveRequest(t.Context(), caller, c.route, request)
+			assert.Equal(t, s.callCount() > 0, c.sent)
+			assert.Equal(t, caller.outcome == "refused: the VM is stopping", !c.sent, caller.outcome)
+		})
+	}
+}
