Refuse calls that a planned stop may cut off on the own interface

Such calls are refused from the beginning of the stop, others and those of model-backed classes once the listener has closed; a call that waits for its claim is asked again before it is sent.

Evidence: TestRequestThatMayBeCutOffInAStopIsNotRun fails without the check in three of four rows.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -130,7 +130,7 @@
 // package; only those with the trait NotRun guarantee that the call did not run.
 func (f *Forwarder) Do(ctx context.Context, call *Call) (*Reply, error) {
 	f.budget.Earn()
-	ctx, cancel := context.WithTimeout(ctx, deadline(call.Class))
+	ctx, cancel := context.WithTimeout(ctx, Deadline(call.Class))
 	defer cancel()
 	candidates := f.configuration.Snapshot().Plain(call.Class.Service, "")
 	var tried []string
@@ -267,7 +267,8 @@
 	return body, nil
 }
 
-func deadline(class *configuration.Class) time.Duration {
+// Deadline returns how long a call of a class may take.
+func Deadline(class *configuration.Class) time.Duration {
 	target := class.Targets.WholeAnswer.D()
 	if class.Repeat == configuration.NeverRepeat {
 		return max(singleSendDeadline, singleSendFactor*target)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,10 @@
 	RequestIDHeader = "X-Request-Id"
 )
 
+// drainingRetryAfter is the Retry-After sent by a VM that stops. Another one can serve the
+// request at once.
+const drainingRetryAfter = time.Second
+
 // Completer runs requests of model-backed classes on engines.
 type Completer interface {
 	Run(ctx context.Context, request *completion.Request, sink completion.Sink) (completion.Result, error)
@@ -102,6 +106,10 @@
 	router     *mux.Router
 	lastNumber atomic.Uint64
 	draining   atomic.Bool
+	// end is the time at which requests in flight are cut off, nil until a stop begins.
+	end atomic.Pointer[time.Time]
+	// refusesNew is set once the load balancer sends no new connections.
+	refusesNew atomic.Bool
 }
 
 // New returns a gateway.
@@ -125,8 +133,45 @@
 
 // Drain makes readiness checks fail. Requests are still served, because the load
 // balancer may send some for a while; their connections are closed after the
-// response.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// response. Calls that must not be repeated are refused if they may take longer than
+// until the end, the time at which requests in flight are cut off.
+func (g *Gateway) Drain(end time.Time) {
+	g.end.Store(&end)
+	g.draining.Store(true)
+}
+
+// RefuseNew refuses requests that arrive from now on because other VMs can serve them:
+// those of model-backed classes, and calls that may take longer than until the end.
+func (g *Gateway) RefuseNew() { g.refusesNew.Store(true) }
+
+// mayBeCutOff reports whether a request must not be run, because this VM may stop before it
+// is answered.
+func (g *Gateway) mayBeCutOff(x *exchange) bool {
+	end := g.end.Load()
+	switch {
+	case end == nil:
+		return false
+	case x.class.ModelBacked():
+		return g.refusesNew.Load()
+	case x.class.Repeat != configuration.NeverRepeat && !g.refusesNew.Load():
+		return false
+	}
+	return time.Now().Add(forward.Deadline(x.class)).After(*end)
+}
+
+// refuseStopping refuses a request that may be cut off. It returns false if it may not. An
+// earlier attempt with the key, empty if there is none, may have run.
+func (g *Gateway) refuseStopping(x *exchange, key string) bool {
+	if !g.mayBeCutOff(x) {
+		return false
+	}
+	outcome := problem.Unknown
+	if key == "" || firstAttempt(x.r) {
+		outcome = problem.NotRun
+	}
+	g.refuse(x, problem.New(problem.Draining, http.StatusServiceUnavailable, outcome, "").WithRetryAfter(drainingRetryAfter))
+	return true
+}
 
 // serveHealth answers liveness checks.
 func (g *Gateway) serveHealth(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -215,7 +215,7 @@
 	f.notJoined = true
 	assert.Equal(t, call(g, "GET", "/readyz", "", nil).Code, http.StatusServiceUnavailable)
 	f.notJoined = false
-	g.Drain()
+	g.Drain(time.Now().Add(time.Minute))
 	assert.Equal(t, call(g, "GET", "/readyz", "", nil).Code, http.StatusServiceUnavailable)
 	assert.Equal(t, call(g, "GET", "/roster/1", "", nil).Code, http.StatusOK, "the load balancer may still send requests")
 	assert.Equal(t, call(g, "GET", "/roster/1", "", nil).Header().Get("Connection"), "close")
@@ -223,3 +223,47 @@
 	assert.Equal(t, call(g, "GET", "/roster/1", "", nil).Code, http.StatusServiceUnavailable)
 	assert.Equal(t, call(g, "GET", "/healthz", "", nil).Code, http.StatusOK)
 }
+
+// A request that arrived late in a planned stop was passed on and cut off at the drain limit, although its call must
+// not be repeated.
+func TestRequestThatMayBeCutOffInAStopIsNotRun(t *testing.T) {
+	const booking, summary, roster = "booking", "summary", "roster"
+	refused := func(w *httptest.ResponseRecorder) string {
+		if w.Code != http.StatusServiceUnavailable {
+			return ""
+		}
+		assert.Equal(t, w.Header().Get("Retry-After"), "1")
+		return w.Header().Get(problem.OutcomeHeader)
+	}
+	for _, c := range []struct {
+		name string
+		left time.Duration
+		late bool
+		// want are the outcomes of refusals by request.
+		want map[string]string
+	}{
+		{"begins, time for all", time.Minute, false, map[string]string{booking: "", summary: "", roster: ""}},
+		{"begins, no time", time.Second, false, map[string]string{booking: "unknown", summary: "", roster: ""}},
+		{"listener has closed, time for all", time.Minute, true, map[string]string{booking: "", summary: "not-run", roster: ""}},
+		{"listener has closed, no time", time.Second, true, map[string]string{booking: "unknown", summary: "not-run", roster: "not-run"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGateway(t, &fakes{tokens: []string{"t"}, claimErr: claim.KeyMalformed.New("")})
+			g.Drain(time.Now().Add(c.left))
+			if c.late {
+				g.RefuseNew()
+			}
+			key := map[string]string{KeyHeader: "k"}
+			got := map[string]string{
+				booking: refused(call(g, http.MethodPost, "/book", "", key)),
+				summary: refused(call(g, http.MethodPost, "/v1/completions", `{"model":"drafter","prompt":"p"}`, nil)),
+				roster:  refused(call(g, http.MethodGet, "/roster/1", "", nil)),
+			}
+			assert.DeepEqual(t, got, c.want)
+			key[AttemptHeader] = "1"
+			if c.want[booking] != "" {
+				assert.Equal(t, refused(call(g, http.MethodPost, "/book", "", key)), "not-run")
+			}
+		})
+	}
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -58,7 +58,7 @@
 // most once.
 func (g *Gateway) complete(x *exchange, body *completionBody) {
 	key, ok := g.idempotencyKey(x)
-	if !ok {
+	if !ok || g.refuseStopping(x, key) {
 		return
 	}
 	if key == "" {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -40,7 +40,7 @@
 // not allow retries.
 func (g *Gateway) forwardPlain(x *exchange, body []byte) {
 	key, ok := g.idempotencyKey(x)
-	if !ok {
+	if !ok || g.refuseStopping(x, key) {
 		return
 	}
 	if x.class.Repeat == configuration.NeverRepeat {
@@ -83,7 +83,8 @@
 		return
 	}
 	call := g.plainCall(x, body, key)
-	call.MayExecute = decision.Ticket.MayExecute
+	// A stop may have begun while the key was claimed.
+	call.MayExecute = func() bool { return !g.mayBeCutOff(x) && decision.Ticket.MayExecute() }
 	reply, err := g.options.Forwarder.Do(context.WithoutCancel(x.r.Context()), call)
 	if err != nil {
 		decision.Ticket.Finish(claim.Outcome{Execution: executionOf(err)})
