Bound all heads of a response together, and what many of them take

Another operator's VM ran out of memory on an engine that sent bytes without end.

Heads now have 16 KiB and 256 lines together, and there are at most 32 interim responses; bytes after a head do not count.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,10 +5,8 @@
 	"bytes"
 	"cmp"
 	"context"
-	"errors"
 	"hash/maphash"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -21,9 +19,6 @@
 )
 
 const (
-	// maxHeaderBytes limits the header of a response. Without a limit, an endpoint
-	// that sends something other than HTTP could make it grow indefinitely.
-	maxHeaderBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer; most events and
 	// answers fit.
 	readBufferBytes = 4 << 10
@@ -45,16 +40,13 @@
 	maxCarried = 256
 )
 
-// errSwitched means that an endpoint switches to another protocol, which no request asks for.
-var errSwitched = errors.New("status 101 without a request for another protocol")
-
 // conn is one connection to an endpoint. It carries one exchange at a time.
 type conn struct {
-	client        *Client
-	address       string
-	socket        net.Conn
-	limitedReader *io.LimitedReader
-	reader        *bufio.Reader
+	client  *Client
+	address string
+	socket  net.Conn
+	heads   *headReader
+	reader  *bufio.Reader
 	// idleSince and expires are set while the connection is in the pool.
 	idleSince, expires time.Time
 	closing            sync.Once
@@ -69,13 +61,13 @@
 }
 
 func newConn(client *Client, address string, socket net.Conn) *conn {
-	limited := &io.LimitedReader{R: socket, N: maxHeaderBytes}
+	heads := &headReader{source: socket}
 	return &conn{
-		client:        client,
-		address:       address,
-		socket:        socket,
-		limitedReader: limited,
-		reader:        bufio.NewReaderSize(limited, readBufferBytes),
+		client:  client,
+		address: address,
+		socket:  socket,
+		heads:   heads,
+		reader:  bufio.NewReaderSize(heads, readBufferBytes),
 	}
 }
 
@@ -240,24 +232,6 @@
 	message.WriteString("\r\n")
 }
 
-// readHead reads the final response's header and skips informational ones.
-func (k *conn) readHead(method string) (*http.Response, error) {
-	for {
-		k.limitedReader.N = maxHeaderBytes
-		head, err := http.ReadResponse(k.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if head.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errSwitched
-		}
-		if head.StatusCode >= http.StatusOK {
-			k.limitedReader.N = math.MaxInt64
-			return head, nil
-		}
-	}
-}
-
 // Response is an endpoint's response. Read returns io.EOF only after a body that
 // is complete according to its framing. A body that ends with the connection has at least one
 // byte: without any, the endpoint may have broken off after the header.
--- /dev/null
+++ b/internal/upstream/head.go
@@ -0,0 +1,96 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+const (
+	// maxHeadBytes and maxHeadLines limit the heads of a response, interim ones included. Each line
+	// takes several times its length in memory, and all exchanges of a VM may be with faulty endpoints.
+	maxHeadBytes = 16 << 10
+	maxHeadLines = 256
+	// maxInterimResponses is the number of interim responses before the final one.
+	maxInterimResponses = 32
+)
+
+var (
+	// errHeadTooLong means that an endpoint sent more of a head than is read.
+	errHeadTooLong = errors.New("the head of the response is too long")
+	// errInterim means that an endpoint sent interim responses without a final one.
+	errInterim = errors.New("too many interim responses")
+	// errSwitched means that an endpoint switches to another protocol, which no request asks for.
+	errSwitched = errors.New("status 101 without a request for another protocol")
+)
+
+// headReader limits what is read while a head is due. Bytes that follow the head do not count.
+type headReader struct {
+	source io.Reader
+	// due is set until the end of the head has been read, bytes and lines are what is left of it.
+	due          bool
+	bytes, lines int
+	// empty is set while the current line has no characters.
+	empty bool
+}
+
+// expect begins the heads of a response.
+func (r *headReader) expect() {
+	r.bytes, r.lines = maxHeadBytes, maxHeadLines
+	r.next()
+}
+
+// next begins the next head of the same response.
+func (r *headReader) next() { r.due, r.empty = true, false }
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.due {
+		return r.source.Read(p)
+	}
+	if r.bytes <= 0 || r.lines <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.source.Read(p[:min(len(p), r.bytes)])
+	r.count(p[:n])
+	return n, err
+}
+
+// count counts the bytes and lines up to the end of the head.
+func (r *headReader) count(read []byte) {
+	for _, b := range read {
+		r.bytes--
+		switch b {
+		case '\r':
+		case '\n':
+			r.lines--
+			if r.empty {
+				r.due = false
+				return
+			}
+			r.empty = true
+		default:
+			r.empty = false
+		}
+	}
+}
+
+// readHead reads the final response's head and skips interim ones.
+func (k *conn) readHead(method string) (*http.Response, error) {
+	k.heads.expect()
+	for range maxInterimResponses + 1 {
+		head, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if head.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
+		if head.StatusCode >= http.StatusOK {
+			k.heads.due = false
+			return head, nil
+		}
+		k.heads.next()
+	}
+	return nil, errInterim
+}
