Keep no more tokens of an answer than were asked for

An engine that sent tokens without end filled the VM's memory on the own interface: their text is kept for another engine to resume, and for an answer that is not streamed. The number of tokens was sent to engines and not held against their answers, nor was the size of a token.

--- a/internal/completion/limits.go
+++ b/internal/completion/limits.go
@@ -8,6 +8,16 @@
 	"github.com/ospreyshed/ospreyshed/internal/prefix"
 )
 
+const (
+	// textBytesPerToken and minTextBytes bound the text of an answer, which is kept for another engine to
+	// resume. Tokens have some bytes on average.
+	textBytesPerToken = 64
+	minTextBytes      = 4 << 10
+)
+
+// maxTextBytes returns the longest text of an answer of a number of tokens.
+func maxTextBytes(tokens int) int { return minTextBytes + textBytesPerToken*tokens }
+
 // prefillLimit bounds a prefill's duration, based on the model's prefill rate.
 func (a *attempt) prefillLimit() time.Duration {
 	model, found := a.options.Configuration.Snapshot().Model(a.request.Class.Model)
--- a/internal/completion/stream.go
+++ b/internal/completion/stream.go
@@ -68,6 +68,9 @@
 	if token.Index > a.next {
 		return protocolError.New("token %d follows token %d", token.Index, a.next-1)
 	}
+	if a.next > a.request.MaxTokens || len(a.deliveredText)+len(token.Text) > maxTextBytes(a.request.MaxTokens) {
+		return protocolError.New("the answer is longer than %d tokens", a.request.MaxTokens)
+	}
 	if a.delivered == 0 {
 		a.recordFirstToken(started)
 	}
