Bound the bytes of all replies of plain services together

On the own interface each reply was bounded by 8 MB and nothing bounded all of them, so that 14 bodies without end exceed the smallest VM. They share a budget of 32 MB now, of which each call has 8 KB for certain.

--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -11,6 +11,8 @@
 var (
 	// NoEndpoint means that no endpoint of the service is usable.
 	NoEndpoint = namespace.NewType("no-endpoint", NotRun)
+	// NoMemory means that too many replies are buffered for another call.
+	NoMemory = namespace.NewType("no-memory", NotRun)
 	// Unreachable means that no connection was obtained.
 	Unreachable = namespace.NewType("unreachable", NotRun)
 	// Leaving means that the endpoint refused the call because it is leaving.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -16,6 +18,7 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/httpheader"
+	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/problem"
 	"github.com/ospreyshed/ospreyshed/internal/retry"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
@@ -29,6 +32,11 @@
 
 	// maxReplyBytes limits a reply, which is buffered completely before it is forwarded.
 	maxReplyBytes = 8 << 20
+	// replyMemory limits the bytes of all replies that are buffered at a time. The largest reply
+	// fits while others have no more than their guaranteed parts.
+	replyMemory = 32 << 20
+	// replyBufferBytes is the initial size of the buffer for a reply.
+	replyBufferBytes = 1 << 10
 	// maxEndpoints limits the number of endpoints tried for one request.
 	maxEndpoints = 3
 	// defaultDeadline limits a call of a class without a whole-answer target.
@@ -47,6 +55,9 @@
 	retryBurst = 20
 )
 
+// errTooLong means that a reply is longer than maxReplyBytes.
+var errTooLong = fmt.Errorf("longer than %d bytes", maxReplyBytes)
+
 // Endpoints picks endpoints and records the outcomes of calls to them.
 type Endpoints interface {
 	PickLeastLoaded(candidates []*configuration.Endpoint, zone string, exclude []string) *configuration.Endpoint
@@ -81,8 +92,13 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// memory is what holds the body.
+	memory *membudget.Holder
 }
 
+// Close returns the memory of the body, which must not be used any more.
+func (r *Reply) Close() { r.memory.Close() }
+
 // Counters count calls. The zero value is ready to use.
 type Counters struct {
 	// Sent counts requests sent to endpoints, Retried the retries that were allowed.
@@ -101,6 +117,8 @@
 	// Upstream holds the connections to all endpoints.
 	Upstream *upstream.Client
 
+	memory *membudget.Budget
+
 	zone          string
 	endpoints     Endpoints
 	configuration Configuration
@@ -110,7 +128,7 @@
 
 // New returns a forwarder for an entry VM in a zone.
 func New(zone string, endpoints Endpoints, conf Configuration, events timeline.Recorder) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
 		Upstream:      newUpstream(),
 		zone:          zone,
 		endpoints:     endpoints,
@@ -118,6 +136,8 @@
 		events:        events,
 		budget:        retry.NewBudget(retryRatio, retryBurst),
 	}
+	f.memory = membudget.New(membudget.Split(replyMemory), new(membudget.Counters))
+	return f
 }
 
 // Run closes connections that were idle for too long until ctx ends, then all idle ones.
@@ -126,12 +146,25 @@
 // Close closes idle connections.
 func (f *Forwarder) Close() { f.Upstream.Close() }
 
-// Do sends the call and returns a complete reply. The error is of a type of this
+// Do sends the call and returns a complete reply, which must be closed. The error is of a type of this
 // package; only those with the trait NotRun guarantee that the call did not run.
 func (f *Forwarder) Do(ctx context.Context, call *Call) (*Reply, error) {
 	f.budget.Earn()
 	ctx, cancel := context.WithTimeout(ctx, Deadline(call.Class))
 	defer cancel()
+	memory, ok := f.memory.Open(membudget.AnswerBytes)
+	if !ok {
+		return nil, NoMemory.New("%s", call.RequestID)
+	}
+	reply, err := f.try(ctx, call, memory)
+	if err != nil {
+		memory.Close()
+	}
+	return reply, err
+}
+
+// try sends the call to one endpoint after the other.
+func (f *Forwarder) try(ctx context.Context, call *Call, memory *membudget.Holder) (*Reply, error) {
 	candidates := f.configuration.Snapshot().Plain(call.Class.Service, "")
 	var tried []string
 	var last error
@@ -141,7 +174,7 @@
 			break
 		}
 		tried = append(tried, chosen.Name)
-		reply, err := f.send(ctx, call, chosen, names(candidates))
+		reply, err := f.send(ctx, call, chosen, names(candidates), memory)
 		if err == nil {
 			return reply, nil
 		}
@@ -182,10 +215,12 @@
 }
 
 // send sends the call to one endpoint.
-func (f *Forwarder) send(ctx context.Context, call *Call, to *configuration.Endpoint, group []string) (*Reply, error) {
+func (f *Forwarder) send(
+	ctx context.Context, call *Call, to *configuration.Endpoint, group []string, memory *membudget.Holder,
+) (*Reply, error) {
 	defer f.endpoints.Begin(to.Name)()
 	started := time.Now()
-	reply, err := f.exchange(ctx, call, to)
+	reply, err := f.exchange(ctx, call, to, memory)
 	ok := err == nil && reply.Status < http.StatusInternalServerError
 	if ctx.Err() == nil || ok {
 		f.endpoints.Observe(to.Name, group, ok, time.Since(started))
@@ -198,7 +233,7 @@
 }
 
 // exchange performs one HTTP exchange.
-func (f *Forwarder) exchange(ctx context.Context, call *Call, to *configuration.Endpoint) (*Reply, error) {
+func (f *Forwarder) exchange(ctx context.Context, call *Call, to *configuration.Endpoint, memory *membudget.Holder) (*Reply, error) {
 	request, err := newRequest(call, to.Address)
 	if err != nil {
 		return nil, err
@@ -214,7 +249,7 @@
 		return nil, InDoubt.Wrap(err, "%s", to.Name)
 	}
 	defer response.Close()
-	return f.read(response, to.Name)
+	return f.read(ctx, response, to.Name, memory)
 }
 
 // permit records that a call is being sent, or returns an error if it must not be.
@@ -228,13 +263,13 @@
 }
 
 // read reads a complete reply.
-func (f *Forwarder) read(response *upstream.Response, name string) (*Reply, error) {
+func (f *Forwarder) read(ctx context.Context, response *upstream.Response, name string, memory *membudget.Holder) (*Reply, error) {
 	leaving := response.Header.Get(leavingHeader) == "true"
 	if leaving {
 		f.endpoints.MarkLeaving(name)
 	}
 	refused := leaving && response.Status == http.StatusServiceUnavailable
-	body, err := f.readBody(response, name)
+	body, err := f.readBody(ctx, response, name, memory)
 	switch {
 	case refused && err != nil:
 		// Whether the endpoint ran the call is not known from a refusal that breaks off.
@@ -247,26 +282,55 @@
 	header := httpheader.EndToEnd(response.Header)
 	// Only this router states whether the caller's request ran.
 	header.Del(problem.OutcomeHeader)
-	return &Reply{Status: response.Status, Header: header, Body: body}, nil
+	return &Reply{Status: response.Status, Header: header, Body: body, memory: memory}, nil
 }
 
 // readBody reads a complete body.
-func (f *Forwarder) readBody(response *upstream.Response, name string) ([]byte, error) {
+func (f *Forwarder) readBody(ctx context.Context, response *upstream.Response, name string, memory *membudget.Holder) ([]byte, error) {
 	if !response.Framed {
 		f.Counters.CutShort.Add(1)
 		return nil, CutShort.New("reply of %s has neither length nor chunks", name)
 	}
-	body, err := io.ReadAll(io.LimitReader(response, maxReplyBytes+1))
+	body, err := readReserved(ctx, response, memory)
 	if err != nil {
+		memory.Release(int64(cap(body)))
 		f.Counters.CutShort.Add(1)
 		return nil, CutShort.Wrap(err, "reply of %s", name)
 	}
-	if len(body) > maxReplyBytes {
-		return nil, CutShort.New("reply of %s is longer than %d bytes", name, maxReplyBytes)
-	}
 	return body, nil
 }
 
+// readReserved reads to the end, and reserves memory for each step, which doubles the buffer. It waits
+// until there is room.
+func readReserved(ctx context.Context, source io.Reader, memory *membudget.Holder) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := max(replyBufferBytes, 2*cap(body))
+			if 2*size > maxReplyBytes {
+				size = maxReplyBytes + 1
+			}
+			if err := memory.Reserve(ctx, int64(size)); err != nil {
+				return body, err
+			}
+			grown := make([]byte, len(body), size)
+			copy(grown, body)
+			memory.Release(int64(cap(body)))
+			body = grown
+		}
+		n, err := source.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return body, err
+		case len(body) > maxReplyBytes:
+			return body, errTooLong
+		}
+	}
+}
+
 // Deadline returns how long a call of a class may take.
 func Deadline(class *configuration.Class) time.Duration {
 	target := class.Targets.WholeAnswer.D()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -51,6 +51,7 @@
 	switch {
 	case err == nil:
 		g.writeReply(x, reply)
+		reply.Close()
 	case x.r.Context().Err() != nil:
 		g.recordCallerGone(x)
 	default:
@@ -91,6 +92,7 @@
 		g.refuse(x, plainProblem(err))
 		return
 	}
+	defer reply.Close()
 	delivered := g.writeReply(x, reply)
 	decision.Ticket.Finish(claim.Outcome{
 		Execution: claim.Ran,
@@ -142,6 +144,8 @@
 // plainProblem converts an error of the Forwarder to a problem.
 func plainProblem(err error) *problem.Details {
 	switch {
+	case errorx.IsOfType(err, forward.NoMemory):
+		return problem.New(problem.Overloaded, http.StatusServiceUnavailable, problem.NotRun, err.Error()).WithRetryAfter(claimRetryAfter)
 	case errorx.IsOfType(err, forward.NoEndpoint):
 		return problem.New(problem.NoEndpoint, http.StatusServiceUnavailable, problem.NotRun, err.Error()).WithRetryAfter(claimRetryAfter)
 	case errorx.HasTrait(err, forward.NotRun):
