--- a/internal/relay/buffer.go
+++ b/internal/relay/buffer.go
@@ -33,16 +33,15 @@
 // is allocated. A nil buffer holds nothing.
 type answerBuffer struct {
 	memory *membudget.Holder
-	// limit is the size of the longest answer.
-	limit int
-	bytes []byte
+	bytes  []byte
 }
 
-// read reads to the end. The error is io.ErrShortBuffer if the answer is longer than the limit, or that of reserve; what was read until then stays in the buffer.
+// read reads to the end. The error is io.ErrShortBuffer if the answer is longer than
+// maxAnswerBytes, or that of reserve; what was read until then stays in the buffer.
 func (b *answerBuffer) read(source io.Reader, reserve func(n int64) error) error {
 	for {
 		if len(b.bytes) == cap(b.bytes) {
-			if err := b.grow(min(max(answerBufferBytes, 2*cap(b.bytes)), b.limit+1), reserve); err != nil {
+			if err := b.grow(min(max(answerBufferBytes, 2*cap(b.bytes)), maxAnswerBytes+1), reserve); err != nil {
 				return err
 			}
 		}
@@ -54,7 +53,7 @@
 		if err != nil {
 			return err
 		}
-		if len(b.bytes) > b.limit {
+		if len(b.bytes) > maxAnswerBytes {
 			return io.ErrShortBuffer
 		}
 	}
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -151,7 +151,7 @@
 
 // keepAnswer reads a response and keeps it as the request's answer if it is complete.
 func (r *Relay) keepAnswer(ctx context.Context, g *generation, response *upstream.Response) {
-	buffer := &answerBuffer{memory: g.request.Memory, limit: maxAnswerBytes}
+	buffer := &answerBuffer{memory: g.request.Memory}
 	if buffer.read(response, waitForMemory(ctx, g.request.Memory)) != nil {
 		buffer.release()
 		return
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -23,8 +23,6 @@
 	// maxAnswerBytes limits an answer that is buffered completely before it is
 	// forwarded.
 	maxAnswerBytes = 8 << 20
-	// maxPrefillBytes limits the answer to a prefill call, which only says where the KV cache is.
-	maxPrefillBytes = 64 << 10
 	// singleRunMaxIdle limits the idle time of a connection that is reused for a
 	// request which may run only once. If an endpoint closes an idle connection
 	// while the request arrives, it is unknown whether the request ran.
@@ -298,10 +296,7 @@
 func (r *Relay) readAnswer(
 	ctx context.Context, x *exchange, call *Call, response *upstream.Response, verdict *Verdict, timer *time.Timer,
 ) (*answerBuffer, error) {
-	buffer := &answerBuffer{memory: x.request.Memory, limit: maxAnswerBytes}
-	if call.Stage == Prefill {
-		buffer.limit = maxPrefillBytes
-	}
+	buffer := &answerBuffer{memory: x.request.Memory}
 	reserve := tryForMemory(x.request.Memory)
 	if call.Stage == Prefill || x.buffered {
 		reserve = waitForMemory(ctx, x.request.Memory)
