Let a stream go on at the service that began it only

Cause: the record of a stream names its service, but only its build was compared, and the builds of both services had the same name. The service of the record decides now: the stream goes on there if its route still leads to it, and is refused otherwise. The proof of a sole build, for streams without a record, also needs that no other service can have begun the stream: none has had engines for a minute, or the route has led to the same services for a minute by a configuration that was read after the request arrived.

TestStreamGoesOnAtItsServiceOnly and TestUntracedStreamGoesOnOnlyIfThereIsOneService failed before.

--- a/internal/builds/history.go
+++ b/internal/builds/history.go
@@ -311,6 +311,19 @@
 	return s != nil && len(s.builds(now)) > 1
 }
 
+// Alone reports whether no other service can have begun a stream that is still taken up: none has had
+// engines lately.
+func (h *History) Alone(now time.Time, name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for other, s := range h.services {
+		if other != name && len(s.builds(now)) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Held reports whether engines of a build get no streams that may be resumed yet. Otherwise a
 // VM could take another build for the only one that can have begun them: a VM that starts, as the
 // record does not list the build, or one whose registrations are a little older.
--- a/internal/builds/history_test.go
+++ b/internal/builds/history_test.go
@@ -192,6 +192,19 @@
 	}
 }
 
+// A service whose engines left a moment ago, also before this VM started, may have begun a stream.
+func TestServiceIsAloneOnceTheEnginesOfOthersHaveLeftForAMinute(t *testing.T) {
+	start := time.Now()
+	h := NewHistory(func() uint64 { return 0 })
+	assert.NilError(t, h.Apply(start, Record{Service: "former", Serving: []string{"v1"}}))
+	h.Observe(start, map[string][]string{"pool": {"v1"}})
+	assert.Assert(t, !h.Alone(start, "pool"))
+	assert.Assert(t, !h.Alone(start.Add(Memory-1), "pool"))
+	assert.Assert(t, h.Alone(start.Add(Memory), "pool"))
+	h.Observe(start.Add(Memory), map[string][]string{"pool": {"v1"}, "other": {"v1"}})
+	assert.Assert(t, !h.Alone(start.Add(Memory), "pool"))
+}
+
 // A record that names no builds, or too many, would be taken for the history of a service.
 func TestUnusableRecordIsReportedWithItsPlaces(t *testing.T) {
 	h := NewHistory(func() uint64 { return 0 })
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 )
@@ -40,7 +41,7 @@
 // View returns the current snapshot of the fleet.
 func (s *Store) View() *View { return s.view.Load() }
 
-// SetTable puts a configuration in force unless the same or a later version is
+// SetTable puts a configuration, which nobody else uses yet, in force unless the same or a later version is
 // already in force. It reports whether it did.
 func (s *Store) SetTable(table *routing.Table) bool {
 	s.mu.Lock()
@@ -48,6 +49,7 @@
 	if current := s.table.Load(); current != nil && table.Version <= current.Version {
 		return false
 	}
+	table.Follow(s.table.Load(), time.Now())
 	s.table.Store(table)
 	s.publish()
 	return true
--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -50,6 +50,8 @@
 			"Any rise: an engine writes errors into its streams, or answers twice; log lines `stream cut` name it and the bytes."},
 		{"untraced", Counter, Requests, "Streams that callers took up and whose build is not known.",
 			"A rise without many VMs lost at once: see the `origin` counters; log lines `stream not traced` name the streams."},
+		{"moved", Counter, Requests, "Streams that callers took up and whose service their route does not lead to any more.",
+			"Expected after a route has moved to another service while streams ran."},
 		{"traced_by_archive", Counter, Requests, "Streams that callers took up at the build that the store's record names, because no VM had one.",
 			"Expected after many VMs were lost at once while a service had several builds."},
 		{"unconfirmed", Counter, Requests, "Streams that were ended before their first event because a VM or the store may have a former build of theirs.",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,8 @@
 	Ingress func(*relay.Relay, *feed.Service) Ingress
 	// EndpointTopic is the name of the topic of the endpoints' registrations.
 	EndpointTopic string
+	// ConfigurationTopic is the topic of the configuration.
+	ConfigurationTopic string
 	// Store and Topics are what the entry VMs share of the platform's store. EraSeen
 	// receives each later era of the store, also one that another VM has found.
 	Store   feed.Store
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -243,12 +243,16 @@
 type fakeBuilds struct {
 	mu   sync.Mutex
 	sole string
+	// others is set if other services have engines.
+	others bool
 	// held are the builds whose engines may not begin streams.
 	held map[string]bool
 }
 
 func (f *fakeBuilds) Sole(time.Time, string) (string, bool) { return f.sole, f.sole != "" }
 
+func (f *fakeBuilds) Alone(time.Time, string) bool { return !f.others }
+
 func (f *fakeBuilds) Held(_ time.Time, _, build string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -352,9 +356,9 @@
 	origins   *fakeOrigins
 	builds    *fakeBuilds
 	admission fakeAdmission
-	// endpointsAge is the age of the fleet's endpoints.
-	endpointsAge time.Duration
-	instances    []fleet.Instance
+	// endpointsAge is the age of the fleet's endpoints, configurationAge that of the configuration.
+	endpointsAge, configurationAge time.Duration
+	instances                      []fleet.Instance
 	// eventTimeout is how long callers wait for an event.
 	eventTimeout time.Duration
 	// body is that of requests; memory counts their answers, nil if there is no bound.
@@ -396,9 +400,10 @@
 	}))
 	s.relay = New(Options{
 		VM: "vm", Incarnation: 1, Zone: "a", Fleet: s.fleet, Endpoints: s.endpoints, Reserver: s.reserver,
-		EndpointsAge: func() time.Duration { return s.endpointsAge },
-		Admission:    &s.admission,
-		Budget:       &budget{left: 10}, Client: client, Origins: s.origins, Builds: s.builds, Dialect: testDialect{}, Log: log,
+		EndpointsAge:     func() time.Duration { return s.endpointsAge },
+		ConfigurationAge: func() time.Duration { return s.configurationAge },
+		Admission:        &s.admission,
+		Budget:           &budget{left: 10}, Client: client, Origins: s.origins, Builds: s.builds, Dialect: testDialect{}, Log: log,
 		Quarantine: startQuarantine(t, client, log),
 	})
 	return s
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -57,6 +57,8 @@
 type Builds interface {
 	// Sole returns the only build that can have begun a stream of a service, if it is proved.
 	Sole(now time.Time, service string) (string, bool)
+	// Alone reports whether no other service can have begun a stream that is still taken up.
+	Alone(now time.Time, service string) bool
 	// Held reports whether engines of a build may not begin streams that can be resumed yet.
 	Held(now time.Time, service, build string) bool
 }
@@ -114,7 +116,13 @@
 	}
 	if outcome != "" {
 		g.build, g.revision = found.Build, found.Revision
-		fields["build"] = g.build
+		fields["build"], fields["service"] = g.build, found.Service
+		if !r.followService(g, found.Service) {
+			r.Counters.Moved.Add(1)
+			r.decide(g.exchange, "stream's service not available", fields)
+			r.refuse(g.exchange, Refusal{Reason: "the route does not lead to the service that began the stream"})
+			return false
+		}
 		r.decide(g.exchange, outcome, fields)
 		return true
 	}
@@ -131,6 +139,24 @@
 	return false
 }
 
+// followService makes the request one of the service that began its stream, which the split of the route may have
+// changed since. It returns false if the route leads to that service no more.
+func (r *Relay) followService(g *generation, name string) bool {
+	if name == g.service.Name {
+		return true
+	}
+	table := r.options.Fleet.Table()
+	if table == nil || !g.route.LeadsTo(name) {
+		return false
+	}
+	service := table.Service(name)
+	if service == nil || service.Engines == nil {
+		return false
+	}
+	g.service = service
+	return true
+}
+
 // findBuild determines the build that began a stream: by the record that VMs have, by the
 // proof that there has been one build only, or by the record in the archive. The outcome is
 // empty if it is not known; the error then is Unknown if all VMs and the archive responded.
@@ -142,8 +168,8 @@
 	if ctx.Err() != nil {
 		return origin.Origin{}, "", err
 	}
-	if sole, ok := r.soleBuild(g.service.Name); ok {
-		return origin.Origin{Build: sole}, "stream taken up at the only build", err
+	if sole, ok := r.soleBuild(g.service.Name); ok && r.soleService(g) {
+		return origin.Origin{Service: g.service.Name, Build: sole}, "stream taken up at the only build", err
 	}
 	found, archiveErr := r.findArchived(ctx, g)
 	if archiveErr == nil {
@@ -185,6 +211,16 @@
 	return r.options.Builds.Sole(time.Now(), service)
 }
 
+// soleService reports whether no other service can have begun the stream: no other one has had engines, or
+// the route has led to no other one, also by a configuration that was read after the request had arrived.
+func (r *Relay) soleService(g *generation) bool {
+	now := time.Now()
+	if r.options.Builds.Alone(now, g.service.Name) {
+		return true
+	}
+	return now.Sub(g.route.UnchangedSince) >= builds.Memory && r.options.ConfigurationAge() < now.Sub(g.request.Arrived)
+}
+
 // heldBuild reports whether an engine may not begin the stream yet, because a VM that starts
 // would have no record of its build.
 func (r *Relay) heldBuild(g *generation, service, build string) bool {
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/builds"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/origin"
+	"github.com/ospreyshed/ospreyshed/internal/routing"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 )
 
@@ -55,7 +57,7 @@
 	s := newFixture(t, grant("p2", "e2"))
 	s.engines(answers(http.StatusOK, "h1"), events(3))
 	s.setBuilds(twoBuilds)
-	s.origins.found, s.origins.err = origin.Origin{Stream: "r0", Build: "v2", Revision: 3}, nil
+	s.origins.found, s.origins.err = origin.Origin{Stream: "r0", Service: "pool", Build: "v2", Revision: 3}, nil
 	caller := s.serve(check, takenUp)
 	assert.Equal(t, caller.outcome, "stream")
 	assert.Equal(t, s.callLog(), "p2:1/2 e2:2/h2/2")
@@ -97,7 +99,7 @@
 			s.setBuilds(c.builds)
 			s.builds.sole = c.sole
 			s.origins.err, s.origins.archiveErr = c.found, c.inArchive
-			s.origins.inArchive = origin.Origin{Stream: "r0", Build: "v1", Revision: 2}
+			s.origins.inArchive = origin.Origin{Stream: "r0", Service: "pool", Build: "v1", Revision: 2}
 			s.endpointsAge = c.age
 			caller := s.serve(check, takenUp)
 			assert.Equal(t, caller.outcome, c.outcome)
@@ -107,12 +109,77 @@
 	}
 }
 
+// A route moved to another service whose engines have builds of the same names, and streams that had begun at the
+// former service went on there.
+func TestStreamGoesOnAtItsServiceOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		destinations []routing.Destination
+		outcome      string
+	}{
+		"route has moved":       {[]routing.Destination{{Service: "pool", Weight: 1}}, "refused: the route does not lead to the service that began the stream"},
+		"weight was taken away": {[]routing.Destination{{Service: "pool", Weight: 1}, {Service: "former"}}, "refused: the route does not lead to the service that began the stream"},
+		"split has changed":     {[]routing.Destination{{Service: "pool", Weight: 9}, {Service: "former", Weight: 1}}, "stream"},
+	} {
+		for _, archived := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, archived), func(t *testing.T) {
+				s := newFixture(t, grant("p1", "e1"))
+				s.engines(answers(http.StatusOK, "h1"), events(3))
+				s.setBuilds(oneBuild)
+				s.fleet.SetTable(routing.NewTable(2, routing.Limits{}, nil, []routing.Service{
+					{Name: "pool", Engines: &routing.Engines{Slots: 8}}, {Name: "former", Engines: &routing.Engines{Slots: 8}},
+				}))
+				found := origin.Origin{Stream: "r0", Service: "former", Build: "v1", Revision: 1}
+				if archived {
+					s.origins.inArchive, s.origins.archiveErr = found, nil
+				} else {
+					s.origins.found, s.origins.err = found, nil
+				}
+				route := check
+				route.Destinations = c.destinations
+				caller := s.serve(route, takenUp)
+				assert.Equal(t, caller.outcome, c.outcome)
+				if c.outcome == "stream" {
+					assert.Equal(t, s.reserver.demands[0].Model, "former")
+					assert.Equal(t, s.origins.recorded[0].Service, "former")
+				}
+			})
+		}
+	}
+}
+
+// Without a record, the only build of the route's service was taken for the one that began the stream, although the
+// route may have led to another service then.
+func TestUntracedStreamGoesOnOnlyIfThereIsOneService(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		others    bool
+		unchanged time.Duration
+		age       time.Duration
+		outcome   string
+	}{
+		{"one service", false, 0, time.Hour, "stream"},
+		{"two services, route has just moved", true, builds.Memory - time.Second, 0, "refused: the build that began the stream is not known"},
+		{"two services, configuration may have changed", true, builds.Memory, time.Hour, "refused: the build that began the stream is not known"},
+		{"two services, route unchanged", true, builds.Memory, 0, "stream"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFixture(t, grant("p1", "e1"))
+			s.engines(answers(http.StatusOK, "h1"), events(3))
+			s.setBuilds(oneBuild)
+			s.builds.sole, s.builds.others, s.configurationAge = "v1", c.others, c.age
+			route := check
+			route.UnchangedSince = time.Now().Add(-c.unchanged)
+			assert.Equal(t, s.serve(route, takenUp).outcome, c.outcome)
+		})
+	}
+}
+
 // A stream that the archive names must go on at the build that began it.
 func TestStreamGoesOnAtTheBuildOfTheArchive(t *testing.T) {
 	s := newFixture(t, grant("p2", "e2"))
 	s.engines(answers(http.StatusOK, "h1"), events(3))
 	s.setBuilds(twoBuilds)
-	s.origins.inArchive, s.origins.archiveErr = origin.Origin{Stream: "r0", Build: "v2", Revision: 3}, nil
+	s.origins.inArchive, s.origins.archiveErr = origin.Origin{Stream: "r0", Service: "pool", Build: "v2", Revision: 3}, nil
 	assert.Equal(t, s.serve(check, takenUp).outcome, "stream")
 	assert.Equal(t, s.reserver.demands[0].Build, "v2")
 	assert.DeepEqual(t, s.origins.recorded, []origin.Origin{{Stream: "r0", Service: "pool", Build: "v2", Revision: 3}})
@@ -261,7 +328,7 @@
 	})
 	s.endpoint("e2", "pool", configuration.RoleDecode, events(3))
 	s.setBuilds(twoBuilds)
-	s.origins.found, s.origins.err = origin.Origin{Stream: "r0", Build: "v2", Revision: 1}, nil
+	s.origins.found, s.origins.err = origin.Origin{Stream: "r0", Service: "pool", Build: "v2", Revision: 1}, nil
 	short := check
 	short.Timeout = 100 * time.Millisecond
 	s.serve(short, takenUp)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,10 +94,12 @@
 	// EndpointsAge returns the time since the fleet's endpoints are known to have been
 	// complete.
 	EndpointsAge func() time.Duration
-	Endpoints    Endpoints
-	Reserver     Reserver
-	Admission    Admission
-	Budget       Budget
+	// ConfigurationAge returns the time since the configuration is known to have been the newest.
+	ConfigurationAge func() time.Duration
+	Endpoints        Endpoints
+	Reserver         Reserver
+	Admission        Admission
+	Budget           Budget
 	// Client must match responses to requests, see upstream.Options.IDHeader.
 	Client *upstream.Client
 	// InFlight bounds the bytes of requests that endpoints hold; nil sets no bound.
@@ -151,6 +153,8 @@
 	OutOfSequence, MalformedStreams atomic.Int64
 	// Untraced counts streams that callers took up and whose build is not known.
 	Untraced atomic.Int64
+	// Moved counts streams that callers took up and whose service their route does not lead to any more.
+	Moved atomic.Int64
 	// TracedByArchive counts streams that callers took up and whose build was found in the
 	// archive.
 	TracedByArchive atomic.Int64
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -2,7 +2,10 @@
 // prefix. A Table is immutable and is read without a lock.
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind determines how often a request of the route may run.
 type Kind string
@@ -35,6 +38,9 @@
 	// Resumable streams may continue on another endpoint after their last event.
 	Resumable    bool
 	Destinations []Destination
+	// UnchangedSince is the time at which this process first saw the route with its destinations,
+	// without a change since then.
+	UnchangedSince time.Time
 	// MaxAttempts is the maximum number of endpoints that one request is sent to.
 	MaxAttempts int
 	// Timeout is the maximum time that a caller is kept waiting.
@@ -50,6 +56,11 @@
 	Anonymous bool
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Destinations, func(d Destination) bool { return d.Service == service && d.Weight > 0 })
+}
+
 // RunsOnce reports whether a request of the route may run at most once.
 func (r *Route) RunsOnce() bool {
 	return r.Kind == SingleRun || r.Kind == Streaming && !r.Resumable
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -40,6 +41,20 @@
 	return t
 }
 
+// Follow sets since when the routes of a table that is not yet used have been as they are: since they
+// were so in the previous table, which may be nil, or from now on.
+func (t *Table) Follow(previous *Table, now time.Time) {
+	for key, route := range t.byPrefix {
+		route.UnchangedSince = now
+		if previous == nil {
+			continue
+		}
+		if former := previous.byPrefix[key]; former != nil && slices.Equal(former.Destinations, route.Destinations) {
+			route.UnchangedSince = former.UnchangedSince
+		}
+	}
+}
+
 // Lookup returns the route of the host with the longest prefix that matches the
 // path, nil if there is none.
 func (t *Table) Lookup(host, path string) *Route {
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -43,3 +44,22 @@
 	assert.Assert(t, counts["b"] > 800 && counts["b"] < 1200, "%v", counts)
 	assert.Equal(t, route.Choose("7"), route.Choose("7"))
 }
+
+// A route that has just moved was taken for one that has always led to its service.
+func TestRouteIsUnchangedSinceItsDestinationsAre(t *testing.T) {
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	tableOf := func(version uint64, service string, previous *Table, now time.Time) *Table {
+		table := NewTable(version, Limits{}, []Route{{Host: "h", Prefix: "/a/", Destinations: []Destination{{service, 1}}}}, nil)
+		table.Follow(previous, now)
+		return table
+	}
+	since := func(table *Table) time.Time { return table.Lookup("h", "/a/x").UnchangedSince }
+	first := tableOf(1, "pool", nil, at(0))
+	assert.Equal(t, since(first), at(0))
+	second := tableOf(2, "pool", first, at(1))
+	assert.Equal(t, since(second), at(0))
+	third := tableOf(3, "other", second, at(2))
+	assert.Equal(t, since(third), at(2))
+	assert.Equal(t, since(tableOf(4, "pool", third, at(3))), at(3), "it led to another service meanwhile")
+}
