Let a stream go on only at the registered process of an engine

An engine crashed and was back under its ID with a newer build before its registration arrived.

Cause: the process at an instance's address counted as the registered one; the ID that a request expects is the same for both. Before a stream goes on at an engine, its report now has to name the registered start. It is asked once the answer has begun, so that a process that is confirmed then is the one that gives it. A stream that began at a restarted engine is recorded under the new build once that is registered.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -36,6 +36,9 @@
 	ID string
 	// Draining says that the endpoint has announced its shutdown.
 	Draining bool
+	// Born identifies the endpoint's process: its start in Unix milliseconds by its own clock; 0 if it is
+	// not known.
+	Born int64
 }
 
 // EntryVM is another entry VM that has announced itself.
@@ -105,6 +108,17 @@
 	}
 }
 
+// Successor returns the instance that an endpoint has become by a start under its ID at its address, nil if it
+// has not been started again or its registration has not arrived.
+func (v *View) Successor(id, address string) *Instance {
+	for _, instance := range v.instances {
+		if instance.ID == id && instance.Address == address {
+			return instance
+		}
+	}
+	return nil
+}
+
 // Replaced reports whether an instance is registered no more and another one has its address.
 func (v *View) Replaced(name, address string) bool {
 	if v.instances[name] != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,7 @@
 	// Journal and Orders are used to change the roles of engines. The second parameter of
 	// Orders records what engines announce in their answers.
 	Journal roles.Journal
-	Orders  func(client *upstream.Client, endpoints *endpoint.Registry) roles.Orders
+	Orders  func(client *upstream.Client, endpoints *endpoint.Registry) EngineCalls
 	// Archive keeps verdicts on parts of prompts on which engines crash; nil if nothing
 	// does.
 	Archive quarantine.Archive
@@ -91,6 +91,12 @@
 	Background []func(ctx context.Context)
 }
 
+// EngineCalls are the calls to engines besides those for requests.
+type EngineCalls interface {
+	roles.Orders
+	relay.Incarnations
+}
+
 // BuildOptions are the settings of the history of builds.
 type BuildOptions struct {
 	// History is updated by the adapter with registrations and records.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -41,8 +41,9 @@
 // noOrders is a roles.Journal and a roles.Orders that do nothing.
 type noOrders struct{}
 
-func (noOrders) Read(context.Context) (roles.Reading, error)         { return roles.Reading{}, nil }
-func (noOrders) Append(context.Context, roles.Entry) (uint64, error) { return 0, nil }
+func (noOrders) Read(context.Context) (roles.Reading, error)            { return roles.Reading{}, nil }
+func (noOrders) Append(context.Context, roles.Entry) (uint64, error)    { return 0, nil }
+func (noOrders) Confirm(context.Context, *configuration.Endpoint) error { return nil }
 func (noOrders) SetRole(context.Context, *configuration.Endpoint, configuration.Role, uint64) error {
 	return nil
 }
@@ -60,7 +61,7 @@
 		Ingress: func(*relay.Relay, *feed.Service) Ingress { return noIngress{} },
 		Topics:  func(Events) []feed.Topic { return nil },
 		Journal: noOrders{},
-		Orders:  func(*upstream.Client, *endpoint.Registry) roles.Orders { return noOrders{} },
+		Orders:  func(*upstream.Client, *endpoint.Registry) EngineCalls { return noOrders{} },
 		Clock:   time.Now,
 		Builds: BuildOptions{
 			History: builds.NewHistory(func() uint64 { return 0 }),
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -42,7 +42,7 @@
 // relayModule provides the request path, and runs the balancer of engine roles and
 // the adapter's background work.
 var relayModule = fx.Module("relay",
-	fx.Provide(newClient, newBudgets, newHedger, newRelay, newIngress),
+	fx.Provide(newClient, newEngineCalls, newBudgets, newHedger, newRelay, newIngress),
 	fx.Invoke(runBackground, runBalancer),
 )
 
@@ -59,6 +59,10 @@
 	return client
 }
 
+func newEngineCalls(options *Options, client *upstream.Client, endpoints *endpoint.Registry) EngineCalls {
+	return options.Orders(client, endpoints)
+}
+
 func newBudgets(options *Options) *retry.Shared {
 	return retry.NewShared(options.RetryRatio, options.RetrySlack)
 }
@@ -81,6 +85,7 @@
 	Client       *upstream.Client
 	Registry     *metrics.Registry
 	Origins      *origin.Service
+	EngineCalls  EngineCalls
 	Quarantine   *quarantine.Service
 	Quotas       *quota.Service
 	Feed         *feed.Service
@@ -106,6 +111,7 @@
 		InFlight:         p.Options.InFlight,
 		Origins:          p.Origins,
 		Builds:           p.Options.Builds.History,
+		Incarnations:     p.EngineCalls,
 		Quarantine:       p.Quarantine,
 		Quotas:           p.Quotas,
 		Hedger:           hedger,
@@ -124,11 +130,11 @@
 }
 
 // runBalancer runs the balancer of engine roles.
-func runBalancer(lifecycle fx.Lifecycle, options *Options, client *upstream.Client, endpoints *endpoint.Registry, members *swim.Service, registry *metrics.Registry) {
+func runBalancer(lifecycle fx.Lifecycle, options *Options, calls EngineCalls, endpoints *endpoint.Registry, members *swim.Service, registry *metrics.Registry) {
 	balancer := roles.New(roles.Options{
 		VM:            options.VM,
 		Journal:       options.Journal,
-		Orders:        options.Orders(client, endpoints),
+		Orders:        calls,
 		HandoverDelay: options.HandoverDelay,
 		Engines:       func() []*configuration.Endpoint { return stayingEngines(options.Fleet.View(), endpoints) },
 		Quiet:         func(engine string) bool { return endpoints.QuietFor(engine) > 0 },
--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -22,7 +22,8 @@
 	r.recordOrigin(g, to.Build)
 	started := time.Now()
 	attempt := g.suspect.Begin(to.Name, to.Address)
-	response, verdict, err := r.open(ctx, g.exchange, to, &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID})
+	call := &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID}
+	response, verdict, err := r.open(ctx, g.exchange, to, call)
 	if ctx.Err() != nil {
 		closeResponse(response)
 		return true, ctx.Err()
@@ -53,10 +54,15 @@
 	if response.Status >= http.StatusMultipleChoices {
 		return true, r.handleErrorStatus(ctx, g, to, response, &verdict)
 	}
-	stream := &stream{relay: r, generation: g, id: id, endpoint: to, started: started, attempt: attempt, slowdown: verdict.slowdown()}
+	stream := &stream{
+		relay: r, generation: g, id: id, endpoint: to, instanceID: call.InstanceID, started: started, attempt: attempt, slowdown: verdict.slowdown(),
+	}
 	if err := verdict.checkStream(response.Status); err != nil {
 		return true, stream.reject(ctx, response, err)
 	}
+	if err := r.confirmProcess(ctx, g, id, to); err != nil {
+		return true, err
+	}
 	return true, stream.forward(ctx, response)
 }
 
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -266,6 +266,13 @@
 	delete(f.held, build)
 }
 
+// fakeIncarnations has the errors of Confirm by engine.
+type fakeIncarnations map[string]error
+
+func (f fakeIncarnations) Confirm(_ context.Context, engine *configuration.Endpoint) error {
+	return f[engine.Name]
+}
+
 // fakeAdmission admits all calls but those to endpoints with a wait.
 type fakeAdmission struct {
 	waits    map[string]time.Duration
@@ -356,6 +363,8 @@
 	origins   *fakeOrigins
 	builds    *fakeBuilds
 	admission fakeAdmission
+	// unconfirmed are the engines whose processes are not confirmed.
+	unconfirmed fakeIncarnations
 	// endpointsAge is the age of the fleet's endpoints, configurationAge that of the configuration.
 	endpointsAge, configurationAge time.Duration
 	instances                      []fleet.Instance
@@ -391,6 +400,8 @@
 		origins:   &fakeOrigins{err: origin.Unknown.New("no record"), archiveErr: origin.Unknown.New("no record")},
 		builds:    &fakeBuilds{},
 
+		unconfirmed: make(fakeIncarnations),
+
 		eventTimeout: time.Minute,
 		requestID:    "r1",
 	}
@@ -403,7 +414,7 @@
 		EndpointsAge:     func() time.Duration { return s.endpointsAge },
 		ConfigurationAge: func() time.Duration { return s.configurationAge },
 		Admission:        &s.admission,
-		Budget:           &budget{left: 10}, Client: client, Origins: s.origins, Builds: s.builds, Dialect: testDialect{}, Log: log,
+		Budget:           &budget{left: 10}, Client: client, Origins: s.origins, Builds: s.builds, Incarnations: s.unconfirmed, Dialect: testDialect{}, Log: log,
 		Quarantine: startQuarantine(t, client, log),
 	})
 	return s
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,10 +103,12 @@
 	// Client must match responses to requests, see upstream.Options.IDHeader.
 	Client *upstream.Client
 	// InFlight bounds the bytes of requests that endpoints hold; nil sets no bound.
-	InFlight   *membudget.Endpoints
-	Origins    Origins
-	Builds     Builds
-	Quarantine Quarantine
+	InFlight *membudget.Endpoints
+	Origins  Origins
+	Builds   Builds
+	// Incarnations is asked before a stream goes on at another engine.
+	Incarnations Incarnations
+	Quarantine   Quarantine
 	// Quotas may be nil if no request has a team with a limit.
 	Quotas Quotas
 	// Hedger is nil if requests are not hedged.
@@ -159,7 +161,8 @@
 	// archive.
 	TracedByArchive atomic.Int64
 	// Unconfirmed counts streams that were ended before their first event because a former build of
-	// theirs may be recorded.
+	// theirs may be recorded, and engines that were not let go on with a stream because another process
+	// than the registered one may serve there.
 	Unconfirmed atomic.Int64
 	// HeldForBuilds counts streams that waited because no engine of a listed build could
 	// begin them.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -69,6 +69,8 @@
 	generation *generation
 	id         engine.AttemptID
 	endpoint   *configuration.Endpoint
+	// instanceID is the endpoint's own ID, which it keeps if it is started again.
+	instanceID string
 	attempt    *quarantine.Attempt
 	started    time.Time
 	// slowdown is the slowdown that the engine stated, 0 if none.
@@ -261,6 +263,7 @@
 		return context.Canceled
 	}
 	s.record(b)
+	s.followRestart()
 	return nil
 }
 
