Do not take the end of an engine killed while it leaves for its answer's

An engine that had announced its end was killed while it completed its streams.

Cause: the check whether the process still listens was left out for endpoints that leave, as these may cease to listen before their answers end. It is made for all now; one that leaves and does not listen has ended in order only if its registration is taken away, which a killed process cannot do. The relay waits for registrations that were read half a second after the end.

The former row "leaving" demanded the fault and is replaced by "has left", with the registration taken away.

--- a/internal/relay/killed_plain_test.go
+++ b/internal/relay/killed_plain_test.go
@@ -22,6 +22,21 @@
 	}
 }
 
+// Guards against the same if the endpoint is known to leave: one that has left takes its registration away.
+func TestPlainAnswerOfAnEndpointKilledWhileItLeavesIsNotComplete(t *testing.T) {
+	s := newFixture(t)
+	address, kill := startEngineProcess(t, 2)
+	s.add("d1", "desk", "", address)
+	go func() {
+		for s.endpoints.InFlight("d1") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		s.endpoints.MarkLeaving("d1")
+		kill()
+	}()
+	assert.Equal(t, s.serve(booking, nil).outcome, "failed: no endpoint answered")
+}
+
 // Guards against such a part that ends as a whole answer while it is passed on for want of memory.
 func TestAnswerOfAKilledEndpointThatIsPassedOnIsNotComplete(t *testing.T) {
 	s := newFixture(t)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -276,7 +276,7 @@
 		}
 	}
 	buffer, err := r.readAnswer(ctx, x, call, response, &verdict, timer)
-	if err == nil && !verdict.NotRun && call.Stage != Prefill && r.endedWithEndpoint(ctx, to, response) {
+	if err == nil && !verdict.NotRun && call.Stage != Prefill && r.endedWithEndpoint(ctx, to, response, false) {
 		err = errEngineEnded
 		buffer.release()
 		x.passage.fail(err)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,6 +37,11 @@
 	endCheckDelay = 50 * time.Millisecond
 	// endCheckTimeout bounds the check, which delays the end of the answer. It takes one round trip.
 	endCheckTimeout = 250 * time.Millisecond
+	// leaveTime is how long an endpoint that has left takes to take its registration away, maxLeaveWait bounds
+	// the wait for registrations that are that late, and leavePoll is the time between two checks.
+	leaveTime    = 500 * time.Millisecond
+	maxLeaveWait = 4 * time.Second
+	leavePoll    = 20 * time.Millisecond
 )
 
 // enginePart is what one engine sent of a stream.
@@ -183,26 +189,59 @@
 
 // judgeEnd returns the error of an answer's end, or errEngineEnded in place of io.EOF.
 func (s *stream) judgeEnd(ctx context.Context, response *upstream.Response, err error) error {
-	if errors.Is(err, io.EOF) && s.generation.part.events > 0 && s.relay.endedWithEndpoint(ctx, s.endpoint, response) {
+	if !errors.Is(err, io.EOF) || s.generation.part.events == 0 {
+		return err
+	}
+	if s.relay.endedWithEndpoint(ctx, s.endpoint, response, s.generation.longest()) {
 		return errEngineEnded
 	}
 	return err
 }
 
+// longest reports whether the stream has as many tokens as were asked for, counted by the ID of its last event.
+func (g *generation) longest() bool {
+	events, err := strconv.Atoi(g.lastEventID)
+	return err == nil && events*g.service.Engines.TokensPerEvent >= g.request.Generation.MaxOutputTokens
+}
+
 // endedWithEndpoint reports whether an answer probably ended because its endpoint's process did. An answer without
 // framing is complete if its connection is closed in order, but the kernel closes the connections of a killed process
 // like that, too. Such a process no longer listens. Neither may an endpoint that leaves while it completes its
-// answers, so that one that is known to leave is not checked.
-func (r *Relay) endedWithEndpoint(ctx context.Context, from *configuration.Endpoint, response *upstream.Response) bool {
-	if response.Framed || !r.available(r.options.Fleet.View().Instance(from.Name)) {
+// answers; it takes its registration away then, which a killed one cannot. Longest says that nothing can follow.
+func (r *Relay) endedWithEndpoint(ctx context.Context, from *configuration.Endpoint, response *upstream.Response, longest bool) bool {
+	if response.Framed {
 		return false
 	}
+	ended := time.Now()
+	instance := r.options.Fleet.View().Instance(from.Name)
+	if instance == nil || !r.refuses(ctx, from) {
+		return false
+	}
+	if r.available(instance) {
+		return true
+	}
+	return !longest && !r.takesLeave(ctx, from, ended)
+}
+
+// refuses reports whether nothing listens at an endpoint's address any more.
+func (r *Relay) refuses(ctx context.Context, from *configuration.Endpoint) bool {
 	background.Pause(ctx, endCheckDelay)
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	return r.options.Client.Refuses(ctx, from.Address)
 }
 
+// takesLeave reports whether the registration of an endpoint that ended at a time has been taken away. It waits for
+// registrations that were read leaveTime after the end.
+func (r *Relay) takesLeave(ctx context.Context, from *configuration.Endpoint, ended time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxLeaveWait)
+	defer cancel()
+	for ctx.Err() == nil && r.options.Fleet.View().Instance(from.Name) != nil && time.Since(ended)-r.options.EndpointsAge() < leaveTime {
+		background.Pause(ctx, leavePoll)
+	}
+	return r.options.Fleet.View().Instance(from.Name) == nil
+}
+
 // silenceTimer measures the time without events.
 type silenceTimer struct {
 	limit time.Duration
--- a/internal/relay/unframed_test.go
+++ b/internal/relay/unframed_test.go
@@ -116,18 +116,24 @@
 }
 
 // A killed process ends its connections like one that has written its whole answer. Guards against a stream that looks
-// complete although its engine was killed, and against one that is given up because its engine, which leaves, accepts
-// no more connections.
+// complete although its engine was killed, also while it left, and against one that is given up because its engine, which
+// has left, accepts no more connections.
 func TestStreamWithoutFramingIsNotCompleteIfItsEngineHasEnded(t *testing.T) {
+	shortest := *work
+	shortest.MaxOutputTokens = 2
 	for _, c := range []struct {
 		name          string
 		route         routing.Route
-		leaving       bool
+		work          *Generation
+		leaving, left bool
 		outcome, body string
 	}{
-		{"resumable", check, false, "stream", eventText(3)},
-		{"single run", dossier, false, "aborted", eventText(2)},
-		{"leaving", check, true, "stream", eventText(2)},
+		{"resumable", check, work, false, false, "stream", eventText(3)},
+		{"single run", dossier, work, false, false, "aborted", eventText(2)},
+		{"killed while it leaves, resumable", check, work, true, false, "stream", eventText(3)},
+		{"killed while it leaves, single run", dossier, work, true, false, "aborted", eventText(2)},
+		{"killed while it leaves, nothing can follow", dossier, &shortest, true, false, "stream", eventText(2)},
+		{"has left", check, work, true, true, "stream", eventText(2)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newFixture(t, grant("e1", "e1"), grant("e2", "e2"))
@@ -139,7 +145,17 @@
 			})
 			s.add("e1", "pool", configuration.RoleDecode, ended)
 			s.endpoint("e2", "pool", configuration.RoleDecode, events(3))
-			caller := s.serve(c.route, work)
+			if c.left {
+				// No registrations are read after the end until that of the engine is gone.
+				s.endpointsAge = time.Hour
+				go func() {
+					for !strings.Contains(s.reserver.kinds(), "first-token") {
+						time.Sleep(time.Millisecond)
+					}
+					s.fleet.SetInstances(s.instances[1:])
+				}()
+			}
+			caller := s.serve(c.route, c.work)
 			assert.Equal(t, caller.outcome, c.outcome)
 			assert.Equal(t, caller.body, c.body)
 		})
