Announce the end of the killed endpoint after it has answered

TestPlainAnswerOfAnEndpointKilledWhileItLeavesIsNotComplete failed once: the endpoint was marked as leaving before the request was sent, so that it was not sent. The order is fixed by the endpoint's report now.

--- a/internal/relay/killed_engine_test.go
+++ b/internal/relay/killed_engine_test.go
@@ -43,8 +43,8 @@
 }
 
 // startEngineProcess starts an endpoint that sends a number of events, and returns its address and a function that
-// kills it once it has sent them.
-func startEngineProcess(t *testing.T, count int) (address string, kill func()) {
+// kills it once it has sent them, after other functions.
+func startEngineProcess(t *testing.T, count int) (address string, kill func(before ...func())) {
 	t.Helper()
 	process := exec.CommandContext(t.Context(), os.Args[0])
 	process.Env = append(os.Environ(), engineProcessVariable+"="+strconv.Itoa(count))
@@ -59,12 +59,18 @@
 		}
 	}
 	assert.Assert(t, address != "", "the engine did not start")
-	kill = sync.OnceFunc(func() {
-		lines.Scan()
-		_ = process.Process.Kill()
-		_ = process.Wait()
-	})
-	t.Cleanup(kill)
+	var once sync.Once
+	kill = func(before ...func()) {
+		once.Do(func() {
+			lines.Scan()
+			for _, run := range before {
+				run()
+			}
+			_ = process.Process.Kill()
+			_ = process.Wait()
+		})
+	}
+	t.Cleanup(func() { kill() })
 	return address, kill
 }
 
--- a/internal/relay/killed_plain_test.go
+++ b/internal/relay/killed_plain_test.go
@@ -27,13 +27,7 @@
 	s := newFixture(t)
 	address, kill := startEngineProcess(t, 2)
 	s.add("d1", "desk", "", address)
-	go func() {
-		for s.endpoints.InFlight("d1") == 0 {
-			time.Sleep(time.Millisecond)
-		}
-		s.endpoints.MarkLeaving("d1")
-		kill()
-	}()
+	go kill(func() { s.endpoints.MarkLeaving("d1") })
 	assert.Equal(t, s.serve(booking, nil).outcome, "failed: no endpoint answered")
 }
 
