Leave a silent stream only once another engine has taken it

A stream whose engine paused was left when its prompt had been processed elsewhere. If the engine that was to go on declined or was not reachable and no retry was left, the caller's stream was broken off although the silent engine would have gone on.

The decode engine now gets its call while the silent stream is open, which is left once the other engine has begun its answer. A call to a decode engine is split into its beginning and the reading of its answer for that.

--- a/internal/relay/decode.go
+++ b/internal/relay/decode.go
@@ -10,36 +10,81 @@
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/engine"
+	"github.com/ospreyshed/ospreyshed/internal/quarantine"
 	"github.com/ospreyshed/ospreyshed/internal/scheduling"
 	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
+// decodeCall is a call to a decode engine whose response has begun or failed.
+type decodeCall struct {
+	id       engine.AttemptID
+	to       *configuration.Endpoint
+	call     *Call
+	attempt  *quarantine.Attempt
+	started  time.Time
+	response *upstream.Response
+	verdict  Verdict
+	err      error
+	// confirmed is set once the engine's process has been confirmed.
+	confirmed bool
+	// end records that the engine has one request less.
+	end func()
+}
+
+// close ends the call.
+func (c *decodeCall) close() {
+	if c == nil {
+		return
+	}
+	closeResponse(c.response)
+	c.end()
+}
+
+// taken reports whether the engine has begun a stream.
+func (c *decodeCall) taken() bool {
+	return c.err == nil && !c.verdict.OtherInstance && !c.verdict.NotRun && c.verdict.checkStream(c.response.Status) == nil
+}
+
 // decode generates the answer on an engine that fetches the KV cache from the source,
 // or processes the prompt itself if the source is nil. It reports whether the engine
 // may have accepted the call.
 func (r *Relay) decode(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint, source *Source) (bool, error) {
-	defer r.options.Endpoints.Begin(to.Name)()
+	c := r.openDecode(ctx, g, id, to, source)
+	defer c.close()
+	return r.finishDecode(ctx, g, c)
+}
+
+// openDecode sends a request to a decode engine and waits for the beginning of the response. The call must be
+// closed.
+func (r *Relay) openDecode(ctx context.Context, g *generation, id engine.AttemptID, to *configuration.Endpoint, source *Source) *decodeCall {
+	c := &decodeCall{
+		id: id, to: to, call: &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID},
+		end: r.options.Endpoints.Begin(to.Name), started: time.Now(),
+	}
 	r.recordOrigin(g, to.Build)
-	started := time.Now()
-	attempt := g.suspect.Begin(to.Name, to.Address)
-	call := &Call{Stage: decodeStage(source), Source: source, LastEventID: g.lastEventID}
-	response, verdict, err := r.open(ctx, g.exchange, to, call)
+	c.attempt = g.suspect.Begin(to.Name, to.Address)
+	c.response, c.verdict, c.err = r.open(ctx, g.exchange, to, c.call)
+	return c
+}
+
+// finishDecode reads the response of a decode engine. Like decode, it reports whether the engine may have accepted
+// the call.
+func (r *Relay) finishDecode(ctx context.Context, g *generation, c *decodeCall) (bool, error) {
+	id, to, response, verdict := c.id, c.to, c.response, c.verdict
 	if ctx.Err() != nil {
-		closeResponse(response)
 		return true, ctx.Err()
 	}
-	if err != nil {
-		if brokenOff(err) {
-			attempt.Broken()
+	if c.err != nil {
+		if brokenOff(c.err) {
+			c.attempt.Broken()
 		}
 		if !g.route.RunsOnce() {
-			attempt.Settle(ctx)
+			c.attempt.Settle(ctx)
 		}
-		return r.handleDecodeError(g, id, to, err)
+		return r.handleDecodeError(g, id, to, c.err)
 	}
-	defer response.Close()
 	r.reportLeaving(id, to, verdict)
-	r.reportLimit(g, id, to, verdict, started)
+	r.reportLimit(g, id, to, verdict, c.started)
 	if verdict.OtherInstance {
 		g.sends--
 		r.handleReplacedEngine(g, id, to)
@@ -55,13 +100,15 @@
 		return true, r.handleErrorStatus(ctx, g, to, response, &verdict)
 	}
 	stream := &stream{
-		relay: r, generation: g, id: id, endpoint: to, instanceID: call.InstanceID, started: started, attempt: attempt, slowdown: verdict.slowdown(),
+		relay: r, generation: g, id: id, endpoint: to, instanceID: c.call.InstanceID, started: c.started, attempt: c.attempt, slowdown: verdict.slowdown(),
 	}
 	if err := verdict.checkStream(response.Status); err != nil {
 		return true, stream.reject(ctx, response, err)
 	}
-	if err := r.confirmProcess(ctx, g, id, to); err != nil {
-		return true, err
+	if !c.confirmed {
+		if err := r.confirmProcess(ctx, g, id, to); err != nil {
+			return true, err
+		}
 	}
 	return true, stream.forward(ctx, response)
 }
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -130,18 +130,13 @@
 	}
 }
 
-// attempt reserves engines and runs the request on them once, or on those that were
-// prepared during the previous attempt. It returns nil if the answer is complete,
+// attempt reserves engines and runs the request on them once, or goes on with those that
+// took the stream during the previous attempt. It returns nil if the answer is complete,
 // errGiveUp if no other attempt may follow.
 func (r *Relay) attempt(ctx context.Context, g *generation) error {
 	if next := g.next; next != nil {
 		g.next = nil
-		return r.holding(g, next.demand, next.grant, time.Now(), func() error {
-			if next.source == nil {
-				return r.run(ctx, g, next.demand.ID, next.grant)
-			}
-			return r.runDecode(ctx, g, next.demand.ID, next.grant, next.source)
-		})
+		return r.holding(g, next.demand, next.grant, time.Now(), func() error { return r.goOn(ctx, g, next) })
 	}
 	started := time.Now()
 	demand, grant, err := r.reserveUnlessStopping(ctx, g)
--- a/internal/relay/prepare_test.go
+++ b/internal/relay/prepare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,8 +37,9 @@
 	}()
 	for range 3000 {
 		g := &generation{exchange: x}
-		p := s.relay.prepare(t.Context(), g.detached(), s.relay.demand(g))
-		assert.Assert(t, p.err != nil || p.source != nil)
+		p := s.relay.prepare(t.Context(), g.detached(), s.relay.demand(g), new(atomic.Bool))
+		assert.Assert(t, p.err != nil || p.call != nil)
+		p.call.close()
 	}
 	close(stop)
 	<-toggled
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -289,6 +289,9 @@
 		}
 		return nil
 	}
+	if s.sought.mayHaveRun() {
+		g.sends++
+	}
 	s.sought.withdraw()
 	s.sought = nil
 	if !g.headerSent {
@@ -351,21 +354,21 @@
 	return !g.route.RunsOnce() && g.sends < g.route.MaxAttempts
 }
 
-// takeOver ends the stream of a silent engine in favour of the prepared engines. It
-// returns false if there are none that can be used.
+// takeOver ends the stream of a silent engine in favour of an engine that has taken it. It
+// returns false if there is none.
 func (s *stream) takeOver(ctx context.Context, found prepared) bool {
 	r, g := s.relay, s.generation
+	ran := s.sought.mayHaveRun()
 	s.sought = nil
 	obstacle := found.err
-	if obstacle == nil && (ctx.Err() != nil || !r.usable(r.options.Fleet.View(), g, found.grant)) {
-		obstacle = errGrantOutdated
-	}
-	// A part of the prompt may have been quarantined meanwhile.
-	if obstacle == nil && r.heldBack(g.exchange) {
-		obstacle = errHeldBack
+	if obstacle == nil {
+		obstacle = ctx.Err()
 	}
 	if obstacle != nil {
 		r.discard(g.service.Name, found)
+		if ran {
+			g.sends++
+		}
 		g.obstacle = obstacle.Error()
 		r.decide(g.exchange, "silent engine not replaced", logrus.Fields{"endpoint": s.endpoint.Name, "obstacle": g.obstacle})
 		return false
