Record a stream anew if other engines were sought before it began

If the silent engine began the stream after all, the record named the other one: a take-up would have been joined. The build that begins is now recorded with a revision above all others. Calls that an engine declined count as the attempts that they were.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -29,9 +29,11 @@
 	demand scheduling.Demand
 	grant  scheduling.Grant
 	call   *decodeCall
-	// sent is set if an engine got a call, which costs a retry whatever follows.
-	sent bool
-	err  error
+	// sent is set if an engine got a call, which costs a retry whatever follows, and sends is the number
+	// of calls that count as attempts.
+	sent  bool
+	sends int
+	err   error
 }
 
 // continuation prepares other engines for a stream whose engine is silent, while the
@@ -107,7 +109,9 @@
 	if p.err == nil {
 		p.sent = true
 		decoding.Store(true)
+		before := g.sends
 		p.call, p.err = r.beginElsewhere(ctx, g, demand.ID, &view.Instance(p.grant.Decode).Endpoint, source)
+		p.sends = g.sends - before
 	}
 	if p.err != nil {
 		r.discardSource(source)
@@ -131,6 +135,10 @@
 		c.confirmed = true
 		return c, nil
 	case c.err != nil:
+		if brokenOff(c.err) {
+			c.attempt.Broken()
+			c.attempt.Settle(ctx)
+		}
 		_, _ = r.handleDecodeError(g, id, to, c.err)
 	case c.verdict.OtherInstance:
 		r.handleReplacedEngine(g, id, to)
@@ -148,8 +156,9 @@
 // goOn reads the stream of an engine that has taken it.
 func (r *Relay) goOn(ctx context.Context, g *generation, next *prepared) error {
 	g.deliveredBefore, g.limited = g.delivered, next.grant.Limited
-	g.sends++
+	g.sends += next.sends
 	g.mayHaveRun = true
+	r.reclaimOrigin(g, next.call.to.Build)
 	defer next.call.close()
 	_, err := r.finishDecode(ctx, g, next.call)
 	return retryIfDeclined(err)
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -307,6 +307,17 @@
 	r.options.Origins.Record(origin.Origin{Stream: g.stream, Service: g.service.Name, Build: g.build, Revision: g.revision})
 }
 
+// reclaimOrigin records the build of a stream that has not begun after other engines were sought for it, which may have
+// been recorded with the next revision.
+func (r *Relay) reclaimOrigin(g *generation, build string) {
+	if g.stream == "" || g.begun {
+		return
+	}
+	g.build = build
+	g.revision += 2
+	r.options.Origins.Record(origin.Origin{Stream: g.stream, Service: g.service.Name, Build: g.build, Revision: g.revision})
+}
+
 // beginStream ties the stream to the build that is about to send its first event. It returns false
 // if a VM or the archive may have a former build of the stream: a caller that took the stream up
 // would get the remainder from that build.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -85,6 +85,8 @@
 	batches int
 	// silent is set once the engine was silent for the limit.
 	silent bool
+	// soughtOnce is set once other engines were sought.
+	soughtOnce bool
 	// sought is the preparation of other engines while this one is silent, nil if
 	// there is none.
 	sought *continuation
@@ -295,6 +297,9 @@
 	s.sought.withdraw()
 	s.sought = nil
 	if !g.headerSent {
+		if s.soughtOnce {
+			s.relay.reclaimOrigin(g, g.build)
+		}
 		if !s.relay.beginStream(ctx, g) {
 			return errGiveUp
 		}
@@ -340,6 +345,7 @@
 	}
 	s.relay.Counters.Silences.Add(1)
 	s.sought = s.relay.seekContinuation(ctx, s.generation, s.endpoint.Name)
+	s.soughtOnce = s.soughtOnce || s.sought != nil
 	fields := logrus.Fields{"endpoint": s.endpoint.Name, "tokens": s.generation.delivered, "last_event": s.generation.lastEventID}
 	if s.sought == nil {
 		fields["obstacle"] = s.generation.obstacle
@@ -358,7 +364,6 @@
 // returns false if there is none.
 func (s *stream) takeOver(ctx context.Context, found prepared) bool {
 	r, g := s.relay, s.generation
-	ran := s.sought.mayHaveRun()
 	s.sought = nil
 	obstacle := found.err
 	if obstacle == nil {
@@ -366,9 +371,7 @@
 	}
 	if obstacle != nil {
 		r.discard(g.service.Name, found)
-		if ran {
-			g.sends++
-		}
+		g.sends += found.sends
 		g.obstacle = obstacle.Error()
 		r.decide(g.exchange, "silent engine not replaced", logrus.Fields{"endpoint": s.endpoint.Name, "obstacle": g.obstacle})
 		return false
