--- a/internal/builds/history_test.go
+++ b/internal/builds/history_test.go
@@ -174,7 +174,7 @@
 }
 
 // A VM that starts has not seen when a build joined. It must not begin its streams before the others
-// know the build, nor wait for builds that serve for long.
+// have the build, nor wait for builds that serve for long.
 func TestVMThatStartsHoldsOnlyBuildsThatJoinedLately(t *testing.T) {
 	start := time.Now()
 	for joined, held := range map[time.Duration]bool{
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -41,7 +41,7 @@
 // View returns the current snapshot of the fleet.
 func (s *Store) View() *View { return s.view.Load() }
 
-// SetTable puts a configuration, which nobody else uses yet, in force unless the same or a later version is
+// SetTable puts a configuration that is not in use yet in force unless the same or a later version is
 // already in force. It reports whether it did.
 func (s *Store) SetTable(table *routing.Table) bool {
 	s.mu.Lock()
--- a/internal/relay/incarnation.go
+++ b/internal/relay/incarnation.go
@@ -15,7 +15,7 @@
 // Replaced means that another process of an engine serves at its address than the registered one.
 var Replaced = upstream.InDoubt.NewSubtype("replaced")
 
-// Incarnations tells the processes of an engine apart.
+// Incarnations distinguishes the processes of an engine.
 type Incarnations interface {
 	// Confirm returns nil if the registered process of an engine serves at its address. The error is
 	// Replaced if another one does; with any other error that is not known.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -209,7 +209,7 @@
 // endedWithEndpoint reports whether an answer probably ended because its endpoint's process did. An answer without
 // framing is complete if its connection is closed in order, but the kernel closes the connections of a killed process
 // like that, too. Such a process no longer listens. Neither may an endpoint that leaves while it completes its
-// answers; it takes its registration away then, which a killed one cannot. Longest says that nothing can follow.
+// answers; it takes its registration away then, which a killed one cannot. Longest means that nothing can follow.
 func (r *Relay) endedWithEndpoint(ctx context.Context, from *configuration.Endpoint, response *upstream.Response, longest bool) bool {
 	if response.Framed {
 		return false
