--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -230,6 +230,18 @@
 	}
 }
 
+// A stream that no listed build can begin was held until its caller gave up, while the store accepted no records.
+func TestStreamThatNoListedBuildCanBeginIsRefused(t *testing.T) {
+	s := newFixture(t, grant("p1", "e1"))
+	s.engines(answers(http.StatusOK, "h1"), events(3))
+	s.setBuilds(oneBuild)
+	s.builds.held = map[string]bool{"v1": true}
+	caller := s.serve(check, work)
+	assert.Equal(t, caller.outcome, "refused: no engine's build is listed yet")
+	assert.Equal(t, caller.retryAfter, unlistedRetryAfter)
+	assert.Equal(t, s.callCount(), 0)
+}
+
 // A caller that takes a stream up may come to a VM that knows only the build of an
 // engine that declined it.
 func TestBuildIsRecordedBeforeEachSend(t *testing.T) {
--- a/internal/relay/stop_plain_test.go
+++ b/internal/relay/stop_plain_test.go
@@ -50,18 +50,25 @@
 		route routing.Route
 		began bool
 		sent  bool
+		// call is the number of the check of the key during which the stop goes on; the last one is followed only by
+		// the check right before the request is sent.
+		call int
 	}{
-		"single run, stop begins":         {booking, true, false},
-		"repeatable, stop begins":         {lookup, true, true},
-		"single run, listener has closed": {booking, false, false},
-		"repeatable, listener has closed": {lookup, false, false},
+		"single run, stop begins":         {booking, true, false, 1},
+		"repeatable, stop begins":         {lookup, true, true, 1},
+		"single run, listener has closed": {booking, false, false, 1},
+		"repeatable, listener has closed": {lookup, false, false, 1},
+		"single run, right before a send": {booking, true, false, 2},
+		"repeatable, right before a send": {lookup, false, false, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newFixture(t)
 			s.endpoint("d1", "desk", "", answers(http.StatusOK, "done"))
-			// The stop goes on while the connection to the endpoint is opened.
-			request := s.request(nil)
+			request, calls := s.request(nil), 0
 			request.Reauthenticate = func() (*team.Team, *Refusal) {
+				if calls++; calls != c.call {
+					return nil, nil
+				}
 				s.relay.BeginStop(time.Now().Add(time.Second))
 				if !c.began {
 					s.relay.RefuseNew()
