--- a/internal/completion/limits.go
+++ b/internal/completion/limits.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// textBytesPerToken and minTextBytes bound the text of an answer, which is kept for another engine to
-	// resume. Tokens have some bytes on average.
+	// textBytesPerToken and minTextBytes bound the whole text of an answer, which is kept so that another engine can
+	// resume it. Single tokens may be longer than the bound for one.
 	textBytesPerToken = 64
 	minTextBytes      = 4 << 10
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,8 +69,8 @@
 	Store   feed.Store
 	Topics  func(Events) []feed.Topic
 	EraSeen func(era uint64)
-	// Journal and Orders are used to change the roles of engines. The second parameter of
-	// Orders records what engines announce in their answers.
+	// Journal and Orders are used to change the roles of engines; Orders also identifies the processes
+	// of engines. Its second parameter records what engines announce in their answers.
 	Journal roles.Journal
 	Orders  func(client *upstream.Client, endpoints *endpoint.Registry) EngineCalls
 	// Archive keeps verdicts on parts of prompts on which engines crash; nil if nothing
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -59,6 +59,7 @@
 	return client
 }
 
+// newEngineCalls returns what orders engines and identifies their processes.
 func newEngineCalls(options *Options, client *upstream.Client, endpoints *endpoint.Registry) EngineCalls {
 	return options.Orders(client, endpoints)
 }
