--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and scripts of cases 6 to 10. The daemon is built by the command of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+go build -o target/review-2/standins ./review/_standins-2
