--- a/review/_standins-2/engine.go
+++ b/review/_standins-2/engine.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -34,19 +35,22 @@
 	breakAfter int64
 	// unframed is set if the end of the connection marks the end of an answer.
 	unframed bool
+	// varied is set if streams differ in length.
+	varied bool
 	// weightVersion is that of its weights.
 	born int64
 
-	mu      sync.Mutex
-	phase   string
-	busy    bool
-	seq     int64
-	beat    int64
-	leaving bool
-	running map[string]bool
-	past    []past
-	sent    atomic.Int64
-	orders  atomic.Int64
+	mu    sync.Mutex
+	phase string
+	busy  bool
+	seq   int64
+	beat  int64
+	// draining is set once it reports that it drains, leaving once it has removed its entry.
+	draining, leaving bool
+	running           map[string]bool
+	past              []past
+	sent              atomic.Int64
+	orders            atomic.Int64
 }
 
 // past is a state that reports show for a while.
@@ -70,6 +74,7 @@
 	flags.DurationVar(&e.reportLag, "report-lag", 300*time.Millisecond, "age of reports")
 	flags.DurationVar(&e.lateOrders, "late-orders", 0, "time after which an order without an answer is carried out")
 	flags.Int64Var(&e.breakAfter, "break-after", 0, "events after which the process ends")
+	flags.BoolVar(&e.varied, "varied", false, "streams differ in length")
 	flags.BoolVar(&e.unframed, "unframed", false, "answers end with their connections")
 	_ = flags.Parse(args)
 	listener, err := net.Listen("tcp", e.address)
@@ -77,6 +82,7 @@
 		log.Fatal(err)
 	}
 	e.note("engine started", map[string]any{"address": e.address})
+	go e.drainOnSignal(listener)
 	go e.keepRegistered()
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
@@ -92,7 +98,11 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	mux.HandleFunc("/", e.request)
-	log.Fatal(http.Serve(listener, mux))
+	err = http.Serve(listener, mux)
+	if !errors.Is(err, net.ErrClosed) {
+		log.Fatal(err)
+	}
+	select {} // The engine exits at the end of its drain.
 }
 
 // note writes a line for record.txt.
@@ -129,7 +139,7 @@
 	e.beat++
 	entry := map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots,
-		"state": "ready", "coldLeftMs": 0, "seq": e.beat, "born": e.born,
+		"state": e.state(), "coldLeftMs": 0, "seq": e.beat, "born": e.born,
 	}
 	if e.phase != "none" {
 		entry["phase"], entry["models"] = e.phase, models()
@@ -141,6 +151,49 @@
 	e.put(body)
 }
 
+// state returns the state that the engine registers. The lock must be held.
+func (e *engine) state() string {
+	if e.draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+const (
+	// drainTime is drainMs of the settings, drainMargin how much longer an engine takes new requests.
+	drainTime, drainMargin = 2 * time.Second, 300 * time.Millisecond
+)
+
+// drainOnSignal stops the engine gracefully once SIGUSR2 arrives: it reports that it drains, serves on for drainTime and a
+// little longer, closes its listener, completes its runs, removes its entry and exits.
+func (e *engine) drainOnSignal(listener net.Listener) {
+	drain := make(chan os.Signal, 1)
+	signal.Notify(drain, syscall.SIGUSR2)
+	<-drain
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	e.register()
+	e.note("the engine reports that it drains", map[string]any{})
+	time.Sleep(drainTime + drainMargin)
+	_ = listener.Close()
+	e.note("the engine takes no new connections", map[string]any{})
+	for e.runs() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	e.mu.Lock()
+	e.leaving = true
+	e.put(nil)
+	e.note("the engine has completed its runs and exits", map[string]any{})
+	os.Exit(0)
+}
+
+func (e *engine) runs() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 // put writes the entry of the engine.
 func (e *engine) put(body []byte) {
 	client := http.Client{Timeout: time.Second}
@@ -285,9 +338,17 @@
 	return n
 }
 
-// streamEvents is the number of events of each stream.
+// streamEvents is the number of events of a stream.
 const streamEvents = 25
 
+// length returns the number of events of a stream.
+func (e *engine) length(id string) int {
+	if !e.varied || id == "" {
+		return streamEvents
+	}
+	return streamEvents + int(id[0]%8)*3
+}
+
 // stream sends the events of a run. Each one names the version that made it.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -303,7 +364,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Weight-Versions", "1")
 	send, end := e.open(w)
-	for n := last + 1; n <= streamEvents; n++ {
+	for n := last + 1; n <= e.length(id); n++ {
 		time.Sleep(e.interval)
 		if r.Context().Err() != nil || send(fmt.Sprintf("id: %d\ndata: %s piece %d of %s\n\n", n, e.version, n, id)) != nil {
 			return
--- a/review/_standins-2/main.go
+++ b/review/_standins-2/main.go
@@ -22,6 +22,7 @@
 	"holders":   caseHolders,
 	"removed":   caseRemoved,
 	"flapping":  caseFlapping,
+	"drained":   caseDrained,
 }
 
 func main() {
--- a/review/_standins-2/site.go
+++ b/review/_standins-2/site.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"os"
 	"os/exec"
@@ -199,6 +200,7 @@
 		"version": version,
 		"routes": []map[string]any{
 			{"name": "r-stream", "host": "ficu95.example", "pathPrefix": "/stream/", "kind": "streaming", "timeoutMs": 14000, "sloMs": 1000, "priority": 1, "service": "llm", "maxAttempts": 2, "sticky": true, "resumable": true, "gapAimMs": 300},
+			{"name": "r-single", "host": "ficu95.example", "pathPrefix": "/single/", "kind": "streaming", "timeoutMs": 14000, "sloMs": 1000, "priority": 1, "service": "llm", "maxAttempts": 1, "sticky": true, "resumable": false, "gapAimMs": 300},
 			{"name": "r-once", "host": "ficu95.example", "pathPrefix": "/once/", "kind": "non_idempotent", "timeoutMs": 800, "sloMs": 300, "priority": 2, "service": "app", "maxAttempts": 1},
 			{"name": "r-safe", "host": "ficu95.example", "pathPrefix": "/safe/", "kind": "idempotent", "timeoutMs": 800, "sloMs": 300, "priority": 2, "service": "app", "maxAttempts": 2},
 		},
@@ -350,14 +352,20 @@
 	status int
 	// complete is set if the answer ended as a complete one.
 	complete bool
-	body     string
-	err      error
+	// kept is set if the connection had carried another request.
+	kept bool
+	body string
+	err  error
 }
 
 // send sends one request on a new connection and reads the answer.
 func (s *site) send(v *vm, method, path, id, body string, header map[string]string, wait time.Duration) received {
+	return s.sendBy(&http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true}}, v, method, path, id, body, header, wait)
+}
+
+// sendBy sends one request by a client, which may have a connection.
+func (s *site) sendBy(client *http.Client, v *vm, method, path, id, body string, header map[string]string, wait time.Duration) received {
 	r := received{id: id}
-	client := http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true}}
 	request, err := http.NewRequest(method, "http://"+v.front+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
@@ -368,6 +376,8 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { r.kept = info.Reused }}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	writeLine("sent", map[string]any{"request": id, "vm": v.name, "path": path})
 	response, err := client.Do(request)
 	if err != nil {
@@ -380,7 +390,7 @@
 	read, err := io.ReadAll(response.Body)
 	r.body, r.err, r.complete = string(read), err, err == nil
 	writeLine("answered", map[string]any{
-		"request": id, "status": r.status, "complete": r.complete, "stamp": response.Header.Get("X-Response-Stamp"), "body": r.body,
+		"request": id, "status": r.status, "complete": r.complete, "kept": r.kept, "stamp": response.Header.Get("X-Response-Stamp"), "body": r.body,
 	})
 	return r
 }
@@ -390,9 +400,7 @@
 
 // takeUp sends a request that goes on with a stream after an event. The prompt is that of the stream's first request.
 func (s *site) takeUp(v *vm, id, first string, event int) received {
-	header := map[string]string{
-		"X-Model": "m", "X-Token-Count": "300,80", "X-Prompt-Prefix": "5c1e07a2:200," + first[:8] + ":100",
-	}
+	header := streamHeader(first)
 	if event > 0 {
 		header["Last-Event-Id"] = fmt.Sprint(event)
 	}
@@ -420,3 +428,8 @@
 	_ = cmd.Process.Kill()
 	s.await("the end of a stand-in", func() bool { return !s.runs(cmd) })
 }
+
+// streamHeader returns the header of a request for a stream.
+func streamHeader(id string) map[string]string {
+	return map[string]string{"X-Model": "m", "X-Token-Count": "300,80", "X-Prompt-Prefix": "5c1e07a2:200," + id[:8] + ":100"}
+}
