--- a/review/.standins-2/store.go
+++ b/review/.standins-2/store.go
@@ -80,7 +80,7 @@
 	mux.HandleFunc("POST /-/log-append", s.append)
 	mux.HandleFunc("GET /-/log-read", s.read)
 	mux.HandleFunc("GET /-/log-newest", s.newest)
-	mux.HandleFunc("POST /-/log-trim", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("POST /-/log-trim", s.trim)
 	// The calls below are those of the engines, the operator and the script.
 	mux.HandleFunc("POST /standin/put", s.put)
 	mux.HandleFunc("POST /standin/away", s.setAway)
@@ -119,6 +119,7 @@
 	time.Sleep(2 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	p := s.partition(r)
 	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatUint(p.end(), 10) {
 		answer(w, http.StatusPreconditionFailed, map[string]any{"end": p.end()})
@@ -150,7 +151,7 @@
 			s.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
-		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+		s.nameEra(w)
 		switch {
 		case from < p.first || from > p.end():
 			answer(w, http.StatusGone, map[string]any{"first": p.first})
@@ -181,6 +182,7 @@
 func (s *logStore) newest(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	type item struct {
 		Key    string `json:"key"`
 		Value  []byte `json:"value"`
@@ -206,6 +208,35 @@
 	answer(w, http.StatusOK, map[string]any{"items": items, "more": false, "end": p.end()})
 }
 
+// nameEra names the era, or breaks the call off if the store is away. The lock must be held.
+func (s *logStore) nameEra(w http.ResponseWriter) {
+	if s.away {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
+// trim deletes the records of a partition before an offset.
+func (s *logStore) trim(w http.ResponseWriter, r *http.Request) {
+	var call struct {
+		Topic  string
+		Part   int
+		Before uint64
+	}
+	if json.NewDecoder(r.Body).Decode(&call) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nameEra(w)
+	p := s.named(call.Topic + "/" + strconv.Itoa(call.Part))
+	if before := min(call.Before, p.end()); before > p.first {
+		p.records, p.first = p.records[before-p.first:], before
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 // put stores a record of an engine or of the operator.
 func (s *logStore) put(w http.ResponseWriter, r *http.Request) {
 	value, err := io.ReadAll(r.Body)
