--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and scripts of cases 6 to 10. The daemon is built by the command of the deploy file.
+# Builds the stand-ins and scripts of cases 6 to 9. The daemon is built by the command of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
