Do not take a reset during the upload for the end of an answer

Callers saw: a 200 with a part of the engine's body, as a complete answer. The engine had answered a long upload early and without a length, and reset the connection while the upload was still written. A stream on a route that may not be resumed ended as complete after the events that had arrived.

Cause: the kernel reports a reset once per socket. The body of a request is written beside the read of the answer, and when the write took the error, the read got an end of file, which ends an answer without framing. The same end of file comes before the reset if the engine closes its socket while a part of the upload is still in this VM's buffers.

Why the fix works: the end of an answer without framing counts once the write of the request has succeeded and the kernel states that the peer, which has ended its side, has acknowledged every byte. A peer that has closed its socket sends a reset for the rest instead, in whatever call this process gets it. Answers of engines that end their side and read the upload later are complete as before.

--- a/internal/engine/openai/faulty_engine_test.go
+++ b/internal/engine/openai/faulty_engine_test.go
@@ -185,3 +185,47 @@
 		}
 	}
 }
+
+// An engine that answers before it has read a long prompt and resets the connection has not answered in full.
+func TestEarlyAnswerThatIsResetIsNone(t *testing.T) {
+	id := attempt
+	id.Attempt = 1
+	long := engine.Call{Attempt: id, Prompt: &engine.Prompt{Text: strings.Repeat("x", 4<<20)}}
+	calls := engineCalls(1)[:2]
+	calls[0].do = func(ctx context.Context, client *Client) error {
+		_, err := client.Prefill(ctx, long)
+		return err
+	}
+	calls[1].do = func(ctx context.Context, client *Client) error {
+		stream, err := client.Decode(ctx, engine.DecodeCall{Call: long, MaxTokens: 2})
+		if err != nil {
+			return err
+		}
+		defer func() { _ = stream.Close() }()
+		for err == nil {
+			_, err = stream.Next()
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		return err
+	}
+	calls[1].answer = strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(calls[1].answer), "data: [DONE]"))
+	for _, call := range calls {
+		for _, framing := range []string{byLength, byChunks, byClose} {
+			for _, cut := range []int{1, len(call.answer) / 2, len(call.answer) - 1} {
+				address := serveRaw(t, func(_ int, requests *bufio.Reader, conn net.Conn) {
+					request, err := http.ReadRequest(requests)
+					if err != nil {
+						return
+					}
+					whole := message(http.StatusOK, request.Header.Get(requestIDHeader), framing, call.answer)
+					_, _ = io.WriteString(conn, whole[:strings.Index(whole, call.answer)+cut])
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				})
+				err := call.do(t.Context(), newClient(t, address))
+				assert.Check(t, err != nil && !errorx.HasTrait(err, engine.NotRun), "%s by %s, %d bytes: %v", call.name, framing, cut, err)
+			}
+		}
+	}
+}
--- a/internal/forward/faulty_endpoint_test.go
+++ b/internal/forward/faulty_endpoint_test.go
@@ -154,3 +154,29 @@
 		assert.Assert(t, errorx.IsOfType(err, BadRequest), "%q: %v", path, err)
 	}
 }
+
+// An endpoint that replies before it has read a long call and resets the connection has not replied in full.
+func TestEarlyReplyThatIsResetIsNone(t *testing.T) {
+	for _, repeat := range []configuration.RepeatRule{configuration.Repeatable, configuration.NeverRepeat} {
+		for _, framing := range []string{"length", "chunks", "close"} {
+			address, stop, err := rawconn.Serve(t.Context(), func(_ int, requests *bufio.Reader, conn net.Conn) {
+				request, err := http.ReadRequest(requests)
+				if err != nil {
+					return
+				}
+				whole := replyTo(request.Header.Get(requestIDHeader), http.StatusOK, true, framing)
+				_, _ = io.WriteString(conn, whole[:len(whole)-1])
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			})
+			assert.NilError(t, err)
+			t.Cleanup(stop)
+			f := newForwarder(t, address)
+			f.endpoints = anyEndpoint{}
+			call := callOf(repeat)
+			call.Body = make([]byte, 4<<20)
+			reply, err := f.Do(t.Context(), call)
+			assert.Assert(t, err != nil, "%s by %s: %+v", repeat, framing, reply)
+			assert.Assert(t, !errorx.HasTrait(err, NotRun), "%s by %s: %v", repeat, framing, err)
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -234,7 +234,7 @@
 
 // Response is an endpoint's response. Read returns io.EOF only after a body that
 // is complete according to its framing. A body that ends with the connection has at least one
-// byte: without any, the endpoint may have broken off after the header.
+// byte, and the endpoint has the whole request: otherwise it may have broken off.
 type Response struct {
 	Status int
 	Header http.Header
@@ -273,13 +273,31 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if !r.Framed && !r.sawBody {
-		return 0, io.ErrUnexpectedEOF
+	if !r.Framed && !r.sawEOF {
+		if err := r.checkUnframedEnd(); err != nil {
+			return n, err
+		}
 	}
 	r.sawEOF = true
 	return n, io.EOF
 }
 
+// checkUnframedEnd returns why a body that ended with its connection may be truncated, nil if it is complete. It waits
+// until the endpoint has the whole request. One that closes its connection before that breaks the exchange off, and
+// the read of the response may get an end of file all the same: the kernel reports a reset once per socket, to the
+// write of the request's body if that is in progress.
+func (r *Response) checkUnframedEnd() error {
+	if !r.sawBody {
+		return io.ErrUnexpectedEOF
+	}
+	if r.written != nil {
+		if err := <-r.written; err != nil {
+			return errRequestUnread.Wrap(err, "%s", r.conn.address)
+		}
+	}
+	return awaitAcked(r.conn.socket)
+}
+
 // Close ends the exchange. The connection returns to the pool if the response was
 // read to its end and no further bytes have arrived.
 func (r *Response) Close() {
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -16,4 +16,6 @@
 	GivenUp = InDoubt.NewSubtype("given_up")
 	// Foreign is an InDoubt because the response did not name the request.
 	Foreign = InDoubt.NewSubtype("foreign")
+	// errRequestUnread means that an endpoint closed its connection before it had the whole request.
+	errRequestUnread = errorx.NewType(namespace, "request_unread")
 )
