Take an answer with a malformed status line for a failed attempt

Callers saw: an answer with status 600 or 999, or with the status line of another protocol, passed on with the engine's signature. An answer with status 000, or any other number below 100, was skipped like an interim one; it failed if anything but an answer followed, and what looked like one reached the caller.

Cause: net/http reads each number of three characters as a status, signs included, and takes all versions and reasons. readHead compared the status with 200 and 101 only.

A lone 000 was a failed attempt before.

Why the fix works: all calls to engines, plain services and the store of the platform read heads here. A status outside 100 to 599, a version other than HTTP/1 and control characters in the line end the exchange as in doubt, like a head that breaks off, also in interim answers and in late ones.

--- a/internal/engine/openai/faulty_engine_test.go
+++ b/internal/engine/openai/faulty_engine_test.go
@@ -229,3 +229,22 @@
 		}
 	}
 }
+
+// Guards against bytes that are no answer in HTTP/1.1 and count as the answer to a call of any kind.
+func TestMalformedAnswerIsNone(t *testing.T) {
+	for _, call := range engineCalls(1) {
+		for name, text := range malformedAnswers(requestIDHeader+": ID\r\n", call.answer) {
+			address := serveRaw(t, func(_ int, requests *bufio.Reader, conn net.Conn) {
+				if request := readRequest(requests); request != nil {
+					_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", request.Header.Get(requestIDHeader)))
+				}
+			})
+			err := call.do(t.Context(), newClient(t, address))
+			assert.Check(t, errorx.IsOfType(err, engine.Unavailable), "%s, %s: %v", call.name, name, err)
+		}
+	}
+}
+
+func malformedAnswers(header, body string) map[string]string {
+	return rawconn.MalformedStatusLines(header, body)
+}
--- a/internal/forward/faulty_endpoint_test.go
+++ b/internal/forward/faulty_endpoint_test.go
@@ -180,3 +180,26 @@
 		}
 	}
 }
+
+// Guards against bytes that are no answer in HTTP/1.1 and count as a reply or a refusal.
+func TestMalformedReplyIsNone(t *testing.T) {
+	for _, repeat := range []configuration.RepeatRule{configuration.Repeatable, configuration.NeverRepeat} {
+		for name, text := range malformedReplies() {
+			f := newRawForwarder(t, func(id, _ string) (string, bool) { return strings.ReplaceAll(text, "ID", id), true })
+			reply, err := f.Do(t.Context(), callOf(repeat))
+			assert.Check(t, err != nil, "%s, %s: %+v", repeat, name, reply)
+			assert.Check(t, err == nil || errorx.IsOfType(err, InDoubt), "%s, %s: %v", repeat, name, err)
+		}
+	}
+}
+
+// malformedReplies returns replies, of which some refuse the call.
+func malformedReplies() map[string]string {
+	all := make(map[string]string)
+	for _, header := range []string{requestIDHeader + ": ID\r\n", requestIDHeader + ": ID\r\n" + leavingHeader + ": true\r\n"} {
+		for name, text := range rawconn.MalformedStatusLines(header, "reply") {
+			all[header+name] = text
+		}
+	}
+	return all
+}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 )
 
 const (
@@ -13,6 +15,8 @@
 	maxHeadLines = 256
 	// maxInterimResponses is the number of interim responses before the final one.
 	maxInterimResponses = 32
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 )
 
 var (
@@ -20,6 +24,8 @@
 	errHeadTooLong = errors.New("the head of the response is too long")
 	// errInterim means that an endpoint sent interim responses without a final one.
 	errInterim = errors.New("too many interim responses")
+	// errStatusLine means that an endpoint sent a status line that is none of HTTP/1.
+	errStatusLine = errors.New("malformed status line")
 	// errSwitched means that an endpoint switches to another protocol, which no request asks for.
 	errSwitched = errors.New("status 101 without a request for another protocol")
 )
@@ -83,6 +89,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkStatusLine(head); err != nil {
+			return nil, err
+		}
 		if head.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errSwitched
 		}
@@ -94,3 +103,15 @@
 	}
 	return nil, errInterim
 }
+
+// checkStatusLine returns an error if a status line is none of HTTP/1, which net/http permits: it reads each number of
+// three characters as a status, and all versions and reasons.
+func checkStatusLine(head *http.Response) error {
+	if head.ProtoMajor != 1 || head.StatusCode < http.StatusContinue || head.StatusCode > maxStatus || strings.ContainsFunc(head.Status, isControl) {
+		return fmt.Errorf("%w: %q", errStatusLine, head.Proto+" "+head.Status)
+	}
+	return nil
+}
+
+// isControl reports whether a character is not permitted in a line.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
--- /dev/null
+++ b/internal/upstream/malformed_test.go
@@ -0,0 +1,44 @@
+package upstream
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ospreyshed/ospreyshed/internal/standin/rawconn"
+)
+
+// checkNoResponses checks that none of the answers counts as one.
+func checkNoResponses(t *testing.T, answers map[string]string) {
+	t.Helper()
+	for name, text := range answers {
+		head, body, err := receive(t, http.MethodPost, text)
+		assert.Check(t, head != nil, "%s: body %q, error %v", name, body, err)
+	}
+}
+
+// Guards against an answer whose status is none of HTTP/1.1: 000 was skipped like that of an interim answer, so that what
+// followed counted as the answer, and 600 or more were passed on.
+func TestMalformedStatusLineIsNoResponse(t *testing.T) {
+	checkNoResponses(t, rawconn.MalformedStatusLines("X-Kept: 1\r\n", "whole"))
+}
+
+// Guards against the refusal of answers that are unusual and valid.
+func TestUnusualHeadIsAResponse(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 599 Own\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.0 200 OK\r\n\r\nwhole",
+		"HTTP/1.1 200 G\xc3\xbct\r\nX-Field:1\t2 \xc3\xa9 \r\nContent-Length:5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\nX!#$%&'*+-.^_`|~1: \ncontent-LENGTH: 5\n\nwhole",
+		"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		// Lines of the body begin with spaces.
+		"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n \r\n whole\r\n\t \r",
+	} {
+		head, body, err := receive(t, http.MethodPost, text)
+		assert.NilError(t, head, "%q", text)
+		assert.NilError(t, err, "%q", text)
+		assert.Check(t, body == "whole" || len(body) == 14, "%q: %q", text, body)
+	}
+}
