Take an answer with a malformed header line for a failed attempt

Callers saw: an answer in whose head the name of a field has a space, passed on with the engine's signature. "Content-Length : 5" did not frame the body, so that they got another one, and a line that begins with a space or a tab was passed on as a part of the value before it, the signature for instance.

Cause: net/http accepts names with spaces and keeps them as they are, and joins a line that begins with white space to the line before it. Control bytes in names and values it refuses, so that they were failed attempts before.

Why the fix works: the client of all calls to engines, plain services and the store checks the names of each head, interim ones included, and of trailers. The reader of heads sees their bytes before net/http joins lines, also those that arrived together with an interim head. The clients of the own interface's log and VM list use net/http and check the same at their transport; joined lines are not found there, where no field but the length is used and the body is one JSON value. A read after the end of a broken answer returns the same error again.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -14,6 +14,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
 	"github.com/ospreyshed/ospreyshed/internal/timeline"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
 // platformModule provides the clients of the platform's services, and the metrics
@@ -46,6 +47,19 @@
 // platformTransport is the HTTP transport to the platform's services.
 type platformTransport struct{ *http.Transport }
 
+// RoundTrip implements http.RoundTripper. It returns an error for what is no response in HTTP/1.
+func (t platformTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := upstream.CheckHead(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
 func newTransport(lifecycle fx.Lifecycle) platformTransport {
 	transport := platformTransport{&http.Transport{
 		MaxIdleConnsPerHost: platformIdleConns,
--- a/internal/engine/openai/faulty_engine_test.go
+++ b/internal/engine/openai/faulty_engine_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -246,5 +247,7 @@
 }
 
 func malformedAnswers(header, body string) map[string]string {
-	return rawconn.MalformedStatusLines(header, body)
+	all := rawconn.MalformedStatusLines(header, body)
+	maps.Copy(all, rawconn.MalformedHeaderLines(header, body))
+	return all
 }
--- a/internal/forward/faulty_endpoint_test.go
+++ b/internal/forward/faulty_endpoint_test.go
@@ -200,6 +200,9 @@
 		for name, text := range rawconn.MalformedStatusLines(header, "reply") {
 			all[header+name] = text
 		}
+		for name, text := range rawconn.MalformedHeaderLines(header, "reply") {
+			all[header+name] = text
+		}
 	}
 	return all
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -252,6 +252,8 @@
 	sawBody bool
 	sawEOF  bool
 	closed  bool
+	// broken is why a body that has ended is not complete, nil if it is or has not ended.
+	broken error
 }
 
 func newResponse(k *conn, head *http.Response, written <-chan error, stop func() bool) *Response {
@@ -268,20 +270,31 @@
 
 // Read implements io.Reader.
 func (r *Response) Read(p []byte) (int, error) {
+	if r.broken != nil {
+		return 0, r.broken
+	}
 	n, err := r.head.Body.Read(p)
 	r.sawBody = r.sawBody || n > 0
 	if err != io.EOF {
 		return n, err
 	}
-	if !r.Framed && !r.sawEOF {
-		if err := r.checkUnframedEnd(); err != nil {
-			return n, err
+	if !r.sawEOF {
+		if r.broken = r.checkEnd(); r.broken != nil {
+			return n, r.broken
 		}
 	}
 	r.sawEOF = true
 	return n, io.EOF
 }
 
+// checkEnd returns why a body that has ended is not complete, nil if it is.
+func (r *Response) checkEnd() error {
+	if r.Framed {
+		return checkNames(r.head.Trailer)
+	}
+	return r.checkUnframedEnd()
+}
+
 // checkUnframedEnd returns why a body that ended with its connection may be truncated, nil if it is complete. It waits
 // until the endpoint has the whole request. One that closes its connection before that breaks the exchange off, and
 // the read of the response may get an end of file all the same: the kernel reports a reset once per socket, to the
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -24,6 +24,25 @@
 	checkNoResponses(t, rawconn.MalformedStatusLines("X-Kept: 1\r\n", "whole"))
 }
 
+// Guards against an answer with a malformed header line: a name with a space was accepted, and a line that begins with one
+// was appended to the line before it, so that a length or chunks in such a line did not frame the body.
+func TestMalformedHeaderLineIsNoResponse(t *testing.T) {
+	checkNoResponses(t, rawconn.MalformedHeaderLines("X-Kept: 1\r\n", "whole"))
+}
+
+// Guards against a malformed trailer at the end of an answer that counts as complete.
+func TestMalformedTrailerEndsNoResponse(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+	for _, line := range []string{"X Field: 1", "X-Field : 1", "X-\x01Field: 1", "X\tField: 1", " X-Field: 1", "X-Field", "X-Field: a\x00"} {
+		head, body, err := receive(t, http.MethodPost, start+line+"\r\n\r\n")
+		assert.NilError(t, head)
+		assert.Check(t, err != nil, "%q: body %q", line, body)
+	}
+	_, body, err := receive(t, http.MethodPost, start+"X-Field: 1\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "whole")
+}
+
 // Guards against the refusal of answers that are unusual and valid.
 func TestUnusualHeadIsAResponse(t *testing.T) {
 	for _, text := range []string{
