Let the peers of a local deployment listen on an IP number of their own

Cause: TestEveryCounterIsDocumentedAndPublished failed once beside the tests of other packages: "listen tcp 127.0.0.1:36275: bind: address already in use". The daemon draws a free port for its peers, closes it and listens on it later; in between, another process had got the port, as a listener or for a connection. Change: the IP number of package loopback, on which nothing else listens and from which nothing connects.

--- a/internal/localsite/site.go
+++ b/internal/localsite/site.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -16,6 +17,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/completion"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/daemon"
+	"github.com/ospreyshed/ospreyshed/internal/loopback"
 	"github.com/ospreyshed/ospreyshed/internal/platform/logservice"
 	"github.com/ospreyshed/ospreyshed/internal/questionnaire"
 	"github.com/ospreyshed/ospreyshed/internal/settings"
@@ -140,7 +142,7 @@
 	conf := settings.Default()
 	conf.VM = name
 	conf.Callers.Listen = standin.AnyAddress
-	conf.Peers.Listen = standin.AnyAddress
+	conf.Peers.Listen = net.JoinHostPort(loopback.ProcessIP(), "0")
 	conf.Platform.Log = "http://" + s.rewriteAddress(name+"/log", s.Platform.Log.Addr())
 	conf.Platform.VMList = "http://" + s.rewriteAddress(name+"/vm-list", s.Platform.VMList.Addr())
 	for _, vm := range s.Bundle.Fleet.VMs {
