Leave out odd entries of the VM list instead of the whole list

Callers saw: requests to endpoints that leave, on the own interface: an entry of another writer (very deeply nested, a number where a text belongs or one that is too large) made the whole list of VMs unreadable, so that the last one stayed in use until the entry was gone. A list "null" or "{}" counted as an empty one.

Cause: the response was decoded as one value. No process ended.

Why the fix works: the response is read token by token, so that each entry is decoded by itself, also beside one that encoding/json refuses for its depth. An entry without a name, or with an address that is no IP number and port, is left out until it is sound; the event vm_list.unusable names it once with the reason.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -98,8 +98,10 @@
 	Subscribers []func(vmlist.List) `group:"vmlist"`
 }
 
-func newVMList(lifecycle fx.Lifecycle, conf *settings.Settings, transport platformTransport, registry *metrics.Registry, in vmListSubscribers) *vmlist.Poller {
-	poller := vmlist.NewPoller(vmlist.NewClient(conf.Platform.VMList, transport), in.Subscribers...)
+func newVMList(
+	lifecycle fx.Lifecycle, conf *settings.Settings, transport platformTransport, events timeline.Recorder, registry *metrics.Registry, in vmListSubscribers,
+) *vmlist.Poller {
+	poller := vmlist.NewPoller(vmlist.NewClient(conf.Platform.VMList, transport), events, in.Subscribers...)
 	registry.Mount("vm_list", metrics.Fields(&poller.Counters))
 	background.Run(lifecycle, poller.Run)
 	return poller
--- a/internal/metrics/catalog_platform.go
+++ b/internal/metrics/catalog_platform.go
@@ -94,5 +94,7 @@
 		{"fetched", Counter, Calls, "Fetches that succeeded.", noAction},
 		{"failed", Counter, Calls, "Fetches that failed.",
 			"A steady rise: leaving endpoints are detected only from their own responses."},
+		{"unusable", Counter, Records, "Entries that cannot be used, once for each reason.",
+			"Any rise: find the writer of the entry that the event `vm_list.unusable` names."},
 	},
 }
--- a/internal/platform/vmlist/client.go
+++ b/internal/platform/vmlist/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -36,12 +35,6 @@
 	}
 }
 
-// wireList is the JSON response of the service.
-type wireList struct {
-	TimeMillis int64 `json:"time_ms"`
-	VMs        []VM  `json:"vms"`
-}
-
 // List implements Service. The error is Unavailable.
 func (c *Client) List(ctx context.Context) (List, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
@@ -56,9 +49,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return List{}, Unavailable.New("status %d", resp.StatusCode)
 	}
-	var wire wireList
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&wire); err != nil {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return List{}, Unavailable.Wrap(err, "fetch")
+	}
+	list, err := decodeList(text)
+	if err != nil {
 		return List{}, Unavailable.Wrap(err, "decode")
 	}
-	return List{Time: time.UnixMilli(wire.TimeMillis), VMs: wire.VMs}, nil
+	return list, nil
 }
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -16,7 +16,7 @@
 	Leaving State = "leaving"
 )
 
-// VM is one entry of the list.
+// VM is one entry of the list. Its address has an IP number and a port, or is empty.
 type VM struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
@@ -29,6 +29,8 @@
 	// Time is the platform's clock at the response.
 	Time time.Time
 	VMs  []VM
+	// Unusable has why entries cannot be used, which are not among the VMs.
+	Unusable []string
 }
 
 // Service fetches the list. Implementations are safe for concurrent use.
