--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -1,9 +1,16 @@
 package upstream
 
 import (
+	"bufio"
+	"context"
+	"maps"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/standin/rawconn"
@@ -61,3 +68,27 @@
 		assert.Check(t, body == "whole" || len(body) == 14, "%q: %q", text, body)
 	}
 }
+
+// Guards against a malformed answer to a request that was given up and counts as one.
+func TestMalformedLateHeadIsNoResponse(t *testing.T) {
+	answers := rawconn.MalformedStatusLines("X-Kept: 1\r\n", "whole")
+	maps.Copy(answers, rawconn.MalformedHeaderLines("X-Kept: 1\r\n", "whole"))
+	for name, text := range answers {
+		ctx, cancel := context.WithCancel(t.Context())
+		address := serve(t, func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
+			readRequest(requests)
+			cancel()
+			// The client ends its side once it has given up.
+			_, _ = requests.ReadByte()
+			writeReply(conn, text)
+		})
+		client := NewClient(Options{DialTimeout: time.Minute, UnackedTimeout: time.Minute, IdleTimeout: time.Minute, MaxIdle: 4})
+		var late atomic.Int64
+		_, err := client.Do(ctx, address, &Request{
+			Method: http.MethodPost, Target: "/", Header: http.Header{}, Late: func(*Response) { late.Add(1) },
+		})
+		assert.Assert(t, errorx.IsOfType(err, GivenUp), "%s: %v", name, err)
+		client.Close()
+		assert.Check(t, late.Load() == 0, name)
+	}
+}
