--- a/internal/engine/openai/faulty_engine_test.go
+++ b/internal/engine/openai/faulty_engine_test.go
@@ -61,14 +61,7 @@
 			if err != nil {
 				return err
 			}
-			defer func() { _ = stream.Close() }()
-			for err == nil {
-				_, err = stream.Next()
-			}
-			if errors.Is(err, io.EOF) {
-				return nil
-			}
-			return err
+			return readToEnd(stream)
 		}},
 		{"cancel", `{"id":"` + id.String() + `","state":"cancelled","held_pieces":0}`, func(ctx context.Context, client *Client) error {
 			_, err := client.Cancel(ctx, id)
@@ -97,6 +90,19 @@
 	}
 }
 
+// readToEnd reads a stream to its end and closes it. It returns nil if the stream was complete.
+func readToEnd(stream engine.Stream) error {
+	defer func() { _ = stream.Close() }()
+	var err error
+	for err == nil {
+		_, err = stream.Next()
+	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // The ways to frame a body.
 const (
 	byLength = "length"
@@ -202,14 +208,7 @@
 		if err != nil {
 			return err
 		}
-		defer func() { _ = stream.Close() }()
-		for err == nil {
-			_, err = stream.Next()
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		return err
+		return readToEnd(stream)
 	}
 	calls[1].answer = strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(calls[1].answer), "data: [DONE]"))
 	for _, call := range calls {
