--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -47,7 +47,7 @@
 // platformTransport is the HTTP transport to the platform's services.
 type platformTransport struct{ *http.Transport }
 
-// RoundTrip implements http.RoundTripper. It returns an error for what is no response in HTTP/1.
+// RoundTrip implements http.RoundTripper. It returns an error for a response that is not valid in HTTP/1.
 func (t platformTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.Transport.RoundTrip(request)
 	if err != nil {
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -16,7 +16,7 @@
 	"github.com/ospreyshed/ospreyshed/internal/standin/rawconn"
 )
 
-// Guards against bytes that are no answer in HTTP/1.1 and count as an answer of the platform's log or VM list.
+// Guards against an answer of the platform's log or VM list that is not valid in HTTP/1 and counts.
 func TestMalformedAnswersOfThePlatformAreNone(t *testing.T) {
 	const (
 		appended = `{"first_offset":0,"count":1}`
--- a/internal/engine/openai/faulty_engine_test.go
+++ b/internal/engine/openai/faulty_engine_test.go
@@ -230,7 +230,7 @@
 	}
 }
 
-// Guards against bytes that are no answer in HTTP/1.1 and count as the answer to a call of any kind.
+// Guards against an answer to a call of any kind that is not valid in HTTP/1 and counts.
 func TestMalformedAnswerIsNone(t *testing.T) {
 	for _, call := range engineCalls(1) {
 		for name, text := range malformedAnswers(requestIDHeader+": ID\r\n", call.answer) {
--- a/internal/forward/faulty_endpoint_test.go
+++ b/internal/forward/faulty_endpoint_test.go
@@ -181,7 +181,7 @@
 	}
 }
 
-// Guards against bytes that are no answer in HTTP/1.1 and count as a reply or a refusal.
+// Guards against a reply or a refusal that is not valid in HTTP/1 and counts.
 func TestMalformedReplyIsNone(t *testing.T) {
 	for _, repeat := range []configuration.RepeatRule{configuration.Repeatable, configuration.NeverRepeat} {
 		for name, text := range malformedReplies() {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -24,7 +24,7 @@
 	errHeadTooLong = errors.New("the head of the response is too long")
 	// errInterim means that an endpoint sent interim responses without a final one.
 	errInterim = errors.New("too many interim responses")
-	// errStatusLine means that an endpoint sent a status line that is none of HTTP/1.
+	// errStatusLine means that an endpoint sent a status line that is not valid in HTTP/1.
 	errStatusLine = errors.New("malformed status line")
 	// errName means that an endpoint sent a field whose name has a space.
 	errName = errors.New("a field name has a space")
@@ -128,8 +128,8 @@
 	return head, CheckHead(head)
 }
 
-// CheckHead returns an error if a head that net/http has read is none of HTTP/1. It does not find header lines that
-// continue the line before them.
+// CheckHead returns an error if a head that net/http has read is not valid in HTTP/1. It does not find header lines
+// that continue the line before them.
 func CheckHead(head *http.Response) error {
 	if err := checkStatusLine(head); err != nil {
 		return err
@@ -137,7 +137,7 @@
 	return checkNames(head.Header)
 }
 
-// checkStatusLine returns an error if a status line is none of HTTP/1. net/http reads each number of three characters as
+// checkStatusLine returns an error if a status line is not valid in HTTP/1. net/http reads each number of three characters as
 // a status and permits all versions and reasons.
 func checkStatusLine(head *http.Response) error {
 	if head.ProtoMajor != 1 || head.StatusCode < http.StatusContinue || head.StatusCode > maxStatus || strings.ContainsFunc(head.Status, isControl) {
@@ -146,8 +146,8 @@
 	return nil
 }
 
-// checkNames returns an error if the name of a field has a space, as in "Content-Length : 2". Such a line is none of
-// HTTP/1.1 (RFC 9112, section 5.1), and net/http does not read it as the field that it seems to be. It refuses all other
+// checkNames returns an error if the name of a field has a space, as in "Content-Length : 2". Such a line is not
+// valid (RFC 9112, section 5.1), and net/http does not read it as the field that it seems to be. It refuses all other
 // names that are not valid.
 func checkNames(header http.Header) error {
 	for name := range header {
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// Guards against an answer whose status is none of HTTP/1.1: 000 was skipped like that of an interim answer, so that what
+// Guards against an answer whose status is not valid in HTTP/1: 000 was skipped like that of an interim answer, so that what
 // followed counted as the answer, and 600 or more were passed on.
 func TestMalformedStatusLineIsNoResponse(t *testing.T) {
 	checkNoResponses(t, rawconn.MalformedStatusLines("X-Kept: 1\r\n", "whole"))
