Test more endings, whole early answers, and what follows a malformed answer

- a malformed answer is a failure of its endpoint, promises nothing, and its connection carries no further request
- a malformed line in an answer that another one follows; optional blanks around values

--- a/internal/standin/rawconn/malformed.go
+++ b/internal/standin/rawconn/malformed.go
@@ -31,8 +31,8 @@
 }
 
 // MalformedHeaderLines returns answers, by what is wrong with them, with a header line that HTTP/1.1 does not permit: in
-// the answer itself, or in an interim one before it. Apart from that each one is a whole answer with the given header
-// lines and body.
+// the answer itself, alone or followed by a whole one, or in an interim one before it. Apart from that each one is a whole
+// answer with the given header lines and body.
 func MalformedHeaderLines(header, body string) map[string]string {
 	all := make(map[string]string)
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
@@ -42,6 +42,7 @@
 		all[fmt.Sprintf("first line %q", line)] = status + line + header + length + "\r\n" + body
 		all[fmt.Sprintf("line %q", line)] = status + header + line + length + "\r\n" + body
 		all[fmt.Sprintf("last line %q", line)] = status + header + length + line + "\r\n" + body
+		all[fmt.Sprintf("line %q, then an answer", line)] = status + header + line + "Content-Length: 0\r\n\r\n" + status + header + length + "\r\n" + body
 		all[fmt.Sprintf("line %q, unframed", line)] = status + header + line + "\r\n" + body
 		all[fmt.Sprintf("line %q of an interim answer", line)] = interim + "Link: x\r\n" + line + "\r\n" + status + header + length + "\r\n" + body
 		all[fmt.Sprintf("line %q after an interim answer", line)] = interim + "\r\n" + status + header + line + length + "\r\n" + body
--- a/internal/upstream/early_answer_test.go
+++ b/internal/upstream/early_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -23,6 +24,8 @@
 	bufferedUploadBytes = 1 << 20
 	// partBytes is the part of an upload that an endpoint reads before it ends the connection.
 	partBytes = 32 << 10
+	// endingPause is the time after which an endpoint resets a connection, so that the client has read its answer.
+	endingPause = 2 * time.Millisecond
 	// earlyRounds is how often each case is played, since it is a race which call gets the error of a reset.
 	earlyRounds = 2
 )
@@ -37,6 +40,10 @@
 
 var endings = []ending{
 	{"reset", func(conn *net.TCPConn, _ io.Reader) { _ = conn.SetLinger(0) }, false},
+	{"reset after a pause", func(conn *net.TCPConn, _ io.Reader) {
+		time.Sleep(endingPause)
+		_ = conn.SetLinger(0)
+	}, false},
 	{"closed with unread bytes", func(*net.TCPConn, io.Reader) {}, false},
 	{"reset after a part of the upload", func(conn *net.TCPConn, unread io.Reader) {
 		_, _ = io.CopyN(io.Discard, unread, partBytes)
@@ -44,7 +51,7 @@
 	}, false},
 	{"closed for writing, then reset", func(conn *net.TCPConn, _ io.Reader) {
 		_ = conn.CloseWrite()
-		time.Sleep(time.Millisecond)
+		time.Sleep(endingPause)
 		_ = conn.SetLinger(0)
 	}, false},
 	{"closed after the upload", func(_ *net.TCPConn, unread io.Reader) { _, _ = io.Copy(io.Discard, unread) }, true},
@@ -126,3 +133,35 @@
 		}
 	}
 }
+
+// bareConn hides the socket of a connection, so that the kernel's state of it is not known.
+type bareConn struct{ net.Conn }
+
+// Guards against a truncated answer that counts as complete if only the write of the request shows the reset, and against
+// an end of file that follows the error.
+func TestFailedUploadEndsAnAnswerWithoutFraming(t *testing.T) {
+	const rounds = 10
+	address := serve(t, func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
+		if _, err := http.ReadRequest(requests); err == nil {
+			writeReply(conn, earlyAnswers["unframed"])
+		}
+	})
+	client := newTestClient(t)
+	for range rounds {
+		socket, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+		assert.NilError(t, err)
+		k := newConn(client, address, bareConn{socket})
+		response, err := k.exchange(t.Context(), &Request{
+			Method: http.MethodPost, Target: "/", Header: http.Header{}, Body: make([]byte, blockedUploadBytes), NewConnection: true,
+		})
+		if err != nil {
+			k.close()
+			continue
+		}
+		body, err := io.ReadAll(response)
+		assert.Check(t, err != nil, "body %q is complete", body)
+		_, err = response.Read(make([]byte, 1))
+		assert.Check(t, err != nil && !errors.Is(err, io.EOF), "a further read: %v", err)
+		response.Close()
+	}
+}
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -37,6 +37,27 @@
 	checkNoResponses(t, rawconn.MalformedHeaderLines("X-Kept: 1\r\n", "whole"))
 }
 
+// Guards against what follows a malformed answer on its connection and counts as the answer to the next request.
+func TestConnectionOfAMalformedAnswerIsNotUsedAgain(t *testing.T) {
+	answers := rawconn.MalformedStatusLines("X-Kept: 1\r\n", "whole")
+	maps.Copy(answers, rawconn.MalformedHeaderLines("X-Kept: 1\r\n", "whole"))
+	for name, text := range answers {
+		address := serve(t, func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
+			if readRequest(requests) {
+				writeReply(conn, text)
+			}
+		}, always(okAnswer))
+		client := newTestClient(t)
+		got, err := get(t.Context(), client, address)
+		assert.Check(t, err != nil, "%s: %q", name, got)
+		got, err = get(t.Context(), client, address)
+		assert.NilError(t, err, name)
+		assert.Equal(t, got, "ok", name)
+		assert.Equal(t, client.Counters.Reused.Load(), int64(0), name)
+		client.Close()
+	}
+}
+
 // Guards against a malformed trailer at the end of an answer that counts as complete.
 func TestMalformedTrailerEndsNoResponse(t *testing.T) {
 	const start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
@@ -59,6 +80,7 @@
 		"HTTP/1.1 200 G\xc3\xbct\r\nX-Field:1\t2 \xc3\xa9 \r\nContent-Length:5\r\n\r\nwhole",
 		"HTTP/1.1 200 OK\nX!#$%&'*+-.^_`|~1: \ncontent-LENGTH: 5\n\nwhole",
 		"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nContent-Length: \t 5 \t\r\nX-Field:\t \t1 \t \r\nX-Empty:   \r\n\r\nwhole",
 		// Lines of the body begin with spaces.
 		"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n \r\n whole\r\n\t \r",
 	} {
