Send no request of a test on a connection that its stand-in is closing

Cause: request 144 is answered with a 204 that names its request, has no body and no length, after which the stand-in closes the connection without saying so. A 204 ends with its head, so that the client pools the connection, and the prefill of request 145 is sent on it as it is closed. That attempt fails, as it has to, and the second one is refused.

Why it is as strict: all answers and assertions are the same; the next request is sent once the connections on which no answer follows are closed.

--- a/internal/completion/broken_stream_test.go
+++ b/internal/completion/broken_stream_test.go
@@ -61,7 +61,25 @@
 // its later decodes as described.
 type engineScript struct {
 	broken, later atomic.Value
-	client        *openai.Client
+	// ending counts the connections whose last answer is written or about to be and that are not closed yet.
+	ending atomic.Int64
+	client *openai.Client
+}
+
+// awaitEnds waits until the connections on which no answer follows are closed. The next request would otherwise be sent on
+// one that is about to be: an answer with status 204 has no body whose end shows it.
+func (e *engineScript) awaitEnds() {
+	for e.ending.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// writeLast writes the last answer of a connection and closes it.
+func (e *engineScript) writeLast(conn net.Conn, text string) {
+	e.ending.Add(1)
+	defer e.ending.Add(-1)
+	_, _ = io.WriteString(conn, text)
+	_ = conn.Close()
 }
 
 // Engine implements completion.Engines.
@@ -112,14 +130,15 @@
 			continue
 		}
 		if strings.HasSuffix(id, ".1") {
-			_, _ = io.WriteString(conn, strings.ReplaceAll(e.broken.Load().(string), "ID", id))
+			e.writeLast(conn, strings.ReplaceAll(e.broken.Load().(string), "ID", id))
 			return
 		}
-		later := e.later.Load().(string)
-		_, _ = io.WriteString(conn, strings.ReplaceAll(later, "ID", id))
+		later := strings.ReplaceAll(e.later.Load().(string), "ID", id)
 		if strings.Contains(later, unframed) {
+			e.writeLast(conn, later)
 			return
 		}
+		_, _ = io.WriteString(conn, later)
 	}
 }
 
@@ -176,6 +195,7 @@
 				})
 				var got textSink
 				_, err := runner.Run(t.Context(), request, &got)
+				script.awaitEnds()
 				var end *completion.InterruptedError
 				assert.Check(t, errors.As(err, &end), "%q: %v", later, err)
 				assert.Check(t, got.all.String() == "a b ", "%q: %q", later, got.all.String())
