Test early answers of the own interface with more endings and statuses

Tests only; they pass on the code as it is. The own interface's early answers are broken off in four ways, with and without a pause, under the statuses 200 and 503; all early answers share the list of these endings.

The stand-in of TestConnectionOfAMalformedAnswerIsNotUsedAgain keeps its connection open and answers a further request on it, so that a client which uses it again is noticed; malformed trailers are among its answers, alone and followed by a whole answer. It fails without the check of trailers; without that of lines that begin with a space it runs into its time-out.

--- a/internal/engine/openai/faulty_engine_test.go
+++ b/internal/engine/openai/faulty_engine_test.go
@@ -213,18 +213,23 @@
 	calls[1].answer = strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(calls[1].answer), "data: [DONE]"))
 	for _, call := range calls {
 		for _, framing := range []string{byLength, byChunks, byClose} {
-			for _, cut := range []int{1, len(call.answer) / 2, len(call.answer) - 1} {
-				address := serveRaw(t, func(_ int, requests *bufio.Reader, conn net.Conn) {
-					request, err := http.ReadRequest(requests)
-					if err != nil {
-						return
+			for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+				for _, cut := range []int{1, len(call.answer) / 2, len(call.answer) - 1} {
+					for ending, end := range rawconn.EarlyEndings {
+						address := serveRaw(t, func(_ int, requests *bufio.Reader, conn net.Conn) {
+							request, err := http.ReadRequest(requests)
+							if err != nil {
+								return
+							}
+							whole := message(status, request.Header.Get(requestIDHeader), framing, call.answer)
+							_, _ = io.WriteString(conn, whole[:strings.Index(whole, call.answer)+cut])
+							end(conn.(*net.TCPConn))
+						})
+						err := call.do(t.Context(), newClient(t, address))
+						play := fmt.Sprintf("%s by %s, status %d, %d bytes, %s", call.name, framing, status, cut, ending)
+						assert.Check(t, err != nil && !errorx.HasTrait(err, engine.NotRun), "%s: %v", play, err)
 					}
-					whole := message(http.StatusOK, request.Header.Get(requestIDHeader), framing, call.answer)
-					_, _ = io.WriteString(conn, whole[:strings.Index(whole, call.answer)+cut])
-					_ = conn.(*net.TCPConn).SetLinger(0)
-				})
-				err := call.do(t.Context(), newClient(t, address))
-				assert.Check(t, err != nil && !errorx.HasTrait(err, engine.NotRun), "%s by %s, %d bytes: %v", call.name, framing, cut, err)
+				}
 			}
 		}
 	}
--- a/internal/forward/faulty_endpoint_test.go
+++ b/internal/forward/faulty_endpoint_test.go
@@ -159,24 +159,29 @@
 func TestEarlyReplyThatIsResetIsNone(t *testing.T) {
 	for _, repeat := range []configuration.RepeatRule{configuration.Repeatable, configuration.NeverRepeat} {
 		for _, framing := range []string{"length", "chunks", "close"} {
-			address, stop, err := rawconn.Serve(t.Context(), func(_ int, requests *bufio.Reader, conn net.Conn) {
-				request, err := http.ReadRequest(requests)
-				if err != nil {
-					return
+			for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+				for ending, end := range rawconn.EarlyEndings {
+					address, stop, err := rawconn.Serve(t.Context(), func(_ int, requests *bufio.Reader, conn net.Conn) {
+						request, err := http.ReadRequest(requests)
+						if err != nil {
+							return
+						}
+						whole := replyTo(request.Header.Get(requestIDHeader), status, true, framing)
+						_, _ = io.WriteString(conn, whole[:len(whole)-1])
+						end(conn.(*net.TCPConn))
+					})
+					assert.NilError(t, err)
+					t.Cleanup(stop)
+					f := newForwarder(t, address)
+					f.endpoints = anyEndpoint{}
+					call := callOf(repeat)
+					call.Body = make([]byte, 4<<20)
+					reply, err := f.Do(t.Context(), call)
+					play := fmt.Sprintf("%s by %s, status %d, %s", repeat, framing, status, ending)
+					assert.Check(t, err != nil, "%s: %+v", play, reply)
+					assert.Check(t, !errorx.HasTrait(err, NotRun), "%s: %v", play, err)
 				}
-				whole := replyTo(request.Header.Get(requestIDHeader), http.StatusOK, true, framing)
-				_, _ = io.WriteString(conn, whole[:len(whole)-1])
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			})
-			assert.NilError(t, err)
-			t.Cleanup(stop)
-			f := newForwarder(t, address)
-			f.endpoints = anyEndpoint{}
-			call := callOf(repeat)
-			call.Body = make([]byte, 4<<20)
-			reply, err := f.Do(t.Context(), call)
-			assert.Assert(t, err != nil, "%s by %s: %+v", repeat, framing, reply)
-			assert.Assert(t, !errorx.HasTrait(err, NotRun), "%s by %s: %v", repeat, framing, err)
+			}
 		}
 	}
 }
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -37,14 +38,21 @@
 	checkNoResponses(t, rawconn.MalformedHeaderLines("X-Kept: 1\r\n", "whole"))
 }
 
-// Guards against what follows a malformed answer on its connection and counts as the answer to the next request.
+// Guards against what follows a malformed answer on its connection, at once or after the next request, and counts as the
+// answer to that request.
 func TestConnectionOfAMalformedAnswerIsNotUsedAgain(t *testing.T) {
+	const following = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
 	answers := rawconn.MalformedStatusLines("X-Kept: 1\r\n", "whole")
 	maps.Copy(answers, rawconn.MalformedHeaderLines("X-Kept: 1\r\n", "whole"))
+	for _, line := range malformedTrailers {
+		trailer := beforeTrailer + line + "\r\n\r\n"
+		answers[fmt.Sprintf("trailer %q", line)] = trailer
+		answers[fmt.Sprintf("trailer %q, then an answer", line)] = trailer + following
+	}
 	for name, text := range answers {
 		address := serve(t, func(_ *testing.T, requests *bufio.Reader, conn net.Conn) {
-			if readRequest(requests) {
-				writeReply(conn, text)
+			for answer := text; readRequest(requests); answer = following {
+				writeReply(conn, answer)
 			}
 		}, always(okAnswer))
 		client := newTestClient(t)
@@ -58,15 +66,20 @@
 	}
 }
 
+// beforeTrailer is an answer up to its trailer.
+const beforeTrailer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+
+// malformedTrailers are trailer lines that HTTP/1.1 does not permit.
+var malformedTrailers = []string{"X Field: 1", "X-Field : 1", "X-\x01Field: 1", "X\tField: 1", " X-Field: 1", "X-Field", "X-Field: a\x00"}
+
 // Guards against a malformed trailer at the end of an answer that counts as complete.
 func TestMalformedTrailerEndsNoResponse(t *testing.T) {
-	const start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
-	for _, line := range []string{"X Field: 1", "X-Field : 1", "X-\x01Field: 1", "X\tField: 1", " X-Field: 1", "X-Field", "X-Field: a\x00"} {
-		head, body, err := receive(t, http.MethodPost, start+line+"\r\n\r\n")
+	for _, line := range malformedTrailers {
+		head, body, err := receive(t, http.MethodPost, beforeTrailer+line+"\r\n\r\n")
 		assert.NilError(t, head)
 		assert.Check(t, err != nil, "%q: body %q", line, body)
 	}
-	_, body, err := receive(t, http.MethodPost, start+"X-Field: 1\r\n\r\n")
+	_, body, err := receive(t, http.MethodPost, beforeTrailer+"X-Field: 1\r\n\r\n")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "whole")
 }
