--- a/internal/localsite/site.go
+++ b/internal/localsite/site.go
@@ -142,6 +142,7 @@
 	conf := settings.Default()
 	conf.VM = name
 	conf.Callers.Listen = standin.AnyAddress
+	// The daemon draws a free port and listens on it later; no other process takes one of this IP number in between.
 	conf.Peers.Listen = net.JoinHostPort(loopback.ProcessIP(), "0")
 	conf.Platform.Log = "http://" + s.rewriteAddress(name+"/log", s.Platform.Log.Addr())
 	conf.Platform.VMList = "http://" + s.rewriteAddress(name+"/vm-list", s.Platform.VMList.Addr())
