review: a server's entries are dropped after its clock jumped back

Entries are ordered by the start that a server states, so that one which starts again with an earlier time is not followed. Change: review/13 with its stand-in.

--- a/review/.standins-3/main.go
+++ b/review/.standins-3/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(r *record, trouble bool) int{
 	"plain-stream":  playPlainStream,
 	"split-take-up": playSplitTakeUp,
+	"clock-step":    playClockStep,
 }
 
 func main() { os.Exit(run()) }
