--- a/review/.standins-3/main.go
+++ b/review/.standins-3/main.go
@@ -12,6 +12,7 @@
 	"plain-stream":  playPlainStream,
 	"split-take-up": playSplitTakeUp,
 	"clock-step":    playClockStep,
+	"mixed-split":   playMixedSplit,
 }
 
 func main() { os.Exit(run()) }
--- a/review/.standins-3/plainstream.go
+++ b/review/.standins-3/plainstream.go
@@ -43,7 +43,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(after)
 	for n := last + 1; n <= streamEvents; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %d %s\n\n", n, n, strings.Repeat("x", eventBytes)); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: notes v1 %d %s\n\n", n, n, strings.Repeat("x", eventBytes)); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
--- a/review/.standins-3/splittakeup.go
+++ b/review/.standins-3/splittakeup.go
@@ -50,10 +50,10 @@
 }
 
 // requestDraft sends one client attempt and reads its events. It names the last event that the client has, if any.
-func requestDraft(address, path, id, after string) draft {
+func requestDraft(address, path, id, after string, body io.Reader) draft {
 	ctx, cancel := context.WithTimeout(context.Background(), 14*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, &slowBody{})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, body)
 	check(err)
 	request.Host = splitHost
 	for name, value := range map[string]string{
@@ -75,6 +75,7 @@
 		return d
 	}
 	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, 1<<20)
 	number, text := "", ""
 	for lines.Scan() {
 		line := lines.Text()
@@ -155,12 +156,12 @@
 // playDraft requests a stream and takes it up at another VM if it breaks off. It reports whether all events that the
 // client has come from one service.
 func (s *site) playDraft(name string, vm, other *entryVM) bool {
-	d := requestDraft(vm.front, "/drafts/"+name, name+"01", "")
+	d := requestDraft(vm.front, "/drafts/"+name, name+"01", "", &slowBody{})
 	s.record.line("%s at %s: status %d, %d events by %v, complete %t", name, vm.name, d.status, len(d.texts), d.services(), d.complete)
 	if len(d.texts) == 0 || d.complete {
 		return len(d.services()) <= 1
 	}
-	second := requestDraft(other.front, "/drafts/"+name, name+"02", d.lastID)
+	second := requestDraft(other.front, "/drafts/"+name, name+"02", d.lastID, &slowBody{})
 	s.record.line("%s takes up at %s after event %s: status %d, %d events by %v, complete %t",
 		name, other.name, d.lastID, second.status, len(second.texts), second.services(), second.complete)
 	joined := draft{texts: slices.Concat(d.texts, second.texts)}
