review: streams joined of two versions after a restart in place

An engine that starts again under its id with a new version begins streams before its entry is read.

--- a/review/.standins-3/engine.go
+++ b/review/.standins-3/engine.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,28 +24,55 @@
 	mu    sync.Mutex
 	phase string
 	seq   int
+	// beats counts the entries since the start at born.
+	beats int
+	born  int64
+	// server is the listening process.
+	server *http.Server
 }
 
 func (s *site) newEngine(id, service, version string) *engine {
-	e := &engine{id: id, service: service, version: version, record: s.record, events: 40, pause: 50 * time.Millisecond, phase: "decode"}
-	e.address = s.serve(e)
+	e := &engine{id: id, service: service, record: s.record, events: 40, pause: 50 * time.Millisecond, phase: "decode"}
+	e.address = net.JoinHostPort(standInIP(), "0")
+	e.begin(version)
+	s.stopping = append(s.stopping, func() { _ = e.server.Close() })
 	return e
 }
 
-// entry is the engine's registration.
-func (e *engine) entry(zone, state string, seq int) map[string]any {
+// begin starts the engine's process with a version of its software, under the ID and at the address that it had before.
+func (e *engine) begin(version string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return map[string]any{
-		"service": e.service, "address": e.address, "zone": zone, "version": e.version, "slots": 12, "state": state, "coldLeftMs": 0,
-		"phase": e.phase, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "seq": seq, "born": startMs,
-	}
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", e.address)
+	check(err)
+	e.address, e.version, e.seq, e.beats, e.born = listener.Addr().String(), version, 0, 0, time.Now().UnixMilli()
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
+	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
+	e.record.line("%s starts with %s", e.id, version)
+}
+
+// end ends the engine's process.
+func (e *engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.server.Close()
+}
+
+// beat writes the engine's entry.
+func (e *engine) beat(to *store, zone string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.beats++
+	to.putJSON("keyed.servers", e.id, map[string]any{
+		"service": e.service, "address": e.address, "zone": zone, "version": e.version, "slots": 12, "state": "ready", "coldLeftMs": 0,
+		"phase": e.phase, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "seq": e.beats, "born": e.born,
+	})
 }
 
 // keepRegistered renews the entry until the end of the program.
 func (e *engine) keepRegistered(to *store, zone string) {
-	for seq := 1; ; seq++ {
-		to.putJSON("keyed.servers", e.id, e.entry(zone, "ready", seq))
+	for {
+		e.beat(to, zone)
 		time.Sleep(heartbeat)
 	}
 }
@@ -78,7 +107,7 @@
 	defer e.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"phase": e.phase, "busy": false, "seq": e.seq, "waiting": 0, "numRunning": 0, "kvUsed": 0, "kvTotal": 33860, "kvHandles": 0,
-		"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "born": startMs,
+		"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "born": e.born,
 	})
 }
 
@@ -90,13 +119,16 @@
 // run sends the events of a stream after the one that the client has.
 func (e *engine) run(w http.ResponseWriter, r *http.Request) {
 	id, after := r.Header.Get("X-Request-Id"), r.Header.Get("Last-Event-Id")
-	e.record.line("%s (%s %s) runs %s, request %s, Last-Event-Id %q", e.id, e.service, e.version, r.URL.Path, id, after)
+	e.mu.Lock()
+	version := e.version
+	e.mu.Unlock()
+	e.record.line("%s (%s %s) runs %s, request %s, Last-Event-Id %q", e.id, e.service, version, r.URL.Path, id, after)
 	w.Header().Set("X-Response-Stamp", e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Weight-Versions", "1")
 	last, _ := strconv.Atoi(after)
 	for n := last + 1; n <= e.events; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, e.service, e.version, n); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, e.service, version, n); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
