--- a/review/.standins-3/engine.go
+++ b/review/.standins-3/engine.go
@@ -17,6 +17,8 @@
 type engine struct {
 	id, address, service, version string
 	record                        *record
+	// weights is the version of the model's weights.
+	weights int
 	// events and pause are the length of a stream and the time between two events.
 	events int
 	pause  time.Duration
@@ -27,12 +29,13 @@
 	// beats counts the entries since the start at born.
 	beats int
 	born  int64
-	// server is the listening process.
-	server *http.Server
+	// server is the listening process, crashed is set once it has ended.
+	server  *http.Server
+	crashed bool
 }
 
 func (s *site) newEngine(id, service, version string) *engine {
-	e := &engine{id: id, service: service, record: s.record, events: 40, pause: 50 * time.Millisecond, phase: "decode"}
+	e := &engine{id: id, service: service, record: s.record, weights: 1, events: 40, pause: 50 * time.Millisecond, phase: "decode"}
 	e.address = net.JoinHostPort(standInIP(), "0")
 	e.begin(version)
 	s.stopping = append(s.stopping, func() { _ = e.server.Close() })
@@ -51,14 +54,26 @@
 	e.record.line("%s starts with %s", e.id, version)
 }
 
+// crash ends the engine's process.
+func (e *engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = true
+	_ = e.server.Close()
+	e.record.line("%s crashes", e.id)
+}
+
 // beat writes the engine's entry.
 func (e *engine) beat(to *store, zone string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.crashed {
+		return
+	}
 	e.beats++
 	to.putJSON("keyed.servers", e.id, map[string]any{
 		"service": e.service, "address": e.address, "zone": zone, "version": e.version, "slots": 12, "state": "ready", "coldLeftMs": 0,
-		"phase": e.phase, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "seq": e.beats, "born": e.born,
+		"phase": e.phase, "models": []any{map[string]any{"name": "m", "version": e.weights, "adapters": []any{}}}, "seq": e.beats, "born": e.born,
 	})
 }
 
@@ -81,6 +96,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if expected := r.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.Itoa(e.weights) {
+		w.Header().Set("X-Instance-Id", e.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	switch {
 	case r.URL.Path == "/-/report":
 		e.report(w)
@@ -100,7 +120,7 @@
 	defer e.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"phase": e.phase, "busy": false, "seq": e.seq, "waiting": 0, "numRunning": 0, "kvUsed": 0, "kvTotal": 33860, "kvHandles": 0,
-		"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "born": e.born,
+		"models": []any{map[string]any{"name": "m", "version": e.weights, "adapters": []any{}}}, "born": e.born,
 	})
 }
 
@@ -118,10 +138,10 @@
 	e.record.line("%s (%s %s) runs %s, request %s, Last-Event-Id %q", e.id, e.service, version, r.URL.Path, id, after)
 	w.Header().Set("X-Response-Stamp", e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Weight-Versions", "1")
+	w.Header().Set("X-Weight-Versions", strconv.Itoa(e.weights))
 	last, _ := strconv.Atoi(after)
 	for n := last + 1; n <= e.events; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, e.service, version, n); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d by weights %d\n\n", n, e.service, version, n, e.weights); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
--- a/review/.standins-3/main.go
+++ b/review/.standins-3/main.go
@@ -13,6 +13,7 @@
 	"split-take-up": playSplitTakeUp,
 	"clock-step":    playClockStep,
 	"mixed-split":   playMixedSplit,
+	"weights":       playWeights,
 }
 
 func main() { os.Exit(run()) }
--- a/review/.standins-3/splittakeup.go
+++ b/review/.standins-3/splittakeup.go
@@ -43,7 +43,10 @@
 
 // draft is what a client has of a stream: the texts of its events in order.
 type draft struct {
-	status   int
+	status int
+	// weights is the header X-Weight-Versions, marks counts the events that carry it.
+	weights  string
+	marks    int
 	texts    []string
 	lastID   string
 	complete bool
@@ -70,7 +73,7 @@
 		return draft{}
 	}
 	defer func() { _ = response.Body.Close() }()
-	d := draft{status: response.StatusCode}
+	d := draft{status: response.StatusCode, weights: response.Header.Get("X-Weight-Versions")}
 	if d.status != http.StatusOK {
 		return d
 	}
@@ -85,6 +88,9 @@
 		if value, ok := strings.CutPrefix(line, "data: "); ok {
 			text = value
 		}
+		if strings.HasPrefix(line, "x-weight-versions:") {
+			d.marks++
+		}
 		if line == "" && number != "" {
 			d.texts, d.lastID = append(d.texts, text), number
 			number, text = "", ""
