--- a/review/.standins-3/site.go
+++ b/review/.standins-3/site.go
@@ -133,6 +133,8 @@
 	vm.process = exec.CommandContext(context.Background(), daemonProgram)
 	vm.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.folder, "OSPREYSHED_BOOT=" + vm.settings}
 	vm.process.Stdout, vm.process.Stderr = log, log
+	// The kernel ends the process with this one, even if this one is killed.
+	vm.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(vm.process.Start())
 	vm.exited = make(chan struct{})
 	go func() {
