--- a/review/.standins-3/mixedsplit.go
+++ b/review/.standins-3/mixedsplit.go
@@ -23,7 +23,7 @@
 		go s.newEngine(fmt.Sprintf("i-north-%d", i), "north", "v1").keepRegistered(s.store, zone)
 	}
 	for i, zone := range []string{"a", "b"} {
-		server := &streamServer{id: fmt.Sprintf("i-notes-%d", i), record: r}
+		server := &streamServer{id: fmt.Sprintf("i-notes-%d", i), record: r, load: load{slots: 12}}
 		server.address = s.serve(server)
 		go server.keepRegistered(s.store, "notes", zone)
 	}
--- a/review/.standins-3/plainstream.go
+++ b/review/.standins-3/plainstream.go
@@ -27,10 +27,15 @@
 type streamServer struct {
 	id, address string
 	record      *record
+	load        load
 }
 
 // ServeHTTP implements http.Handler.
 func (s *streamServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.load.state(w)
+	if serveHealth(w, r, s.id, false) {
+		return
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.id {
 		w.Header().Set("X-Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -41,6 +46,7 @@
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Stamp", s.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	defer s.load.begin()()
 	last, _ := strconv.Atoi(after)
 	for n := last + 1; n <= streamEvents; n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: notes v1 %d %s\n\n", n, n, strings.Repeat("x", eventBytes)); err != nil {
@@ -123,7 +129,7 @@
 	s := newSite(r, "a", "b", "c")
 	defer s.close()
 	for i, zone := range []string{"a", "b"} {
-		server := &streamServer{id: fmt.Sprintf("i-notes-%d", i), record: r}
+		server := &streamServer{id: fmt.Sprintf("i-notes-%d", i), record: r, load: load{slots: 12}}
 		server.address = s.serve(server)
 		go server.keepRegistered(s.store, "notes", zone)
 	}
--- a/review/.standins-3/store.go
+++ b/review/.standins-3/store.go
@@ -47,6 +47,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Store-Era", "1")
 	query := r.URL.Query()
 	topic := query.Get("topic")
 	switch r.URL.Path {
