Log what a call states of the stream that its caller takes up

Cause: a request that takes a stream up at a service without engines looked like any other one in the log. After a caller's complaint that its stream began anew, the log of its VM did not show whether the caller had named its last event, whether the VM had passed the name on, or whether the endpoint had ignored it. Lines of streams of engines carried the caller's ID without a bound: a header may have a megabyte.

Change: a line "stream asked for" for each call of a take-up, with the event that the caller names and the one that the call names. What a take-up states belongs to the request instead of its generation, as requests without a generation take streams up as well.

--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -373,6 +373,8 @@
 	// body is that of requests; memory counts their answers, nil if there is no bound.
 	body   []byte
 	memory *membudget.Holder
+	// takeUp is the stream that requests take up, nil if they take none up.
+	takeUp *TakeUp
 	// served counts the requests, no two of which are the same but for their IDs.
 	served atomic.Int64
 	// requestID is the ID of requests.
@@ -498,10 +500,14 @@
 
 // request returns a new request.
 func (s *fixture) request(generation *Generation) *Request {
+	takeUp := s.takeUp
+	if generation == takenUp {
+		takeUp = &TakeUp{LastEventID: "2", Resumes: "r0"}
+	}
 	return &Request{
 		ID: s.requestID, Method: http.MethodPost, Target: "/x/" + strconv.FormatInt(s.served.Add(1), 10), Host: "a.example", Header: http.Header{},
 		Arrived: time.Now(), Timeout: time.Minute, EventTimeout: s.eventTimeout, Generation: generation,
-		Body: s.body, Memory: s.memory,
+		Body: s.body, Memory: s.memory, TakeUp: takeUp,
 	}
 }
 
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -81,7 +81,7 @@
 func (r *Relay) serveGeneration(ctx context.Context, x *exchange) {
 	g := &generation{
 		exchange:    x,
-		lastEventID: x.request.Generation.LastEventID,
+		lastEventID: x.request.lastEventID(),
 		priorWait:   r.waits.priorWait(x.route.Name, x.request.Timeout),
 	}
 	g.late = g.priorWait >= x.route.Objective-deliveryMargin
@@ -122,7 +122,7 @@
 			g.obstacle = obstacleDeadline
 		}
 		r.decide(g.exchange, "stream broken", g.part.addTo(logrus.Fields{
-			"tokens": g.delivered, "last_event": g.lastEventID, "reason": g.obstacle,
+			"tokens": g.delivered, "last_event": loggedID(g.lastEventID), "reason": g.obstacle,
 		}))
 		g.caller.Abort()
 	default:
@@ -155,7 +155,7 @@
 	}()
 	r.decide(g.exchange, "engines granted", logrus.Fields{
 		"attempt": demand.ID.String(), "prefill": grant.Prefill, "decode": grant.Decode, "build": r.buildOf(grant.Decode),
-		"last_event": g.lastEventID, "resumes": g.request.Generation.Resumes,
+		"last_event": loggedID(g.lastEventID), "resumes": loggedID(g.request.resumes()),
 		"queued_ms": time.Since(started).Milliseconds(), "predicted_first_ms": grant.FirstToken.Milliseconds(),
 		"prompt_tokens": demand.PromptTokens, "output_tokens": demand.OutputTokens, "expected_tokens": g.request.Generation.ExpectedOutputTokens,
 		"parts": g.loggedParts(), "identity": g.identity, "urgency": demand.Urgency, "late": g.late, "prior_wait_ms": g.priorWait.Milliseconds(),
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -106,10 +106,10 @@
 		return true
 	}
 	g.takenUp, g.begun, g.late = true, true, false
-	if resumes := g.request.Generation.Resumes; resumes != "" {
+	if resumes := g.request.resumes(); resumes != "" {
 		g.stream = resumes
 	}
-	fields := logrus.Fields{"stream": g.stream, "last_event": g.lastEventID}
+	fields := logrus.Fields{"stream": loggedID(g.stream), "last_event": loggedID(g.lastEventID)}
 	found, outcome, err := r.findBuild(ctx, g)
 	if err != nil {
 		fields["error"] = err.Error()
@@ -337,7 +337,7 @@
 	}
 	if err != nil {
 		r.Counters.Unconfirmed.Add(1)
-		r.decide(g.exchange, "build of the stream not confirmed", logrus.Fields{"stream": g.stream, "build": g.build, "error": err.Error()})
+		r.decide(g.exchange, "build of the stream not confirmed", logrus.Fields{"stream": loggedID(g.stream), "build": g.build, "error": err.Error()})
 		return false
 	}
 	g.begun = true
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -22,8 +22,8 @@
 
 var oneBuild = map[string]string{"p1": "v1", "p2": "v1", "e1": "v1", "e2": "v1"}
 
-// takenUp is a request of a caller that has two events of a stream.
-var takenUp = &Generation{PromptTokens: 100, MaxOutputTokens: 50, LastEventID: "2", Resumes: "r0"}
+// takenUp is the work of a request whose caller has two events of a stream, see fixture.request.
+var takenUp = &Generation{PromptTokens: 100, MaxOutputTokens: 50}
 
 func refuseNoEngine(scheduling.Demand) (scheduling.Grant, error) {
 	return scheduling.Grant{}, &scheduling.Refusal{Reason: scheduling.RefusedNoEngine}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -335,6 +335,7 @@
 	}
 	call.InstanceID = instance.ID
 	call.Timeout = x.timeLeft()
+	r.logTakeUp(x, to, call)
 	if call.Stage != Prefill {
 		x.tracked.sent.Store(true)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -46,6 +46,8 @@
 	EventTimeout time.Duration
 	// Generation is nil for requests that are not served by a model.
 	Generation *Generation
+	// TakeUp is nil unless the caller takes up a stream that was interrupted.
+	TakeUp *TakeUp
 	// Memory counts what is held of answers; nil if there is no bound.
 	Memory *membudget.Holder
 }
@@ -60,9 +62,13 @@
 	MaxOutputTokens int
 	// ExpectedOutputTokens is the caller's estimate; 0 if there is none.
 	ExpectedOutputTokens int
-	// LastEventID is set if the caller resumes an interrupted stream.
+}
+
+// TakeUp describes the stream that a caller takes up.
+type TakeUp struct {
+	// LastEventID is the ID of the last event that the caller received.
 	LastEventID string
-	// Resumes is the ID of the request that brought the first event of that stream;
+	// Resumes is the ID of the request that brought the first event of the stream;
 	// empty if the caller does not say.
 	Resumes string
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -346,7 +346,7 @@
 	s.relay.Counters.Silences.Add(1)
 	s.sought = s.relay.seekContinuation(ctx, s.generation, s.endpoint.Name)
 	s.soughtOnce = s.soughtOnce || s.sought != nil
-	fields := logrus.Fields{"endpoint": s.endpoint.Name, "tokens": s.generation.delivered, "last_event": s.generation.lastEventID}
+	fields := logrus.Fields{"endpoint": s.endpoint.Name, "tokens": s.generation.delivered, "last_event": loggedID(s.generation.lastEventID)}
 	if s.sought == nil {
 		fields["obstacle"] = s.generation.obstacle
 	}
@@ -389,7 +389,7 @@
 		s.relay.observe(g, s.endpoint, false)
 	}
 	s.relay.decide(g.exchange, "stream cut", g.part.addTo(logrus.Fields{
-		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": g.lastEventID, "error": cause.Error(),
+		"endpoint": s.endpoint.Name, "tokens": g.delivered, "last_event": loggedID(g.lastEventID), "error": cause.Error(),
 		"silent": errors.Is(cause, errSilent), "resumable": g.route.Resumable,
 	}))
 	g.exclude = append(g.exclude, s.endpoint.Name)
