Pass a caller's Last-Event-Id on to services without engines

Cause: the ingress removed Last-Event-Id from all requests together with the headers that are the router's to set, before it was known who serves them. Only calls of generations, which follow the last event of a stream over several engines, had the ID set again. Calls to services without engines never had it: the adapter was written with streams of engines in mind.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -181,7 +181,7 @@
 ) bool {
 	defer r.options.Endpoints.Begin(to.Name)()
 	started := time.Now()
-	answer, verdict, err := r.call(ctx, x, to, &Call{Stage: Whole}, r.attemptTimeout(x))
+	answer, verdict, err := r.call(ctx, x, to, &Call{Stage: Whole, LastEventID: x.request.lastEventID()}, r.attemptTimeout(x))
 	if verdict.Load != nil {
 		r.options.Endpoints.ObserveLoad(to.Name, *verdict.Load)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -139,7 +139,7 @@
 	// Source locates the KV cache for a decode; nil if the engine processes the
 	// prompt itself.
 	Source *Source
-	// LastEventID is the ID of the last event that the caller received.
+	// LastEventID is the ID of the last event that the caller received, empty if it names none and has got none.
 	LastEventID string
 }
 
