Forward the events of services without engines as they arrive

Callers saw: all events of a streaming route that leads to a service without engines at once, when the last one had been made: 40 events 27 ms apart arrived together after more than a second, with and without resumable and on a split route. The time to the first event was that of the whole answer, and a caller that gives up after a gap left before it got anything.

Cause: who serves a request decided how its answer is read. Services without engines were taken to answer completely (servePlain), and only those with engines to send streams, whatever kind the route has.

Evidence: TestEventsOfAPlainServiceArriveAsTheyAreMade, whose server makes an event once the caller has the one before, got 502 after the route's time on all three routes.

Change: on a streaming route, an answer of 200 with the type text/event-stream is passed on event by event with the reader that streams of engines have: whole events only, whose numbers go up from the one that the caller has. If the endpoint breaks off, another one of the same build may send the rest where the route may be resumed, within attempts and budget, from the last event on; otherwise the caller's stream is aborted. An endpoint that begins anew, or sends no event to a caller that has some, counts as failed; nothing of its answer is passed on. Answers of other types, errors and streams without any event are read whole as before. The time that a caller takes to read does not count as its endpoint's.

Why it works: the kind of the route and the type of the answer decide, which say what the answer is.

--- a/internal/relay/buffer.go
+++ b/internal/relay/buffer.go
@@ -106,11 +106,25 @@
 	status, bytes int
 	// failure is the reason why the answer is not complete, nil if it is.
 	failure error
+	// stream is nil unless the answer consists of events.
+	stream *passedStream
+	// blocked is the time that writing to the caller took.
+	blocked time.Duration
+}
+
+// blockedTime returns the time that writing to the caller took, 0 if p is nil.
+func (p *passage) blockedTime() time.Duration {
+	if p == nil {
+		return 0
+	}
+	return p.blocked
 }
 
 // send sends a part to the caller and reports whether the caller takes more.
 func (p *passage) send(caller Caller, part []byte) bool {
+	began := time.Now()
 	p.failure = caller.Event(part)
+	p.blocked += time.Since(began)
 	p.bytes += len(part)
 	return p.failure == nil
 }
@@ -161,6 +175,10 @@
 // concludePassage ends a request whose answer was passed on.
 func (r *Relay) concludePassage(x *exchange) {
 	p := x.passage
+	if p.stream != nil {
+		r.concludeEvents(x)
+		return
+	}
 	if p.failure != nil {
 		r.Counters.Broken.Add(1)
 		r.decide(x, "answer broken", logrus.Fields{"status": p.status, "bytes": p.bytes, "error": p.failure.Error()})
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -13,7 +13,7 @@
 const (
 	// eventBufferBytes is the initial size of the buffer for a stream's events.
 	eventBufferBytes = 2 << 10
-	// maxEventBytes limits the size of one event.
+	// maxEventBytes limits the size of one event of an engine.
 	maxEventBytes = 1 << 20
 	// minMemoryWait is the time from which on a reservation counts as a wait for memory. One that
 	// is granted at once takes far less.
@@ -32,6 +32,8 @@
 	// sequence and format decide which events continue the stream.
 	sequence sequence
 	format   blockFormat
+	// maxBytes limits the size of one event.
+	maxBytes int
 	// begun is set once there was an event.
 	begun bool
 	// lastID is the ID of the last event that was returned, firstID that of the first event of
@@ -51,7 +53,7 @@
 }
 
 func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: source, ctx: context.Background()}
+	return &eventReader{source: source, ctx: context.Background(), maxBytes: maxEventBytes}
 }
 
 // release returns the memory of the buffer.
@@ -60,6 +62,9 @@
 	e.size = 0
 }
 
+// held returns the bytes before the first event that were checked.
+func (e *eventReader) held() []byte { return e.buffer[:e.checked] }
+
 // next returns all complete events that have arrived, at least one, and what is between them; after
 // the first event it also returns comments without an event. It returns io.EOF if the stream ended after
 // a complete event, io.ErrUnexpectedEOF if it ended within one, and errNoEvent or errOutOfSequence if what
@@ -72,7 +77,7 @@
 		if e.fault != nil {
 			return nil, e.fault
 		}
-		if len(e.buffer) > maxEventBytes {
+		if len(e.buffer) > e.maxBytes {
 			return nil, io.ErrShortBuffer
 		}
 		if err := e.fill(); err != nil {
@@ -104,12 +109,14 @@
 
 // check checks a block, and records the event in it.
 func (e *eventReader) check(block []byte) error {
-	id, err := e.format.parse(block)
-	if err != nil || id == "" {
+	id, event, err := e.format.parse(block)
+	if err != nil || !event {
 		return err
 	}
-	if err := e.sequence.accept(id); err != nil {
-		return err
+	if id != "" {
+		if err := e.sequence.accept(id); err != nil {
+			return err
+		}
 	}
 	e.begun = true
 	e.events++
@@ -124,7 +131,7 @@
 			// The smaller array fits into the guaranteed part, so that there is no wait.
 			e.release()
 		}
-		if err := e.resize(min(2*len(e.buffer)+eventBufferBytes, maxEventBytes+2*eventBufferBytes)); err != nil {
+		if err := e.resize(min(2*len(e.buffer)+eventBufferBytes, e.maxBytes+2*eventBufferBytes)); err != nil {
 			return err
 		}
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -41,7 +41,7 @@
 // servePlain serves a request that a single endpoint answers completely.
 func (r *Relay) servePlain(ctx context.Context, x *exchange) {
 	for !r.heldBack(x) && r.mayAttempt(x) {
-		candidates := r.belowConnectionLimit(x.service)
+		candidates := x.passage.successors(r.belowConnectionLimit(x.service))
 		chosen := r.choosePlain(ctx, x, candidates)
 		if chosen == nil {
 			r.returnRetry(x)
@@ -180,8 +180,8 @@
 	ctx context.Context, x *exchange, to *configuration.Endpoint, group []*configuration.Endpoint, attempt *quarantine.Attempt,
 ) bool {
 	defer r.options.Endpoints.Begin(to.Name)()
-	started := time.Now()
-	answer, verdict, err := r.call(ctx, x, to, &Call{Stage: Whole, LastEventID: x.request.lastEventID()}, r.attemptTimeout(x))
+	started, blocked := time.Now(), x.passage.blockedTime()
+	answer, verdict, err := r.call(ctx, x, to, &Call{Stage: Whole, LastEventID: x.lastEventID()}, r.attemptTimeout(x))
 	if verdict.Load != nil {
 		r.options.Endpoints.ObserveLoad(to.Name, *verdict.Load)
 	}
@@ -191,7 +191,7 @@
 		r.options.Endpoints.ObserveDecline(to.Name, verdict.Load)
 	default:
 		ok := err == nil && answer.Status < http.StatusInternalServerError
-		r.options.Endpoints.Observe(to.Name, endpointNames(group), ok, time.Since(started))
+		r.options.Endpoints.Observe(to.Name, endpointNames(group), ok, time.Since(started)-(x.passage.blockedTime()-blocked))
 	}
 	if brokenOff(err) {
 		attempt.Broken()
@@ -206,7 +206,7 @@
 		return false
 	}
 	if err != nil {
-		return r.handlePlainError(x, to, err) || x.passage != nil
+		return r.handlePlainError(x, to, err) || !x.passage.mayGoOn()
 	}
 	if verdict.OtherInstance {
 		x.sends--
@@ -275,7 +275,15 @@
 			return nil, verdict, err
 		}
 	}
-	buffer, err := r.readAnswer(ctx, x, call, response, &verdict, timer)
+	var buffer *answerBuffer
+	switch {
+	case x.isStream(call, response, &verdict):
+		buffer, err = r.passEvents(ctx, x, to, call, response, timer)
+	case x.passage != nil && !verdict.NotRun:
+		return nil, verdict, untrusted.New("%s answered a request for the rest of a stream with status %d", to.Name, response.Status)
+	default:
+		buffer, err = r.readAnswer(ctx, x, call, response, &verdict, timer)
+	}
 	if err == nil && !verdict.NotRun && call.Stage != Prefill && r.endedWithEndpoint(ctx, to, response, false) {
 		err = errEngineEnded
 		buffer.release()
@@ -286,6 +294,8 @@
 		return &Answer{Status: response.Status, Header: response.Header, Body: buffer.bytes, buffer: buffer}, verdict, nil
 	case ctx.Err() != nil:
 		return nil, verdict, upstream.GivenUp.Wrap(err, "answer of %s", to.Name)
+	case isFault(err) || errors.Is(err, errNoEvents):
+		return nil, verdict, untrusted.Wrap(err, "answer of %s", to.Name)
 	default:
 		return nil, verdict, upstream.InDoubt.Wrap(err, "answer of %s", to.Name)
 	}
