Refuse a take-up at a service without engines that may not have begun the stream

Cause: the split assigns each request by its own ID, unless the caller names the one that began the stream, which the users' pages do not have; nothing checked whether the service can have begun the stream. Streams of engines have that check.

Change: a take-up on a route that may be resumed goes to a service without engines only if the route leads nowhere else and is not known to have led elsewhere within a minute, or if the caller names the request that began the stream and the route has not changed. It is refused with 503 otherwise, without a Retry-After: no time makes it known. Routes now keep where their requests went before a change, also by a prefix that is new or gone.

Why it works: with one service, all requests of the route went there. What a VM cannot know: a move of the route before its own start.

--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -218,7 +218,7 @@
 	if r.options.Builds.Alone(now, g.service.Name) {
 		return true
 	}
-	return now.Sub(g.route.UnchangedSince) >= builds.Memory && r.options.ConfigurationAge() < now.Sub(g.request.Arrived)
+	return r.unchanged(g.exchange, now)
 }
 
 // heldBuild reports whether an engine may not begin the stream yet, because a VM that starts
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -40,6 +40,9 @@
 
 // servePlain serves a request that a single endpoint answers completely.
 func (r *Relay) servePlain(ctx context.Context, x *exchange) {
+	if !r.tracePlain(x) {
+		return
+	}
 	for !r.heldBack(x) && r.mayAttempt(x) {
 		candidates := x.passage.successors(r.belowConnectionLimit(x.service))
 		chosen := r.choosePlain(ctx, x, candidates)
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -1,11 +1,19 @@
 package relay
 
 import (
+	"errors"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
+	"github.com/ospreyshed/ospreyshed/internal/builds"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/routing"
 )
 
+// errOtherService means that another service may have begun the stream that a caller takes up.
+var errOtherService = errors.New("the route leads to several services, or has led to another one")
+
 // maxLoggedIDBytes bounds an ID in a log line that a caller chose.
 const maxLoggedIDBytes = 64
 
@@ -38,3 +46,35 @@
 		"call_last_event": loggedID(call.LastEventID),
 	})
 }
+
+// tracePlain reports whether a request may be sent to its plain service as far as the stream is concerned that it takes
+// up. There is no record of such streams, so that the route has to show which service began it. If it does not, the
+// caller is refused.
+func (r *Relay) tracePlain(x *exchange) bool {
+	if x.request.TakeUp == nil || x.route.Kind != routing.Streaming || !x.route.Resumable || r.plainOrigin(x) {
+		return true
+	}
+	r.Counters.Untraced.Add(1)
+	r.decide(x, "stream not traced", logrus.Fields{
+		"stream": loggedID(x.request.resumes()), "last_event": loggedID(x.request.lastEventID()), "error": errOtherService.Error(),
+	})
+	r.refuse(x, Refusal{Reason: "the service that began the stream is not known"})
+	return false
+}
+
+// plainOrigin reports whether no other service than the request's is known to be able to have begun the stream that is
+// taken up. A VM that has started lately does not know where the route led before.
+func (r *Relay) plainOrigin(x *exchange) bool {
+	now := time.Now()
+	if x.route.LeadsOnlyTo(x.service.Name) {
+		return !x.route.LedElsewhere(x.service.Name, now.Add(-builds.Memory))
+	}
+	return x.request.resumes() != "" && r.unchanged(x, now)
+}
+
+// unchanged reports whether the route of a take-up has led to the same services for as long as the stream may have run,
+// also by a configuration that was read after the request had arrived. A request that names the one which began the
+// stream then goes to the same service.
+func (r *Relay) unchanged(x *exchange, now time.Time) bool {
+	return now.Sub(x.route.UnchangedSince) >= builds.Memory && r.options.ConfigurationAge() < now.Sub(x.request.Arrived)
+}
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -41,6 +41,9 @@
 	// UnchangedSince is the time at which this process first saw the route with its destinations,
 	// without a change since then.
 	UnchangedSince time.Time
+	// FormerServices are the services to which requests of the route went before a change that this process saw, with
+	// the time of the latest such change. Changes longer ago than formerRetention may be missing.
+	FormerServices map[string]time.Time
 	// MaxAttempts is the maximum number of endpoints that one request is sent to.
 	MaxAttempts int
 	// Timeout is the maximum time that a caller is kept waiting.
@@ -61,6 +64,21 @@
 	return slices.ContainsFunc(r.Destinations, func(d Destination) bool { return d.Service == service && d.Weight > 0 })
 }
 
+// LeadsOnlyTo reports whether requests of the route may go to no other service.
+func (r *Route) LeadsOnlyTo(service string) bool {
+	return !slices.ContainsFunc(r.Destinations, func(d Destination) bool { return d.Service != service && d.Weight > 0 })
+}
+
+// LedElsewhere reports whether requests of the route are known to have gone to another service after a time.
+func (r *Route) LedElsewhere(service string, after time.Time) bool {
+	for former, until := range r.FormerServices {
+		if former != service && until.After(after) {
+			return true
+		}
+	}
+	return false
+}
+
 // RunsOnce reports whether a request of the route may run at most once.
 func (r *Route) RunsOnce() bool {
 	return r.Kind == SingleRun || r.Kind == Streaming && !r.Resumable
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -41,18 +41,58 @@
 	return t
 }
 
-// Follow sets since when the routes of a table that is not yet used have been as they are: since they
-// were so in the previous table, which may be nil, or from now on.
+// formerRetention is how long the former services of a route are kept after a change.
+const formerRetention = 10 * time.Minute
+
+// Follow sets since when the routes of a table that is not yet used have been as they are, and where their requests went
+// before: by the previous table, which may be nil. Requests of a new route went to the one with the next shorter prefix,
+// and requests of a route that is gone go there from now on.
 func (t *Table) Follow(previous *Table, now time.Time) {
-	for key, route := range t.byPrefix {
+	for _, route := range t.byPrefix {
 		route.UnchangedSince = now
-		if previous == nil {
+	}
+	if previous == nil {
+		return
+	}
+	for key, route := range t.byPrefix {
+		former := previous.byPrefix[key]
+		if former != nil && slices.Equal(former.Destinations, route.Destinations) {
+			route.UnchangedSince = former.UnchangedSince
+			route.FormerServices = former.FormerServices
 			continue
 		}
-		if former := previous.byPrefix[key]; former != nil && slices.Equal(former.Destinations, route.Destinations) {
-			route.UnchangedSince = former.UnchangedSince
+		route.succeed(previous.Lookup(route.Host, route.Prefix), now)
+	}
+	for key, former := range previous.byPrefix {
+		if t.byPrefix[key] != nil {
+			continue
+		}
+		if route := t.Lookup(former.Host, former.Prefix); route != nil && !slices.Equal(former.Destinations, route.Destinations) {
+			route.UnchangedSince = now
+			route.succeed(former, now)
+		}
+	}
+}
+
+// succeed notes that requests which went by a former route, which may be nil, go by this one from now on.
+func (r *Route) succeed(former *Route, now time.Time) {
+	if former == nil {
+		return
+	}
+	services := make(map[string]time.Time, len(former.FormerServices)+len(former.Destinations))
+	for _, known := range []map[string]time.Time{r.FormerServices, former.FormerServices} {
+		for service, until := range known {
+			if now.Sub(until) < formerRetention && until.After(services[service]) {
+				services[service] = until
+			}
+		}
+	}
+	for _, d := range former.Destinations {
+		if d.Weight > 0 || len(former.Destinations) == 1 {
+			services[d.Service] = now
 		}
 	}
+	r.FormerServices = services
 }
 
 // Lookup returns the route of the host with the longest prefix that matches the
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -63,3 +63,39 @@
 	assert.Equal(t, since(third), at(2))
 	assert.Equal(t, since(tableOf(4, "pool", third, at(3))), at(3), "it led to another service meanwhile")
 }
+
+// Guards against a stream that is taken up at a service which did not begin it, because the route does not tell that its
+// requests went elsewhere before: after a move, by a new longer prefix, or once a longer prefix is gone.
+func TestRouteKnowsWhereItsRequestsWent(t *testing.T) {
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	var table *Table
+	put := func(seconds int, services map[string]string) {
+		var routes []Route
+		for prefix, service := range services {
+			routes = append(routes, Route{Host: "h", Prefix: prefix, Destinations: []Destination{{service, 1}}})
+		}
+		next := NewTable(uint64(seconds+1), Limits{}, routes, nil)
+		next.Follow(table, at(seconds))
+		table = next
+	}
+	led := func(path, service string, after int) bool {
+		return table.Lookup("h", path).LedElsewhere(service, at(after))
+	}
+	put(0, map[string]string{"/a/": "one"})
+	assert.Assert(t, !led("/a/x", "one", -1000))
+	put(10, map[string]string{"/a/": "two"})
+	assert.Assert(t, led("/a/x", "two", 9))
+	assert.Assert(t, !led("/a/x", "two", 10), "the change was long ago")
+	put(20, map[string]string{"/a/": "two", "/a/b/": "three"})
+	assert.Assert(t, led("/a/x", "two", 9), "an unchanged route keeps its past")
+	assert.Assert(t, !led("/a/x", "two", 10))
+	assert.Assert(t, led("/a/b/x", "three", 19), "its requests went to the shorter prefix")
+	put(30, map[string]string{"/a/": "two"})
+	assert.Assert(t, led("/a/b/x", "two", 29), "the longer prefix is gone")
+	assert.Equal(t, table.Lookup("h", "/a/b/x").UnchangedSince, at(30))
+	put(40, map[string]string{"/a/": "one"})
+	assert.Assert(t, led("/a/x", "one", 39))
+	put(40+int(formerRetention/time.Second), map[string]string{"/a/": "two"})
+	assert.Equal(t, len(table.Lookup("h", "/a/x").FormerServices), 1, "old changes are forgotten")
+}
