Take no service of engines for the only one beside a service without engines

Cause: that services without engines have no streams was also built into the proof that a stream can only have begun at one service: Builds.Alone, which knows services of engines only, was taken for the whole proof.

TestUntracedStreamGoesOnOnlyIfNoPlainServiceMayHaveBegunIt failed before on split routes and after moves.

Routes that lead to engines alone are served as before.

--- a/internal/builds/history.go
+++ b/internal/builds/history.go
@@ -311,8 +311,8 @@
 	return s != nil && len(s.builds(now)) > 1
 }
 
-// Alone reports whether no other service can have begun a stream that is still taken up: none has had
-// engines lately.
+// Alone reports whether no other service of engines can have begun a stream that is still taken up: none has had
+// engines lately. Services without engines have no history here.
 func (h *History) Alone(now time.Time, name string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -57,7 +57,7 @@
 type Builds interface {
 	// Sole returns the only build that can have begun a stream of a service, if it is proved.
 	Sole(now time.Time, service string) (string, bool)
-	// Alone reports whether no other service can have begun a stream that is still taken up.
+	// Alone reports whether no other service of engines can have begun a stream that is still taken up.
 	Alone(now time.Time, service string) bool
 	// Held reports whether engines of a build may not begin streams that can be resumed yet.
 	Held(now time.Time, service, build string) bool
@@ -211,11 +211,12 @@
 	return r.options.Builds.Sole(time.Now(), service)
 }
 
-// soleService reports whether no other service can have begun the stream: no other one has had engines, or
-// the route has led to no other one, also by a configuration that was read after the request had arrived.
+// soleService reports whether no other service can have begun the stream: the route has led to no service without engines,
+// and no other service has had engines; or the route has led to the same services, also by a configuration that was read
+// after the request had arrived.
 func (r *Relay) soleService(g *generation) bool {
 	now := time.Now()
-	if r.options.Builds.Alone(now, g.service.Name) {
+	if r.options.Builds.Alone(now, g.service.Name) && !r.ledToPlainService(g.exchange, now) {
 		return true
 	}
 	return r.unchanged(g.exchange, now)
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -174,6 +174,42 @@
 	}
 }
 
+// Guards against a stream that a service without engines began and that goes on at engines, because theirs is the only
+// service with engines.
+func TestUntracedStreamGoesOnOnlyIfNoPlainServiceMayHaveBegunIt(t *testing.T) {
+	const refused = "refused: the build that began the stream is not known"
+	pool, desk := routing.Destination{Service: "pool", Weight: 1}, routing.Destination{Service: "desk", Weight: 1}
+	for _, c := range []struct {
+		name         string
+		destinations []routing.Destination
+		former       string
+		changed      time.Duration
+		outcome      string
+	}{
+		{"engines only", []routing.Destination{pool}, "", 0, "stream"},
+		{"engines only, a weight of 0", []routing.Destination{pool, {Service: "desk"}}, "", 0, "stream"},
+		{"split", []routing.Destination{pool, desk}, "", 0, refused},
+		{"split for long", []routing.Destination{pool, desk}, "", time.Hour, refused},
+		{"has moved", []routing.Destination{pool}, "desk", 0, refused},
+		{"has moved from a service that is gone", []routing.Destination{pool}, "gone", 0, refused},
+		{"has moved long ago", []routing.Destination{pool}, "desk", builds.Memory, "stream"},
+		{"weights have changed", []routing.Destination{pool}, "pool", 0, "stream"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFixture(t, grant("p1", "e1"))
+			s.engines(answers(http.StatusOK, "h1"), events(3))
+			s.setBuilds(oneBuild)
+			s.builds.sole, s.configurationAge = "v1", time.Hour
+			route := check
+			route.Destinations, route.UnchangedSince = c.destinations, time.Now().Add(-c.changed)
+			if c.former != "" {
+				route.FormerServices = map[string]time.Time{c.former: time.Now().Add(-c.changed)}
+			}
+			assert.Equal(t, s.serve(route, takenUp).outcome, c.outcome)
+		})
+	}
+}
+
 // A stream that the archive names must go on at the build that began it.
 func TestStreamGoesOnAtTheBuildOfTheArchive(t *testing.T) {
 	s := newFixture(t, grant("p2", "e2"))
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -78,3 +78,25 @@
 func (r *Relay) unchanged(x *exchange, now time.Time) bool {
 	return now.Sub(x.route.UnchangedSince) >= builds.Memory && r.options.ConfigurationAge() < now.Sub(x.request.Arrived)
 }
+
+// ledToPlainService reports whether requests of the route go to a service without engines, or are known to have gone there
+// lately. A service that the configuration does not have any more may have had none.
+func (r *Relay) ledToPlainService(x *exchange, now time.Time) bool {
+	table := r.options.Fleet.Table()
+	for _, d := range x.route.Destinations {
+		if d.Weight > 0 && mayBePlain(table, d.Service) {
+			return true
+		}
+	}
+	for former, until := range x.route.FormerServices {
+		if now.Sub(until) < builds.Memory && mayBePlain(table, former) {
+			return true
+		}
+	}
+	return false
+}
+
+func mayBePlain(table *routing.Table, name string) bool {
+	service := table.Service(name)
+	return service == nil || service.Engines == nil
+}
