Take no split route for one that assigns a take-up to the service that began its stream

Cause: a route that has been as it is for a minute was taken to lead a take-up to the same service. That holds for a split only if the caller names the request that began the stream: the split follows the ID of the request otherwise, and each attempt has its own.

Change: the proof by an unchanged route needs a single destination or a named request. Without either, such a take-up is refused.

--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -212,14 +212,13 @@
 }
 
 // soleService reports whether no other service can have begun the stream: the route has led to no service without engines,
-// and no other service has had engines; or the route has led to the same services, also by a configuration that was read
-// after the request had arrived.
+// and no other service has had engines; or the route has assigned the request which began the stream to the same service.
 func (r *Relay) soleService(g *generation) bool {
 	now := time.Now()
 	if r.options.Builds.Alone(now, g.service.Name) && !r.ledToPlainService(g.exchange, now) {
 		return true
 	}
-	return r.unchanged(g.exchange, now)
+	return r.sameAssignment(g.exchange, now)
 }
 
 // heldBuild reports whether an engine may not begin the stream yet, because a VM that starts
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -174,6 +174,23 @@
 	}
 }
 
+// Guards against a stream that one service of engines began and that goes on at another one, because a route that has been
+// split over both for long counts as one that leads to the same service: a caller that does not name the request which
+// began its stream is assigned anew.
+func TestUntracedStreamOfASplitRouteGoesOnOnlyIfItsRequestIsNamed(t *testing.T) {
+	for resumes, outcome := range map[string]string{"r0": "stream", "": "refused: the build that began the stream is not known"} {
+		s := newFixture(t, grant("p1", "e1"))
+		s.engines(answers(http.StatusOK, "h1"), events(3))
+		s.setBuilds(oneBuild)
+		s.builds.sole, s.builds.others = "v1", true
+		s.takeUp = &TakeUp{LastEventID: "2", Resumes: resumes}
+		route := check
+		route.Destinations = []routing.Destination{{Service: "pool", Weight: 1}, {Service: "south", Weight: 1}}
+		route.UnchangedSince = time.Now().Add(-time.Hour)
+		assert.Equal(t, s.serve(route, work).outcome, outcome)
+	}
+}
+
 // Guards against a stream that a service without engines began and that goes on at engines, because theirs is the only
 // service with engines.
 func TestUntracedStreamGoesOnOnlyIfNoPlainServiceMayHaveBegunIt(t *testing.T) {
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -69,13 +69,16 @@
 	if x.route.LeadsOnlyTo(x.service.Name) {
 		return !x.route.LedElsewhere(x.service.Name, now.Add(-builds.Memory))
 	}
-	return x.request.resumes() != "" && r.unchanged(x, now)
+	return r.sameAssignment(x, now)
 }
 
-// unchanged reports whether the route of a take-up has led to the same services for as long as the stream may have run,
-// also by a configuration that was read after the request had arrived. A request that names the one which began the
-// stream then goes to the same service.
-func (r *Relay) unchanged(x *exchange, now time.Time) bool {
+// sameAssignment reports whether a take-up goes to the service that got the request which began its stream: its route has
+// been as it is for as long as the stream may have run, also by a configuration that was read after the request had
+// arrived, and leads to one service or the caller names that request, by which a split is made.
+func (r *Relay) sameAssignment(x *exchange, now time.Time) bool {
+	if x.request.resumes() == "" && !x.route.LeadsOnlyTo(x.service.Name) {
+		return false
+	}
 	return now.Sub(x.route.UnchangedSince) >= builds.Memory && r.options.ConfigurationAge() < now.Sub(x.request.Arrived)
 }
 
