Refuse a take-up at a service without engines that has had several builds

Callers saw, since Last-Event-Id reaches services without engines: a stream that one build of such a service had begun went on at another one during a release, answered 200.

Cause: only the builds of engines were observed, as services without engines were taken to have no streams that are taken up.

Change: the builds of services without engines are observed in a history of their own, of which nothing is kept in the store. A take-up on a route that may be resumed is refused with 503 while the service has several builds and for a minute after.

Why it works: as for engines, one build alone can have begun the stream. There is no record of these streams to go by, as callers do not name them. What a VM cannot know: a build that had left before its own start.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,8 @@
 type BuildOptions struct {
 	// History is updated by the adapter with registrations and records.
 	History *builds.History
+	// Plain is the history of services without engines, of which no records are kept. It is updated with registrations.
+	Plain *builds.History
 	// Store keeps the records, Topic is the name of their topic.
 	Store builds.Store
 	Topic string
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -112,6 +112,7 @@
 		InFlight:         p.Options.InFlight,
 		Origins:          p.Origins,
 		Builds:           p.Options.Builds.History,
+		PlainBuilds:      p.Options.Builds.Plain,
 		Incarnations:     p.EngineCalls,
 		Quarantine:       p.Quarantine,
 		Quotas:           p.Quotas,
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -247,8 +247,12 @@
 	others bool
 	// held are the builds whose engines may not begin streams.
 	held map[string]bool
+	// several is set if plain services have several builds.
+	several bool
 }
 
+func (f *fakeBuilds) Several(time.Time, string) bool { return f.several }
+
 func (f *fakeBuilds) Sole(time.Time, string) (string, bool) { return f.sole, f.sole != "" }
 
 func (f *fakeBuilds) Alone(time.Time, string) bool { return !f.others }
@@ -412,6 +416,8 @@
 		{Name: "pool", Engines: &routing.Engines{Slots: 8, MemoryTokens: 30_000, TokensPerEvent: 1}},
 	}))
 	s.relay = New(Options{
+		PlainBuilds: s.builds,
+
 		VM: "vm", Incarnation: 1, Zone: "a", Fleet: s.fleet, Endpoints: s.endpoints, Reserver: s.reserver,
 		EndpointsAge:     func() time.Duration { return s.endpointsAge },
 		ConfigurationAge: func() time.Duration { return s.configurationAge },
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -106,6 +106,8 @@
 	InFlight *membudget.Endpoints
 	Origins  Origins
 	Builds   Builds
+	// PlainBuilds are the builds of services without engines.
+	PlainBuilds PlainBuilds
 	// Incarnations is asked before a stream goes on at another engine.
 	Incarnations Incarnations
 	Quarantine   Quarantine
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -11,8 +11,18 @@
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 )
 
-// errOtherService means that another service may have begun the stream that a caller takes up.
-var errOtherService = errors.New("the route leads to several services, or has led to another one")
+var (
+	// errOtherService means that another service may have begun the stream that a caller takes up.
+	errOtherService = errors.New("the route leads to several services, or has led to another one")
+	// errOtherBuild means that another build of the service may have begun it.
+	errOtherBuild = errors.New("the service has had several builds within a minute")
+)
+
+// PlainBuilds is what this VM has seen of the builds of services without engines. It is implemented by builds.History.
+type PlainBuilds interface {
+	// Several reports whether several builds of a service may have begun streams that are still taken up.
+	Several(now time.Time, service string) bool
+}
 
 // maxLoggedIDBytes bounds an ID in a log line that a caller chose.
 const maxLoggedIDBytes = 64
@@ -48,17 +58,26 @@
 }
 
 // tracePlain reports whether a request may be sent to its plain service as far as the stream is concerned that it takes
-// up. There is no record of such streams, so that the route has to show which service began it. If it does not, the
-// caller is refused.
+// up. There is no record of such streams, so that the route has to show which service began it, and the service must have
+// one build. If not, the caller is refused.
 func (r *Relay) tracePlain(x *exchange) bool {
-	if x.request.TakeUp == nil || x.route.Kind != routing.Streaming || !x.route.Resumable || r.plainOrigin(x) {
+	if x.request.TakeUp == nil || x.route.Kind != routing.Streaming || !x.route.Resumable {
+		return true
+	}
+	refusal := Refusal{Reason: "the service that began the stream is not known"}
+	obstacle := errOtherService
+	switch {
+	case !r.plainOrigin(x):
+	case r.options.PlainBuilds.Several(time.Now(), x.service.Name):
+		refusal.Reason, obstacle = "the build that began the stream is not known", errOtherBuild
+	default:
 		return true
 	}
 	r.Counters.Untraced.Add(1)
 	r.decide(x, "stream not traced", logrus.Fields{
-		"stream": loggedID(x.request.resumes()), "last_event": loggedID(x.request.lastEventID()), "error": errOtherService.Error(),
+		"stream": loggedID(x.request.resumes()), "last_event": loggedID(x.request.lastEventID()), "error": obstacle.Error(),
 	})
-	r.refuse(x, Refusal{Reason: "the service that began the stream is not known"})
+	r.refuse(x, refusal)
 	return false
 }
 
--- a/internal/relay/takeup_test.go
+++ b/internal/relay/takeup_test.go
@@ -10,6 +10,19 @@
 	"github.com/ospreyshed/ospreyshed/internal/routing"
 )
 
+// Guards against a stream that is joined of two builds of a plain service, and against other requests that are refused then.
+func TestTakeUpGoesToAPlainServiceOfOneBuildOnly(t *testing.T) {
+	s := newFixture(t)
+	s.inTurn(events(3))
+	s.builds.several = true
+	assert.Equal(t, s.serve(feed, nil).outcome, "stream")
+	s.takeUp = &TakeUp{LastEventID: "2"}
+	assert.Equal(t, s.serve(feed, nil).outcome, "refused: the build that began the stream is not known")
+	assert.Equal(t, s.serve(report, nil).outcome, "stream")
+	assert.Equal(t, s.serve(lookup, nil).outcome, "answer")
+	assert.Equal(t, s.callCount(), 3)
+}
+
 // Guards against a stream that is joined of two plain services: its caller takes it up, and the split of the route, or a
 // move, leads the request to a service that did not begin it.
 func TestTakeUpGoesToAPlainServiceThatBeganTheStreamOnly(t *testing.T) {
