Check a take-up that names several last events against none of them

Cause: a request may repeat Last-Event-Id. The first value alone was taken for what its caller has; a service without engines gets all values since the header is passed on, and may go on after another one, so that its answer was taken for one that begins anew.

Change: if the values differ, events of services without engines may begin with any number. Engines get the one value that the router follows, as before the header was passed on. The line "stream asked for" states what the header of the call has, instead of what the relay meant to send.

--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -28,6 +28,7 @@
 type plainDialect struct{}
 
 func (plainDialect) Header(*relay.Request, *relay.Call) http.Header { return http.Header{} }
+func (plainDialect) LastEventID(http.Header) string                 { return "" }
 func (plainDialect) Judge(*relay.Request, *relay.Call, *upstream.Response) relay.Verdict {
 	return relay.Verdict{}
 }
--- a/internal/relay/passedstream.go
+++ b/internal/relay/passedstream.go
@@ -35,12 +35,27 @@
 		!verdict.NotEvents && !verdict.NotRun
 }
 
-// lastEventID returns the ID of the last event that the caller has, from this request or an earlier one.
-func (x *exchange) lastEventID() string {
-	if x.passage != nil && x.passage.stream != nil {
-		return x.passage.stream.lastEventID
+// lastEventID returns the ID of the last event that was passed on, empty if there is none. A nil passage has none.
+func (p *passage) lastEventID() string {
+	if p == nil || p.stream == nil {
+		return ""
+	}
+	return p.stream.lastEventID
+}
+
+// passedSequence returns the sequence that the events of an endpoint must continue, and whether the caller has the
+// beginning of the stream.
+func (x *exchange) passedSequence() (s sequence, begun bool) {
+	switch takeUp := x.request.TakeUp; {
+	case x.passage != nil:
+		return newSparseSequence(x.passage.lastEventID()), true
+	case takeUp == nil:
+		return newSparseSequence(""), false
+	case takeUp.Ambiguous:
+		return newSparseSequence(""), true
+	default:
+		return newSparseSequence(takeUp.LastEventID), true
 	}
-	return x.request.lastEventID()
 }
 
 // mayGoOn reports whether another endpoint may send the rest of the answer. A nil passage has sent nothing yet. A stream
@@ -52,7 +67,7 @@
 	if p.stream == nil {
 		return false
 	}
-	_, err := strconv.ParseUint(p.stream.lastEventID, 10, 64)
+	_, err := strconv.ParseUint(p.lastEventID(), 10, 64)
 	return err == nil
 }
 
@@ -68,10 +83,11 @@
 // error says why the answer is not complete. An answer without events is returned whole, unless the caller has the
 // beginning of the stream: it is no end of that. The timer ends ctx before the first event, and at the deadline.
 func (r *Relay) passEvents(
-	ctx context.Context, x *exchange, from *configuration.Endpoint, call *Call, response *upstream.Response, timer *time.Timer,
+	ctx context.Context, x *exchange, from *configuration.Endpoint, response *upstream.Response, timer *time.Timer,
 ) (*answerBuffer, error) {
 	events := newEventReader(response)
-	events.sequence = newSparseSequence(call.LastEventID)
+	var begun bool
+	events.sequence, begun = x.passedSequence()
 	events.format = blockFormat{fields: r.options.Dialect.EventFields(), optionalID: true}
 	events.memory, events.ctx, events.maxBytes = x.request.Memory, ctx, maxAnswerBytes
 	defer events.release()
@@ -82,7 +98,7 @@
 		case errors.Is(err, io.EOF) && part.events > 0:
 			x.passage.failure = nil
 			return &answerBuffer{}, nil
-		case errors.Is(err, io.EOF) && call.LastEventID == "":
+		case errors.Is(err, io.EOF) && !begun:
 			buffer := &answerBuffer{memory: x.request.Memory}
 			return buffer, buffer.read(bytes.NewReader(events.held()), waitForMemory(ctx, x.request.Memory))
 		case errors.Is(err, io.EOF):
@@ -132,7 +148,7 @@
 		x.passage.failure = cause
 	}
 	r.decide(x, "stream cut", part.addTo(logrus.Fields{
-		"endpoint": from.Name, "last_event": loggedID(x.lastEventID()), "error": cause.Error(), "resumable": x.route.Resumable,
+		"endpoint": from.Name, "last_event": loggedID(x.passage.lastEventID()), "error": cause.Error(), "resumable": x.route.Resumable,
 	}))
 }
 
--- a/internal/relay/passedstream_test.go
+++ b/internal/relay/passedstream_test.go
@@ -102,6 +102,8 @@
 		{"taken up, begins anew, may not be resumed", report, &TakeUp{LastEventID: "2"}, []handler{anew(3), events(3)}, failed, "", 1},
 		{"taken up, no further event", feed, &TakeUp{LastEventID: "3"}, []handler{events(3)}, failed, "", 3},
 		{"taken up after no number", feed, &TakeUp{LastEventID: "x"}, []handler{events(3)}, "stream", three, 1},
+		{"taken up, ambiguous", feed, &TakeUp{LastEventID: "2", Ambiguous: true}, []handler{anew(3)}, "stream", three, 1},
+		{"taken up, ambiguous, no further event", feed, &TakeUp{LastEventID: "3", Ambiguous: true}, []handler{events(3)}, failed, "", 3},
 		{"taken up after the highest number", feed, &TakeUp{LastEventID: "18446744073709551615"}, []handler{anew(3)}, failed, "", 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -184,7 +184,7 @@
 ) bool {
 	defer r.options.Endpoints.Begin(to.Name)()
 	started, blocked := time.Now(), x.passage.blockedTime()
-	answer, verdict, err := r.call(ctx, x, to, &Call{Stage: Whole, LastEventID: x.lastEventID()}, r.attemptTimeout(x))
+	answer, verdict, err := r.call(ctx, x, to, &Call{Stage: Whole, LastEventID: x.passage.lastEventID()}, r.attemptTimeout(x))
 	if verdict.Load != nil {
 		r.options.Endpoints.ObserveLoad(to.Name, *verdict.Load)
 	}
@@ -281,7 +281,7 @@
 	var buffer *answerBuffer
 	switch {
 	case x.isStream(call, response, &verdict):
-		buffer, err = r.passEvents(ctx, x, to, call, response, timer)
+		buffer, err = r.passEvents(ctx, x, to, response, timer)
 	case x.passage != nil && !verdict.NotRun:
 		return nil, verdict, untrusted.New("%s answered a request for the rest of a stream with status %d", to.Name, response.Status)
 	default:
@@ -348,17 +348,18 @@
 	}
 	call.InstanceID = instance.ID
 	call.Timeout = x.timeLeft()
-	r.logTakeUp(x, to, call)
 	if call.Stage != Prefill {
 		x.tracked.sent.Store(true)
 	}
 	r.Counters.Sent.Add(1)
+	header := r.options.Dialect.Header(x.request, call)
+	r.logTakeUp(x, to, header)
 	sent := time.Now()
 	response, err := r.options.Client.Do(ctx, to.Address, &upstream.Request{
 		Method:  x.request.Method,
 		Target:  x.request.Target,
 		Host:    x.request.Host,
-		Header:  r.options.Dialect.Header(x.request, call),
+		Header:  header,
 		Body:    x.request.Body,
 		MaxIdle: maxIdle(x, call),
 		Permit:  func() error { return r.permitRequest(x, to.Name) },
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -66,8 +66,9 @@
 
 // TakeUp describes the stream that a caller takes up.
 type TakeUp struct {
-	// LastEventID is the ID of the last event that the caller received.
+	// LastEventID is the ID of the last event that the caller received, Ambiguous says that the caller names others as well.
 	LastEventID string
+	Ambiguous   bool
 	// Resumes is the ID of the request that brought the first event of the stream;
 	// empty if the caller does not say.
 	Resumes string
@@ -139,7 +140,7 @@
 	// Source locates the KV cache for a decode; nil if the engine processes the
 	// prompt itself.
 	Source *Source
-	// LastEventID is the ID of the last event that the caller received, empty if it names none and has got none.
+	// LastEventID is the ID of the last event that the caller received. If it is empty, the call states what the request does.
 	LastEventID string
 }
 
@@ -199,6 +200,8 @@
 	Header(request *Request, call *Call) http.Header
 	// Judge classifies a response to the request by its header.
 	Judge(request *Request, call *Call, response *upstream.Response) Verdict
+	// LastEventID returns what the header of a call states as the last event.
+	LastEventID(header http.Header) string
 	// EventFields returns the names of the lines that events of a stream may have besides those of
 	// text/event-stream.
 	EventFields() []string
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -46,14 +47,14 @@
 // loggedID returns the beginning of an ID for a log line.
 func loggedID(id string) string { return id[:min(len(id), maxLoggedIDBytes)] }
 
-// logTakeUp logs what a call states of the stream that its caller takes up.
-func (r *Relay) logTakeUp(x *exchange, to *configuration.Endpoint, call *Call) {
+// logTakeUp logs what the header of a call states of the stream that its caller takes up.
+func (r *Relay) logTakeUp(x *exchange, to *configuration.Endpoint, header http.Header) {
 	if x.request.TakeUp == nil {
 		return
 	}
 	r.decide(x, "stream asked for", logrus.Fields{
 		"endpoint": to.Name, "last_event": loggedID(x.request.lastEventID()), "resumes": loggedID(x.request.resumes()),
-		"call_last_event": loggedID(call.LastEventID),
+		"call_last_event": loggedID(r.options.Dialect.LastEventID(header)),
 	})
 }
 
