Refuse a take-up at a VM that cannot know where its stream began

Callers saw: a stream of a service without engines went on at another service if its route had moved and the VM at which it was taken up had started since, or had an old configuration; the same for builds.

Cause: the check of the commits before goes by what this process has seen change; a young process has seen nothing, and took that for no change.

The test whether the deployment has just begun is that of the records of builds.

--- a/internal/builds/service.go
+++ b/internal/builds/service.go
@@ -171,12 +171,17 @@
 	}
 }
 
-// beginning reports whether services without a record have just begun: this process belongs to the
-// first start of the deployment and no VM in view has run for longer than Memory. That all VMs are
-// young does not suffice, as they may have been replaced together.
+// beginning reports whether services without a record have just begun.
 func (s *Service) beginning(now time.Time) bool {
-	return s.params.FirstStart && !slices.ContainsFunc(s.params.View.Members(), func(m membership.Member) bool {
-		return m.Incarnation == 0 || !within(now, s.params.Started(m.Incarnation))
+	return Beginning(now, s.params.FirstStart, s.params.View.Members(), s.params.Started)
+}
+
+// Beginning reports whether the deployment has just begun: this process belongs to its first start and none of the VMs in
+// view has run for longer than Memory. That all VMs are young does not suffice, as they may have been replaced together.
+// Started returns the time at which a process with an incarnation started.
+func Beginning(now time.Time, firstStart bool, members []membership.Member, started func(incarnation uint64) time.Time) bool {
+	return firstStart && !slices.ContainsFunc(members, func(m membership.Member) bool {
+		return m.Incarnation == 0 || !within(now, started(m.Incarnation))
 	})
 }
 
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"github.com/ospreyshed/ospreyshed/internal/background"
+	"github.com/ospreyshed/ospreyshed/internal/builds"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
@@ -90,6 +91,23 @@
 	Quarantine   *quarantine.Service
 	Quotas       *quota.Service
 	Feed         *feed.Service
+	Members      *swim.Service
+}
+
+// firstViewTime is the time after the start of a process in which other VMs come into view.
+const firstViewTime = 2 * time.Second
+
+// pastKnown returns a function that reports whether this VM knows where routes led and which endpoints served within
+// builds.Memory: it has run for as long, or the deployment has just begun.
+func pastKnown(options *Options, members membership.View) func() bool {
+	started := time.Now()
+	return func() bool {
+		now := time.Now()
+		if age := now.Sub(started); age >= builds.Memory || age < firstViewTime {
+			return age >= builds.Memory
+		}
+		return builds.Beginning(now, options.Builds.FirstStart, members.Members(), options.Builds.Started)
+	}
 }
 
 func newRelay(p relayParams) *relay.Relay {
@@ -113,6 +131,7 @@
 		Origins:          p.Origins,
 		Builds:           p.Options.Builds.History,
 		PlainBuilds:      p.Options.Builds.Plain,
+		PastKnown:        pastKnown(p.Options, p.Members),
 		Incarnations:     p.EngineCalls,
 		Quarantine:       p.Quarantine,
 		Quotas:           p.Quotas,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,6 +108,8 @@
 	Builds   Builds
 	// PlainBuilds are the builds of services without engines.
 	PlainBuilds PlainBuilds
+	// PastKnown reports whether this VM knows where routes led, and which builds plain services had, within builds.Memory.
+	PastKnown func() bool
 	// Incarnations is asked before a stream goes on at another engine.
 	Incarnations Incarnations
 	Quarantine   Quarantine
