--- a/internal/relay/passedstream_test.go
+++ b/internal/relay/passedstream_test.go
@@ -42,10 +42,8 @@
 	}
 }
 
-// anew returns a handler that streams all events, whatever the caller has.
-func anew(last int) func(http.ResponseWriter, *http.Request) {
-	return func(w http.ResponseWriter, _ *http.Request) { eventsBetween(w, 1, last) }
-}
+// anew is a handler that streams three events, whatever the caller has.
+func anew(w http.ResponseWriter, _ *http.Request) { eventsBetween(w, 1, 3) }
 
 // otherType is a handler whose answer is no series of events.
 func otherType(w http.ResponseWriter, r *http.Request) {
@@ -80,7 +78,7 @@
 		{"cut, then an error", feed, nil, []handler{cut(two), answers(http.StatusInternalServerError, "no"), events(3)}, "stream", three, 3},
 		{"cut, then errors", feed, nil, []handler{cut(two), answers(http.StatusInternalServerError, "no")}, "aborted", two, 3},
 		{"cut, then a document", feed, nil, []handler{cut(two), otherType}, "aborted", two, 3},
-		{"cut, begins anew", feed, nil, []handler{cut(two), anew(3)}, "aborted", two, 3},
+		{"cut, begins anew", feed, nil, []handler{cut(two), anew}, "aborted", two, 3},
 		{"cut, no further event", feed, nil, []handler{cut(two), events(2)}, "aborted", two, 3},
 		{"cut before the first event", feed, nil, []handler{cut(""), events(3)}, "stream", three, 2},
 		{"ends within an event", report, nil, []handler{answers(http.StatusOK, two+"id: 3\nda")}, "aborted", two, 1},
@@ -97,14 +95,14 @@
 		{"taken up", feed, &TakeUp{LastEventID: "2"}, []handler{events(3)}, "stream", rest, 1},
 		{"taken up, may not be resumed", report, &TakeUp{LastEventID: "2"}, []handler{events(3)}, "stream", rest, 1},
 		{"taken up, cut", feed, &TakeUp{LastEventID: "1"}, []handler{cut(strings.TrimPrefix(two, eventText(1))), events(3)}, "stream", strings.TrimPrefix(three, eventText(1)), 2},
-		{"taken up, begins anew", feed, &TakeUp{LastEventID: "2"}, []handler{anew(3)}, failed, "", 3},
-		{"taken up, begins anew once", feed, &TakeUp{LastEventID: "2"}, []handler{anew(3), events(3)}, "stream", rest, 2},
-		{"taken up, begins anew, may not be resumed", report, &TakeUp{LastEventID: "2"}, []handler{anew(3), events(3)}, failed, "", 1},
+		{"taken up, begins anew", feed, &TakeUp{LastEventID: "2"}, []handler{anew}, failed, "", 3},
+		{"taken up, begins anew once", feed, &TakeUp{LastEventID: "2"}, []handler{anew, events(3)}, "stream", rest, 2},
+		{"taken up, begins anew, may not be resumed", report, &TakeUp{LastEventID: "2"}, []handler{anew, events(3)}, failed, "", 1},
 		{"taken up, no further event", feed, &TakeUp{LastEventID: "3"}, []handler{events(3)}, failed, "", 3},
 		{"taken up after no number", feed, &TakeUp{LastEventID: "x"}, []handler{events(3)}, "stream", three, 1},
-		{"taken up, ambiguous", feed, &TakeUp{LastEventID: "2", Ambiguous: true}, []handler{anew(3)}, "stream", three, 1},
+		{"taken up, ambiguous", feed, &TakeUp{LastEventID: "2", Ambiguous: true}, []handler{anew}, "stream", three, 1},
 		{"taken up, ambiguous, no further event", feed, &TakeUp{LastEventID: "3", Ambiguous: true}, []handler{events(3)}, failed, "", 3},
-		{"taken up after the highest number", feed, &TakeUp{LastEventID: "18446744073709551615"}, []handler{anew(3)}, failed, "", 3},
+		{"taken up after the highest number", feed, &TakeUp{LastEventID: "18446744073709551615"}, []handler{anew}, failed, "", 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newFixture(t)
