--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -121,6 +121,23 @@
 	assert.Equal(t, executions.Load(), int64(10))
 }
 
+// Guards against a stream that begins anew because its endpoint does not get the last event that its caller names, also if
+// the call is sent a second time.
+func TestEndpointGetsTheLastEventOfItsCaller(t *testing.T) {
+	bad := serve(t, dropConnection)
+	good := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprint(w, r.Header.Values("Last-Event-Id"))
+	})
+	f := newForwarder(t, bad, good)
+	for range 5 {
+		call := callOf(configuration.Repeatable)
+		call.Header = http.Header{"Last-Event-Id": {"2", "1"}}
+		reply, err := f.Do(context.Background(), call)
+		assert.NilError(t, err)
+		assert.Equal(t, string(reply.Body), "[2 1]")
+	}
+}
+
 func TestRepeatableCallIsRetriedElsewhere(t *testing.T) {
 	good := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("balance")) })
 	bad := serve(t, dropConnection)
--- a/internal/relay/passedstream.go
+++ b/internal/relay/passedstream.go
@@ -29,7 +29,8 @@
 	firstEvent time.Duration
 }
 
-// isStream reports whether an answer of a plain service is passed on event by event.
+// isStream reports whether an answer of a plain service is passed on event by event. Requests of streaming routes are not
+// hedged, so that no other attempt runs beside it.
 func (x *exchange) isStream(call *Call, response *upstream.Response, verdict *Verdict) bool {
 	return x.route.Kind == routing.Streaming && call.Stage != Prefill && response.Status == http.StatusOK &&
 		!verdict.NotEvents && !verdict.NotRun
@@ -108,7 +109,7 @@
 			err = r.beginEvents(x, from, response, timer)
 		}
 		if err != nil {
-			r.recordBreak(x, from, part, err)
+			r.recordBreak(ctx, x, from, part, err)
 			return &answerBuffer{}, err
 		}
 		part.record(batch{firstID: events.firstID, lastID: events.lastID, count: events.takeEventCount()})
@@ -136,8 +137,9 @@
 	return nil
 }
 
-// recordBreak records that an endpoint's events ended before the end of the stream.
-func (r *Relay) recordBreak(x *exchange, from *configuration.Endpoint, part enginePart, cause error) {
+// recordBreak records that an endpoint's events ended before the end of the stream, unless ctx ended because the caller
+// is gone.
+func (r *Relay) recordBreak(ctx context.Context, x *exchange, from *configuration.Endpoint, part enginePart, cause error) {
 	switch {
 	case errors.Is(cause, errOutOfSequence):
 		r.Counters.OutOfSequence.Add(1)
@@ -147,6 +149,9 @@
 	if x.passage != nil {
 		x.passage.failure = cause
 	}
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return
+	}
 	r.decide(x, "stream cut", part.addTo(logrus.Fields{
 		"endpoint": from.Name, "last_event": loggedID(x.passage.lastEventID()), "error": cause.Error(), "resumable": x.route.Resumable,
 	}))
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -38,7 +38,8 @@
 	unreachableRetryAfter = 300 * time.Millisecond
 )
 
-// servePlain serves a request that a single endpoint answers completely.
+// servePlain serves a request that plain endpoints answer: one of them completely, or with a stream that others may go on
+// with.
 func (r *Relay) servePlain(ctx context.Context, x *exchange) {
 	if !r.tracePlain(x) {
 		return
