Pass nothing on to a take-up at a plain service but events that follow the caller's

Callers saw, since events are passed on as they arrive: a document in place of the rest of a stream, answered 200, if the service answered a take-up so; and a stream without an event, if another endpoint that went on with it left that event out.

Evidence: three cases of TestStreamOfAPlainServiceHasEachEventOnce failed before.

Change: if the numbers of a stream were consecutive so far, the first event of the next endpoint must have the next one. A success of another type does not answer a request that takes a stream up. Prefills are not concerned; TestEnginesGetTheLastEventOfATakeUp notices a prefill that is lost for that.

--- a/internal/relay/passedstream.go
+++ b/internal/relay/passedstream.go
@@ -23,6 +23,8 @@
 	enginePart
 	// lastEventID is the ID of the last event that the caller got from any endpoint, empty if that event has none.
 	lastEventID string
+	// sequence is that of its events so far.
+	sequence sequence
 	// build is the build of the endpoint that began the stream.
 	build string
 	// firstEvent is the time from the request's arrival to the first event.
@@ -36,6 +38,14 @@
 		!verdict.NotEvents && !verdict.NotRun
 }
 
+// isNoRest reports whether an answer is no events although its caller has the beginning of a stream.
+func (x *exchange) isNoRest(call *Call, verdict *Verdict) bool {
+	if call.Stage == Prefill || verdict.NotRun {
+		return false
+	}
+	return x.passage != nil || x.request.TakeUp != nil && x.route.Kind == routing.Streaming && verdict.NotEvents
+}
+
 // lastEventID returns the ID of the last event that was passed on, empty if there is none. A nil passage has none.
 func (p *passage) lastEventID() string {
 	if p == nil || p.stream == nil {
@@ -45,11 +55,13 @@
 }
 
 // passedSequence returns the sequence that the events of an endpoint must continue, and whether the caller has the
-// beginning of the stream.
+// beginning of the stream. No number may be left out where another endpoint goes on if none was before.
 func (x *exchange) passedSequence() (s sequence, begun bool) {
 	switch takeUp := x.request.TakeUp; {
 	case x.passage != nil:
-		return newSparseSequence(x.passage.lastEventID()), true
+		s = x.passage.stream.sequence
+		s.exact = s.dense()
+		return s, true
 	case takeUp == nil:
 		return newSparseSequence(""), false
 	case takeUp.Ambiguous:
@@ -113,7 +125,7 @@
 			return &answerBuffer{}, err
 		}
 		part.record(batch{firstID: events.firstID, lastID: events.lastID, count: events.takeEventCount()})
-		x.passage.stream.enginePart, x.passage.stream.lastEventID = part, events.lastID
+		x.passage.stream.enginePart, x.passage.stream.lastEventID, x.passage.stream.sequence = part, events.lastID, events.sequence
 		if !x.passage.send(x.caller, complete) {
 			return &answerBuffer{}, nil
 		}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -283,8 +283,8 @@
 	switch {
 	case x.isStream(call, response, &verdict):
 		buffer, err = r.passEvents(ctx, x, to, response, timer)
-	case x.passage != nil && !verdict.NotRun:
-		return nil, verdict, untrusted.New("%s answered a request for the rest of a stream with status %d", to.Name, response.Status)
+	case x.isNoRest(call, &verdict):
+		return nil, verdict, untrusted.New("%s answered a request for the rest of a stream with no events and status %d", to.Name, response.Status)
 	default:
 		buffer, err = r.readAnswer(ctx, x, call, response, &verdict, timer)
 	}
--- a/internal/relay/sequence.go
+++ b/internal/relay/sequence.go
@@ -24,6 +24,11 @@
 	known bool
 	// sparse is set if numbers may be left out and IDs may be other texts, which cannot be compared.
 	sparse bool
+	// steps counts the events of a sparse sequence whose number was the next one, gaps is set once there was another event.
+	steps int
+	gaps  bool
+	// exact is set if the next event of a sparse sequence must have the next number.
+	exact bool
 }
 
 // newSequence returns the sequence after the event with an ID, or that of a whole stream if it is empty. An ID that is
@@ -47,21 +52,36 @@
 func (s *sequence) accept(id string) error {
 	number, err := strconv.ParseUint(id, 10, 64)
 	switch {
-	case err != nil && s.sparse:
-		s.known = false
+	case err != nil && s.sparse && !s.exact:
+		s.known, s.gaps = false, true
 		return nil
 	case err != nil:
 		return fmt.Errorf("%w: the ID %.40q is no number", errOutOfSequence, id)
 	case s.known && !s.follows(number):
 		return fmt.Errorf("%w: %d after %d", errOutOfSequence, number, s.last)
 	}
-	s.last, s.known = number, true
+	if s.sparse && s.known {
+		s.countStep(number)
+	}
+	s.last, s.known, s.exact = number, true, false
 	return nil
 }
 
+// countStep counts the step of a sparse sequence to the next event.
+func (s *sequence) countStep(number uint64) {
+	if number == s.last+1 {
+		s.steps++
+	} else {
+		s.gaps = true
+	}
+}
+
+// dense reports whether a sparse sequence has left out no number so far, as far as can be told.
+func (s *sequence) dense() bool { return s.steps > 0 && !s.gaps }
+
 // follows reports whether an event with a number may come after the last one.
 func (s *sequence) follows(number uint64) bool {
-	if s.sparse {
+	if s.sparse && !s.exact {
 		return number > s.last
 	}
 	return number == s.last+1
