--- a/internal/relay/passedstream_test.go
+++ b/internal/relay/passedstream_test.go
@@ -11,8 +11,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/membudget"
 	"github.com/ospreyshed/ospreyshed/internal/routing"
+	"github.com/ospreyshed/ospreyshed/internal/upstream"
 )
 
 var (
@@ -196,3 +198,51 @@
 	assert.Equal(t, counters.Reserved.Load(), int64(0))
 	assert.Assert(t, len(largeEvent) > membudget.AnswerBytes)
 }
+
+// Guards against a stream that is broken off because its attempt has less time than its request.
+func TestEndpointThatHasBegunHasTheTimeUntilTheDeadline(t *testing.T) {
+	s := newFixture(t)
+	ended := make(chan struct{}, 2)
+	timer := time.AfterFunc(time.Hour, func() { ended <- struct{}{} })
+	x := &exchange{request: s.request(nil), caller: &recorder{}, deadline: time.Now().Add(time.Millisecond)}
+	assert.NilError(t, s.relay.beginEvents(x, &configuration.Endpoint{}, &upstream.Response{Status: http.StatusOK}, timer))
+	<-ended
+	assert.Assert(t, s.relay.beginEvents(x, &configuration.Endpoint{}, &upstream.Response{Status: http.StatusOK}, timer) != nil, "the time is up")
+}
+
+// slowReader is a caller that takes a while to read each event.
+type slowReader struct {
+	recorder
+	took time.Duration
+}
+
+func (c *slowReader) Event(events []byte) error {
+	began := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	c.took += time.Since(began)
+	return c.recorder.Event(events)
+}
+
+// latencies records the latency of the endpoint that was observed last.
+type latencies struct {
+	Endpoints
+	last time.Duration
+}
+
+func (l *latencies) Observe(name string, group []string, ok bool, latency time.Duration) {
+	l.last = latency
+	l.Endpoints.Observe(name, group, ok, latency)
+}
+
+// Guards against an endpoint that counts as slow because callers read its streams slowly.
+func TestTimeOfACallerIsNotThatOfItsEndpoint(t *testing.T) {
+	s := newFixture(t)
+	observed := &latencies{Endpoints: s.endpoints}
+	s.relay.options.Endpoints = observed
+	s.inTurn(events(3))
+	caller := &slowReader{}
+	began := time.Now()
+	s.relay.Serve(t.Context(), s.request(nil), &feed, s.fleet.Table().Service("desk"), caller)
+	assert.Equal(t, caller.body, eventText(3))
+	assert.Assert(t, observed.last > 0 && observed.last <= time.Since(began)-caller.took, "%v", observed.last)
+}
