Let the endpoints of a test of restarts listen on an IP number of its process

Cause: the test stops endpoints on 127.0.0.1 and starts them again on the same ports, which another process may take in between; two runs of the tests draw from the same ports. Reproduced by a listener that takes the port: the same error with the former address, none with the new one.

Change: the endpoints listen on the IP number that belongs to the test's process alone, as in other tests. The assertions are the same.

--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
+	"github.com/ospreyshed/ospreyshed/internal/loopback"
 	"github.com/ospreyshed/ospreyshed/internal/platform/vmlist"
 )
 
@@ -49,9 +50,18 @@
 	assert.ErrorContains(t, err, "address already in use")
 }
 
+// The endpoints listen on an IP number of this process, as another one could take their ports while they are stopped.
 func TestEndpointRestartsOnTheSameAddress(t *testing.T) {
 	bundle := testBundle()
-	p, err := StartBundle(bundle, nil)
+	anyAddress := net.JoinHostPort(loopback.ProcessIP(), "0")
+	p, err := StartBundle(bundle, func(o *Options) {
+		for i := range o.Engines {
+			o.Engines[i].Address = anyAddress
+		}
+		for i := range o.Plain {
+			o.Plain[i].Address = anyAddress
+		}
+	})
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, p.Close()) }()
 	assert.NilError(t, p.Stop("decode-1"))
