--- a/internal/metrics/catalog_node.go
+++ b/internal/metrics/catalog_node.go
@@ -48,7 +48,7 @@
 			"Any rise: an engine does not continue streams where it should; log lines `stream cut` name it and the IDs."},
 		{"malformed_streams", Counter, Requests, "Streams that were left because their engine sent something else than an event.",
 			"Any rise: an engine writes errors into its streams, or answers twice; log lines `stream cut` name it and the bytes."},
-		{"untraced", Counter, Requests, "Streams that callers took up and whose build is not known.",
+		{"untraced", Counter, Requests, "Streams that callers took up and whose build or service is not known.",
 			"A rise without many VMs lost at once: see the `origin` counters; log lines `stream not traced` name the streams."},
 		{"moved", Counter, Requests, "Streams that callers took up and whose service their route does not lead to any more.",
 			"Expected after a route has moved to another service while streams ran."},
--- a/internal/node/past_test.go
+++ b/internal/node/history_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against a VM that has just started, or has not seen the other VMs yet, and takes what it sees for all that there was.
-func TestPastIsKnownAfterAMinuteOrIfTheDeploymentHasJustBegun(t *testing.T) {
+func TestHistoryIsCompleteAfterAMinuteOrIfTheDeploymentHasJustBegun(t *testing.T) {
 	for name, c := range map[string]struct {
 		firstStart bool
 		// age is that of another VM.
@@ -29,7 +29,7 @@
 				began := time.Now().Add(-c.age)
 				options := &Options{Builds: BuildOptions{FirstStart: c.firstStart, Started: func(uint64) time.Time { return began }}}
 				others := membership.Static{All: []membership.Member{{VM: "other", Incarnation: 1}}}
-				known := pastKnown(options, others)
+				known := historyComplete(options, others)
 				assert.Assert(t, !known(), "other VMs are not in view yet")
 				time.Sleep(firstViewTime)
 				assert.Equal(t, known(), c.early)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -97,9 +97,9 @@
 // firstViewTime is the time after the start of a process in which other VMs come into view.
 const firstViewTime = 2 * time.Second
 
-// pastKnown returns a function that reports whether this VM knows where routes led and which endpoints served within
+// historyComplete returns a function that reports whether this VM has observed all changes of routes and endpoints within
 // builds.Memory: it has run for as long, or the deployment has just begun.
-func pastKnown(options *Options, members membership.View) func() bool {
+func historyComplete(options *Options, members membership.View) func() bool {
 	started := time.Now()
 	return func() bool {
 		now := time.Now()
@@ -131,7 +131,7 @@
 		Origins:          p.Origins,
 		Builds:           p.Options.Builds.History,
 		PlainBuilds:      p.Options.Builds.Plain,
-		PastKnown:        pastKnown(p.Options, p.Members),
+		HistoryComplete:  historyComplete(p.Options, p.Members),
 		Incarnations:     p.EngineCalls,
 		Quarantine:       p.Quarantine,
 		Quotas:           p.Quotas,
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -421,7 +421,7 @@
 		{Name: "pool", Engines: &routing.Engines{Slots: 8, MemoryTokens: 30_000, TokensPerEvent: 1}},
 	}))
 	s.relay = New(Options{
-		PlainBuilds: s.builds, PastKnown: func() bool { return !s.young },
+		PlainBuilds: s.builds, HistoryComplete: func() bool { return !s.young },
 
 		VM: "vm", Incarnation: 1, Zone: "a", Fleet: s.fleet, Endpoints: s.endpoints, Reserver: s.reserver,
 		EndpointsAge:     func() time.Duration { return s.endpointsAge },
--- a/internal/relay/passedstream.go
+++ b/internal/relay/passedstream.go
@@ -93,7 +93,7 @@
 }
 
 // passEvents passes the events of a plain service's answer on as they arrive, if they continue what the caller has. The
-// error says why the answer is not complete. An answer without events is returned whole, unless the caller has the
+// error is the reason why the answer is not complete. An answer without events is returned whole, unless the caller has the
 // beginning of the stream: it is no end of that. The timer ends ctx before the first event, and at the deadline.
 func (r *Relay) passEvents(
 	ctx context.Context, x *exchange, from *configuration.Endpoint, response *upstream.Response, timer *time.Timer,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,8 +108,9 @@
 	Builds   Builds
 	// PlainBuilds are the builds of services without engines.
 	PlainBuilds PlainBuilds
-	// PastKnown reports whether this VM knows where routes led, and which builds plain services had, within builds.Memory.
-	PastKnown func() bool
+	// HistoryComplete reports whether this VM has observed all changes of routes and of plain services' builds within
+	// builds.Memory.
+	HistoryComplete func() bool
 	// Incarnations is asked before a stream goes on at another engine.
 	Incarnations Incarnations
 	Quarantine   Quarantine
@@ -157,7 +158,7 @@
 	// OutOfSequence counts streams whose engine sent another event than the next one, MalformedStreams
 	// those whose engine sent something else than an event.
 	OutOfSequence, MalformedStreams atomic.Int64
-	// Untraced counts streams that callers took up and whose build is not known.
+	// Untraced counts streams that callers took up and whose build or service is not known.
 	Untraced atomic.Int64
 	// Moved counts streams that callers took up and whose service their route does not lead to any more.
 	Moved atomic.Int64
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -66,7 +66,7 @@
 
 // TakeUp describes the stream that a caller takes up.
 type TakeUp struct {
-	// LastEventID is the ID of the last event that the caller received, Ambiguous says that the caller names others as well.
+	// LastEventID is the ID of the last event that the caller received. Ambiguous is set if the request has several such IDs.
 	LastEventID string
 	Ambiguous   bool
 	// Resumes is the ID of the request that brought the first event of the stream;
--- a/internal/relay/sequence.go
+++ b/internal/relay/sequence.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// dense reports whether a sparse sequence has left out no number so far, as far as can be told.
+// dense reports whether a sparse sequence had at least one step and has left out no number so far.
 func (s *sequence) dense() bool { return s.steps > 0 && !s.gaps }
 
 // follows reports whether an event with a number may come after the last one.
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -17,8 +17,8 @@
 	errOtherService = errors.New("the route leads to several services, or has led to another one")
 	// errOtherBuild means that another build of the service may have begun it.
 	errOtherBuild = errors.New("the service has had several builds within a minute")
-	// errNoPast means that this VM cannot tell either.
-	errNoPast = errors.New("this VM has run for less than a minute, or has old registrations or an old configuration")
+	// errNoHistory means that changes of routes or builds may be missing here.
+	errNoHistory = errors.New("this VM has run for less than a minute, or has old registrations or an old configuration")
 )
 
 // PlainBuilds is what this VM has seen of the builds of services without engines. It is implemented by builds.History.
@@ -70,9 +70,9 @@
 	refusal := Refusal{Reason: "the service that began the stream is not known"}
 	obstacle := errOtherService
 	switch {
-	case !r.knowsPast():
-		// Another VM may know.
-		refusal.RetryAfter, obstacle = unansweredRetryAfter, errNoPast
+	case !r.hasHistory():
+		// Another VM may have the history.
+		refusal.RetryAfter, obstacle = unansweredRetryAfter, errNoHistory
 	case !r.plainOrigin(x):
 	case r.options.PlainBuilds.Several(time.Now(), x.service.Name):
 		refusal.Reason, obstacle = "the build that began the stream is not known", errOtherBuild
@@ -87,13 +87,13 @@
 	return false
 }
 
-// knowsPast reports whether changes of routes and of plain services' builds within builds.Memory are known here.
-func (r *Relay) knowsPast() bool {
-	return r.options.PastKnown() && max(r.options.EndpointsAge(), r.options.ConfigurationAge()) <= builds.MaxAge
+// hasHistory reports whether this VM has all changes of routes and of plain services' builds within builds.Memory.
+func (r *Relay) hasHistory() bool {
+	return r.options.HistoryComplete() && max(r.options.EndpointsAge(), r.options.ConfigurationAge()) <= builds.MaxAge
 }
 
-// plainOrigin reports whether no other service than the request's can have begun the stream that is taken up, as far as
-// this VM knows.
+// plainOrigin reports whether no other service than the request's can have begun the stream that is taken up, by the
+// changes of its route that this VM has observed.
 func (r *Relay) plainOrigin(x *exchange) bool {
 	now := time.Now()
 	if x.route.LeadsOnlyTo(x.service.Name) {
--- a/internal/relay/takeup_test.go
+++ b/internal/relay/takeup_test.go
@@ -67,9 +67,9 @@
 	}
 }
 
-// Guards against a stream that is taken up at a VM which does not know that its route has moved, or that other builds
-// served: it has just started, or its registrations or its configuration are old.
-func TestTakeUpOfAPlainStreamNeedsAVMThatKnowsThePast(t *testing.T) {
+// Guards against a stream that is taken up at a VM that lacks a move of its route, or other builds
+// that served: it has just started, or its registrations or its configuration are old.
+func TestTakeUpOfAPlainStreamNeedsAVMWithTheHistory(t *testing.T) {
 	const old = builds.MaxAge + time.Millisecond
 	for name, forget := range map[string]func(*fixture){
 		"has just started":  func(s *fixture) { s.young = true },
@@ -84,7 +84,7 @@
 			s.takeUp = &TakeUp{LastEventID: "2"}
 			caller := s.serve(feed, nil)
 			assert.Equal(t, caller.outcome, "refused: the service that began the stream is not known")
-			assert.Equal(t, caller.retryAfter, unansweredRetryAfter, "another VM may know")
+			assert.Equal(t, caller.retryAfter, unansweredRetryAfter, "another VM may have the history")
 			assert.Equal(t, s.serve(report, nil).outcome, "stream")
 			assert.Equal(t, s.callCount(), 2)
 		})
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -64,9 +64,9 @@
 	assert.Equal(t, since(tableOf(4, "pool", third, at(3))), at(3), "it led to another service meanwhile")
 }
 
-// Guards against a stream that is taken up at a service which did not begin it, because the route does not tell that its
-// requests went elsewhere before: after a move, by a new longer prefix, or once a longer prefix is gone.
-func TestRouteKnowsWhereItsRequestsWent(t *testing.T) {
+// Guards against a stream that is taken up at a service which did not begin it, because the route lacks the services
+// to which its requests went before: after a move, by a new longer prefix, or once a longer prefix is gone.
+func TestRouteHasTheFormerServicesOfItsRequests(t *testing.T) {
 	start := time.Now()
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 	var table *Table
