Refuse a take-up at a VM whose observation of the last minute was interrupted

Callers may see: a stream of a service without engines goes on at another service or build, if its VM was held up or cut off from the store while the route moved, or a build came, and went back.

Cause: how long a VM has observed all changes was taken from the start of its process. Changes that come and go while it is held up, or while what it has of the store is old, may reach it as one state.

Change: a monitor checks each second, and for each take-up, whether registrations or configuration are older than builds.MaxAge or the process was held up for as long. The minute begins anew then, and that the deployment has just begun does not count any more. Such take-ups are refused with a Retry-After.

Why it works: what the check of routes and builds goes by is complete exactly while nothing was missed.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -7,7 +7,6 @@
 	"go.uber.org/fx"
 
 	"github.com/ospreyshed/ospreyshed/internal/background"
-	"github.com/ospreyshed/ospreyshed/internal/builds"
 	"github.com/ospreyshed/ospreyshed/internal/configuration"
 	"github.com/ospreyshed/ospreyshed/internal/endpoint"
 	"github.com/ospreyshed/ospreyshed/internal/feed"
@@ -79,6 +78,7 @@
 // relayParams are the dependencies of the relay.
 type relayParams struct {
 	fx.In
+	Lifecycle    fx.Lifecycle
 	Options      *Options
 	Endpoints    *endpoint.Registry
 	Reservations *reservation.Service
@@ -94,34 +94,22 @@
 	Members      *swim.Service
 }
 
-// firstViewTime is the time after the start of a process in which other VMs come into view.
-const firstViewTime = 2 * time.Second
-
-// historyComplete returns a function that reports whether this VM has observed all changes of routes and endpoints within
-// builds.Memory: it has run for as long, or the deployment has just begun.
-func historyComplete(options *Options, members membership.View) func() bool {
-	started := time.Now()
-	return func() bool {
-		now := time.Now()
-		if age := now.Sub(started); age >= builds.Memory || age < firstViewTime {
-			return age >= builds.Memory
-		}
-		return builds.Beginning(now, options.Builds.FirstStart, members.Members(), options.Builds.Started)
-	}
-}
-
 func newRelay(p relayParams) *relay.Relay {
 	hedger := p.Hedger
 	if !p.Options.Hedging.Enabled() {
 		hedger = nil
 	}
+	endpointsAge := func() time.Duration { return p.Feed.Age(p.Options.EndpointTopic) }
+	configurationAge := func() time.Duration { return p.Feed.Age(p.Options.ConfigurationTopic) }
+	history := newHistoryMonitor(p.Options, p.Members, func() time.Duration { return max(endpointsAge(), configurationAge()) })
+	background.Run(p.Lifecycle, history.run)
 	r := relay.New(relay.Options{
 		VM:               p.Options.VM,
 		Incarnation:      p.Options.Incarnation,
 		Zone:             p.Options.Zone,
 		Fleet:            p.Options.Fleet,
-		EndpointsAge:     func() time.Duration { return p.Feed.Age(p.Options.EndpointTopic) },
-		ConfigurationAge: func() time.Duration { return p.Feed.Age(p.Options.ConfigurationTopic) },
+		EndpointsAge:     endpointsAge,
+		ConfigurationAge: configurationAge,
 		Endpoints:        p.Endpoints,
 		Reserver:         p.Reservations,
 		Admission:        p.Reservations,
@@ -131,7 +119,7 @@
 		Origins:          p.Origins,
 		Builds:           p.Options.Builds.History,
 		PlainBuilds:      p.Options.Builds.Plain,
-		HistoryComplete:  historyComplete(p.Options, p.Members),
+		HistoryComplete:  history.complete,
 		Incarnations:     p.EngineCalls,
 		Quarantine:       p.Quarantine,
 		Quotas:           p.Quotas,
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -18,7 +18,7 @@
 	// errOtherBuild means that another build of the service may have begun it.
 	errOtherBuild = errors.New("the service has had several builds within a minute")
 	// errNoHistory means that changes of routes or builds may be missing here.
-	errNoHistory = errors.New("this VM has run for less than a minute, or has old registrations or an old configuration")
+	errNoHistory = errors.New("this VM has not observed all changes of the last minute")
 )
 
 // PlainBuilds is what this VM has seen of the builds of services without engines. It is implemented by builds.History.
